--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STEPS ?= 2000
+SEED ?= 1
+
+.PHONY: demo test check fuzz clean
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+check: $(VENV)/.installed
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check .
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m fireflyferry.experiments.demo
+
+fuzz: $(VENV)/.installed
+	FIREFLYFERRY_FUZZ_STEPS=$(STEPS) $(BIN)/python -m pytest --hypothesis-seed=$(SEED) -k "machine or Machine"
+
+clean:
+	rm -rf $(VENV) build *.egg-info
