--- /dev/null
+++ b/fireflyferry/edges/__init__.py
@@ -0,0 +1,27 @@
+"""Interfaces to other processes, and one HTTP implementation of each."""
+
+from fireflyferry.edges.base import (
+    Clock,
+    Metrics,
+    ObjectStore,
+    PeerLink,
+    StoredObject,
+    StoreUnavailableError,
+    UpstreamControl,
+    VersionConflictError,
+    VmList,
+    WatchBatch,
+)
+
+__all__ = [
+    "Clock",
+    "Metrics",
+    "ObjectStore",
+    "PeerLink",
+    "StoreUnavailableError",
+    "StoredObject",
+    "UpstreamControl",
+    "VersionConflictError",
+    "VmList",
+    "WatchBatch",
+]
--- /dev/null
+++ b/fireflyferry/messages/groups.py
@@ -0,0 +1,89 @@
+"""Messages about groups: leader, standby, pledges and saved owners."""
+
+import attrs
+
+__all__ = [
+    "GroupId",
+    "GroupRecord",
+    "Heartbeat",
+    "HeartbeatReply",
+    "OwnerSet",
+    "VmIncarnation",
+    "parse_group_id",
+]
+
+
+@attrs.frozen(order=True)
+class VmIncarnation:
+    """One run of the entry program on a VM."""
+
+    vm_id: str
+    incarnation: str
+
+
+@attrs.frozen(order=True)
+class GroupId:
+    """A group of buckets of one pool with a home data centre."""
+
+    pool: str
+    data_centre: str
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.pool}/{self.data_centre}/{self.index}"
+
+
+def parse_group_id(text: str) -> GroupId:
+    """Parse `pool/data_centre/index`.
+
+    Raises ValueError for any other form.
+    """
+    pool, data_centre, index = text.split("/")
+    return GroupId(pool, data_centre, int(index))
+
+
+@attrs.frozen
+class GroupRecord:
+    """The store's record of a group; changed by conditional update only."""
+
+    group: GroupId
+    term: int
+    leader: VmIncarnation
+    standby: VmIncarnation | None = None
+    session: int = 0
+    resigned: bool = False
+    write_id: str = ""
+
+
+@attrs.frozen
+class OwnerSet:
+    """Owners of a group's units, ordered by (term, sequence)."""
+
+    group: GroupId
+    term: int
+    sequence: int
+    owners: dict[str, str]
+
+
+@attrs.frozen
+class Heartbeat:
+    """The leader's request for a pledge, with owners to replicate if they changed."""
+
+    group: GroupId
+    term: int
+    leader: VmIncarnation
+    standby: VmIncarnation
+    owners: OwnerSet | None = None
+
+
+@attrs.frozen
+class HeartbeatReply:
+    """The standby's answer; `pledge_s` is 0 when it gives none."""
+
+    group: GroupId
+    term: int
+    standby: VmIncarnation
+    pledge_s: float
+    unlimited: bool = False
+    owners_term: int = 0
+    owners_sequence: int = 0
--- /dev/null
+++ b/fireflyferry/messages/vms.py
@@ -0,0 +1,19 @@
+"""Entries of the platform's VM list."""
+
+import attrs
+
+__all__ = ["VmEntry"]
+
+
+@attrs.frozen
+class VmEntry:
+    """A VM as the platform lists it; addresses are `IP:PORT`."""
+
+    vm_id: str
+    role: str
+    region: str
+    data_centre: str
+    address: str
+    peer_address: str = ""
+    pool: str = ""
+    state: str = "live"
--- /dev/null
+++ b/fireflyferry/telemetry/reasons.py
@@ -0,0 +1,97 @@
+"""Stable codes of outcomes, refusals and retries."""
+
+import enum
+
+import attrs
+
+__all__ = ["REASONS", "Outcome", "Reason", "ReasonInfo"]
+
+
+class Outcome(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or retried, or why its outcome is unknown."""
+
+    UNKNOWN_ROUTE = "unknown_route"
+    MISSING_KEY = "missing_key"
+    BODY_TOO_LARGE = "body_too_large"
+    BAD_REQUEST_ID = "bad_request_id"
+    BAD_TIMEOUT = "bad_timeout"
+    NOT_AUTHENTICATED = "not_authenticated"
+    NO_TABLES = "no_tables"
+    NO_LEADER = "no_leader"
+    NOT_LEADER = "not_leader"
+    OWNER_UNAVAILABLE = "owner_unavailable"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    OWNER_HELD = "owner_held"
+    NOT_OWNER = "not_owner"
+    STALE_FENCE = "stale_fence"
+    QUEUE_FULL = "queue_full"
+    TENANT_LIMIT = "tenant_limit"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_PASSED_IN_QUEUE = "deadline_passed_in_queue"
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_DRAINING = "upstream_draining"
+    CONNECT_FAILED = "connect_failed"
+    SHUTTING_DOWN = "shutting_down"
+    DUPLICATE_IN_FLIGHT = "duplicate_in_flight"
+    OUTCOME_NOT_RECORDED = "outcome_not_recorded"
+    TIMED_OUT = "timed_out"
+    CONNECTION_LOST = "connection_lost"
+    WRONG_ANSWER = "wrong_answer"
+    OWNERSHIP_LAPSED = "ownership_lapsed"
+
+
+@attrs.frozen
+class ReasonInfo:
+    """What a reason tells the caller."""
+
+    outcome: Outcome
+    status: int
+    retryable: bool
+
+
+def _refusal(status: int, retryable: bool = False) -> ReasonInfo:
+    return ReasonInfo(Outcome.NOT_RUN, status, retryable)
+
+
+def _unknown() -> ReasonInfo:
+    return ReasonInfo(Outcome.UNKNOWN, 504, False)
+
+
+REASONS: dict[Reason, ReasonInfo] = {
+    Reason.UNKNOWN_ROUTE: _refusal(404),
+    Reason.MISSING_KEY: _refusal(400),
+    Reason.BODY_TOO_LARGE: _refusal(413),
+    Reason.BAD_REQUEST_ID: _refusal(400),
+    Reason.BAD_TIMEOUT: _refusal(400),
+    Reason.NOT_AUTHENTICATED: _refusal(401),
+    Reason.NO_TABLES: _refusal(503, retryable=True),
+    Reason.NO_LEADER: _refusal(503, retryable=True),
+    Reason.NOT_LEADER: _refusal(503, retryable=True),
+    Reason.OWNER_UNAVAILABLE: _refusal(503, retryable=True),
+    Reason.OWNER_UNREACHABLE: _refusal(503, retryable=True),
+    Reason.OWNER_HELD: _refusal(503),
+    Reason.NOT_OWNER: _refusal(503, retryable=True),
+    Reason.STALE_FENCE: _refusal(503, retryable=True),
+    Reason.QUEUE_FULL: _refusal(503),
+    Reason.TENANT_LIMIT: _refusal(429),
+    Reason.DEADLINE_TOO_SHORT: _refusal(503),
+    Reason.DEADLINE_PASSED_IN_QUEUE: _refusal(503),
+    Reason.UPSTREAM_SHED: _refusal(503, retryable=True),
+    Reason.UPSTREAM_DRAINING: _refusal(503, retryable=True),
+    Reason.CONNECT_FAILED: _refusal(503, retryable=True),
+    Reason.SHUTTING_DOWN: _refusal(503, retryable=True),
+    Reason.DUPLICATE_IN_FLIGHT: ReasonInfo(Outcome.UNKNOWN, 409, False),
+    Reason.OUTCOME_NOT_RECORDED: ReasonInfo(Outcome.UNKNOWN, 409, False),
+    Reason.TIMED_OUT: _unknown(),
+    Reason.CONNECTION_LOST: _unknown(),
+    Reason.WRONG_ANSWER: _unknown(),
+    Reason.OWNERSHIP_LAPSED: _unknown(),
+}
