--- /dev/null
+++ b/fireflyferry/entry/feed.py
@@ -0,0 +1,142 @@
+"""Distribution of the store's objects: relays watch the store, the other VMs follow a relay."""
+
+import asyncio
+import logging
+
+from fireflyferry.edges import ObjectStore, PeerLink, VmList, WatchBatch
+from fireflyferry.edges.base import EdgeError
+from fireflyferry.entry.state import VM_LIST_OBJECT, VmState
+from fireflyferry.membership.roles import RELAYS_PER_DATA_CENTRE, relay_order
+
+__all__ = ["Feed"]
+
+_LOG = logging.getLogger(__name__)
+
+WATCHED_PREFIXES = ("config/tables", "groups/", "placements/")
+LONG_POLL_S = 20.0
+VM_LIST_INTERVAL_S = 2.0
+RETRY_S = 0.5
+
+
+class Feed:
+    """Keeps the mirror of this VM current."""
+
+    def __init__(
+        self, state: VmState, store: ObjectStore, vm_list: VmList, peers: PeerLink
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._vm_list = vm_list
+        self._peers = peers
+        self._failed_relays = 0
+        self._followed: str | None = None
+        self._position = 0
+        self._changed = asyncio.Event()
+
+    @property
+    def role(self) -> str:
+        """`relay` or `follower`."""
+        return "relay" if self._is_relay() else "follower"
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        await asyncio.gather(self._run_objects(), self._run_vm_list())
+
+    async def wait_for_changes(self, since: int, timeout_s: float) -> WatchBatch:
+        """Return the changes after a position, waiting for the first one."""
+        mirror = self._state.mirror
+        if 0 < since == mirror.sequence:
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), timeout_s)
+            except TimeoutError:
+                pass
+        return mirror.changes_since(since)
+
+    def apply(self, batch: WatchBatch) -> None:
+        """Apply changes to the mirror and wake the followers."""
+        if self._state.apply(batch.changes):
+            changed, self._changed = self._changed, asyncio.Event()
+            changed.set()
+
+    def _relays(self) -> list:
+        return relay_order(self._state.vm_table, self._state.data_centre)
+
+    def _is_relay(self) -> bool:
+        relays = self._relays()[:RELAYS_PER_DATA_CENTRE]
+        return not relays or self._state.vm_id in {vm.vm_id for vm in relays}
+
+    async def _run_objects(self) -> None:
+        watched_since = None
+        while True:
+            try:
+                if self._is_relay() or self._failed_relays >= RELAYS_PER_DATA_CENTRE:
+                    watched_since = await self._watch_store(watched_since)
+                    self._failed_relays = 0
+                else:
+                    watched_since = None
+                    await self._follow_relay()
+            except EdgeError as error:
+                _LOG.warning("feed_failed", extra={"error": error.code, "role": self.role})
+                await self._learn_from_seeds()
+                await asyncio.sleep(RETRY_S)
+
+    async def _watch_store(self, since: int | None) -> int:
+        if since is None:
+            sequence = 0
+            for prefix in WATCHED_PREFIXES:
+                batch = await self._store.list(prefix)
+                self.apply(batch)
+                sequence = batch.sequence if not sequence else min(sequence, batch.sequence)
+            return sequence
+        batch = await self._store.watch(WATCHED_PREFIXES, since, LONG_POLL_S)
+        self.apply(batch)
+        return batch.sequence
+
+    async def _follow_relay(self) -> None:
+        relays = self._relays()
+        relay = relays[self._failed_relays % len(relays)]
+        if relay.vm_id != self._followed:
+            self._followed, self._position = relay.vm_id, 0
+        try:
+            batch = await self._peers.feed(
+                relay.peer_address,
+                self._position,
+                self._state.revision,
+                self._state.vm_id,
+                LONG_POLL_S,
+            )
+        except EdgeError:
+            self._failed_relays += 1
+            raise
+        self._position = batch.sequence
+        self.apply(batch)
+
+    async def _learn_from_seeds(self) -> None:
+        """Learn from configured peers while neither the store nor a relay answers."""
+        for address in self._state.seed_peers:
+            try:
+                self.apply(
+                    await self._peers.feed(
+                        address, 0, self._state.revision, self._state.vm_id, RETRY_S
+                    )
+                )
+                return
+            except EdgeError:
+                continue
+
+    async def _run_vm_list(self) -> None:
+        while True:
+            if self._is_relay():
+                try:
+                    listing = await self._vm_list.fetch()
+                    self._apply_vm_list(listing)
+                except EdgeError as error:
+                    _LOG.warning("vm_list_failed", extra={"error": error.code})
+            await asyncio.sleep(VM_LIST_INTERVAL_S)
+
+    def _apply_vm_list(self, listing) -> None:
+        stored = self._state.vm_list_object(listing)
+        known = self._state.mirror.get(VM_LIST_OBJECT)
+        if known is None or known.data != stored.data:
+            self.apply(WatchBatch(0, (stored,)))
--- /dev/null
+++ b/fireflyferry/membership/__init__.py
@@ -0,0 +1,22 @@
+"""VM table, role choice and the mirror of the store's objects."""
+
+from fireflyferry.membership.mirror import Mirror
+from fireflyferry.membership.placements import PlacementMap, bootstrap_placement
+from fireflyferry.membership.roles import (
+    groups_of,
+    preferred_leader,
+    preferred_standby,
+    relay_order,
+)
+from fireflyferry.membership.vm_table import VmTable
+
+__all__ = [
+    "Mirror",
+    "PlacementMap",
+    "VmTable",
+    "bootstrap_placement",
+    "groups_of",
+    "preferred_leader",
+    "preferred_standby",
+    "relay_order",
+]
--- /dev/null
+++ b/fireflyferry/membership/placements.py
@@ -0,0 +1,55 @@
+"""The map of a pool's buckets to its groups."""
+
+import bisect
+
+import attrs
+
+from fireflyferry.messages import GroupId
+
+__all__ = ["BucketRun", "PlacementMap", "bootstrap_placement"]
+
+
+@attrs.frozen
+class BucketRun:
+    """Consecutive buckets of one group, from `first` up to the next run."""
+
+    first: int
+    group: GroupId
+
+
+@attrs.frozen
+class PlacementMap:
+    """All buckets of a pool as runs in ascending order."""
+
+    pool: str
+    buckets: int
+    runs: tuple[BucketRun, ...]
+
+    def group_of(self, bucket: int) -> GroupId:
+        """Return the group of a bucket."""
+        index = bisect.bisect_right(self.runs, bucket, key=lambda run: run.first) - 1
+        return self.runs[index].group
+
+    def buckets_of(self, group: GroupId) -> list[int]:
+        """Return the buckets of a group."""
+        ends = [*(run.first for run in self.runs[1:]), self.buckets]
+        return [
+            bucket
+            for run, end in zip(self.runs, ends, strict=True)
+            if run.group == group
+            for bucket in range(run.first, end)
+        ]
+
+
+def bootstrap_placement(pool: str, buckets: int, capacity: dict[GroupId, int]) -> PlacementMap:
+    """Divide the buckets among the groups in proportion to their capacity."""
+    shares = capacity if sum(capacity.values()) else dict.fromkeys(capacity, 1)
+    total = sum(shares.values())
+    runs = []
+    passed = 0
+    for group in sorted(shares):
+        first = buckets * passed // total
+        passed += shares[group]
+        if buckets * passed // total > first:
+            runs.append(BucketRun(first, group))
+    return PlacementMap(pool, buckets, tuple(runs))
--- /dev/null
+++ b/fireflyferry/membership/roles.py
@@ -0,0 +1,62 @@
+"""Choice of relays, leaders and standbys by rendezvous hashing."""
+
+from collections.abc import Iterable, Iterator
+
+import xxhash
+
+from fireflyferry.membership.vm_table import VmTable
+from fireflyferry.messages import GroupId, VmEntry
+from fireflyferry.tables import Tables
+
+__all__ = ["groups_of", "preferred_leader", "preferred_standby", "relay_order"]
+
+RELAYS_PER_DATA_CENTRE = 2
+
+
+def groups_of(tables: Tables) -> Iterator[GroupId]:
+    """Yield all groups that the tables define."""
+    for pool in tables.pools:
+        for data_centre in pool.data_centres:
+            for index in range(pool.groups_per_data_centre):
+                yield GroupId(pool.name, data_centre, index)
+
+
+def relay_order(table: VmTable, data_centre: str) -> list[VmEntry]:
+    """Order the entry VMs of a data centre by their weight as relay."""
+    return _ranked(f"relay/{data_centre}", table.entry_vms(data_centre))
+
+
+def preferred_leader(table: VmTable, group: GroupId) -> VmEntry | None:
+    """Return the entry VM in the home data centre that should lead a group."""
+    return _first(_rank_key(table, group), table.entry_vms(group.data_centre))
+
+
+def preferred_standby(table: VmTable, group: GroupId, leader_vm_id: str) -> VmEntry | None:
+    """Return the entry VM that should be standby under the given leader.
+
+    The standby is in the other data centre of the region than the leader; when that has no entry
+    VM, it is another one of the leader's own.
+    """
+    leader = table.get(leader_vm_id)
+    leader_data_centre = leader.data_centre if leader else group.data_centre
+    sibling = table.sibling_of(leader_data_centre)
+    rank_key = _rank_key(table, group)
+    choices = (vm for vm in table.entry_vms(sibling) if vm.vm_id != leader_vm_id)
+    fallback = (vm for vm in table.entry_vms(leader_data_centre) if vm.vm_id != leader_vm_id)
+    first = _first(rank_key, choices) if sibling else None
+    return first or _first(rank_key, fallback)
+
+
+def _rank_key(table: VmTable, group: GroupId) -> str:
+    # The data centre is left out, so that paired groups have each other's leader as standby.
+    return f"{group.pool}/{table.region_of(group.data_centre)}/{group.index}"
+
+
+def _first(rank_key: str, vms: Iterable[VmEntry]) -> VmEntry | None:
+    return next(iter(_ranked(rank_key, vms)), None)
+
+
+def _ranked(rank_key: str, vms: Iterable[VmEntry]) -> list[VmEntry]:
+    return sorted(
+        vms, key=lambda vm: (xxhash.xxh3_64_intdigest(f"{rank_key}|{vm.vm_id}"), vm.vm_id)
+    )
