--- /dev/null
+++ b/fireflyferry/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: public server, peer server, control loop and forwarding."""
