--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -129,14 +129,14 @@
         while True:
             if self._is_relay():
                 try:
-                    listing = await self._vm_list.fetch()
-                    self._apply_vm_list(listing)
+                    version, entries = await self._vm_list.fetch()
+                    self._apply_vm_list(version, entries)
                 except EdgeError as error:
                     _LOG.warning("vm_list_failed", extra={"error": error.code})
             await asyncio.sleep(VM_LIST_INTERVAL_S)
 
-    def _apply_vm_list(self, listing) -> None:
-        stored = self._state.vm_list_object(listing)
+    def _apply_vm_list(self, version, entries) -> None:
+        stored = self._state.vm_list_object(version, entries)
         known = self._state.mirror.get(VM_LIST_OBJECT)
         if known is None or known.data != stored.data:
             self.apply(WatchBatch(0, (stored,)))
--- /dev/null
+++ b/fireflyferry/entry/state.py
@@ -0,0 +1,114 @@
+"""What an entry VM knows: tables, groups, placements and the VM list, all from the mirror."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from fireflyferry.edges import Clock, StoredObject
+from fireflyferry.entry.interfaces import TablesSource
+from fireflyferry.membership import Mirror, PlacementMap, VmTable
+from fireflyferry.messages import GroupId, GroupRecord, VmEntry, VmIncarnation, decode, encode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.tables import Tables
+
+__all__ = ["GROUPS_PREFIX", "PLACEMENTS_PREFIX", "VM_LIST_OBJECT", "RecordView", "VmState"]
+
+_LOG = logging.getLogger(__name__)
+
+TABLES_OBJECT = "config/tables"
+GROUPS_PREFIX = "groups/"
+PLACEMENTS_PREFIX = "placements/"
+VM_LIST_OBJECT = "vms"
+
+
+@attrs.frozen
+class VmListing:
+    """The VM list as relays pass it on."""
+
+    entries: tuple[VmEntry, ...]
+
+
+@attrs.frozen
+class RecordView:
+    """A group's record as last seen in the mirror."""
+
+    record: GroupRecord
+    version: int
+    seen_at_s: float
+
+
+class VmState(TablesSource):
+    """Tables that the control systems and the request path read."""
+
+    def __init__(
+        self, me: VmIncarnation, region: str, data_centre: str, clock: Clock, seed_peers=()
+    ) -> None:
+        self.me = me
+        self.region = region
+        self.data_centre = data_centre
+        self.seed_peers: tuple[str, ...] = tuple(seed_peers)
+        self.mirror = Mirror()
+        self.vm_table = VmTable()
+        self.placements: dict[str, PlacementMap] = {}
+        self.records: dict[GroupId, RecordView] = {}
+        self.on_gone: list[Callable[[VmEntry], None]] = []
+        self.on_record: list[Callable[[RecordView], None]] = []
+        self._clock = clock
+        self._tables: Tables | None = None
+
+    @property
+    def vm_id(self) -> str:
+        """Id of this VM."""
+        return self.me.vm_id
+
+    @property
+    def revision(self) -> int:
+        """Revision of the applied tables, 0 before the first."""
+        return self._tables.revision if self._tables else 0
+
+    def current(self) -> Tables | None:
+        """Return the applied tables."""
+        return self._tables
+
+    def apply(self, objects: tuple[StoredObject, ...]) -> bool:
+        """Apply objects that are newer than the known ones; tell whether there were any."""
+        newer = self.mirror.apply(objects)
+        for item in newer:
+            if item.data is None:
+                continue
+            try:
+                self._apply_object(item.name, item.version, item.data)
+            except MessageError as error:
+                _LOG.error("bad_object", extra={"object": item.name, "error": str(error)})
+        return bool(newer)
+
+    def vm_list_object(self, version: int, entries: tuple[VmEntry, ...]) -> StoredObject:
+        """Wrap the VM list as an object that relays pass on."""
+        return StoredObject(VM_LIST_OBJECT, version, encode(VmListing(entries)))
+
+    def _apply_object(self, name: str, version: int, data: bytes) -> None:
+        if name == TABLES_OBJECT:
+            self._apply_tables(decode(data, Tables))
+        elif name.startswith(GROUPS_PREFIX):
+            view = RecordView(decode(data, GroupRecord), version, self._clock.monotonic_s())
+            self.records[view.record.group] = view
+            for callback in self.on_record:
+                callback(view)
+        elif name.startswith(PLACEMENTS_PREFIX):
+            placement = decode(data, PlacementMap)
+            self.placements[placement.pool] = placement
+        elif name == VM_LIST_OBJECT:
+            self._apply_vm_list(decode(data, VmListing).entries)
+
+    def _apply_tables(self, tables: Tables) -> None:
+        if tables.revision <= self.revision:
+            return
+        self._tables = tables
+        _LOG.info("tables_applied", extra={"revision": tables.revision})
+
+    def _apply_vm_list(self, entries: tuple[VmEntry, ...]) -> None:
+        gone = self.vm_table.update(self._clock.monotonic_s(), entries)
+        for entry in gone:
+            for callback in self.on_gone:
+                callback(entry)
