--- /dev/null
+++ b/fireflyferry/leases/timing.py
@@ -0,0 +1,68 @@
+"""Durations of pledges, sessions and grants."""
+
+import math
+
+import attrs
+
+from fireflyferry.errors import FireflyferryError
+
+__all__ = ["LeaseTiming", "LeaseTimingError"]
+
+
+class LeaseTimingError(FireflyferryError):
+    """Lease durations that are unsafe or that cannot be kept."""
+
+    code = "bad_lease_timing"
+
+
+@attrs.frozen
+class LeaseTiming:
+    """Durations in seconds; `drift` bounds the relative rate of any two clocks.
+
+    Raises LeaseTimingError for durations that are unsafe or that cannot be kept.
+    """
+
+    pledge_s: float = 1.2
+    session_s: float = 1.2
+    grant_s: float = 1.2
+    heartbeat_s: float = 0.2
+    renew_s: float = 0.4
+    drift: float = 0.01
+
+    def __attrs_post_init__(self) -> None:
+        for field in attrs.fields(LeaseTiming):
+            value = getattr(self, field.name)
+            if field.name != "drift" and not (math.isfinite(value) and value > 0):
+                raise LeaseTimingError(f"{field.name}: found {value}, allowed: above 0")
+        if not 0 <= self.drift <= 0.1:
+            raise LeaseTimingError(f"drift: found {self.drift}, allowed: 0 to 0.1")
+        # A new standby starts to wait for the session when it reads the record that names it.
+        # The leader still counts the old standby's pledge until it sends that write, so the
+        # wait must be at least as long as a pledge.
+        if self.session_s < self.pledge_s:
+            raise LeaseTimingError(
+                f"session_s: found {self.session_s}, allowed: at least pledge_s={self.pledge_s}"
+            )
+        # Half a pledge is left when session writes start; two heartbeats must fit before that,
+        # or each lost heartbeat costs a write to the store.
+        if self.heartbeat_s * 4 > self.pledge_s:
+            raise LeaseTimingError(
+                f"heartbeat_s: found {self.heartbeat_s}, allowed: at most a quarter of "
+                f"pledge_s={self.pledge_s}"
+            )
+        if self.renew_s * 2 > self.grant_s:
+            raise LeaseTimingError(
+                f"renew_s: found {self.renew_s}, allowed: at most half of grant_s={self.grant_s}"
+            )
+
+    def lengthened(self, duration_s: float) -> float:
+        """Return a time in which every clock within the drift bound has counted duration_s."""
+        return duration_s * (1 + self.drift)
+
+    def shortened(self, duration_s: float) -> float:
+        """Return a time after which no clock within the drift bound has counted duration_s."""
+        return duration_s / (1 + self.drift)
+
+    def grant_length_s(self, now_s: float, authority_until_s: float) -> float:
+        """Return the longest grant that a leader may give; 0 when its authority has ended."""
+        return max(0.0, min(self.grant_s, self.shortened(authority_until_s - now_s)))
