--- /dev/null
+++ b/fireflyferry/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, baselines, deployments of stand-ins, scenarios and the demo."""
--- /dev/null
+++ b/fireflyferry/experiments/customers.py
@@ -0,0 +1,95 @@
+"""The two customers at today's sizes: data centres, services and tables."""
+
+import attrs
+
+from fireflyferry.tables import Pool, Route, Tables
+
+__all__ = ["CAATINGA", "PARBRETT", "Customer", "Service", "tables_of"]
+
+
+@attrs.frozen
+class Service:
+    """A service of a customer: instances over all data centres, and how requests run."""
+
+    name: str
+    instances: int
+    slots: int
+    connections: int
+    idempotent: bool
+    timeout_ms: int = 2000
+
+
+@attrs.frozen
+class Customer:
+    """A customer with its data centres by region; weights steer placement."""
+
+    name: str
+    regions: dict[str, tuple[str, str]]
+    services: tuple[Service, ...]
+    tenants: dict[str, int]
+    imbalance_weight: float
+    unavailable_weight: float
+
+    @property
+    def data_centres(self) -> tuple[tuple[str, str], ...]:
+        """All (region, data centre) pairs."""
+        return tuple((region, dc) for region, dcs in self.regions.items() for dc in dcs)
+
+
+def _regions(*names: str) -> dict[str, tuple[str, str]]:
+    return {name: (f"{name}-1", f"{name}-2") for name in names}
+
+
+CAATINGA = Customer(
+    "caatinga",
+    _regions("fortaleza", "natal", "recife"),
+    (
+        Service("janela", 15, 2, 130, idempotent=True),
+        Service("reserva", 12, 2, 130, idempotent=False),
+        Service("acervo", 14, 2, 130, idempotent=True, timeout_ms=20_000),
+    ),
+    {"antena": 1, "pesca": 1, "agro-a": 1, "agro-b": 1},
+    imbalance_weight=1.0,
+    unavailable_weight=3.0,
+)
+
+PARBRETT = Customer(
+    "parbrett",
+    _regions("ostland", "vestland", "nordland"),
+    (
+        Service("tabell", 12, 4, 110, idempotent=True),
+        Service("rundeplan", 12, 4, 110, idempotent=False),
+        Service("bordvakt", 12, 4, 110, idempotent=True),
+    ),
+    {"forbund-a": 1, "forbund-b": 1, "forbund-c": 1},
+    imbalance_weight=3.0,
+    unavailable_weight=1.0,
+)
+
+
+def tables_of(customer: Customer, revision: int = 1, buckets: int = 240) -> Tables:
+    """Return the routes and pools of a customer."""
+    data_centres = tuple(dc for _, dc in customer.data_centres)
+    routes = tuple(
+        Route(
+            service.name,
+            f"/{service.name}/",
+            service.name,
+            "path:0",
+            idempotent=service.idempotent,
+            timeout_ms=service.timeout_ms,
+        )
+        for service in customer.services
+    )
+    pools = tuple(
+        Pool(
+            service.name,
+            data_centres,
+            buckets=buckets,
+            tenants=customer.tenants,
+            imbalance_weight=customer.imbalance_weight,
+            unavailable_weight=customer.unavailable_weight,
+        )
+        for service in customer.services
+    )
+    return Tables(revision, routes, pools, author="demo")
