--- /dev/null
+++ b/fireflyferry/entry/group_runtime.py
@@ -0,0 +1,57 @@
+"""What a VM keeps for a group that it leads or stands by for."""
+
+import attrs
+
+from fireflyferry.leases import GroupAuthority, LeaseTiming
+from fireflyferry.messages import GroupId, OwnerSet, VmIncarnation
+from fireflyferry.ownership import GrantBook, SaveOwners
+from fireflyferry.placement import HotKeySketch
+
+__all__ = ["GroupRuntime", "make_group_runtime"]
+
+HOT_KEY_CAPACITY = 256
+
+
+@attrs.define
+class GroupRuntime:
+    """One row of the group table.
+
+    `book_term` is the term that the book serves. `assignments_version` is the version of the
+    group's object of saved owners, known after it was read in this term.
+    """
+
+    group: GroupId
+    authority: GroupAuthority
+    book: GrantBook
+    sketch: HotKeySketch
+    book_term: int = 0
+    loading_term: int = 0
+    led_since_s: float = 0.0
+    assignments_version: int = 0
+    saving: bool = False
+    unsaved: SaveOwners | None = None
+    store_away: bool = False
+    durability: str = "store"
+    pins: dict[str, str] = attrs.Factory(dict)
+    next_placement_s: float = 0.0
+    next_hot_keys_s: float = 0.0
+    handover_after_s: float = 0.0
+    hot_keys: tuple[str, ...] = ()
+    assigned: dict[str, str] = attrs.Factory(dict)
+    saved: OwnerSet | None = None
+
+    def leads(self, now_s: float) -> bool:
+        """Tell whether this VM leads the group and its book serves the current term."""
+        return self.authority.is_leader(now_s) and self.book_term == self.authority.term
+
+
+def make_group_runtime(
+    group: GroupId, me: VmIncarnation, timing: LeaseTiming, hold: bool
+) -> GroupRuntime:
+    """Build the row of a group."""
+    return GroupRuntime(
+        group,
+        GroupAuthority(group, me, timing, hold=hold),
+        GrantBook(group, timing),
+        HotKeySketch(HOT_KEY_CAPACITY),
+    )
--- /dev/null
+++ b/fireflyferry/entry/owner_system.py
@@ -0,0 +1,235 @@
+"""System that loads, places, saves and grants the owners of led groups on each tick."""
+
+import asyncio
+import logging
+
+from fireflyferry.edges import Clock, ObjectStore, UpstreamControl, VersionConflictError
+from fireflyferry.edges.base import EdgeError
+from fireflyferry.entry.group_runtime import GroupRuntime
+from fireflyferry.entry.placing import Placing
+from fireflyferry.entry.state import VmState
+from fireflyferry.entry.tasks import TaskGroup
+from fireflyferry.entry.upstream_table import UpstreamRow, UpstreamTable
+from fireflyferry.messages import OwnerSet, decode, encode
+from fireflyferry.ownership import SaveOwners, SendGrant
+
+__all__ = ["ASSIGNMENTS_PREFIX", "OwnerSystem"]
+
+_LOG = logging.getLogger(__name__)
+
+ASSIGNMENTS_PREFIX = "assignments/"
+LOAD_RETRY_S = 0.2
+STORE_CATCH_UP_S = 2.0
+
+
+class OwnerSystem:
+    """Runs the grant books of the groups that this VM leads."""
+
+    def __init__(
+        self,
+        state: VmState,
+        clock: Clock,
+        store: ObjectStore,
+        upstream_control: UpstreamControl,
+        upstreams: UpstreamTable,
+        tasks: TaskGroup,
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._store = store
+        self._upstream_control = upstream_control
+        self._upstreams = upstreams
+        self._placing = Placing(state, upstreams)
+        self._tasks = tasks
+
+    def run(self, now_s: float, runtimes: list[GroupRuntime]) -> None:
+        """Advance every led group."""
+        led = [runtime for runtime in runtimes if runtime.authority.is_leader(now_s)]
+        for runtime in led:
+            if runtime.book_term != runtime.authority.term:
+                self._start_loading(runtime)
+                continue
+            self._placing.run(now_s, runtime)
+            self._confirm_by_standby(runtime)
+            actions = runtime.book.tick(now_s, runtime.authority.authority_until_s())
+            for action in actions:
+                if isinstance(action, SendGrant):
+                    self._tasks.start(self._send_grant(runtime, action, now_s))
+                else:
+                    self._start_saving(runtime, action)
+        self._greet(now_s, led)
+
+    def on_upstream_gone(self, upstream_id: str, runtimes: list[GroupRuntime]) -> None:
+        """Free the units of an upstream that the platform or an operator says is gone."""
+        now_s = self._clock.monotonic_s()
+        self._upstreams.forget(upstream_id)
+        for runtime in runtimes:
+            runtime.book.on_upstream_gone(now_s, upstream_id)
+
+    # Loading the owners at the start of a term
+
+    def _start_loading(self, runtime: GroupRuntime) -> None:
+        term = runtime.authority.term
+        if runtime.loading_term != term:
+            runtime.loading_term = term
+            self._tasks.start(self._load(runtime, term))
+
+    async def _load(self, runtime: GroupRuntime, term: int) -> None:
+        """Read the newest owners and rewrite them under the new term.
+
+        The rewrite makes a late write of the earlier leader fail.
+        """
+        name = f"{ASSIGNMENTS_PREFIX}{runtime.group}"
+        while runtime.authority.term == term:
+            try:
+                stored = await self._store.get(name)
+                known = decode(stored.data, OwnerSet) if stored and stored.data else None
+                owners = self._newest(runtime, known, term)
+                version = stored.version if stored else 0
+                runtime.assignments_version = await self._store.put(name, encode(owners), version)
+            except EdgeError as error:
+                _LOG.warning(
+                    "owners_not_loaded", extra={"group": str(runtime.group), "error": error.code}
+                )
+                await asyncio.sleep(LOAD_RETRY_S)
+                continue
+            self._begin_term(runtime, term, owners)
+            return
+
+    @staticmethod
+    def _newest(runtime: GroupRuntime, stored: OwnerSet | None, term: int) -> OwnerSet:
+        copies = [copy for copy in (stored, runtime.authority.replica) if copy is not None]
+        newest = max(copies, key=lambda copy: (copy.term, copy.sequence), default=None)
+        if newest is None:
+            return OwnerSet(runtime.group, term, 0, {})
+        return OwnerSet(
+            runtime.group, term, 0, newest.owners, newest.releasing, newest.unchecked
+        )
+
+    def _begin_term(self, runtime: GroupRuntime, term: int, owners: OwnerSet) -> None:
+        if runtime.authority.term != term:
+            return
+        now_s = self._clock.monotonic_s()
+        runtime.book.begin_term(
+            now_s, term, owners, runtime.authority.previous_grants_until_s
+        )
+        runtime.book_term = term
+        runtime.led_since_s = now_s
+        runtime.assigned = dict(owners.owners)
+        runtime.saved = owners
+        runtime.next_placement_s = 0.0
+        _LOG.info("term_begun", extra={"group": str(runtime.group), "term": term})
+
+    # Saving owners
+
+    def _start_saving(self, runtime: GroupRuntime, action: SaveOwners) -> None:
+        runtime.authority.publish_owners(action.owners)
+        runtime.unsaved = action
+        if not runtime.saving:
+            runtime.saving = True
+            self._tasks.start(self._save(runtime, action))
+
+    async def _save(self, runtime: GroupRuntime, action: SaveOwners) -> None:
+        name = f"{ASSIGNMENTS_PREFIX}{runtime.group}"
+        try:
+            runtime.assignments_version = await self._store.put(
+                name, encode(action.owners), runtime.assignments_version
+            )
+        except VersionConflictError:
+            await self._read_back(runtime, action, name)
+        except EdgeError:
+            runtime.store_away = True
+            await self._read_back(runtime, action, name)
+        else:
+            self._saved(runtime, action, "store")
+        finally:
+            runtime.saving = False
+
+    async def _read_back(self, runtime: GroupRuntime, action: SaveOwners, name: str) -> None:
+        """Find out whether a write with an unknown result took effect."""
+        try:
+            stored = await self._store.get(name)
+        except EdgeError:
+            return
+        if stored is None or stored.data is None:
+            return
+        found = decode(stored.data, OwnerSet)
+        if found.term > action.owners.term:
+            return
+        runtime.assignments_version = stored.version
+        if found == action.owners:
+            self._saved(runtime, action, "store")
+
+    def _confirm_by_standby(self, runtime: GroupRuntime) -> None:
+        """Accept the standby's copy while the store does not answer."""
+        action = runtime.unsaved
+        if action is None or not runtime.store_away:
+            return
+        wanted = (action.owners.term, action.owners.sequence)
+        if runtime.authority.acknowledged_owners >= wanted and runtime.durability != "standby":
+            self._saved(runtime, action, "standby")
+
+    def _saved(self, runtime: GroupRuntime, action: SaveOwners, durability: str) -> None:
+        runtime.durability = durability
+        runtime.saved = action.owners
+        runtime.book.on_owners_saved(self._clock.monotonic_s(), action.save_id)
+        if durability == "store":
+            runtime.store_away = False
+            if runtime.unsaved is action:
+                runtime.unsaved = None
+
+    # Upstreams
+
+    async def _send_grant(
+        self, runtime: GroupRuntime, action: SendGrant, sent_at_s: float
+    ) -> None:
+        row = self._upstreams.get(action.upstream_id)
+        if row is None:
+            return
+        try:
+            reply = await self._upstream_control.grant(row.entry.address, action.message)
+        except EdgeError:
+            return
+        now_s = self._clock.monotonic_s()
+        runtime.book.on_grant_reply(now_s, action.upstream_id, sent_at_s, reply)
+        self._upstreams.on_answer(now_s, action.upstream_id, reply.draining)
+        if not reply.accepted:
+            _LOG.warning(
+                "grant_refused",
+                extra={
+                    "group": str(runtime.group),
+                    "upstream": action.upstream_id,
+                    "reason": reply.reason,
+                },
+            )
+
+    def _greet(self, now_s: float, led: list[GroupRuntime]) -> None:
+        """Ask the upstreams that do not answer a led group's grants for a token."""
+        waiting: dict[str, list[GroupRuntime]] = {}
+        for runtime in led:
+            for entry in self._placing.candidates(runtime.group):
+                row = self._upstreams.track(entry)
+                if not runtime.book.responsive(now_s, row.upstream_id):
+                    waiting.setdefault(row.upstream_id, []).append(runtime)
+        for upstream_id, runtimes in waiting.items():
+            row = self._upstreams.take_due_for_hello(now_s, upstream_id)
+            if row is not None:
+                self._tasks.start(self._hello(row, runtimes, now_s))
+
+    async def _hello(
+        self, row: UpstreamRow, runtimes: list[GroupRuntime], sent_at_s: float
+    ) -> None:
+        try:
+            hello = await self._upstream_control.hello(row.entry.address)
+        except EdgeError:
+            return
+        now_s = self._clock.monotonic_s()
+        if hello.upstream_id != row.upstream_id:
+            _LOG.error(
+                "wrong_upstream", extra={"expected": row.upstream_id, "found": hello.upstream_id}
+            )
+            return
+        self._upstreams.on_hello(now_s, row.upstream_id, hello)
+        for runtime in runtimes:
+            runtime.book.on_hello(now_s, sent_at_s, hello)
+            runtime.next_placement_s = 0.0
--- a/fireflyferry/entry/peer_server.py
+++ b/fireflyferry/entry/peer_server.py
@@ -6,6 +6,7 @@
 import orjson
 from tornado import web
 
+from fireflyferry.edges.wire import encode_batch
 from fireflyferry.entry.control import Control
 from fireflyferry.entry.feed import LONG_POLL_S, Feed
 from fireflyferry.errors import FireflyferryError
@@ -92,7 +93,7 @@
         """Wait for changes after `since`."""
         since = int(self.get_query_argument("since", "0"))
         timeout_s = min(float(self.get_query_argument("timeout_s", "0")), LONG_POLL_S)
-        self.reply(encode(await self._services.feed.wait_for_changes(since, timeout_s)))
+        self.reply(encode_batch(await self._services.feed.wait_for_changes(since, timeout_s)))
 
 
 class StatusHandler(_PeerHandler):
--- /dev/null
+++ b/fireflyferry/entry/placing.py
@@ -0,0 +1,141 @@
+"""Chooses the desired owners of a led group from its reachable upstreams."""
+
+import logging
+from collections.abc import Iterator
+
+from fireflyferry.entry.group_runtime import GroupRuntime
+from fireflyferry.entry.state import VmState
+from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.messages import GroupId, VmEntry
+from fireflyferry.placement import (
+    PlacementWeights,
+    UpstreamLoad,
+    assign,
+    bucket_of,
+    bucket_unit,
+    key_unit,
+)
+from fireflyferry.tables import Pool
+
+__all__ = ["Placing"]
+
+_LOG = logging.getLogger(__name__)
+
+PLACEMENT_INTERVAL_S = 0.5
+HOT_KEYS_INTERVAL_S = 5.0
+# Halves the weight of an observation about every 20 s, so that the hottest keys of the last
+# minute decide.
+HOT_KEYS_DECAY = 0.84
+# Upstreams answer one after the other when a term begins; placing buckets on the first one that
+# answers would move them again at once.
+SETTLE_S = 0.6
+
+
+class Placing:
+    """Runs placement for groups that this VM leads."""
+
+    def __init__(self, state: VmState, upstreams: UpstreamTable) -> None:
+        self._state = state
+        self._upstreams = upstreams
+
+    def candidates(self, group: GroupId) -> list[VmEntry]:
+        """Return the listed upstreams that a group may use, in its home data centre first."""
+        table = self._state.vm_table
+        sibling = table.sibling_of(group.data_centre)
+        home = list(table.upstreams(group.pool, group.data_centre))
+        return home + (list(table.upstreams(group.pool, sibling)) if sibling else [])
+
+    def run(self, now_s: float, runtime: GroupRuntime) -> None:
+        """Update the desired owners of a group if it is time to."""
+        if now_s < runtime.next_placement_s:
+            return
+        runtime.next_placement_s = now_s + PLACEMENT_INTERVAL_S
+        tables = self._state.current()
+        pool = tables.pool(runtime.group.pool) if tables else None
+        placement = self._state.placements.get(runtime.group.pool)
+        if pool is None or placement is None:
+            return
+        self._plan_hot_keys(now_s, runtime)
+        loads = self._unit_loads(runtime, pool, placement.buckets_of(runtime.group))
+        upstreams = list(self._usable(now_s, runtime))
+        if now_s - runtime.led_since_s < SETTLE_S and not self._all_answered(now_s, runtime):
+            return
+        weights = PlacementWeights(
+            pool.imbalance_weight, pool.churn_weight, pool.unavailable_weight
+        )
+        wanted = assign(loads, upstreams, runtime.assigned, weights)
+        if wanted:
+            self._apply(now_s, runtime, self._with_pins(runtime, wanted, upstreams))
+
+    def _apply(self, now_s: float, runtime: GroupRuntime, wanted: dict[str, str]) -> None:
+        if wanted == runtime.assigned and now_s - runtime.led_since_s > SETTLE_S:
+            return
+        moved = sum(
+            1 for unit, name in wanted.items() if runtime.assigned.get(unit, name) != name
+        )
+        if moved:
+            runtime.units_moved += moved
+            _LOG.info("units_moved", extra={"group": str(runtime.group), "units": moved})
+        runtime.assigned = wanted
+        runtime.book.set_desired(now_s, wanted)
+
+    def _usable(self, now_s: float, runtime: GroupRuntime) -> Iterator[UpstreamLoad]:
+        """Yield the home data centre's answering upstreams, or the sibling's if none answers."""
+        home = list(self._answering(now_s, runtime, runtime.group.data_centre))
+        if any(load.capacity > 0 for load in home):
+            yield from home
+            return
+        sibling = self._state.vm_table.sibling_of(runtime.group.data_centre)
+        if sibling is not None:
+            yield from self._answering(now_s, runtime, sibling)
+
+    def _answering(
+        self, now_s: float, runtime: GroupRuntime, data_centre: str
+    ) -> Iterator[UpstreamLoad]:
+        for entry in self._state.vm_table.upstreams(runtime.group.pool, data_centre):
+            row = self._upstreams.track(entry)
+            name = row.upstream_id
+            if row.hello is None or runtime.book.lost(now_s, name):
+                continue
+            if not runtime.book.responsive(now_s, name) and name not in runtime.used:
+                continue
+            draining = row.is_leaving() or runtime.book.draining(name)
+            runtime.used.add(name)
+            yield UpstreamLoad(name, row.hello.slots, self._upstreams.share(name), draining)
+
+    def _all_answered(self, now_s: float, runtime: GroupRuntime) -> bool:
+        group = runtime.group
+        home = self._state.vm_table.upstreams(group.pool, group.data_centre)
+        names = [entry.vm_id for entry in home]
+        return bool(names) and all(runtime.book.responsive(now_s, name) for name in names)
+
+    @staticmethod
+    def _with_pins(
+        runtime: GroupRuntime, wanted: dict[str, str], upstreams: list[UpstreamLoad]
+    ) -> dict[str, str]:
+        """Keep operators' assignments while their upstream can take units."""
+        usable = {load.upstream_id for load in upstreams if load.capacity > 0}
+        pins = {unit: name for unit, name in runtime.pins.items() if name in usable}
+        return {**wanted, **pins}
+
+    # Hot keys
+
+    def _plan_hot_keys(self, now_s: float, runtime: GroupRuntime) -> None:
+        if now_s < runtime.next_hot_keys_s:
+            return
+        runtime.next_hot_keys_s = now_s + HOT_KEYS_INTERVAL_S
+        home = self._state.vm_table.upstreams(runtime.group.pool, runtime.group.data_centre)
+        runtime.planner.plan(now_s, runtime.sketch, len(list(home)))
+        runtime.sketch.decay(HOT_KEYS_DECAY)
+
+    def _unit_loads(
+        self, runtime: GroupRuntime, pool: Pool, buckets: list[int]
+    ) -> dict[str, float]:
+        """Return the load of each unit as a share of the group's traffic times its buckets."""
+        loads = {bucket_unit(bucket): 1.0 for bucket in buckets}
+        total = runtime.sketch.total
+        for key in sorted(runtime.planner.keys):
+            count = runtime.sketch.count(key).at_least
+            unit = key_unit(bucket_of(key, pool.buckets), key)
+            loads[unit] = max(0.1, len(buckets) * count / total) if total > 0 else 0.1
+        return loads
--- a/fireflyferry/entry/upstream_table.py
+++ b/fireflyferry/entry/upstream_table.py
@@ -6,7 +6,7 @@
 
 __all__ = ["UpstreamRow", "UpstreamTable"]
 
-HELLO_INTERVAL_S = 1.0
+HELLO_INTERVAL_S = 0.5
 FRESH_S = 3.0
 
 
@@ -59,16 +59,13 @@
         """Drop the row of an upstream that is gone."""
         self._rows.pop(upstream_id, None)
 
-    def due_for_hello(self, now_s: float) -> list[UpstreamRow]:
-        """Return the rows without a fresh answer that were not asked lately."""
-        due = [
-            row
-            for row in self._rows.values()
-            if not row.is_reachable(now_s) and now_s - row.asked_at_s >= HELLO_INTERVAL_S
-        ]
-        for row in due:
-            row.asked_at_s = now_s
-        return due
+    def take_due_for_hello(self, now_s: float, upstream_id: str) -> UpstreamRow | None:
+        """Return the row unless the upstream was asked lately, and note that it is asked now."""
+        row = self._rows[upstream_id]
+        if now_s - row.asked_at_s < HELLO_INTERVAL_S:
+            return None
+        row.asked_at_s = now_s
+        return row
 
     def on_hello(self, now_s: float, upstream_id: str, hello: Hello) -> None:
         """Record an upstream's answer to hello."""
--- a/fireflyferry/messages/codec.py
+++ b/fireflyferry/messages/codec.py
@@ -12,9 +12,6 @@
 T = TypeVar("T")
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=False)
-# Stored objects hold JSON, so their bytes travel as text.
-_CONVERTER.register_unstructure_hook(bytes, lambda data: data.decode())
-_CONVERTER.register_structure_hook(bytes, lambda text, _: text.encode())
 
 
 class MessageError(FireflyferryError):
