Add first version of placement and GrantBook

OwnerSet gains `releasing` and `unchecked` (both optional): an owner is saved before the earlier one has released the unit, so a new leader must learn which other upstreams may still hold it and which of them check nothing.

--- a/fireflyferry/messages/groups.py
+++ b/fireflyferry/messages/groups.py
@@ -57,12 +57,19 @@
 
 @attrs.frozen
 class OwnerSet:
-    """Owners of a group's units, ordered by (term, sequence)."""
+    """Owners of a group's units, ordered by (term, sequence).
+
+    `releasing` lists upstreams besides the owner that may still hold a unit. `unchecked` lists
+    upstreams that check neither grants nor fences. A new leader needs both, because an owner is
+    saved before the earlier one has released the unit.
+    """
 
     group: GroupId
     term: int
     sequence: int
     owners: dict[str, str]
+    releasing: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    unchecked: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- /dev/null
+++ b/fireflyferry/ownership/book.py
@@ -0,0 +1,391 @@
+"""The leader's grants for one group: moves, releases and fences."""
+
+from collections.abc import Mapping
+
+from fireflyferry.leases import LeaseTiming
+from fireflyferry.messages import GrantReply, GroupId, Hello, OwnerSet, UnitGrant
+from fireflyferry.ownership.forwards import ForwardCounter
+from fireflyferry.ownership.rows import (
+    Claim,
+    GrantAction,
+    Owner,
+    SaveOwners,
+    UnitRow,
+    UpstreamRow,
+)
+from fireflyferry.ownership.saving import SaveQueue
+from fireflyferry.ownership.upstreams import UpstreamTable
+from fireflyferry.placement.units import bucket_unit, key_unit, parse_unit
+from fireflyferry.telemetry.reasons import Reason
+
+__all__ = ["GrantBook"]
+
+
+class GrantBook:
+    """Units of one group, their owners and the grants of its upstreams.
+
+    Times are monotonic seconds. The caller reports a grant reply with the `now_s` of the tick
+    that returned the message, and forwards a request only between `begin_forward` and
+    `end_forward`.
+    """
+
+    def __init__(self, group: GroupId, timing: LeaseTiming) -> None:
+        self._group = group
+        self._term = 0
+        self._sequence = 0
+        self._authority_until_s = float("-inf")
+        self._upstreams = UpstreamTable(timing)
+        self._units: dict[str, UnitRow] = {}
+        self._keys: dict[str, dict[str, None]] = {}
+        self._claims: dict[str, dict[str, Claim]] = {}
+        self._pending: dict[str, None] = {}
+        self._forwards = ForwardCounter()
+        self._saves = SaveQueue()
+
+    # Events
+
+    def begin_term(
+        self,
+        now_s: float,
+        term: int,
+        saved: OwnerSet | None,
+        previous_grants_until_s: float | None = None,
+        earlier_leader_stopped: bool = False,
+    ) -> None:
+        """Start a term with the newest saved owners.
+
+        `previous_grants_until_s` is when the earlier leader's grants have ended after a
+        resignation, and None when they ended before the takeover. Raises ValueError if the term
+        is not above the last one.
+        """
+        if term <= self._term:
+            raise ValueError(f"term {term} is not above {self._term}")
+        old_units, old_claims = self._units, self._claims
+        self._term, self._sequence = term, 0
+        self._units, self._keys, self._claims = {}, {}, {}
+        self._pending = {}
+        self._saves.restart()
+        for row in self._upstreams.rows.values():
+            row.units, row.unacked, row.acked_version = {}, {}, 0
+            row.usable_until_s, row.busy, row.sent = float("-inf"), frozenset(), {}
+            self._upstreams.touch(row)
+        if saved is not None:
+            self._load(saved, previous_grants_until_s, earlier_leader_stopped)
+        for unit, row in old_units.items():
+            if row.holder is not None:
+                self._keep_claim(unit, row.holder)
+        for unit, claims in old_claims.items():
+            for upstream_id in claims:
+                self._keep_claim(unit, upstream_id)
+
+    def set_desired(self, now_s: float, owners: Mapping[str, str]) -> None:
+        """Set the wanted owner of each unit; units that are not listed are released."""
+        for unit in [unit for unit in self._units if unit not in owners]:
+            self._retarget(unit, None)
+        for unit, upstream_id in owners.items():
+            if unit not in self._units:
+                self._add_unit(unit, split=parse_unit(unit).key is None)
+            self._retarget(unit, upstream_id)
+
+    def on_hello(self, now_s: float, sent_at_s: float, hello: Hello) -> None:
+        """Add an upstream, or take its token if it is known."""
+        self._upstreams.on_hello(now_s, sent_at_s, hello)
+
+    def on_grant_reply(
+        self, now_s: float, upstream_id: str, sent_at_s: float, reply: GrantReply
+    ) -> None:
+        """Use a reply; `sent_at_s` is the time of the tick that returned the message."""
+        if reply.upstream_id != upstream_id:
+            return
+        if self._upstreams.on_reply(now_s, sent_at_s, self._term, reply):
+            row = self._upstreams.rows[upstream_id]
+            for unit, version in list(row.unacked.items()):
+                if version <= row.acked_version:
+                    del row.unacked[unit]
+                    self._units[unit].acked_fence = self._units[unit].fence
+
+    def on_owners_saved(self, now_s: float, save_id: int) -> None:
+        """Record that a save is durable in the store or at the standby."""
+        self._saves.confirm(save_id)
+
+    def on_upstream_gone(self, now_s: float, upstream_id: str) -> None:
+        """Free the units of an upstream that the platform or an operator says is gone."""
+        row = self._upstreams.rows.pop(upstream_id, None)
+        for unit in () if row is None else row.units:
+            self._units[unit].holder = self._units[unit].acked_fence = None
+            self._pending[unit] = None
+
+    def on_earlier_leader_stopped(self, now_s: float) -> None:
+        """Let units move again that are on upstreams without checks."""
+        for row in self._upstreams.rows.values():
+            row.pinned = False
+
+    def begin_forward(self, now_s: float, unit: str, key: str) -> Owner | Reason:
+        """Return the owner as `owner` does, and count a request on its way to it."""
+        owner = self.owner(now_s, unit)
+        if isinstance(owner, Owner) and not self._upstreams.rows[owner.upstream_id].checks:
+            self._forwards.begin(owner.upstream_id, unit, key)
+        return owner
+
+    def end_forward(self, upstream_id: str, unit: str, key: str) -> None:
+        """End a forwarded request that was answered or whose cancellation was acknowledged."""
+        self._forwards.end(upstream_id, unit, key)
+
+    # Queries
+
+    def owner(self, now_s: float, unit: str) -> Owner | Reason:
+        """Return the owner that requests may be forwarded to now, or the reason for none."""
+        row = self._units.get(unit)
+        if row is None or now_s >= self._authority_until_s:
+            return Reason.OWNER_UNAVAILABLE
+        upstream = self._upstreams.rows.get(row.holder or "")
+        usable = upstream is not None and upstream.acked_version and row.acked_fence is not None
+        if usable and now_s < upstream.usable_until_s:
+            return Owner(upstream.upstream_id, row.acked_fence)
+        holders = {row.holder, *self._claims.get(unit, ())} & self._upstreams.rows.keys()
+        held = any(not self._upstreams.rows[name].checks for name in holders)
+        return Reason.OWNER_HELD if held else Reason.OWNER_UNAVAILABLE
+
+    def unit_of(self, bucket: int, key: str) -> str:
+        """Return the unit that a key belongs to now."""
+        own = key_unit(bucket, key)
+        row = self._units.get(own)
+        return own if row is not None and row.split else bucket_unit(bucket)
+
+    def responsive(self, now_s: float, upstream_id: str) -> bool:
+        """Return whether an upstream answers."""
+        return self._upstreams.responsive(now_s, upstream_id)
+
+    def lost(self, now_s: float, upstream_id: str) -> bool:
+        """Return whether an upstream's grant ran out because it did not answer."""
+        return self._upstreams.lost(now_s, upstream_id)
+
+    def draining(self, upstream_id: str) -> bool:
+        """Return whether an upstream said that it is leaving."""
+        row = self._upstreams.rows.get(upstream_id)
+        return row is not None and row.draining
+
+    def released(self, unit: str) -> bool:
+        """Return whether no upstream can hold a unit of this group any more."""
+        return unit not in self._units
+
+    # Tick
+
+    def tick(self, now_s: float, authority_until_s: float) -> list[GrantAction]:
+        """Advance moves and return the messages and saves that are due."""
+        self._authority_until_s = authority_until_s
+        if self._term == 0 or now_s >= authority_until_s:
+            return []
+        for unit in list(self._pending):
+            self._advance(now_s, unit)
+        actions: list[GrantAction] = []
+        save = self._due_save(now_s)
+        if save is not None:
+            actions.append(save)
+        group = str(self._group)
+        actions.extend(
+            self._upstreams.due(now_s, group, self._term, authority_until_s, self._grant_of)
+        )
+        return actions
+
+    def _advance(self, now_s: float, unit: str) -> None:
+        row = self._units.get(unit)
+        if row is None:
+            self._pending.pop(unit, None)
+            return
+        self._end_claims(now_s, unit)
+        if row.holder is not None and row.holder != row.target and self._may_release(now_s, row):
+            self._release(unit, row)
+            self._end_claims(now_s, unit)
+        if not row.split and self._may_split(now_s, row):
+            self._split(unit, row)
+        if row.target is None:
+            self._remove_if_free(unit, row)
+        elif row.holder is None and row.split and self._may_grant(unit, row):
+            self._grant(unit, row)
+        if row.holder == row.target and row.split and unit not in self._claims:
+            self._pending.pop(unit, None)
+
+    # Guards
+
+    def _is_saved(self, row: UnitRow) -> bool:
+        return row.target_save is not None and row.target_save <= self._saves.confirmed
+
+    def _may_release(self, now_s: float, row: UnitRow) -> bool:
+        """Return whether to take a unit from its holder.
+
+        A unit stays where it is while its next owner does not answer.
+        """
+        if not self._is_saved(row) or self._is_pinned(row.holder):
+            return False
+        return row.target is None or self._upstreams.responsive(now_s, row.target)
+
+    def _may_split(self, now_s: float, row: UnitRow) -> bool:
+        bucket = self._units.get(row.bucket)
+        if row.target is None or bucket is None or not self._is_saved(row):
+            return False
+        pinned = bucket.holder is not None and self._is_pinned(bucket.holder)
+        return not pinned and self._upstreams.responsive(now_s, row.target)
+
+    def _may_grant(self, unit: str, row: UnitRow) -> bool:
+        others = self._claims.get(unit, {}).keys() - {row.target}
+        return self._is_saved(row) and not others and row.target in self._upstreams.rows
+
+    def _is_pinned(self, upstream_id: str | None) -> bool:
+        row = self._upstreams.rows.get(upstream_id or "")
+        return row is not None and not row.checks and row.pinned
+
+    def _is_busy(self, upstream: UpstreamRow, unit: str) -> bool:
+        """Return whether requests of a unit may still run at an upstream."""
+        row = self._units[unit]
+        if unit in upstream.busy or row.bucket in upstream.busy:
+            return True
+        return self._forwards.is_running(upstream.upstream_id, unit, row)
+
+    def _has_ended(self, now_s: float, unit: str, upstream_id: str, claim: Claim) -> bool:
+        """Return whether an upstream certainly holds a released unit no more."""
+        upstream = self._upstreams.rows.get(upstream_id)
+        if upstream is None or (upstream.checks and now_s >= claim.until_s):
+            return True
+        if upstream.acked_version < claim.version or self._is_pinned(upstream_id):
+            return False
+        return not self._is_busy(upstream, unit)
+
+    # Changes
+
+    def _next_fence(self) -> int:
+        self._sequence += 1
+        return self._term << 32 | self._sequence
+
+    def _grant(self, unit: str, row: UnitRow) -> None:
+        upstream = self._upstreams.ensure(row.target)
+        row.holder, row.fence, row.acked_fence = row.target, self._next_fence(), None
+        upstream.units[unit] = None
+        upstream.unacked[unit] = self._upstreams.touch(upstream)
+
+    def _release(self, unit: str, row: UnitRow) -> None:
+        upstream = self._upstreams.rows[row.holder]
+        upstream.units.pop(unit, None)
+        upstream.unacked.pop(unit, None)
+        row.holder = row.acked_fence = None
+        self._claim(unit, upstream, self._upstreams.touch(upstream))
+
+    def _claim(self, unit: str, upstream: UpstreamRow, version: int) -> None:
+        self._claims.setdefault(unit, {})[upstream.upstream_id] = Claim(version, upstream.until_s)
+        self._pending[unit] = None
+        self._saves.dirty = True
+
+    def _end_claims(self, now_s: float, unit: str) -> None:
+        claims = self._claims.get(unit, {})
+        for upstream_id, claim in list(claims.items()):
+            if self._has_ended(now_s, unit, upstream_id, claim):
+                del claims[upstream_id]
+                self._saves.dirty = True
+        if not claims:
+            self._claims.pop(unit, None)
+
+    def _split(self, unit: str, row: UnitRow) -> None:
+        """Exclude a key from its bucket; all that may hold the bucket may hold the key."""
+        row.split = True
+        if row.bucket in self._claims:
+            self._claims.setdefault(unit, {}).update(self._claims[row.bucket])
+        holder = self._units[row.bucket].holder
+        if holder is not None:
+            self._regrant(row.bucket)
+            upstream = self._upstreams.rows[holder]
+            self._claim(unit, upstream, upstream.version)
+
+    def _regrant(self, bucket: str) -> None:
+        """Grant a bucket to its holder again because its excluded keys changed."""
+        row = self._units[bucket]
+        upstream = self._upstreams.rows[row.holder]
+        row.fence = self._next_fence()
+        upstream.unacked[bucket] = self._upstreams.touch(upstream)
+
+    def _remove_if_free(self, unit: str, row: UnitRow) -> None:
+        if row.split and (row.holder is not None or unit in self._claims):
+            return
+        if row.split and not self._is_saved(row):
+            return
+        if row.key is None and self._keys.get(unit):
+            return
+        del self._units[unit]
+        self._pending.pop(unit, None)
+        self._saves.unsaved.pop(unit, None)
+        if row.key is not None:
+            del self._keys[row.bucket][unit]
+            bucket = self._units.get(row.bucket)
+            if row.split and bucket is not None and bucket.holder is not None:
+                self._regrant(row.bucket)
+
+    def _retarget(self, unit: str, target: str | None) -> None:
+        row = self._units[unit]
+        if row.target != target:
+            row.target, row.target_save = target, None
+            self._pending[unit] = self._saves.unsaved[unit] = None
+            self._saves.dirty = True
+
+    def _add_unit(self, unit: str, split: bool) -> UnitRow:
+        parsed = parse_unit(unit)
+        row = UnitRow(bucket_unit(parsed.bucket), parsed.key, split=split)
+        self._units[unit] = row
+        if parsed.key is not None:
+            self._keys.setdefault(row.bucket, {})[unit] = None
+        return row
+
+    def _grant_of(self, unit: str) -> UnitGrant:
+        row = self._units[unit]
+        keys = self._keys.get(unit, ()) if row.key is None else ()
+        excluded = tuple(self._units[key].key for key in keys if self._units[key].split)
+        return UnitGrant(unit, row.fence, excluded)
+
+    # Saving and loading
+
+    def _due_save(self, now_s: float) -> SaveOwners | None:
+        save_id = self._saves.start(now_s)
+        if save_id is None:
+            return None
+        for unit in self._saves.unsaved:
+            self._units[unit].target_save = save_id
+        self._saves.unsaved = {}
+        owners = {unit: row.target for unit, row in self._units.items() if row.target}
+        releasing = {unit: names for unit in self._pending if (names := self._releasing(unit))}
+        unchecked = tuple(sorted(n for n, row in self._upstreams.rows.items() if not row.checks))
+        owner_set = OwnerSet(self._group, self._term, save_id, owners, releasing, unchecked)
+        return SaveOwners(save_id, owner_set)
+
+    def _releasing(self, unit: str) -> tuple[str, ...]:
+        """Return the upstreams besides the target that may hold a unit under this save."""
+        row = self._units.get(unit)
+        if row is None:
+            return ()
+        names = {row.holder, *self._claims.get(unit, ())}
+        if not row.split and (bucket := self._units.get(row.bucket)) is not None:
+            names |= {bucket.holder, bucket.target, *self._claims.get(row.bucket, ())}
+        return tuple(sorted(names - {None, row.target}))
+
+    def _load(self, saved: OwnerSet, until_s: float | None, stopped: bool) -> None:
+        names = {*saved.owners.values(), *(n for ns in saved.releasing.values() for n in ns)}
+        for name in sorted(names):
+            row = self._upstreams.ensure(name)
+            row.checks = row.checks and name not in saved.unchecked
+            row.pinned = not stopped
+            row.until_s = max(row.until_s, float("-inf") if until_s is None else until_s)
+        for unit in {**saved.owners, **saved.releasing}:
+            row = self._add_unit(unit, split=True)
+            row.target, row.target_save = saved.owners.get(unit), self._saves.last
+            releasing = saved.releasing.get(unit, ())
+            if row.target is not None and not releasing:
+                self._grant(unit, row)
+                continue
+            self._pending[unit] = None
+            for name in {row.target, *releasing} - {None}:
+                self._keep_claim(unit, name)
+
+    def _keep_claim(self, unit: str, upstream_id: str) -> None:
+        """Record that an upstream may hold a unit until it acknowledges its current set."""
+        if unit not in self._units:
+            self._add_unit(unit, split=True).target_save = self._saves.last
+        upstream = self._upstreams.rows.get(upstream_id)
+        if upstream is not None and unit not in upstream.units:
+            self._claim(unit, upstream, self._upstreams.touch(upstream))
--- /dev/null
+++ b/fireflyferry/ownership/upstreams.py
@@ -0,0 +1,139 @@
+"""Grant messages to upstreams and the use of their replies."""
+
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from fireflyferry.leases import LeaseTiming
+from fireflyferry.messages import GrantMessage, GrantReply, Hello, UnitGrant
+from fireflyferry.ownership.rows import SendGrant, SentGrant, UpstreamRow
+
+__all__ = ["UpstreamTable"]
+
+# A reply that takes longer than this many grant lengths is ignored.
+_REPLY_GRANTS = 4
+# A refusal for one of these reasons is answered at once with the token of the refusal.
+_RETRY_AT_ONCE = frozenset({"unknown_token", "expired_token", "unknown_set"})
+
+
+@attrs.define
+class UpstreamTable:
+    """Upstreams of a group, and the messages to them."""
+
+    timing: LeaseTiming
+    rows: dict[str, UpstreamRow] = attrs.Factory(dict)
+    version: int = 0
+
+    def ensure(self, upstream_id: str) -> UpstreamRow:
+        """Return an upstream's row, added if needed."""
+        if upstream_id not in self.rows:
+            self.rows[upstream_id] = UpstreamRow(upstream_id)
+            self.touch(self.rows[upstream_id])
+        return self.rows[upstream_id]
+
+    def touch(self, row: UpstreamRow) -> int:
+        """Start a new set version unless the current one has not been sent yet."""
+        # Versions are never reused for another upstream or term, so that a late message or
+        # reply cannot be taken for a newer one.
+        if row.version == 0 or not row.changed:
+            self.version += 1
+            row.version = self.version
+            row.changed = True
+        return row.version
+
+    def responsive(self, now_s: float, upstream_id: str) -> bool:
+        """Return whether an upstream answered a message sent within the last grant length."""
+        row = self.rows.get(upstream_id)
+        return row is not None and now_s - row.token_after_s < self.timing.grant_s
+
+    def lost(self, now_s: float, upstream_id: str) -> bool:
+        """Return whether an upstream that checks grants let its grant run out."""
+        row = self.rows.get(upstream_id)
+        if row is None:
+            return True
+        return row.checks and now_s >= row.until_s and not self.responsive(now_s, upstream_id)
+
+    def on_hello(self, now_s: float, sent_at_s: float, hello: Hello) -> None:
+        """Add an upstream, or take its token if it is known."""
+        row = self.ensure(hello.upstream_id)
+        # An upstream that once checked nothing counts as such until it is gone, because an
+        # earlier run of it may still execute delayed requests.
+        row.checks = row.checks and hello.checks == "grants"
+        row.draining = hello.draining
+        self._take_token(now_s, row, sent_at_s, hello.token)
+
+    def _take_token(self, now_s: float, row: UpstreamRow, sent_at_s: float, token: str) -> None:
+        if token and sent_at_s >= row.token_after_s:
+            row.token, row.token_after_s, row.token_before_s = token, sent_at_s, now_s
+
+    def due(
+        self,
+        now_s: float,
+        group: str,
+        term: int,
+        authority_until_s: float,
+        grant_of: Callable[[str], UnitGrant],
+    ) -> Iterator[SendGrant]:
+        """Yield the messages that are due: changed sets at once, renewals every renew_s."""
+        length_s = self.timing.grant_length_s(now_s, authority_until_s)
+        if length_s <= 0:
+            return
+        for row in self.rows.values():
+            responsive = self.responsive(now_s, row.upstream_id)
+            if now_s < row.next_send_s and not (row.changed and responsive):
+                continue
+            # An upstream that does not answer gets short messages; a set with new units under
+            # its old token would be refused.
+            full = row.acked_version != row.version and responsive
+            units = tuple(grant_of(unit) for unit in row.units) if full else None
+            row.changed = row.changed and not full
+            row.next_send_s = now_s + self.timing.renew_s
+            self._record(now_s, row, full, length_s)
+            message = GrantMessage(group, term, row.version, row.token, length_s, units)
+            yield SendGrant(row.upstream_id, message)
+
+    def _record(self, now_s: float, row: UpstreamRow, full: bool, length_s: float) -> None:
+        sent = SentGrant(row.version, full, row.token, row.token_after_s, length_s)
+        oldest_s = now_s - _REPLY_GRANTS * self.timing.grant_s
+        row.sent = {at_s: old for at_s, old in row.sent.items() if at_s >= oldest_s}
+        row.sent[now_s] = sent
+        if row.token:
+            row.until_s = max(row.until_s, self.grant_end_s(row, length_s))
+
+    def grant_end_s(self, row: UpstreamRow, length_s: float) -> float:
+        """Return when a grant has certainly ended on the holder's clock.
+
+        The holder counts from the token's reading, which was taken before the token arrived.
+        """
+        return row.token_before_s + self.timing.lengthened(length_s)
+
+    def on_reply(self, now_s: float, sent_at_s: float, term: int, reply: GrantReply) -> bool:
+        """Use a reply; return whether the upstream acknowledged a full set."""
+        row = self.rows.get(reply.upstream_id)
+        sent = None if row is None else row.sent.get(sent_at_s)
+        if sent is None or reply.term > term:
+            return False
+        # Replies to earlier messages are out of date from here on.
+        row.sent = {at_s: later for at_s, later in row.sent.items() if at_s > sent_at_s}
+        row.draining = reply.draining
+        self._take_token(now_s, row, sent_at_s, reply.token)
+        if not reply.accepted or (reply.term, reply.set_version) != (term, sent.version):
+            self._refused(now_s, row, sent, reply)
+            return False
+        row.refused = False
+        if sent.full:
+            row.acked_version = sent.version
+        if sent.version == row.acked_version:
+            row.busy = frozenset(reply.busy)
+            usable_until_s = sent.token_after_s + self.timing.shortened(sent.length_s)
+            row.usable_until_s = max(row.usable_until_s, usable_until_s)
+        return sent.full
+
+    def _refused(self, now_s: float, row: UpstreamRow, sent: SentGrant, reply: GrantReply) -> None:
+        if reply.reason in _RETRY_AT_ONCE and not row.refused:
+            row.next_send_s = now_s
+        row.refused = True
+        if reply.reason in ("unknown_token", "unknown_set"):
+            # The upstream was restarted, or never had the set: it needs the full set again.
+            row.acked_version = 0
+            row.usable_until_s = float("-inf")
--- /dev/null
+++ b/fireflyferry/placement/hot_keys.py
@@ -0,0 +1,150 @@
+"""Space-Saving sketch of the hottest keys, and the plan of single-key units."""
+
+import heapq
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["HotKeyPlanner", "HotKeyRules", "HotKeySketch", "KeyCount"]
+
+
+@attrs.frozen
+class KeyCount:
+    """An estimate: the true count is between `count - error` and `count`."""
+
+    key: str
+    count: float
+    error: float
+
+    @property
+    def at_least(self) -> float:
+        """Return the lower bound of the true count."""
+        return self.count - self.error
+
+
+class HotKeySketch:
+    """Top keys by Space-Saving with a fixed number of counters.
+
+    A key whose true count exceeds total / capacity is always present.
+    """
+
+    def __init__(self, capacity: int = 512):
+        if capacity < 1:
+            raise ValueError(f"capacity {capacity} is below 1")
+        self._capacity = capacity
+        self._counts: dict[str, float] = {}
+        self._errors: dict[str, float] = {}
+        # Holds one entry per counted key with a count that may be out of date (too low).
+        self._heap: list[tuple[float, str]] = []
+        self._total = 0.0
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    @property
+    def total(self) -> float:
+        """Return the decayed weight of all observations."""
+        return self._total
+
+    def observe(self, key: str, weight: float = 1.0) -> None:
+        """Count a key; the weight must be positive."""
+        self._total += weight
+        counts = self._counts
+        if key in counts:
+            counts[key] += weight
+        elif len(counts) < self._capacity:
+            counts[key] = weight
+            self._errors[key] = 0.0
+            heapq.heappush(self._heap, (weight, key))
+        else:
+            self._replace_smallest(key, weight)
+
+    def _replace_smallest(self, key: str, weight: float) -> None:
+        heap, counts = self._heap, self._counts
+        while True:
+            stale, smallest = heap[0]
+            count = counts[smallest]
+            if count == stale:
+                break
+            heapq.heapreplace(heap, (count, smallest))
+        del counts[smallest], self._errors[smallest]
+        counts[key] = count + weight
+        self._errors[key] = count
+        heapq.heapreplace(heap, (count + weight, key))
+
+    def top(self, n: int) -> list[KeyCount]:
+        """Return up to n keys with the highest lower bounds, highest first."""
+        found = (KeyCount(key, count, self._errors[key]) for key, count in self._counts.items())
+        return heapq.nsmallest(n, found, key=lambda entry: (-entry.at_least, entry.key))
+
+    def count(self, key: str) -> KeyCount:
+        """Return the estimate for one key."""
+        return KeyCount(key, self._counts.get(key, 0.0), self._errors.get(key, 0.0))
+
+    def decay(self, factor: float) -> None:
+        """Multiply all counts by a factor in 0..1, so that old observations fade."""
+        self._counts = {key: count * factor for key, count in self._counts.items()}
+        self._errors = {key: error * factor for key, error in self._errors.items()}
+        self._total *= factor
+        self._heap = [(count, key) for key, count in self._counts.items()]
+        heapq.heapify(self._heap)
+
+
+@attrs.frozen
+class HotKeyRules:
+    """Thresholds of the planner; loads are fractions of one upstream's fair share.
+
+    A key is split above `split_load` and merged below `merge_load` after `merge_after_s`.
+    """
+
+    max_keys: int = 10
+    split_load: float = 0.05
+    merge_load: float = 0.02
+    merge_after_s: float = 60.0
+    # A key replaces another only when it is this much hotter, so that two keys of similar
+    # load do not alternate.
+    replace_ratio: float = 1.5
+
+
+@attrs.define
+class HotKeyPlanner:
+    """Chooses the keys that are owned apart from their buckets."""
+
+    rules: HotKeyRules = attrs.field(factory=HotKeyRules)
+    _cool_since_s: dict[str, float | None] = attrs.field(factory=dict, init=False)
+
+    @property
+    def keys(self) -> frozenset[str]:
+        """Return the keys that are split now."""
+        return frozenset(self._cool_since_s)
+
+    def adopt(self, keys: Iterable[str]) -> None:
+        """Take over the split keys of an earlier leader."""
+        self._cool_since_s = dict.fromkeys(keys)
+
+    def plan(self, now_s: float, sketch: HotKeySketch, upstreams: int) -> frozenset[str]:
+        """Update and return the split keys; `upstreams` is the number of live upstreams."""
+        fair = sketch.total / max(1, upstreams)
+        if fair <= 0:
+            return self.keys
+        self._merge_cool(now_s, sketch, fair)
+        for entry in sketch.top(self.rules.max_keys):
+            load = entry.at_least / fair
+            if entry.key in self._cool_since_s or load < self.rules.split_load:
+                continue
+            if len(self._cool_since_s) >= self.rules.max_keys:
+                coolest = min(self._cool_since_s, key=lambda k: (sketch.count(k).at_least, k))
+                if entry.at_least < self.rules.replace_ratio * sketch.count(coolest).at_least:
+                    continue
+                del self._cool_since_s[coolest]
+            self._cool_since_s[entry.key] = None
+        return self.keys
+
+    def _merge_cool(self, now_s: float, sketch: HotKeySketch, fair: float) -> None:
+        for key, since_s in list(self._cool_since_s.items()):
+            if sketch.count(key).count / fair >= self.rules.merge_load:
+                self._cool_since_s[key] = None
+            elif since_s is None:
+                self._cool_since_s[key] = now_s
+            elif now_s - since_s >= self.rules.merge_after_s:
+                del self._cool_since_s[key]
--- /dev/null
+++ b/fireflyferry/placement/ramp.py
@@ -0,0 +1,53 @@
+"""Cold-start ramp: the share of its normal load that a new upstream gets."""
+
+import attrs
+
+__all__ = ["ColdStartRamp"]
+
+
+@attrs.define
+class _Step:
+    """The current share of one upstream and the time of its last change."""
+
+    share: float
+    changed_at_s: float
+
+
+@attrs.define
+class ColdStartRamp:
+    """Shares of upstreams that warm up.
+
+    Times are in seconds. Every `step_s` the share doubles if the observed latency is at most
+    `slow_ratio` times the pool's, and halves otherwise; it is never below `first_share`.
+    """
+
+    first_share: float = 0.1
+    step_s: float = 2.0
+    slow_ratio: float = 1.5
+    _steps: dict[str, _Step] = attrs.field(factory=dict, init=False)
+
+    def start(self, now_s: float, upstream_id: str) -> None:
+        """Start the ramp of a cold upstream."""
+        self._steps[upstream_id] = _Step(self.first_share, now_s)
+
+    def observe(
+        self, now_s: float, upstream_id: str, latency_ms: float | None, pool_latency_ms: float
+    ) -> None:
+        """Advance the ramp; `latency_ms` is None when nothing was answered since the last call."""
+        step = self._steps.get(upstream_id)
+        if step is None or latency_ms is None or now_s - step.changed_at_s < self.step_s:
+            return
+        slow = latency_ms > self.slow_ratio * pool_latency_ms
+        step.share = max(self.first_share, step.share / 2) if slow else step.share * 2
+        step.changed_at_s = now_s
+        if step.share >= 1.0:
+            del self._steps[upstream_id]
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop an upstream that is gone."""
+        self._steps.pop(upstream_id, None)
+
+    def share(self, upstream_id: str) -> float:
+        """Return the share in 0..1; 1 for an upstream that is warm."""
+        step = self._steps.get(upstream_id)
+        return 1.0 if step is None else step.share
