--- /dev/null
+++ b/fireflyferry/settings/model.py
@@ -0,0 +1,215 @@
+"""Settings of the entry program, the operator program and the stand-ins."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from fireflyferry.settings.values import (
+    Choice,
+    Endpoint,
+    IpAddress,
+    Number,
+    Secret,
+    Text,
+    Whole,
+    field,
+)
+
+__all__ = [
+    "PROGRAMS",
+    "CtlSettings",
+    "DrainSettings",
+    "EntrySettings",
+    "LeaseSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "LogSettings",
+    "OperatorSettings",
+    "PlatformSettings",
+    "SecretSettings",
+    "StatsdSettings",
+    "StoreSettings",
+    "UpstreamSettings",
+    "UpstreamsSettings",
+    "VmSettings",
+]
+
+NAME = Text(
+    r"[a-z][a-z0-9-]{0,39}",
+    "1 to 40 lower-case letters, digits and hyphens, starting with a letter",
+)
+VM_ID = Text(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "1 to 64 letters, digits and ._-")
+PORT = Whole(0, 65535)
+LEASE_S = Number(0.1, 60)
+# A heartbeat that is lost may be followed by a second one before the pledge runs out.
+HEARTBEATS_PER_PLEDGE = 3
+RENEWALS_PER_GRANT = 2
+
+
+@attrs.frozen
+class VmSettings:
+    """The VM, where it is and where it listens; port 0 lets the kernel choose."""
+
+    vm_id: str = field(VM_ID)
+    region: str = field(NAME)
+    data_centre: str = field(NAME)
+    address: str = field(IpAddress())
+    public_port: int = field(PORT, 8080)
+    peer_port: int = field(PORT, 8081)
+
+
+@attrs.frozen
+class StoreSettings:
+    """The platform's object store."""
+
+    address: str = field(Endpoint())
+    timeout_ms: int = field(Whole(50, 60_000), 2000)
+
+
+@attrs.frozen
+class LeaseSettings:
+    """Times of pledges, sessions and grants in seconds, and the bound on clock drift."""
+
+    pledge_s: float = field(LEASE_S, 1.2)
+    session_s: float = field(LEASE_S, 1.2)
+    grant_s: float = field(LEASE_S, 1.2)
+    heartbeat_s: float = field(Number(0.01, 20), 0.2)
+    renew_s: float = field(Number(0.01, 20), 0.4)
+    drift: float = field(Number(0.0001, 0.1), 0.01)
+
+    def joint_faults(self) -> Iterator[tuple[str, str, str]]:
+        """Return key, value found and what is allowed, for each broken rule."""
+        if self.session_s < self.pledge_s:
+            # A new standby watches the session only; a pledge of the old one may still be running.
+            yield "session_s", f"{self.session_s:g}", f"at least pledge_s, {self.pledge_s:g}"
+        longest_s = self.pledge_s / HEARTBEATS_PER_PLEDGE
+        if self.heartbeat_s > longest_s:
+            allowed = f"at most a third of pledge_s, {longest_s:g}"
+            yield "heartbeat_s", f"{self.heartbeat_s:g}", allowed
+        longest_s = self.grant_s / RENEWALS_PER_GRANT
+        if self.renew_s > longest_s:
+            yield "renew_s", f"{self.renew_s:g}", f"at most half of grant_s, {longest_s:g}"
+
+
+@attrs.frozen
+class LimitSettings:
+    """Limits on what one VM holds for callers."""
+
+    max_body_bytes: int = field(Whole(0, 1_073_741_824), 16_777_216)
+    max_header_bytes: int = field(Whole(1024, 1_048_576), 65_536)
+    queue_length: int = field(Whole(0, 100_000), 4096)
+    streaming_window_bytes: int = field(Whole(4096, 16_777_216), 262_144)
+
+
+@attrs.frozen
+class StatsdSettings:
+    """Where counters are sent; nowhere if the address is empty."""
+
+    address: str = field(Endpoint(optional=True), "")
+    prefix: str = field(
+        Text(r"[A-Za-z0-9._-]{0,64}", "0 to 64 letters, digits and ._-"), "fireflyferry"
+    )
+
+
+@attrs.frozen
+class LogSettings:
+    """Form and level of the log."""
+
+    format: str = field(Choice(("keyvalue", "json")), "keyvalue")
+    level: str = field(Choice(("debug", "info", "warning", "error")), "info")
+
+
+@attrs.frozen
+class SecretSettings:
+    """Secrets shared by entry VMs: `current` is sent, both are accepted."""
+
+    current: str = field(Secret(), repr=False)
+    previous: str = field(Secret(optional=True), "", repr=False)
+
+    def joint_faults(self) -> Iterator[tuple[str, str, str]]:
+        """Return key, value found and what is allowed, for each broken rule."""
+        if self.previous == self.current:
+            yield "previous", "the same value as current", "another value, or empty"
+
+
+@attrs.frozen
+class DrainSettings:
+    """Graceful shutdown: the longest time to wait for requests in flight."""
+
+    time_s: float = field(Number(0, 3600), 30.0)
+
+
+@attrs.frozen
+class EntrySettings:
+    """Settings of `fireflyferry-entry`."""
+
+    vm: VmSettings
+    store: StoreSettings
+    secrets: SecretSettings
+    leases: LeaseSettings
+    limits: LimitSettings
+    statsd: StatsdSettings
+    log: LogSettings
+    drain: DrainSettings
+
+
+@attrs.frozen
+class OperatorSettings:
+    """Author that is recorded with edits when `--author` is not given."""
+
+    author: str = field(Text(r"[\w.@+-]{0,64}", "0 to 64 letters, digits and ._@+-"), "")
+
+
+@attrs.frozen
+class CtlSettings:
+    """Settings of `fireflyferryctl`."""
+
+    store: StoreSettings
+    secrets: SecretSettings
+    operator: OperatorSettings
+
+
+@attrs.frozen
+class ListenSettings:
+    """Where a stand-in listens; port 0 lets the kernel choose."""
+
+    address: str = field(IpAddress(), "127.0.0.1")
+    port: int = field(PORT, 0)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Settings of `fireflyferry-platform`."""
+
+    listen: ListenSettings
+    log: LogSettings
+
+
+@attrs.frozen
+class UpstreamsSettings:
+    """The instances that one upstream stand-in runs, and what they serve."""
+
+    pool: str = field(NAME)
+    region: str = field(NAME)
+    data_centre: str = field(NAME)
+    instances: int = field(Whole(1, 200), 1)
+    slots: int = field(Whole(1, 1000), 2)
+    connections: int = field(Whole(1, 10_000), 130)
+    checks: str = field(Choice(("grants", "none")), "grants")
+
+
+@attrs.frozen
+class UpstreamSettings:
+    """Settings of `fireflyferry-upstream`."""
+
+    listen: ListenSettings
+    upstreams: UpstreamsSettings
+    log: LogSettings
+
+
+PROGRAMS: dict[str, type] = {
+    "entry": EntrySettings,
+    "ctl": CtlSettings,
+    "platform": PlatformSettings,
+    "upstream": UpstreamSettings,
+}
