--- /dev/null
+++ b/fireflyferry/standins/faults.py
@@ -0,0 +1,82 @@
+"""Faults injected into stand-ins, limited by caller, operation and count."""
+
+import fnmatch
+
+import attrs
+
+from fireflyferry.errors import FireflyferryError
+
+__all__ = ["Fault", "FaultTable", "UnknownFaultError"]
+
+
+class UnknownFaultError(FireflyferryError):
+    """A fault kind or mode that the stand-in does not have."""
+
+    code = "unknown_fault"
+
+
+@attrs.frozen
+class Fault:
+    """A fault; empty `callers`, `operations` and `keys` match every request.
+
+    `callers` are shell-style patterns of VM ids, as in `natal-1-*`. `count` is the number of
+    requests that the fault still applies to, None for all; `delay_s` is in seconds.
+    """
+
+    kind: str
+    mode: str = ""
+    callers: tuple[str, ...] = ()
+    operations: tuple[str, ...] = ()
+    keys: tuple[str, ...] = ()
+    delay_s: float = 0.0
+    count: int | None = None
+
+    def matches(self, kind: str, caller: str, operation: str, key: str = "") -> bool:
+        """Tell whether the fault applies to a request."""
+        return (
+            self.kind == kind
+            and self.count != 0
+            and (not self.operations or operation in self.operations)
+            and (not self.keys or key in self.keys)
+            and (not self.callers or any(fnmatch.fnmatch(caller, it) for it in self.callers))
+        )
+
+
+class FaultTable:
+    """The faults in force on one stand-in."""
+
+    def __init__(self, modes: dict[str, tuple[str, ...]]) -> None:
+        self._modes = modes
+        self._faults: list[Fault] = []
+
+    @property
+    def faults(self) -> tuple[Fault, ...]:
+        """Faults in force, with the counts that remain."""
+        return tuple(self._faults)
+
+    def replace(self, faults: tuple[Fault, ...]) -> None:
+        """Put a new set of faults in force.
+
+        Raises UnknownFaultError and then keeps the earlier set.
+        """
+        for fault in faults:
+            if fault.kind not in self._modes:
+                raise UnknownFaultError(f"kind {fault.kind!r}; allowed: {sorted(self._modes)}")
+            if fault.mode not in self._modes[fault.kind]:
+                raise UnknownFaultError(
+                    f"mode {fault.mode!r} of {fault.kind}; allowed: {self._modes[fault.kind]}"
+                )
+        self._faults = list(faults)
+
+    def find(self, kind: str, caller: str, operation: str, key: str = "") -> Fault | None:
+        """Return the first fault that applies, without spending its count."""
+        matching = (it for it in self._faults if it.matches(kind, caller, operation, key))
+        return next(matching, None)
+
+    def take(self, kind: str, caller: str, operation: str, key: str = "") -> Fault | None:
+        """Return the first fault that applies and spend one of its count."""
+        fault = self.find(kind, caller, operation, key)
+        if fault is not None and fault.count is not None:
+            position = self._faults.index(fault)
+            self._faults[position] = attrs.evolve(fault, count=fault.count - 1)
+        return fault
--- /dev/null
+++ b/fireflyferry/standins/platform_vms.py
@@ -0,0 +1,33 @@
+"""Pure VM list with a lag."""
+
+from fireflyferry.messages import VmEntry
+
+__all__ = ["VmTable"]
+
+
+class VmTable:
+    """VM list whose changes become visible after a lag in seconds."""
+
+    def __init__(self, vms: tuple[VmEntry, ...], lag_s: float = 0.0) -> None:
+        self._visible = vms
+        self._lag_s = lag_s
+        self._pending: list[tuple[float, tuple[VmEntry, ...]]] = []
+        self._stale: tuple[VmEntry, ...] | None = None
+
+    def replace(self, now_s: float, vms: tuple[VmEntry, ...], lag_s: float | None = None) -> None:
+        """Replace the list; `lag_s` overrides the configured lag."""
+        self._pending.append((now_s + (self._lag_s if lag_s is None else lag_s), vms))
+
+    def freeze(self, now_s: float) -> None:
+        """Keep the list of this moment for callers that are given a stale one."""
+        self._stale = self.visible(now_s)
+
+    def visible(self, now_s: float, stale: bool = False) -> tuple[VmEntry, ...]:
+        """Return the list that a caller sees; `stale` selects the one kept by `freeze`."""
+        if stale and self._stale is not None:
+            return self._stale
+        due = [entry for entry in self._pending if entry[0] <= now_s]
+        self._pending = [entry for entry in self._pending if entry[0] > now_s]
+        if due:
+            self._visible = max(due, key=lambda entry: entry[0])[1]
+        return self._visible
