Add the upstream stand-in

Several instances in one process, with slots, a connection limit, cold starts, fault injection, execution counts and an ownership log that is derived from the accepted grants alone, so that it can contradict GrantHolder.

--- a/fireflyferry/standins/http_base.py
+++ b/fireflyferry/standins/http_base.py
@@ -65,7 +65,7 @@
 
     def drop_connection(self) -> None:
         """Close the connection without an answer."""
-        self._auto_finish = False
+        self._finished = True
         if self.request.connection.stream is not None:
             self.detach().close()
 
--- /dev/null
+++ b/fireflyferry/standins/upstream_instance.py
@@ -0,0 +1,180 @@
+"""State of one upstream instance: grants, slots, executions and faults."""
+
+import asyncio
+import collections
+import random
+import secrets
+import time
+
+import attrs
+
+from fireflyferry.leases import GrantHolder
+from fireflyferry.messages import GrantMessage, GrantReply, Hello
+from fireflyferry.standins.faults import FaultTable
+from fireflyferry.standins.http_base import Broadcast
+from fireflyferry.standins.upstream_ownership import OwnershipLog
+from fireflyferry.standins.upstream_slots import Slots
+
+__all__ = ["FAULT_MODES", "InstanceSettings", "Run", "UpstreamInstance"]
+
+FAULT_MODES = {
+    "freeze": ("",),
+    "outage": ("refuse", "hang"),
+    "shed": ("",),
+    "slow": ("",),
+    "lying_health": ("good", "bad"),
+    "ignore_grants": ("",),
+    "close_before_first_byte": ("",),
+    "truncated_body": ("",),
+    "late_answer": ("",),
+    "wrong_request_id": ("",),
+    "redirect": ("",),
+    "expectation_failed": ("",),
+}
+MAX_CANCELLED_IDS = 10_000
+MAX_RUNS = 200_000
+
+
+@attrs.frozen
+class InstanceSettings:
+    """Settings of an instance; `service_ms` is the mean, `jitter` a share of it."""
+
+    upstream_id: str
+    pool: str
+    slots: int = 2
+    connections: int = 130
+    waiting: int = 16
+    checks: str = "grants"
+    service_ms: float = 5.0
+    jitter: float = 0.2
+    cold_s: float = 0.0
+    cold_factor: float = 5.0
+    seed: int = 1
+
+
+@attrs.define
+class Run:
+    """One execution; times are monotonic seconds, `end_s` None while it runs."""
+
+    request_id: str
+    key: str
+    unit: str
+    fence: int
+    start_s: float
+    end_s: float | None = None
+    ownership: str = ""
+
+
+class UpstreamInstance:
+    """One upstream of a pool."""
+
+    def __init__(self, settings: InstanceSettings) -> None:
+        self.settings = settings
+        checks = settings.checks == "grants"
+        self.holder = GrantHolder(settings.upstream_id, secrets.token_hex(6), checks)
+        self.ownership = OwnershipLog(settings.upstream_id)
+        self.slots = Slots(settings.slots, settings.waiting)
+        self.faults = FaultTable(FAULT_MODES)
+        self.changed = Broadcast()
+        self.by_request: collections.Counter[str] = collections.Counter()
+        self.by_key: collections.Counter[str] = collections.Counter()
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.runs: collections.deque[Run] = collections.deque(maxlen=MAX_RUNS)
+        self.running: dict[str, list[asyncio.Event]] = {}
+        self.last_request_id = ""
+        self.last_work_after_drain_s: float | None = None
+        self._cancelled: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._started_s = time.monotonic()
+        self._draining_since_s: float | None = None
+        self._random = random.Random(f"{settings.seed}:{settings.upstream_id}")
+
+    @property
+    def cold(self) -> bool:
+        """Whether the instance is still slow after its start."""
+        return time.monotonic() - self._started_s < self.settings.cold_s
+
+    @property
+    def draining(self) -> bool:
+        """Whether the instance is leaving."""
+        return self.holder.draining
+
+    def checks(self, caller: str = "") -> bool:
+        """Tell whether grants and fences are checked."""
+        return self.holder.checks and not self.faults.find("ignore_grants", caller, "data")
+
+    def hello(self) -> Hello:
+        """Describe the instance."""
+        settings = self.settings
+        return Hello(
+            settings.upstream_id,
+            settings.pool,
+            settings.slots,
+            settings.connections,
+            "grants" if self.checks() else "none",
+            self.holder.token(time.monotonic()),
+            self.draining,
+            self.cold,
+        )
+
+    def accept(self, message: GrantMessage) -> GrantReply:
+        """Apply a grant message and log what it changed."""
+        now_s = time.monotonic()
+        reply = self.holder.accept(now_s, message)
+        if reply.accepted:
+            until_s = _token_reading_s(message.token) + message.length_s if self.checks() else None
+            self.ownership.on_accepted(now_s, message, until_s)
+        return reply
+
+    def drain(self) -> None:
+        """Ask leaders to move this instance's units elsewhere; work is still accepted."""
+        self.holder.drain()
+        if self._draining_since_s is None:
+            self._draining_since_s = time.monotonic()
+
+    def start_run(self, request_id: str, key: str, unit: str, fence: int) -> Run:
+        """Count an execution."""
+        run = Run(request_id, key, unit, fence, time.monotonic())
+        if self._draining_since_s is not None:
+            self.last_work_after_drain_s = run.start_s - self._draining_since_s
+        self.by_request[request_id] += 1
+        self.by_key[key] += 1
+        self.runs.append(run)
+        return run
+
+    def service_s(self, requested_ms: float | None, caller: str, key: str) -> float:
+        """Draw the service time of a request in seconds."""
+        settings = self.settings
+        mean_ms = settings.service_ms if requested_ms is None else requested_ms
+        drawn_ms = mean_ms * self._random.uniform(1 - settings.jitter, 1 + settings.jitter)
+        slow = self.faults.take("slow", caller, "data", key)
+        added_s = slow.delay_s if slow else 0.0
+        return drawn_ms / 1000 * (settings.cold_factor if self.cold else 1.0) + added_s
+
+    def is_cancelled(self, request_id: str) -> bool:
+        """Tell whether a request was cancelled, perhaps before it arrived."""
+        return request_id in self._cancelled
+
+    async def cancel(self, request_id: str) -> str:
+        """Stop a request and return once none of its runs is left.
+
+        The id is remembered, so that a delayed request that arrives later is refused.
+        """
+        self._cancelled[request_id] = None
+        while len(self._cancelled) > MAX_CANCELLED_IDS:
+            self._cancelled.popitem(last=False)
+        state = "stopped" if request_id in self.running else "not_found"
+        for event in self.running.get(request_id, ()):
+            event.set()
+        while request_id in self.running:
+            await self.changed.wait(1.0)
+        return state
+
+    async def thawed(self, caller: str, operation: str) -> None:
+        """Wait while a freeze is in force."""
+        while self.faults.find("freeze", caller, operation):
+            await self.changed.wait()
+
+
+def _token_reading_s(token: str) -> float:
+    # GrantHolder.token ends in its clock reading; this log must not depend on its other state.
+    return float(token.rpartition("@")[2])
