--- /dev/null
+++ b/fireflyferry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' program `fireflyferryctl`."""
--- /dev/null
+++ b/fireflyferry/operators/arguments.py
@@ -0,0 +1,160 @@
+"""Command line of `fireflyferryctl`."""
+
+import argparse
+
+import attrs
+
+from fireflyferry.operators import fleet_commands, status, table_commands
+from fireflyferry.settings.values import Text, value_of
+from fireflyferry.tables.rows import ROW_KINDS
+
+__all__ = ["SETTINGS_VARIABLE", "make_parser"]
+
+SETTINGS_VARIABLE = "FIREFLYFERRYCTL_SETTINGS"
+
+EPILOG = f"""\
+Settings are read from the file given by --settings or by the environment variable
+{SETTINGS_VARIABLE}.
+
+exit codes:
+  0  done, or nothing to do
+  1  refused: the table, the edit or the request is not valid or not safe; nothing was changed
+  2  the command line, a file or the settings cannot be used; nothing was changed
+  3  the store or the VMs did not answer; nothing was changed
+  4  edit conflict: another edit was accepted first; nothing was changed
+  5  outcome unknown: the change may have taken effect, or may still do so
+  6  partly done, or some VMs do not answer or lag behind
+"""
+
+_VM_ID = Text(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "1 to 64 letters, digits and ._-")
+
+
+def _vm_id(text: str) -> str:
+    try:
+        return _VM_ID.convert(text)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(f"found {text!r}, allowed: {error}") from error
+
+
+def _revision(text: str) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) <= 18):
+        raise argparse.ArgumentTypeError(f"found {text!r}, allowed: a whole number from 0")
+    return int(text)
+
+
+def _column_help(kind: str) -> str:
+    lines = ["columns:"]
+    for attribute in attrs.fields(ROW_KINDS[kind]):
+        if attribute.name != "name":
+            lines.append(f"  {attribute.name}: {value_of(attribute).allowed}")
+    return "\n".join(lines)
+
+
+def _edit_options() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument("--note", default="", help="why the edit is made; kept in the history")
+    parser.add_argument("--dry-run", action="store_true", help="check and show, but do not write")
+    parser.add_argument(
+        "--expect-revision",
+        type=_revision,
+        metavar="N",
+        help="refuse the edit unless revision N is in force",
+    )
+    parser.add_argument(
+        "--confirm-unsafe",
+        action="store_true",
+        help="accept a change that is unsafe while requests flow",
+    )
+    return parser
+
+
+def _add_table_commands(commands, kind: str, edit: argparse.ArgumentParser) -> None:
+    table = f"{kind}s"
+    parser = commands.add_parser(table, help=f"show and edit the {table} table")
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+
+    def action(name: str, run, text: str, editing: bool = True) -> argparse.ArgumentParser:
+        made = actions.add_parser(
+            name,
+            help=text,
+            description=f"{text[0].upper()}{text[1:]}.",
+            epilog=_column_help(kind) if name in ("add", "set") else None,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+            parents=[edit] if editing else [],
+        )
+        made.set_defaults(run=run, kind=kind)
+        return made
+
+    shown = action("show", table_commands.show_rows, "show all rows, or one", editing=False)
+    shown.add_argument("name", nargs="?", metavar="NAME")
+    for name, run, text in (
+        ("add", table_commands.add, "add a row"),
+        ("set", table_commands.set_columns, "change columns of a row"),
+    ):
+        made = action(name, run, text)
+        made.add_argument("name", metavar="NAME")
+        made.add_argument("columns", nargs="+", metavar="COLUMN=VALUE")
+    action("remove", table_commands.remove, "remove a row").add_argument("name", metavar="NAME")
+
+
+def _add_file_commands(commands, edit: argparse.ArgumentParser) -> None:
+    def command(name: str, run, text: str, editing: bool = False) -> argparse.ArgumentParser:
+        description = f"{text[0].upper()}{text[1:]}."
+        parents = [edit] if editing else []
+        made = commands.add_parser(name, help=text, description=description, parents=parents)
+        made.set_defaults(run=run)
+        return made
+
+    command("show", table_commands.show_file, "show both tables as a table file")
+    made = command("validate", table_commands.validate_file, "check a table file, without a store")
+    made.add_argument("file", metavar="FILE")
+    made = command("diff", table_commands.diff, "show what applying a table file would change")
+    made.add_argument("file", metavar="FILE")
+    made = command("apply", table_commands.apply, "replace both tables by those of a file", True)
+    made.add_argument("file", metavar="FILE")
+    made = command("history", table_commands.history, "show the latest revisions, newest first")
+    made.add_argument("--limit", type=_revision, default=20, metavar="N", help="default: 20")
+    made = command("undo", table_commands.undo, "write a new revision with earlier rows", True)
+    made.add_argument("revision", type=_revision, metavar="REVISION", help="revision to restore")
+
+
+def _add_fleet_commands(commands) -> None:
+    def command(name: str, run, text: str) -> argparse.ArgumentParser:
+        made = commands.add_parser(name, help=text, description=f"{text[0].upper()}{text[1:]}.")
+        made.set_defaults(run=run)
+        return made
+
+    made = command("assign", fleet_commands.assign, "place a unit or a single key on an upstream")
+    made.add_argument("pool", metavar="POOL")
+    made.add_argument("key_or_unit", metavar="KEY_OR_UNIT", help="a key, b:BUCKET or k:BUCKET:KEY")
+    made.add_argument("upstream", metavar="UPSTREAM")
+    made.add_argument("--key", action="store_true", help="take KEY_OR_UNIT as a key in any case")
+    made = command("drain", fleet_commands.drain, "drain an upstream or an entry VM")
+    made.add_argument("target", type=_vm_id, metavar="UPSTREAM|VM")
+    made = command(
+        "declare-lost", fleet_commands.declare_lost, "give your word that a VM has stopped"
+    )
+    made.add_argument("vm", type=_vm_id, metavar="VM")
+    made.add_argument("--yes", action="store_true", help="the VM is known to be stopped")
+    made.add_argument("--note", default="", help="how that is known")
+    made = command("status", status.status, "show VMs, groups, owners, moves and refusals")
+    made.add_argument("--json", action="store_true", help="write JSON")
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Build the parser; the chosen command's function is in `run`."""
+    parser = argparse.ArgumentParser(
+        prog="fireflyferryctl",
+        description="Show and change routes, pools, owners and VMs.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--settings", metavar="FILE", help="settings file in INI form")
+    parser.add_argument("--author", help="recorded with edits (default: from the settings)")
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    edit = _edit_options()
+    for kind in ("route", "pool"):
+        _add_table_commands(commands, kind, edit)
+    _add_file_commands(commands, edit)
+    _add_fleet_commands(commands)
+    return parser
--- /dev/null
+++ b/fireflyferry/operators/context.py
@@ -0,0 +1,28 @@
+"""What the commands of the operator program work with."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from fireflyferry.edges import ObjectStore, VmList
+from fireflyferry.operators.editing import TableEditor
+from fireflyferry.operators.peers import PeerControl
+
+__all__ = ["Context"]
+
+
+@attrs.frozen
+class Context:
+    """Connections, the author of edits, and where output goes."""
+
+    store: ObjectStore
+    vms: VmList
+    peers: PeerControl
+    author: str
+    show: Callable[[str], None] = print
+    pause: Callable[[float], Awaitable[None]] = asyncio.sleep
+
+    def editor(self) -> TableEditor:
+        """Return an editor of the tables."""
+        return TableEditor(self.store, self.pause)
--- /dev/null
+++ b/fireflyferry/operators/status.py
@@ -0,0 +1,161 @@
+"""Command `status`: what every entry VM says about itself, put together."""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from fireflyferry.edges import StoreUnavailableError
+from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.messages import VmEntry, encode
+from fireflyferry.messages.control import GroupStatus, VmStatus
+from fireflyferry.operators.context import Context
+from fireflyferry.operators.errors import ExitCode, OperatorError
+from fireflyferry.operators.fleet_commands import entry_vms
+from fireflyferry.settings.values import one_line
+
+__all__ = ["FleetStatus", "VmReport", "collect", "format_status", "lag_reason", "status"]
+
+# The feed's long poll ends well within this; an older answer means that the source is away.
+FEED_STALE_S = 30.0
+
+
+@attrs.frozen
+class VmReport:
+    """One VM's status, or why there is none; `lag` is empty when it has the latest revision."""
+
+    vm_id: str
+    data_centre: str
+    state: str
+    status: VmStatus | None
+    lag: str
+
+
+@attrs.frozen
+class FleetStatus:
+    """All reports; `revision` is the store's, 0 without tables and None if it did not answer.
+
+    `groups` has the report with the highest term of each group; `rivals` names groups that two
+    VMs report to lead under different terms, as happens during a takeover.
+    """
+
+    revision: int | None
+    vms: tuple[VmReport, ...]
+    groups: tuple[GroupStatus, ...]
+    rivals: tuple[str, ...]
+    refusals: dict[str, int]
+    retries: dict[str, int]
+
+
+def lag_reason(vm: VmStatus | None, revision: int | None) -> str:
+    """Say why a VM does not have the store's revision; empty if it has."""
+    if vm is None:
+        return "does not answer"
+    if revision is None or vm.revision >= revision:
+        return ""
+    if vm.rejected_revision > vm.revision:
+        return f"rejected revision {vm.rejected_revision}: {vm.rejected_reason}"
+    source = vm.feed_source or "no source yet"
+    if vm.feed_age_s > FEED_STALE_S:
+        return f"feed ({source}) last answered {vm.feed_age_s:.1f} s ago"
+    return f"revision {revision} has not arrived through the feed ({source})"
+
+
+async def _ask(context: Context, vm: VmEntry) -> VmStatus | None:
+    try:
+        return await context.peers.status(vm.peer_address)
+    except PeerUnavailableError:
+        return None
+
+
+async def collect(context: Context) -> FleetStatus:
+    """Ask the store and every listed entry VM.
+
+    Raises StoreUnavailableError when the VM list cannot be read.
+    """
+    vms = await entry_vms(context)
+    try:
+        current = await context.editor().read(restoring=True)
+        revision = current.tables.revision if current.version else 0
+    except (StoreUnavailableError, OperatorError):
+        revision = None
+    answers = await asyncio.gather(*(_ask(context, vm) for vm in vms))
+    reports = tuple(
+        VmReport(vm.vm_id, vm.data_centre, vm.state, answer, lag_reason(answer, revision))
+        for vm, answer in zip(vms, answers, strict=True)
+    )
+    return _combine(revision, reports)
+
+
+def _combine(revision: int | None, reports: tuple[VmReport, ...]) -> FleetStatus:
+    answered = [report.status for report in reports if report.status is not None]
+    by_group: dict[str, list[GroupStatus]] = collections.defaultdict(list)
+    for vm in answered:
+        for group in vm.groups:
+            by_group[str(group.group)].append(group)
+    names = sorted(by_group)
+    latest = tuple(max(by_group[name], key=lambda group: group.term) for name in names)
+    rivals = tuple(name for name in names if len(by_group[name]) > 1)
+    refusals = _total(vm.refusals for vm in answered)
+    retries = _total(vm.retries for vm in answered)
+    return FleetStatus(revision, reports, latest, rivals, refusals, retries)
+
+
+def _total(counts: Iterable[dict[str, int]]) -> dict[str, int]:
+    total: collections.Counter[str] = collections.Counter()
+    for each in counts:
+        total.update(each)
+    return dict(sorted(total.items()))
+
+
+def _format_vms(fleet: FleetStatus) -> Iterator[str]:
+    yield f"VMs: {len(fleet.vms)}, behind or silent: {sum(bool(vm.lag) for vm in fleet.vms)}"
+    for vm in fleet.vms:
+        revision = "-" if vm.status is None else str(vm.status.revision)
+        draining = " draining" if vm.status is not None and vm.status.draining else ""
+        lag = f" lag: {vm.lag}" if vm.lag else ""
+        yield f"  {vm.vm_id} {vm.data_centre} {vm.state}{draining} revision {revision}{lag}"
+
+
+def _format_group(group: GroupStatus) -> Iterator[str]:
+    standby = group.standby.vm_id if group.standby else "none"
+    yield (
+        f"  {group.group} term {group.term} leader {group.leader.vm_id} standby {standby} "
+        f"authority {group.authority_s:.1f} s"
+    )
+    owners = (f"{upstream}: {count}" for upstream, count in sorted(group.units.items()))
+    yield f"    units by owner: {', '.join(owners) or 'none'}"
+    for unit, upstream in sorted(group.keys.items()):
+        yield f"    {unit} owner {upstream}"
+    for move in group.moves:
+        waits = f", waits for {move.waits_for}" if move.waits_for else ""
+        yield f"    move {move.unit} from {move.source or 'none'} to {move.target}{waits}"
+    if group.held:
+        yield f"    held: {', '.join(group.held)}"
+
+
+def format_status(fleet: FleetStatus) -> str:
+    """Write the status for a person to read."""
+    revision = (
+        "unknown, the store gives no valid tables" if fleet.revision is None else fleet.revision
+    )
+    lines = [f"Revision in the store: {revision}", *_format_vms(fleet)]
+    lines.append(f"Groups: {len(fleet.groups)}")
+    for group in fleet.groups:
+        lines.extend(_format_group(group))
+    lines.extend(f"  {name}: more than one VM reports to lead it" for name in fleet.rivals)
+    for title, counts in (("Refusals", fleet.refusals), ("Retries", fleet.retries)):
+        pairs = ", ".join(f"{reason} {count}" for reason, count in counts.items())
+        lines.append(f"{title} by reason: {pairs or 'none'}")
+    return "\n".join(one_line(line) for line in lines)
+
+
+async def status(context: Context, options: argparse.Namespace) -> int:
+    """Show the status; the exit code says whether every VM answered and is up to date."""
+    fleet = await collect(context)
+    context.show(encode(fleet).decode() if options.json else format_status(fleet))
+    if fleet.revision is None or any(vm.lag for vm in fleet.vms):
+        return ExitCode.PARTIAL
+    return ExitCode.DONE
