--- /dev/null
+++ b/fireflyferry/edges/http_client.py
@@ -0,0 +1,99 @@
+"""Curl client shared by the HTTP edges, with the settings that promises depend on."""
+
+import asyncio
+
+import attrs
+import pycurl
+import tornado.curl_httpclient
+import tornado.httpclient
+import tornado.httputil
+
+from fireflyferry.edges.base import EdgeError
+
+__all__ = ["HttpAnswer", "HttpCaller", "NoAnswerError"]
+
+# A watch holds a handle while it waits; Tornado's default of 10 would queue other calls behind it.
+MAX_CLIENTS = 100
+MIN_TIMEOUT_S = 0.001  # libcurl takes 0 ms as no limit
+
+
+class NoAnswerError(EdgeError):
+    """No complete answer arrived; the call may or may not have taken effect."""
+
+    code = "no_answer"
+
+
+@attrs.frozen
+class HttpAnswer:
+    """Status, headers and complete body of an answer."""
+
+    status: int
+    headers: tornado.httputil.HTTPHeaders
+    body: bytes
+
+
+class HttpCaller:
+    """Makes calls in the name of one VM; timeouts are in seconds."""
+
+    def __init__(self, vm_id: str, connect_timeout_s: float = 0.5, timeout_s: float = 2.0) -> None:
+        self._vm_id = vm_id
+        self._connect_timeout_s = connect_timeout_s
+        self._timeout_s = timeout_s
+        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    @property
+    def vm_id(self) -> str:
+        """VM in whose name calls are made."""
+        return self._vm_id
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        """Make a call; `fresh` uses a new connection, for calls that must not be sent twice.
+
+        Raises NoAnswerError.
+        """
+        limit_s = max(self._timeout_s if timeout_s is None else timeout_s, MIN_TIMEOUT_S)
+        request = tornado.httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers={"Firefly-Vm": self._vm_id, **(headers or {})},
+            connect_timeout=min(self._connect_timeout_s, limit_s),
+            request_timeout=limit_s,
+            user_agent="fireflyferry",
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            prepare_curl_callback=_connection_options(fresh),
+        )
+        try:
+            # Bounds the time in Tornado's queue too, which request_timeout does not cover.
+            async with asyncio.timeout(limit_s + 1.0):
+                response = await self._client.fetch(request, raise_error=False)
+        except (TimeoutError, OSError, tornado.httpclient.HTTPClientError) as error:
+            raise NoAnswerError(f"{method} {url}: {error!r}") from error
+        return HttpAnswer(response.code, response.headers, response.body)
+
+
+def _connection_options(fresh: bool):
+    def prepare(curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
+        curl.setopt(pycurl.FORBID_REUSE, int(fresh))
+        # Proxy variables of the environment must not divert calls between processes.
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOPROXY, "*")
+
+    return prepare
--- /dev/null
+++ b/fireflyferry/edges/http_peer.py
@@ -0,0 +1,67 @@
+"""HTTP client of the peer port of other entry VMs."""
+
+import urllib.parse
+
+from fireflyferry.edges.base import PeerLink, PeerUnavailableError, WatchBatch
+from fireflyferry.edges.http_client import HttpCaller, NoAnswerError
+from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.edges.wire import decode_batch
+from fireflyferry.messages import Heartbeat, HeartbeatReply, decode, encode
+from fireflyferry.messages.codec import MessageError
+
+__all__ = ["HttpPeerLink"]
+
+
+class HttpPeerLink(PeerLink):
+    """Control calls between entry VMs; signed if a signer is given."""
+
+    def __init__(self, caller: HttpCaller, signer: PeerSigner | None = None) -> None:
+        self._caller = caller
+        self._signer = signer
+
+    async def heartbeat(
+        self, address: str, heartbeats: tuple[Heartbeat, ...]
+    ) -> tuple[HeartbeatReply, ...]:
+        """Ask a standby for pledges.
+
+        Raises PeerUnavailableError.
+        """
+        body = await self._call("POST", address, "/peer/v1/heartbeat", encode(heartbeats))
+        return _decoded(body, lambda data: decode(data, tuple[HeartbeatReply, ...]))
+
+    async def feed(
+        self, address: str, since: int, revision: int, vm_id: str, timeout_s: float
+    ) -> WatchBatch:
+        """Wait for changes of tables, groups, placements and the VM list.
+
+        Raises PeerUnavailableError.
+        """
+        fields = {"since": since, "revision": revision, "vm": vm_id, "timeout_s": timeout_s}
+        path = f"/peer/v1/feed?{urllib.parse.urlencode(fields)}"
+        body = await self._call("GET", address, path, timeout_s=timeout_s + 2.0)
+        return _decoded(body, decode_batch)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float | None = None,
+    ) -> bytes:
+        headers = self._signer.headers(method, path, body or b"") if self._signer else {}
+        url = f"http://{address}{path}"
+        try:
+            answer = await self._caller.call(method, url, body, headers, timeout_s)
+        except NoAnswerError as error:
+            raise PeerUnavailableError(str(error)) from error
+        if answer.status != 200:
+            raise PeerUnavailableError(f"{method} {url}: status {answer.status}")
+        return answer.body
+
+
+def _decoded(body: bytes, function):
+    try:
+        return function(body)
+    except MessageError as error:
+        raise PeerUnavailableError(str(error)) from error
--- /dev/null
+++ b/fireflyferry/edges/http_store.py
@@ -0,0 +1,123 @@
+"""HTTP client of the platform's object store and VM list."""
+
+import urllib.parse
+
+from fireflyferry.edges.base import (
+    ObjectStore,
+    StoredObject,
+    StoreUnavailableError,
+    VersionConflictError,
+    VmList,
+    WatchBatch,
+)
+from fireflyferry.edges.http_client import HttpAnswer, HttpCaller, NoAnswerError
+from fireflyferry.edges.wire import VmListBody, WriteResult, decode_batch, decode_object
+from fireflyferry.messages import VmEntry, decode
+from fireflyferry.messages.codec import MessageError
+
+__all__ = ["HttpObjectStore", "HttpVmList"]
+
+
+class _StoreCalls:
+    """Calls to the platform, with errors of this edge."""
+
+    def __init__(self, address: str, caller: HttpCaller) -> None:
+        self._base = f"http://{address}"
+        self._caller = caller
+
+    async def _call(self, method: str, path: str, expected: tuple[int, ...], **options):
+        try:
+            answer = await self._caller.call(method, self._base + path, **options)
+        except NoAnswerError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status not in expected:
+            raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
+        return answer
+
+
+def _decode(answer: HttpAnswer, function, *arguments):
+    try:
+        return function(answer.body, *arguments)
+    except MessageError as error:
+        raise StoreUnavailableError(str(error)) from error
+
+
+class HttpObjectStore(_StoreCalls, ObjectStore):
+    """Object store over HTTP; `address` is `IP:PORT`."""
+
+    async def get(self, name: str) -> StoredObject | None:
+        """Read an object; None if it does not exist.
+
+        Raises StoreUnavailableError.
+        """
+        answer = await self._call("GET", _object_path(name), (200, 404))
+        if answer.status == 404:
+            # A 404 that is not from the store itself must not be taken for a missing object.
+            _decode(answer, decode, WriteResult)
+            return None
+        return _decode(answer, decode_object)
+
+    async def put(self, name: str, data: bytes, expected_version: int) -> int:
+        """Write an object if its version is the expected one (0: it does not exist).
+
+        Returns the new version. Raises VersionConflictError, or StoreUnavailableError when the
+        write may or may not have taken effect.
+        """
+        return await self._write("PUT", name, data, expected_version)
+
+    async def delete(self, name: str, expected_version: int) -> int:
+        """Delete an object if its version is the expected one; returns the deletion's version.
+
+        Raises VersionConflictError, or StoreUnavailableError when it may have taken effect.
+        """
+        return await self._write("DELETE", name, None, expected_version)
+
+    async def _write(self, method: str, name: str, data: bytes | None, expected: int) -> int:
+        # On a reused connection that closes before the first byte, libcurl sends the request
+        # again; the second attempt then conflicts with the first, which did take effect.
+        answer = await self._call(
+            method,
+            _object_path(name),
+            (200, 412),
+            body=data,
+            headers={"If-Match": str(expected)},
+            fresh=True,
+        )
+        result = _decode(answer, decode, WriteResult)
+        if answer.status == 412:
+            raise VersionConflictError(f"{name} has version {result.version}, not {expected}")
+        return result.version
+
+    async def list(self, prefix: str) -> WatchBatch:
+        """List the objects under a prefix.
+
+        Raises StoreUnavailableError.
+        """
+        query = urllib.parse.urlencode({"prefix": prefix})
+        return _decode(await self._call("GET", f"/v1/objects?{query}", (200,)), decode_batch)
+
+    async def watch(self, prefixes: tuple[str, ...], since: int, timeout_s: float) -> WatchBatch:
+        """Wait for changes under any of the prefixes after a position.
+
+        Raises StoreUnavailableError.
+        """
+        fields = [("prefix", prefix) for prefix in prefixes]
+        fields += [("since", str(since)), ("timeout_s", str(timeout_s))]
+        path = f"/v1/watch?{urllib.parse.urlencode(fields)}"
+        answer = await self._call("GET", path, (200,), timeout_s=timeout_s + 2.0)
+        return _decode(answer, decode_batch)
+
+
+class HttpVmList(_StoreCalls, VmList):
+    """VM list over HTTP; `address` is `IP:PORT`."""
+
+    async def fetch(self) -> tuple[VmEntry, ...]:
+        """Return live and leaving VMs.
+
+        Raises StoreUnavailableError.
+        """
+        return _decode(await self._call("GET", "/v1/vms", (200,)), decode, VmListBody).vms
+
+
+def _object_path(name: str) -> str:
+    return "/v1/objects/" + urllib.parse.quote(name)
--- /dev/null
+++ b/fireflyferry/edges/http_upstream.py
@@ -0,0 +1,66 @@
+"""HTTP client of the control paths of upstreams."""
+
+import orjson
+
+from fireflyferry.edges.base import UpstreamControl, UpstreamUnavailableError
+from fireflyferry.edges.http_client import HttpCaller, NoAnswerError
+from fireflyferry.messages import GrantMessage, GrantReply, Hello, decode, encode
+from fireflyferry.messages.codec import MessageError
+
+__all__ = ["HttpUpstreamControl"]
+
+
+class HttpUpstreamControl(UpstreamControl):
+    """Control paths of upstreams; `address` is `IP:PORT`."""
+
+    def __init__(self, caller: HttpCaller, cancel_timeout_s: float = 10.0) -> None:
+        self._caller = caller
+        self._cancel_timeout_s = cancel_timeout_s
+
+    async def hello(self, address: str) -> Hello:
+        """Ask an upstream what it is and what it checks.
+
+        Raises UpstreamUnavailableError.
+        """
+        return self._decoded(await self._call("GET", address, "hello"), Hello)
+
+    async def grant(self, address: str, message: GrantMessage) -> GrantReply:
+        """Send a grant message.
+
+        Raises UpstreamUnavailableError.
+        """
+        return self._decoded(
+            await self._call("POST", address, "grants", encode(message)), GrantReply
+        )
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Ask an upstream to stop a request that nobody waits for.
+
+        Returns once the request no longer runs. Raises UpstreamUnavailableError.
+        """
+        body = orjson.dumps({"request_id": request_id})
+        await self._call("POST", address, "cancel", body, self._cancel_timeout_s)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        name: str,
+        body: bytes | None = None,
+        timeout_s: float | None = None,
+    ) -> bytes:
+        url = f"http://{address}/control/v1/{name}"
+        try:
+            answer = await self._caller.call(method, url, body, timeout_s=timeout_s)
+        except NoAnswerError as error:
+            raise UpstreamUnavailableError(str(error)) from error
+        if answer.status != 200:
+            raise UpstreamUnavailableError(f"{method} {url}: status {answer.status}")
+        return answer.body
+
+    @staticmethod
+    def _decoded(body: bytes, kind):
+        try:
+            return decode(body, kind)
+        except MessageError as error:
+            raise UpstreamUnavailableError(str(error)) from error
--- /dev/null
+++ b/fireflyferry/edges/system_clock.py
@@ -0,0 +1,19 @@
+"""Clock of the operating system."""
+
+import time
+
+from fireflyferry.edges.base import Clock
+
+__all__ = ["SystemClock"]
+
+
+class SystemClock(Clock):
+    """Monotonic and wall time of this machine."""
+
+    def monotonic_s(self) -> float:
+        """Return monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall_s(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
--- a/fireflyferry/standins/platform_server.py
+++ b/fireflyferry/standins/platform_server.py
@@ -18,7 +18,7 @@
 __all__ = ["FAULT_MODES", "Platform", "make_application"]
 
 FAULT_MODES = {
-    "outage": ("refuse", "hang"),
+    "outage": ("refuse", "hang", "hold"),
     "slow": ("before", "after"),
     "lost_answer": ("",),
     "stale_vms": ("",),
@@ -77,7 +77,10 @@
         self.send_json(body, status)
 
     async def _pass_outage(self, operation: str) -> bool:
-        """Refuse or hold a request during an outage; a held request never takes effect."""
+        """Refuse a request during an outage, or keep it until the outage ends.
+
+        A request under `hang` never takes effect; under `hold` it does so after the outage.
+        """
         fault = self._platform.faults.take("outage", self.caller, operation)
         if fault is None:
             return True
@@ -87,6 +90,8 @@
             return False
         while self._platform.faults.find("outage", self.caller, operation):
             await self._platform.changed.wait()
+        if fault.mode == "hold":
+            return True
         self.drop_connection()
         return False
 
