--- /dev/null
+++ b/fireflyferry/entry/owner_view.py
@@ -0,0 +1,96 @@
+"""The request path's view of leaders and owners."""
+
+from fireflyferry.entry.group_runtime import GroupRuntime
+from fireflyferry.entry.interfaces import (
+    LocalOwners,
+    Location,
+    Locator,
+    Observer,
+    UpstreamTarget,
+)
+from fireflyferry.entry.state import VmState
+from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.messages import GroupId
+from fireflyferry.ownership import Owner
+from fireflyferry.placement import bucket_of, bucket_unit
+from fireflyferry.telemetry import Outcome, Reason
+
+__all__ = ["OwnerView"]
+
+
+class OwnerView(Locator, LocalOwners, Observer):
+    """Reads the tables that the last tick left; a request never waits for a tick."""
+
+    def __init__(
+        self,
+        state: VmState,
+        upstreams: UpstreamTable,
+        runtimes: dict[GroupId, GroupRuntime],
+    ) -> None:
+        self._state = state
+        self._upstreams = upstreams
+        self._runtimes = runtimes
+
+    def locate(self, pool: str, key: str) -> Location | Reason:
+        """Find the leader of a key."""
+        placement = self._state.placements.get(pool)
+        if placement is None:
+            return Reason.NO_LEADER
+        bucket = bucket_of(key, placement.buckets)
+        group = placement.group_of(bucket)
+        view = self._state.records.get(group)
+        if view is None:
+            return Reason.NO_LEADER
+        record = view.record
+        local = record.leader == self._state.me
+        entry = self._state.vm_table.get(record.leader.vm_id)
+        if entry is None and not local:
+            return Reason.NO_LEADER
+        runtime = self._runtimes.get(group) if local else None
+        unit = runtime.book.unit_of(bucket, key) if runtime else bucket_unit(bucket)
+        address = entry.peer_address if entry else ""
+        return Location(group, unit, record.leader, address, record.term, local)
+
+    def owner(self, now_s: float, group: GroupId, unit: str) -> UpstreamTarget | Reason:
+        """Return the owner of a unit, or say why this VM may not forward to one."""
+        runtime = self._runtimes.get(group)
+        if runtime is None or not runtime.authority.is_leader(now_s):
+            return Reason.NOT_LEADER
+        if not runtime.leads(now_s):
+            return Reason.OWNER_UNAVAILABLE
+        return self._target(runtime, runtime.book.owner(now_s, unit))
+
+    def may_forward(self, now_s: float, group: GroupId) -> bool:
+        """Tell whether authority over the group holds."""
+        runtime = self._runtimes.get(group)
+        return runtime is not None and runtime.leads(now_s)
+
+    def on_request(self, pool: str, key: str, tenant: str) -> None:
+        """Count the key in the sketch of its group."""
+        placement = self._state.placements.get(pool)
+        if placement is None:
+            return
+        group = placement.group_of(bucket_of(key, placement.buckets))
+        runtime = self._runtimes.get(group)
+        if runtime is not None:
+            runtime.sketch.observe(key)
+
+    def on_result(self, upstream_id: str, outcome: Outcome, service_s: float) -> None:
+        """Note the service time of an answered attempt for the cold-start ramp."""
+        if outcome is Outcome.ANSWERED:
+            self._upstreams.on_service_time(upstream_id, service_s)
+
+    def _target(self, runtime: GroupRuntime, owner: Owner | Reason) -> UpstreamTarget | Reason:
+        if isinstance(owner, Reason):
+            return owner
+        row = self._upstreams.get(owner.upstream_id)
+        if row is None or row.hello is None:
+            return Reason.OWNER_UNAVAILABLE
+        return UpstreamTarget(
+            owner.upstream_id,
+            row.entry.address,
+            owner.fence,
+            runtime.book_term,
+            row.hello.slots,
+            row.hello.checks,
+        )
