--- /dev/null
+++ b/fireflyferry/admission/__init__.py
@@ -0,0 +1,23 @@
+"""Slots and fair queues of upstreams, with deadline checks."""
+
+from fireflyferry.admission.fair_queue import FairQueue
+from fireflyferry.admission.service_times import ServiceTimes
+from fireflyferry.admission.upstream_queue import (
+    Admit,
+    QueueLimits,
+    Refuse,
+    UpstreamQueue,
+    Wait,
+    Work,
+)
+
+__all__ = [
+    "Admit",
+    "FairQueue",
+    "QueueLimits",
+    "Refuse",
+    "ServiceTimes",
+    "UpstreamQueue",
+    "Wait",
+    "Work",
+]
--- /dev/null
+++ b/fireflyferry/admission/fair_queue.py
@@ -0,0 +1,100 @@
+"""Deficit round robin over tenants."""
+
+import collections
+from collections.abc import Iterator, Mapping
+from typing import Generic, TypeVar
+
+__all__ = ["OTHER_TENANTS", "FairQueue"]
+
+T = TypeVar("T")
+
+# Tenants without a weight share one queue, so that inventing names gains no share.
+OTHER_TENANTS = ""
+
+
+class FairQueue(Generic[T]):
+    """Queues per tenant, served in turn; a tenant's weight is its items per round."""
+
+    def __init__(self, weights: Mapping[str, int]):
+        self._weights = dict(weights)
+        self._queues: dict[str, collections.deque[T]] = {}
+        self._round: collections.deque[str] = collections.deque()
+        self._deficit: dict[str, int] = {}
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __iter__(self) -> Iterator[T]:
+        return (item for queue in self._queues.values() for item in queue)
+
+    def set_weights(self, weights: Mapping[str, int]) -> None:
+        """Apply weights to items pushed from now on."""
+        self._weights = dict(weights)
+
+    def share_of(self, tenant: str) -> str:
+        """Return the name of the queue that a tenant uses."""
+        return tenant if tenant in self._weights else OTHER_TENANTS
+
+    def weight_of(self, tenant: str) -> int:
+        """Return the weight of a tenant's queue."""
+        return max(1, self._weights.get(tenant, 1))
+
+    def length_of(self, tenant: str) -> int:
+        """Count the items waiting in a tenant's queue."""
+        return len(self._queues.get(self.share_of(tenant), ()))
+
+    def ahead_of(self, tenant: str) -> int:
+        """Bound the items that are served before a new item of a tenant."""
+        share = self.share_of(tenant)
+        own = len(self._queues.get(share, ()))
+        rounds = own // self.weight_of(share) + 1
+        others = sum(
+            min(len(queue), rounds * self.weight_of(name))
+            for name, queue in self._queues.items()
+            if name != share
+        )
+        return own + others
+
+    def push(self, tenant: str, item: T) -> None:
+        """Add an item to its tenant's queue."""
+        share = self.share_of(tenant)
+        queue = self._queues.get(share)
+        if queue is None:
+            queue = self._queues[share] = collections.deque()
+            self._round.append(share)
+            self._deficit[share] = 0
+        queue.append(item)
+        self._length += 1
+
+    def pop(self) -> T | None:
+        """Take the next item in turn; None when nothing waits."""
+        if not self._round:
+            return None
+        share = self._round[0]
+        if self._deficit[share] == 0:
+            self._deficit[share] = self.weight_of(share)
+        item = self._queues[share].popleft()
+        self._deficit[share] -= 1
+        self._length -= 1
+        if not self._queues[share]:
+            self._drop(share)
+        elif self._deficit[share] == 0:
+            self._round.rotate(-1)
+        return item
+
+    def remove(self, tenant: str, item: T) -> bool:
+        """Remove an item that waits; False when it is not there."""
+        share = self.share_of(tenant)
+        queue = self._queues.get(share)
+        if queue is None or item not in queue:
+            return False
+        queue.remove(item)
+        self._length -= 1
+        if not queue:
+            self._drop(share)
+        return True
+
+    def _drop(self, share: str) -> None:
+        del self._queues[share], self._deficit[share]
+        self._round.remove(share)
