--- /dev/null
+++ b/fireflyferry/retries/outcomes.py
@@ -0,0 +1,67 @@
+"""Outcomes of one attempt and the rule for repeating a request."""
+
+import attrs
+
+from fireflyferry.telemetry import Outcome, Reason
+from fireflyferry.telemetry.reasons import REASONS
+
+__all__ = ["Failure", "Verdict", "classify", "may_retry"]
+
+
+@attrs.frozen
+class Failure:
+    """What was observed of an attempt that gave no usable answer.
+
+    `sent` tells that the request was handed to a connection at least once during the attempt.
+    `declared` is a reason that the other side put in its answer.
+    """
+
+    sent: bool = False
+    timed_out: bool = False
+    wrong_answer: bool = False
+    lapsed: bool = False
+    declared: Reason | None = None
+
+
+@attrs.frozen
+class Verdict:
+    """Result of an attempt; `reason` is None only for an answer.
+
+    `leader_address` and `leader_term` accompany NOT_LEADER when the other side knows the leader.
+    """
+
+    outcome: Outcome
+    reason: Reason | None = None
+    leader_address: str = ""
+    leader_term: int = 0
+
+
+def classify(failure: Failure) -> Verdict:
+    """Return the outcome of a failed attempt.
+
+    A failure counts as *not run* only if the other side said so, or if no byte of the request
+    left this process.
+    """
+    if failure.wrong_answer:
+        return Verdict(Outcome.UNKNOWN, Reason.WRONG_ANSWER)
+    if failure.lapsed:
+        return Verdict(Outcome.UNKNOWN, Reason.OWNERSHIP_LAPSED)
+    if failure.declared is not None:
+        return Verdict(REASONS[failure.declared].outcome, failure.declared)
+    if not failure.sent:
+        return Verdict(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+    reason = Reason.TIMED_OUT if failure.timed_out else Reason.CONNECTION_LOST
+    return Verdict(Outcome.UNKNOWN, reason)
+
+
+def may_retry(verdict: Verdict, idempotent: bool) -> bool:
+    """Tell whether an attempt with this verdict may be repeated.
+
+    A refusal is repeated if its reason is one that can pass; an unknown outcome only for an
+    idempotent request, and never after the deadline.
+    """
+    if verdict.outcome is Outcome.ANSWERED or verdict.reason is None:
+        return False
+    if verdict.outcome is Outcome.NOT_RUN:
+        return REASONS[verdict.reason].retryable
+    return idempotent and verdict.reason is not Reason.TIMED_OUT
--- /dev/null
+++ b/fireflyferry/retries/request_ids.py
@@ -0,0 +1,185 @@
+"""Request ids (UUIDv7) and the table of ids that have been seen."""
+
+import collections
+import random
+import uuid
+
+import attrs
+
+from fireflyferry.errors import FireflyferryError
+from fireflyferry.telemetry import Outcome
+
+__all__ = [
+    "BadRequestIdError",
+    "Done",
+    "Fresh",
+    "InFlight",
+    "RequestIdTable",
+    "SmallAnswer",
+    "Unknown",
+    "issued_wall_s",
+    "new_request_id",
+]
+
+
+class BadRequestIdError(FireflyferryError):
+    """A request id that is not a UUIDv7, or that belongs to another request."""
+
+    code = "bad_request_id"
+
+
+def new_request_id(wall_s: float, rng: random.Random) -> str:
+    """Make a UUIDv7 from the wall clock and a random source."""
+    random_bits = rng.getrandbits(74)
+    value = (int(wall_s * 1000) & 0xFFFFFFFFFFFF) << 80
+    value |= 0x7 << 76 | (random_bits >> 62) << 64 | 0x2 << 62 | random_bits & (1 << 62) - 1
+    digits = f"{value:032x}"
+    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+
+
+def issued_wall_s(request_id: str) -> float:
+    """Return the time of issue, in seconds since the epoch, that a UUIDv7 carries.
+
+    Raises BadRequestIdError unless the text is a UUIDv7 in canonical lower-case form.
+    """
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError as error:
+        raise BadRequestIdError(f"request id {request_id!r} is not a UUID") from error
+    if parsed.version != 7 or str(parsed) != request_id:
+        raise BadRequestIdError(f"request id {request_id!r} is not a canonical UUIDv7")
+    return (parsed.int >> 80) / 1000.0
+
+
+@attrs.frozen
+class SmallAnswer:
+    """An answer that is kept so that a repeat receives it again."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@attrs.frozen
+class Fresh:
+    """The id was not seen before; the request may run."""
+
+
+@attrs.frozen
+class InFlight:
+    """A request with this id is being handled."""
+
+
+@attrs.frozen
+class Done:
+    """A request with this id was answered."""
+
+    answer: SmallAnswer
+
+
+@attrs.frozen
+class Unknown:
+    """A request with this id may have run; its answer is not available."""
+
+
+@attrs.define
+class _Entry:
+    fingerprint: int
+    begun_wall_s: float
+    finished_s: float | None = None
+    answer: SmallAnswer | None = None
+
+
+class RequestIdTable:
+    """Ids of one group, complete for every id issued after the horizon plus the clock skew.
+
+    Wall times are compared with the times of issue in ids; monotonic times bound how long an
+    entry is kept after its request ended. Entries of requests in flight are never evicted.
+    """
+
+    def __init__(
+        self, wall_s: float, keep_s: float = 120.0, max_entries: int = 100_000, skew_s: float = 2.0
+    ):
+        self._horizon_s = wall_s
+        self._bucket_horizons: dict[int, float] = {}
+        self._keep_s = keep_s
+        self._max_entries = max_entries
+        self._skew_s = skew_s
+        self._entries: dict[str, _Entry] = {}
+        self._finished: collections.deque[tuple[str, _Entry]] = collections.deque()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def horizon_s(self) -> float:
+        """Wall time from which the table is complete, for buckets with no later horizon."""
+        return self._horizon_s
+
+    def bucket_gained(self, wall_s: float, bucket: int) -> None:
+        """Start a later horizon for a bucket that arrived from another group."""
+        self._bucket_horizons[bucket] = wall_s
+
+    def begin(
+        self,
+        now_s: float,
+        wall_s: float,
+        request_id: str,
+        bucket: int = 0,
+        fingerprint: int = 0,
+        first_attempt: bool = False,
+    ) -> Fresh | InFlight | Done | Unknown:
+        """Register an id; `first_attempt` marks an id that the router issued for this request.
+
+        Raises BadRequestIdError for an id that another request uses, and for one issued further
+        in the future than the clock skew, which would outlive its entry.
+        """
+        self._expire(now_s)
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            if entry.fingerprint != fingerprint:
+                raise BadRequestIdError(f"request id {request_id} belongs to another request")
+            if entry.finished_s is None:
+                return InFlight()
+            return Unknown() if entry.answer is None else Done(entry.answer)
+        if not first_attempt:
+            issued_s = issued_wall_s(request_id)
+            if issued_s > wall_s + self._skew_s:
+                raise BadRequestIdError(f"request id {request_id} was issued in the future")
+            if issued_s < self._horizon_of(bucket) + self._skew_s:
+                return Unknown()
+        self._entries[request_id] = _Entry(fingerprint, wall_s)
+        return Fresh()
+
+    def finish(
+        self, now_s: float, request_id: str, outcome: Outcome, answer: SmallAnswer | None = None
+    ) -> None:
+        """Record how a request that `begin` reported as fresh ended.
+
+        An id whose request did not run is forgotten, so that the caller may repeat it.
+        """
+        entry = self._entries.get(request_id)
+        if entry is None or entry.finished_s is not None:
+            return
+        if outcome is Outcome.NOT_RUN:
+            del self._entries[request_id]
+            return
+        entry.finished_s = now_s
+        entry.answer = answer if outcome is Outcome.ANSWERED else None
+        self._finished.append((request_id, entry))
+        while len(self._entries) > self._max_entries and self._finished:
+            self._evict_oldest()
+
+    def _horizon_of(self, bucket: int) -> float:
+        return max(self._horizon_s, self._bucket_horizons.get(bucket, self._horizon_s))
+
+    def _expire(self, now_s: float) -> None:
+        while self._finished and self._finished[0][1].finished_s + self._keep_s < now_s:
+            self._evict_oldest()
+
+    def _evict_oldest(self) -> None:
+        request_id, entry = self._finished.popleft()
+        del self._entries[request_id]
+        self._horizon_s = max(self._horizon_s, entry.begun_wall_s)
+        if len(self._bucket_horizons) and self._horizon_s >= max(self._bucket_horizons.values()):
+            self._bucket_horizons.clear()
