Serve requests from the public port to the owner upstream

First hop and last hop run as one task per request over plain tornado connection delegates; curl transfers replace tornado's buffered requests so that bodies stream in both directions with backpressure. A prerequest callback checks authority right before the first byte and aborts curl's own resend.

--- /dev/null
+++ b/fireflyferry/entry/exchange.py
@@ -0,0 +1,157 @@
+"""Server side of one request: body, answer and disconnect of the sender."""
+
+import abc
+import asyncio
+import logging
+import math
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+
+from fireflyferry.entry import headers as names
+from fireflyferry.entry.bodies import RequestBody
+from fireflyferry.entry.limits import RequestLimits
+from fireflyferry.entry.sinks import ConnectionSink
+from fireflyferry.retries import Verdict
+from fireflyferry.telemetry.reasons import REASONS
+
+__all__ = ["ServerExchange"]
+
+logger = logging.getLogger(__name__)
+
+
+class ServerExchange(HTTPMessageDelegate, abc.ABC):
+    """Receives one request and answers it in a task; a disconnect cancels the task.
+
+    A body that fits `buffered_body_bytes` is received whole before the task starts, so that a
+    slow sender holds no slot.
+    """
+
+    def __init__(self, connection: HTTP1Connection, limits: RequestLimits):
+        self._connection = connection
+        self._limits = limits
+        self._line: RequestStartLine = None  # type: ignore[assignment]
+        self._headers: HTTPHeaders = None  # type: ignore[assignment]
+        self._body: RequestBody | None = None
+        self._max_body_bytes = math.inf
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._closed = False
+        self._body_too_large = False
+        self._sink = ConnectionSink(connection, [])
+
+    @abc.abstractmethod
+    def prepare(self) -> float | None:
+        """Look at the head; returns how long to wait for the body in seconds, None to refuse."""
+
+    @abc.abstractmethod
+    async def handle(self) -> None:
+        """Answer the request."""
+
+    @abc.abstractmethod
+    def ended(self) -> None:
+        """Note the end of the request, however it ended."""
+
+    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
+        """Take the head."""
+        self._line, self._headers = start_line, headers
+        length = headers.get("Content-Length")
+        limits = self._limits
+        if length is not None or "Transfer-Encoding" in headers:
+            self._body = RequestBody(
+                None if length is None else int(length),
+                limits.buffered_body_bytes,
+                limits.body_window_bytes,
+            )
+        wait_s = self.prepare()
+        if wait_s is None or (length and int(length) > limits.buffered_body_bytes):
+            self._begin()
+        elif self._body is not None and length != "0":
+            self._timer = asyncio.get_running_loop().call_later(wait_s, self._begin)
+
+    def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
+        """Take a part of the body."""
+        body = self._body
+        assert body is not None
+        space = body.feed(chunk)
+        if body.received_bytes > self._max_body_bytes:
+            self._refuse_body()
+        elif self._task is None and body.received_bytes > self._limits.buffered_body_bytes:
+            self._begin()
+        return space
+
+    def finish(self) -> None:
+        """Take the end of the request."""
+        if self._body is not None:
+            self._body.end()
+        self._connection.set_close_callback(self.on_connection_close)
+        self._begin()
+
+    def on_connection_close(self) -> None:
+        """Cancel the work for a sender that is gone."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        elif self._line is not None:
+            self.ended()
+
+    def refuse(self, verdict: Verdict) -> None:
+        """Answer with a refusal or with *outcome unknown*."""
+        assert verdict.reason is not None
+        info = REASONS[verdict.reason]
+        body = f"{verdict.reason}\n".encode()
+        headers = [
+            ("Content-Type", "text/plain"),
+            ("Content-Length", str(len(body))),
+            (names.OUTCOME, str(info.outcome)),
+            (names.REASON, str(verdict.reason)),
+        ]
+        if info.status in (429, 503):
+            headers.append(("Retry-After", "1"))
+        if verdict.leader_address:
+            headers.append((names.LEADER, verdict.leader_address))
+            headers.append((names.TERM, str(verdict.leader_term)))
+        self._sink.start(info.status, headers)
+        if self._line.method != "HEAD":
+            self._sink.write(body)
+        self._sink.finish()
+
+    def _begin(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._task is None and not self._closed:
+            self._task = asyncio.ensure_future(self._run())
+
+    def _refuse_body(self) -> None:
+        """End a body that is longer than allowed; part of it may already have been sent on."""
+        if self._task is not None:
+            self._connection.close()
+            self.on_connection_close()
+            return
+        self._max_body_bytes = math.inf
+        self._body_too_large = True
+        self._begin()
+
+    async def _run(self) -> None:
+        try:
+            await self.handle()
+        except asyncio.CancelledError:
+            if not self._closed:
+                raise
+        except Exception:
+            logger.exception("request failed")
+            self._fail()
+        finally:
+            if self._body is not None:
+                self._body.discard()
+            self.ended()
+
+    def _fail(self) -> None:
+        if self._sink.started:
+            self._sink.abort()
+        else:
+            self._sink.start(500, [("Content-Length", "0"), (names.OUTCOME, "unknown")])
+            self._sink.finish()
--- /dev/null
+++ b/fireflyferry/entry/headers.py
@@ -0,0 +1,98 @@
+"""Header names, and the rules for passing headers on."""
+
+from collections.abc import Iterable
+
+from tornado.httputil import HTTPHeaders
+
+__all__ = [
+    "ATTEMPT",
+    "DEADLINE_MS",
+    "FENCE",
+    "FORWARD_PREFIX",
+    "GROUP",
+    "IDEMPOTENT",
+    "KEY",
+    "LEADER",
+    "OUTCOME",
+    "OWNERSHIP",
+    "POOL",
+    "REASON",
+    "REQUEST_ID",
+    "TENANT",
+    "TERM",
+    "UNIT",
+    "VM",
+    "answer_headers",
+    "end_to_end",
+    "find",
+    "request_headers",
+]
+
+HeaderList = list[tuple[str, str]]
+
+POOL = "Firefly-Pool"
+KEY = "Firefly-Key"
+UNIT = "Firefly-Unit"
+FENCE = "Firefly-Fence"
+DEADLINE_MS = "Firefly-Deadline-Ms"
+REQUEST_ID = "Firefly-Request-Id"
+TENANT = "Firefly-Tenant"
+GROUP = "Firefly-Group"
+TERM = "Firefly-Term"
+ATTEMPT = "Firefly-Attempt"
+IDEMPOTENT = "Firefly-Idempotent"
+OUTCOME = "Firefly-Outcome"
+REASON = "Firefly-Reason"
+OWNERSHIP = "Firefly-Ownership"
+LEADER = "Firefly-Leader"
+VM = "Firefly-Vm"
+
+FORWARD_PREFIX = "/peer/v1/forward"
+
+_OWN_PREFIX = "firefly-"
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> HeaderList:
+    """Drop headers that concern one connection, and the router's own."""
+    kept: HeaderList = []
+    named: set[str] = set()
+    for name, value in headers:
+        lower = name.lower()
+        if lower == "connection":
+            named.update(part.strip().lower() for part in value.split(","))
+        elif lower not in _HOP_BY_HOP and not lower.startswith(_OWN_PREFIX):
+            kept.append((name, value))
+    if named - {"close", "keep-alive", ""}:
+        kept = [pair for pair in kept if pair[0].lower() not in named]
+    return kept
+
+
+def request_headers(headers: HTTPHeaders) -> HeaderList:
+    """Return the headers of a request to send on; the body's length is set by the sender."""
+    pairs = end_to_end(headers.get_all())
+    return [pair for pair in pairs if pair[0].lower() != "content-length"]
+
+
+def answer_headers(headers: Iterable[tuple[str, str]]) -> HeaderList:
+    """Return the headers of an answer to send on."""
+    return end_to_end(headers)
+
+
+def find(headers: HeaderList, name: str) -> str | None:
+    """Return the first value of a header."""
+    lower = name.lower()
+    return next((value for found, value in headers if found.lower() == lower), None)
--- /dev/null
+++ b/fireflyferry/entry/last_hop.py
@@ -0,0 +1,236 @@
+"""Last hop: request ids, admission, authority check and forwarding to the owner."""
+
+import asyncio
+import contextlib
+import logging
+
+import attrs
+import xxhash
+
+from fireflyferry.admission import QueueLimits
+from fireflyferry.edges import Clock, UpstreamControl
+from fireflyferry.edges.base import UpstreamUnavailableError
+from fireflyferry.entry import headers as names
+from fireflyferry.entry.answers import AnswerReceiver
+from fireflyferry.entry.calls import Call
+from fireflyferry.entry.interfaces import LocalOwners, Location, Observer, UpstreamTarget
+from fireflyferry.entry.limits import RequestLimits
+from fireflyferry.entry.seen_ids import SeenIds
+from fireflyferry.entry.sinks import AnswerSink, RecordingSink
+from fireflyferry.entry.slots import SlotGate
+from fireflyferry.entry.transport import CurlTransport, Exchange, TransferResult
+from fireflyferry.retries import (
+    BadRequestIdError,
+    Done,
+    Fresh,
+    InFlight,
+    RequestIdTable,
+    Verdict,
+)
+from fireflyferry.routing import encode_header_text
+from fireflyferry.tables import Pool
+from fireflyferry.telemetry import Outcome, Reason
+
+__all__ = ["LastHop"]
+
+logger = logging.getLogger(__name__)
+
+
+def _not_run(reason: Reason) -> Verdict:
+    return Verdict(Outcome.NOT_RUN, reason)
+
+
+@attrs.define(eq=False)
+class LastHop:
+    """Forwards requests for the groups that this VM leads."""
+
+    _clock: Clock
+    _owners: LocalOwners
+    _observer: Observer
+    _control: UpstreamControl
+    _transport: CurlTransport
+    _limits: RequestLimits
+    _vm_id: str
+    gate: SlotGate
+    seen: SeenIds
+    _in_flight: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    _queue_limits: dict[str, tuple[Pool, QueueLimits]] = attrs.field(factory=dict)
+    _cleanups: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    def in_flight(self, upstream_id: str, unit: str) -> int:
+        """Count requests for a unit that an upstream may be working on."""
+        return self._in_flight.get((upstream_id, unit), 0)
+
+    @property
+    def sent(self) -> int:
+        """Requests that upstreams may be working on."""
+        return sum(self._in_flight.values())
+
+    async def run(self, call: Call, location: Location, pool: Pool, sink: AnswerSink) -> Verdict:
+        """Handle one attempt; on an answer, the sink is finished when this returns."""
+        self._observer.on_request(call.pool, call.key, call.tenant)
+        if call.idempotent:
+            return await self._admit(call, location, pool, sink)
+        table = self.seen.table(location.group, location.term)
+        try:
+            seen = self._begin(table, call, location)
+        except BadRequestIdError:
+            return _not_run(Reason.BAD_REQUEST_ID)
+        if isinstance(seen, InFlight):
+            return Verdict(Outcome.UNKNOWN, Reason.DUPLICATE_IN_FLIGHT)
+        if isinstance(seen, Done):
+            return _replay(seen, sink)
+        if not isinstance(seen, Fresh):
+            return Verdict(Outcome.UNKNOWN, Reason.OUTCOME_NOT_RECORDED)
+        return await self._run_once(call, location, pool, sink, table)
+
+    def _begin(self, table: RequestIdTable, call: Call, location: Location) -> object:
+        _, _, rest = location.unit.partition(":")
+        identity = "\0".join((call.tenant, call.method, call.target, call.key))
+        return table.begin(
+            self._clock.monotonic_s(),
+            self._clock.wall_s(),
+            call.request_id,
+            bucket=int(rest.partition(":")[0]),
+            fingerprint=xxhash.xxh3_64_intdigest(identity.encode("utf-8", "surrogateescape")),
+            first_attempt=not call.caller_id,
+        )
+
+    async def _run_once(
+        self, call: Call, location: Location, pool: Pool, sink: AnswerSink, table: RequestIdTable
+    ) -> Verdict:
+        recorder = RecordingSink(sink, self._limits.small_answer_bytes)
+        outcome = Outcome.UNKNOWN
+        try:
+            verdict = await self._admit(call, location, pool, recorder)
+            outcome = verdict.outcome
+            return verdict
+        finally:
+            now_s = self._clock.monotonic_s()
+            table.finish(now_s, call.request_id, outcome, recorder.answer)
+
+    async def _admit(self, call: Call, location: Location, pool: Pool, sink: AnswerSink) -> Verdict:
+        target = self._owners.owner(self._clock.monotonic_s(), location.group, location.unit)
+        if isinstance(target, Reason):
+            return _not_run(target)
+        upstream_id = target.upstream_id
+        limits = self._limits_of(pool)
+        refused = await self.gate.acquire(
+            upstream_id, target.slots, limits, call.tenant, call.deadline_s
+        )
+        if refused is not None:
+            return _not_run(refused)
+        # The owner or its fence may have changed while the request waited.
+        now_s = self._clock.monotonic_s()
+        current = self._owners.owner(now_s, location.group, location.unit)
+        if isinstance(current, Reason) or current.upstream_id != upstream_id:
+            self.gate.release(upstream_id)
+            return _not_run(current if isinstance(current, Reason) else Reason.NOT_OWNER)
+        if now_s >= call.deadline_s:
+            self.gate.release(upstream_id)
+            return _not_run(Reason.DEADLINE_PASSED_IN_QUEUE)
+        return await self._forward(call, location, current, sink)
+
+    async def _forward(
+        self, call: Call, location: Location, target: UpstreamTarget, sink: AnswerSink
+    ) -> Verdict:
+        started_s = self._clock.monotonic_s()
+        self._count(target.upstream_id, location.unit, 1)
+        receiver = AnswerReceiver(
+            sink,
+            call.method,
+            call.request_id,
+            from_peer=False,
+            may_send=lambda: self._owners.may_forward(self._clock.monotonic_s(), location.group),
+        )
+        exchange = self._exchange(call, location, target, call.deadline_s - started_s)
+        result: TransferResult | None = None
+        try:
+            result = await self._transport.run(exchange, receiver)
+        finally:
+            verdict = Verdict(Outcome.UNKNOWN) if result is None else receiver.verdict(result)
+            self._settle(call, location, target, verdict, self._clock.monotonic_s() - started_s)
+        return verdict
+
+    def _settle(
+        self,
+        call: Call,
+        location: Location,
+        target: UpstreamTarget,
+        verdict: Verdict,
+        service_s: float,
+    ) -> None:
+        self._observer.on_result(target.upstream_id, verdict.outcome, service_s)
+        if verdict.outcome is not Outcome.UNKNOWN or verdict.reason is Reason.OWNERSHIP_LAPSED:
+            answered = verdict.outcome is Outcome.ANSWERED
+            self._free(target, location, service_s if answered else None)
+            return
+        task = asyncio.ensure_future(self._cancel(call, location, target))
+        self._cleanups.add(task)
+        task.add_done_callback(self._cleanups.discard)
+
+    async def _cancel(self, call: Call, location: Location, target: UpstreamTarget) -> None:
+        """Stop work that nobody waits for, and only then free its slot."""
+        try:
+            with contextlib.suppress(UpstreamUnavailableError):
+                await asyncio.wait_for(
+                    self._control.cancel(target.address, call.request_id),
+                    self._limits.cancel_wait_s,
+                )
+        except TimeoutError:
+            logger.info("cancellation not confirmed", extra={"upstream": target.upstream_id})
+        finally:
+            self._free(target, location, None)
+
+    def _free(self, target: UpstreamTarget, location: Location, service_s: float | None) -> None:
+        self._count(target.upstream_id, location.unit, -1)
+        self.gate.release(target.upstream_id, service_s)
+
+    def _count(self, upstream_id: str, unit: str, change: int) -> None:
+        left = self._in_flight.get((upstream_id, unit), 0) + change
+        if left:
+            self._in_flight[upstream_id, unit] = left
+        else:
+            del self._in_flight[upstream_id, unit]
+
+    def _exchange(
+        self, call: Call, location: Location, target: UpstreamTarget, remaining_s: float
+    ) -> Exchange:
+        headers = [
+            *call.headers,
+            (names.POOL, call.pool),
+            (names.KEY, encode_header_text(call.key)),
+            (names.UNIT, encode_header_text(location.unit)),
+            (names.FENCE, str(target.fence)),
+            (names.DEADLINE_MS, str(max(1, int(remaining_s * 1000)))),
+            (names.REQUEST_ID, call.request_id),
+            (names.TENANT, call.tenant),
+            (names.GROUP, str(location.group)),
+            (names.TERM, str(target.term)),
+            (names.ATTEMPT, str(call.attempt)),
+            (names.VM, self._vm_id),
+        ]
+        return Exchange(
+            target.address,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            remaining_s,
+            fresh=not call.idempotent,
+        )
+
+    def _limits_of(self, pool: Pool) -> QueueLimits:
+        known = self._queue_limits.get(pool.name)
+        if known is None or known[0] is not pool:
+            limits = QueueLimits(pool.queue_length, pool.queue_wait_ms / 1000, pool.tenants)
+            known = self._queue_limits[pool.name] = (pool, limits)
+        return known[1]
+
+
+def _replay(seen: Done, sink: AnswerSink) -> Verdict:
+    sink.start(seen.answer.status, list(seen.answer.headers))
+    if seen.answer.body:
+        sink.write(seen.answer.body)
+    sink.finish()
+    return Verdict(Outcome.ANSWERED)
--- /dev/null
+++ b/fireflyferry/entry/peer.py
@@ -0,0 +1,87 @@
+"""Requests that another VM's first hop sends to this VM's peer port."""
+
+from tornado.http1connection import HTTP1Connection
+
+from fireflyferry.entry import headers as names
+from fireflyferry.entry.calls import Call
+from fireflyferry.entry.exchange import ServerExchange
+from fireflyferry.entry.services import Services
+from fireflyferry.retries import Verdict
+from fireflyferry.routing import decode_header_text
+from fireflyferry.telemetry import Outcome, Reason
+
+__all__ = ["PeerExchange"]
+
+
+class PeerExchange(ServerExchange):
+    """One forwarded request, whose last hop is this VM."""
+
+    def __init__(self, connection: HTTP1Connection, services: Services):
+        super().__init__(connection, services.limits)
+        self._services = services
+        self._call: Call | None = None
+
+    def prepare(self) -> float | None:
+        """Read the router's own headers."""
+        self._services.statistics.peer_in_flight += 1
+        now_s = self._services.clock.monotonic_s()
+        request_id = self._headers.get(names.REQUEST_ID, "")
+        self._sink.add_header(names.REQUEST_ID, request_id)
+        try:
+            self._call = self._parse(now_s, request_id)
+        except (KeyError, ValueError):
+            return None
+        return self._call.deadline_s - now_s
+
+    async def handle(self) -> None:
+        """Serve the request as its last hop."""
+        if self._call is None:
+            self._sink.start(400, [("Content-Length", "0")])
+            self._sink.finish()
+            return
+        verdict = await self._serve(self._call)
+        if verdict.outcome is not Outcome.ANSWERED and not self._sink.started:
+            self._sink.drop_header(names.OUTCOME)
+            self.refuse(verdict)
+
+    def ended(self) -> None:
+        """Note the end of the request."""
+        statistics = self._services.statistics
+        statistics.peer_in_flight -= 1
+        statistics.last_active_s = self._services.clock.monotonic_s()
+
+    async def _serve(self, call: Call) -> Verdict:
+        services = self._services
+        if self._body is not None and not self._body.ended and self._body.fits_replay:
+            return Verdict(Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT)
+        routes = services.routes()
+        pool = routes.pool(call.pool) if routes is not None else None
+        if pool is None:
+            return Verdict(Outcome.NOT_RUN, Reason.NO_TABLES)
+        # The unit that the first hop saw may be out of date: a hot key may have been split off.
+        location = services.locator.locate(call.pool, call.key)
+        if isinstance(location, Reason):
+            return Verdict(Outcome.NOT_RUN, location)
+        if not location.local:
+            return Verdict(
+                Outcome.NOT_RUN, Reason.NOT_LEADER, location.leader_address, location.term
+            )
+        self._sink.add_header(names.OUTCOME, Outcome.ANSWERED)
+        return await services.last_hop.run(call, location, pool, self._sink)
+
+    def _parse(self, now_s: float, request_id: str) -> Call:
+        headers = self._headers
+        return Call(
+            method=self._line.method,
+            target=self._line.path.removeprefix(names.FORWARD_PREFIX),
+            headers=names.request_headers(headers),
+            body=self._body,
+            pool=headers[names.POOL],
+            key=decode_header_text(headers[names.KEY]),
+            tenant=headers.get(names.TENANT, ""),
+            idempotent=headers[names.IDEMPOTENT] == "1",
+            deadline_s=now_s + int(headers[names.DEADLINE_MS]) / 1000,
+            request_id=request_id,
+            caller_id="Request-Id" in headers,
+            attempt=int(headers[names.ATTEMPT]),
+        )
--- /dev/null
+++ b/fireflyferry/entry/public.py
@@ -0,0 +1,141 @@
+"""Requests of callers on the public port."""
+
+import logging
+
+import attrs
+from tornado.http1connection import HTTP1Connection
+
+from fireflyferry.entry import headers as names
+from fireflyferry.entry.calls import Call
+from fireflyferry.entry.exchange import ServerExchange
+from fireflyferry.entry.services import Services
+from fireflyferry.retries import BadRequestIdError, Verdict, issued_wall_s, new_request_id
+from fireflyferry.routing import extract_key
+from fireflyferry.tables import Pool, Route
+from fireflyferry.telemetry import Outcome, Reason
+
+__all__ = ["PublicExchange"]
+
+logger = logging.getLogger(__name__)
+
+CALLER_REQUEST_ID = "Request-Id"
+MAX_DEADLINE_MS = 86_400_000
+
+
+@attrs.frozen
+class _Refused(Exception):  # noqa: N818
+    reason: Reason
+
+
+class PublicExchange(ServerExchange):
+    """One request of a caller."""
+
+    def __init__(self, connection: HTTP1Connection, services: Services):
+        super().__init__(connection, services.limits)
+        self._services = services
+        self._call: Call | None = None
+        self._pool: Pool | None = None
+        self._refusal: Reason | None = None
+
+    def prepare(self) -> float | None:
+        """Resolve the route, key and deadline."""
+        self._services.statistics.in_flight += 1
+        now_s = self._services.clock.monotonic_s()
+        try:
+            self._call = self._resolve(now_s)
+        except _Refused as refused:
+            self._refusal = refused.reason
+            return None
+        return self._call.deadline_s - now_s
+
+    async def handle(self) -> None:
+        """Send the request on, and answer it if nobody else did."""
+        if self._body_too_large:
+            self._refusal = Reason.BODY_TOO_LARGE
+        if self._services.draining:
+            self._sink.add_header("Connection", "close")
+        if self._refusal is not None or self._call is None or self._pool is None:
+            verdict = Verdict(Outcome.NOT_RUN, self._refusal)
+        elif self._body is not None and not self._body.ended and self._body.fits_replay:
+            verdict = Verdict(Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT)
+        else:
+            self._sink.add_header(names.REQUEST_ID, self._call.request_id)
+            self._sink.add_header(names.OUTCOME, Outcome.ANSWERED)
+            verdict = await self._services.first_hop.run(self._call, self._pool, self._sink)
+        self._services.statistics.finished(verdict)
+        if verdict.outcome is not Outcome.ANSWERED:
+            self._report(verdict)
+
+    def ended(self) -> None:
+        """Note the end of the request."""
+        statistics = self._services.statistics
+        statistics.in_flight -= 1
+        statistics.last_active_s = self._services.clock.monotonic_s()
+        if self._closed:
+            statistics.disconnected()
+
+    def _report(self, verdict: Verdict) -> None:
+        call = self._call
+        logger.info(
+            "request not answered",
+            extra={
+                "outcome": str(verdict.outcome),
+                "reason": str(verdict.reason),
+                "request_id": call.request_id if call else "",
+                "pool": call.pool if call else "",
+                "attempts": call.attempt if call else 0,
+            },
+        )
+        if not self._sink.started:
+            self._sink.drop_header(names.OUTCOME)
+            self.refuse(verdict)
+
+    def _resolve(self, now_s: float) -> Call:
+        routes = self._services.routes()
+        if routes is None:
+            raise _Refused(Reason.NO_TABLES)
+        target = self._line.path
+        path, _, query = target.partition("?")
+        route = routes.match(path)
+        if route is None:
+            raise _Refused(Reason.UNKNOWN_ROUTE)
+        self._max_body_bytes = route.max_body_bytes
+        if int(self._headers.get("Content-Length", "0")) > route.max_body_bytes:
+            raise _Refused(Reason.BODY_TOO_LARGE)
+        key = extract_key(route, path, query, self._headers)
+        if key is None:
+            raise _Refused(Reason.MISSING_KEY)
+        self._pool = routes.pool(route.pool)
+        request_id, caller_id = self._request_id()
+        return Call(
+            method=self._line.method,
+            target=target,
+            headers=names.request_headers(self._headers),
+            body=self._body,
+            pool=route.pool,
+            key=key,
+            tenant=self._headers.get(route.tenant_header, ""),
+            idempotent=route.idempotent,
+            deadline_s=now_s + self._timeout_s(route),
+            request_id=request_id,
+            caller_id=caller_id,
+        )
+
+    def _request_id(self) -> tuple[str, bool]:
+        given = self._headers.get(CALLER_REQUEST_ID)
+        if given is None:
+            services = self._services
+            return new_request_id(services.clock.wall_s(), services.rng), False
+        try:
+            issued_wall_s(given)
+        except BadRequestIdError as error:
+            raise _Refused(Reason.BAD_REQUEST_ID) from error
+        return given, True
+
+    def _timeout_s(self, route: Route) -> float:
+        given = self._headers.get(names.DEADLINE_MS)
+        if given is None:
+            return route.timeout_ms / 1000
+        if not (given.isascii() and given.isdigit() and 0 < int(given) <= MAX_DEADLINE_MS):
+            raise _Refused(Reason.BAD_TIMEOUT)
+        return min(int(given), route.timeout_ms) / 1000
--- /dev/null
+++ b/fireflyferry/entry/remote.py
@@ -0,0 +1,55 @@
+"""First hop's way to the last hop on another VM."""
+
+import attrs
+
+from fireflyferry.edges import Clock
+from fireflyferry.entry import headers as names
+from fireflyferry.entry.answers import AnswerReceiver
+from fireflyferry.entry.calls import Call
+from fireflyferry.entry.interfaces import Location
+from fireflyferry.entry.sinks import AnswerSink
+from fireflyferry.entry.transport import CurlTransport, Exchange
+from fireflyferry.retries import Verdict
+from fireflyferry.routing import encode_header_text
+
+__all__ = ["RemoteHop"]
+
+
+@attrs.define(eq=False)
+class RemoteHop:
+    """Sends requests to the leaders of other groups."""
+
+    _clock: Clock
+    _transport: CurlTransport
+    _vm_id: str
+
+    async def run(self, call: Call, location: Location, sink: AnswerSink) -> Verdict:
+        """Handle one attempt; on an answer, the sink is finished when this returns."""
+        remaining_s = call.deadline_s - self._clock.monotonic_s()
+        receiver = AnswerReceiver(sink, call.method, call.request_id, from_peer=True)
+        exchange = Exchange(
+            location.leader_address,
+            call.method,
+            names.FORWARD_PREFIX + call.target,
+            self._headers(call, location, remaining_s),
+            call.body,
+            remaining_s,
+            fresh=not call.idempotent,
+        )
+        return receiver.verdict(await self._transport.run(exchange, receiver))
+
+    def _headers(self, call: Call, location: Location, remaining_s: float) -> list[tuple[str, str]]:
+        return [
+            *call.headers,
+            (names.POOL, call.pool),
+            (names.KEY, encode_header_text(call.key)),
+            (names.UNIT, encode_header_text(location.unit)),
+            (names.DEADLINE_MS, str(max(1, int(remaining_s * 1000)))),
+            (names.REQUEST_ID, call.request_id),
+            (names.TENANT, call.tenant),
+            (names.GROUP, str(location.group)),
+            (names.TERM, str(location.term)),
+            (names.ATTEMPT, str(call.attempt)),
+            (names.IDEMPOTENT, str(int(call.idempotent))),
+            (names.VM, self._vm_id),
+        ]
--- /dev/null
+++ b/fireflyferry/entry/request_path.py
@@ -0,0 +1,162 @@
+"""Everything that a request touches on one entry VM."""
+
+import asyncio
+import random
+from typing import Any
+
+import attrs
+from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
+
+from fireflyferry.edges import Clock, Metrics, UpstreamControl
+from fireflyferry.entry.first_hop import FirstHop
+from fireflyferry.entry.interfaces import GroupEvents, LocalOwners, Locator, Observer, TablesSource
+from fireflyferry.entry.last_hop import LastHop
+from fireflyferry.entry.limits import RequestLimits
+from fireflyferry.entry.peer import PeerExchange
+from fireflyferry.entry.public import PublicExchange
+from fireflyferry.entry.remote import RemoteHop
+from fireflyferry.entry.seen_ids import SeenIds
+from fireflyferry.entry.services import Services
+from fireflyferry.entry.slots import QueueState, SlotGate
+from fireflyferry.entry.statistics import Statistics
+from fireflyferry.entry.transport import CurlTransport
+from fireflyferry.messages import GroupId
+from fireflyferry.retries import Backoff
+
+__all__ = ["EntryRequestPath", "RequestSnapshot", "make_request_path"]
+
+
+@attrs.frozen
+class RequestSnapshot:
+    """Counters for the status page."""
+
+    in_flight: int
+    peer_in_flight: int
+    sent: int
+    transfers: int
+    request_ids: int
+    outcomes: dict[str, int]
+    reasons: dict[str, int]
+    retries: dict[str, int]
+    queues: tuple[QueueState, ...]
+
+
+class _ConnectionDelegate(HTTPServerConnectionDelegate):
+    def __init__(self, kind: type[PublicExchange] | type[PeerExchange], services: Services):
+        self._kind = kind
+        self._services = services
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        return self._kind(request_conn, self._services)
+
+
+class EntryRequestPath(GroupEvents):
+    """The request path of one VM: delegates for both servers, group events and shutdown."""
+
+    def __init__(self, services: Services, transport: CurlTransport):
+        self._services = services
+        self._transport = transport
+        self.public_delegate = _ConnectionDelegate(PublicExchange, services)
+        self.peer_delegate = _ConnectionDelegate(PeerExchange, services)
+
+    @staticmethod
+    def server_options() -> dict[str, Any]:
+        """Return the arguments for both HTTP servers; each route bounds bodies itself."""
+        return {"max_body_size": 1 << 50, "chunk_size": 65_536, "max_header_size": 65_536}
+
+    def group_gained(self, group: GroupId, term: int) -> None:
+        """Start an empty request-id table for a group."""
+        self._services.last_hop.seen.group_gained(group, term)
+
+    def bucket_gained(self, group: GroupId, term: int, bucket: int) -> None:
+        """Note that a bucket arrived from another group."""
+        self._services.last_hop.seen.bucket_gained(group, term, bucket)
+
+    def group_lost(self, group: GroupId) -> None:
+        """Drop the request-id table of a group."""
+        self._services.last_hop.seen.group_lost(group)
+
+    def upstream_gone(self, upstream_id: str) -> None:
+        """Refuse what waits for an upstream that is gone."""
+        self._services.last_hop.gate.drop(upstream_id)
+
+    def in_flight(self, upstream_id: str, unit: str) -> int:
+        """Count requests for a unit that an upstream may be working on."""
+        return self._services.last_hop.in_flight(upstream_id, unit)
+
+    async def drain(self) -> None:
+        """Serve what is in flight and what still arrives; return once nothing has for a while.
+
+        The caller stops the listening sockets first and closes idle connections afterwards.
+        """
+        services = self._services
+        services.draining = True
+        statistics = services.statistics
+        statistics.last_active_s = services.clock.monotonic_s()
+        while True:
+            quiet_s = services.clock.monotonic_s() - statistics.last_active_s
+            busy = statistics.in_flight + statistics.peer_in_flight + services.last_hop.sent
+            if not busy and quiet_s >= services.limits.drain_quiet_s:
+                return
+            await asyncio.sleep(0.02)
+
+    def close(self) -> None:
+        """Close all connections to upstreams and peers."""
+        self._transport.close()
+
+    def snapshot(self) -> RequestSnapshot:
+        """Return counters for the status page."""
+        services = self._services
+        statistics = services.statistics
+        return RequestSnapshot(
+            statistics.in_flight,
+            statistics.peer_in_flight,
+            services.last_hop.sent,
+            self._transport.active,
+            len(services.last_hop.seen),
+            dict(statistics.outcomes),
+            dict(statistics.reasons),
+            dict(statistics.retries),
+            services.last_hop.gate.states(),
+        )
+
+
+def make_request_path(
+    *,
+    vm_id: str,
+    clock: Clock,
+    metrics: Metrics,
+    rng: random.Random,
+    tables: TablesSource,
+    locator: Locator,
+    owners: LocalOwners,
+    observer: Observer,
+    control: UpstreamControl,
+    limits: RequestLimits | None = None,
+) -> EntryRequestPath:
+    """Build the request path of one VM; must be called with the event loop running."""
+    limits = limits or RequestLimits()
+    transport = CurlTransport(
+        force_instance=True,
+        connect_timeout_s=limits.connect_timeout_s,
+        idle_connections=limits.idle_connections,
+    )
+    statistics = Statistics(metrics)
+    last_hop = LastHop(
+        clock,
+        owners,
+        observer,
+        control,
+        transport,
+        limits,
+        vm_id,
+        SlotGate(clock),
+        SeenIds(clock, limits),
+    )
+    backoff = Backoff(rng, limits.backoff_base_s, limits.backoff_limit_s)
+    remote = RemoteHop(clock, transport, vm_id)
+    first_hop = FirstHop(clock, locator, last_hop, remote, limits, backoff, statistics)
+    services = Services(clock, rng, limits, tables, locator, statistics, last_hop, first_hop)
+    return EntryRequestPath(services, transport)
--- /dev/null
+++ b/fireflyferry/entry/services.py
@@ -0,0 +1,41 @@
+"""What the requests of one entry VM share."""
+
+import random
+
+import attrs
+
+from fireflyferry.edges import Clock
+from fireflyferry.entry.first_hop import FirstHop
+from fireflyferry.entry.interfaces import Locator, TablesSource
+from fireflyferry.entry.last_hop import LastHop
+from fireflyferry.entry.limits import RequestLimits
+from fireflyferry.entry.statistics import Statistics
+from fireflyferry.routing import RouteTable
+from fireflyferry.tables import Tables
+
+__all__ = ["Services"]
+
+
+@attrs.define(eq=False)
+class Services:
+    """Collaborators of public and peer requests."""
+
+    clock: Clock
+    rng: random.Random
+    limits: RequestLimits
+    tables: TablesSource
+    locator: Locator
+    statistics: Statistics
+    last_hop: LastHop
+    first_hop: FirstHop
+    draining: bool = False
+    _routes: tuple[Tables, RouteTable] | None = None
+
+    def routes(self) -> RouteTable | None:
+        """Return the route table of the applied revision; None before the first."""
+        tables = self.tables.current()
+        if tables is None:
+            return None
+        if self._routes is None or self._routes[0] is not tables:
+            self._routes = (tables, RouteTable(tables))
+        return self._routes[1]
--- /dev/null
+++ b/fireflyferry/entry/transport.py
@@ -0,0 +1,281 @@
+"""HTTP exchanges through curl, each sent at most once, with backpressure and cancellation."""
+
+import abc
+import asyncio
+from collections.abc import Callable
+
+import attrs
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from fireflyferry.entry.bodies import RequestBody
+
+__all__ = ["CurlTransport", "Exchange", "Receiver", "TransferResult"]
+
+HeaderList = list[tuple[str, str]]
+
+# Options with the same value in every transfer, each of which closes a hazard.
+FIXED_OPTIONS: dict[int, int | str] = {
+    pycurl.FOLLOWLOCATION: 0,  # a redirect is the caller's business; following it runs twice
+    pycurl.PROXY: "",  # ignore http_proxy in the environment
+    pycurl.NOPROXY: "*",
+    pycurl.PROTOCOLS: pycurl.PROTO_HTTP,
+    pycurl.HTTP_VERSION: pycurl.CURL_HTTP_VERSION_1_1,  # no upgrade, which repeats a request
+    pycurl.HTTP09_ALLOWED: 0,  # a body without a head has no id to compare
+    pycurl.PATH_AS_IS: 1,  # the upstream sees the path that the route matched
+    pycurl.NOSIGNAL: 1,
+    pycurl.TCP_NODELAY: 1,
+    pycurl.BUFFERSIZE: 65_536,
+}
+# "Expect:" removes the header that curl adds to long bodies. A 417 answer to it would make curl
+# send the request again.
+ADDED_HEADERS: tuple[bytes, ...] = (b"Expect:",)
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request to send; `address` is `IP:PORT`, `body` None sends none.
+
+    With `fresh`, the request uses a new connection that is not used again.
+    """
+
+    address: str
+    method: str
+    target: str
+    headers: HeaderList
+    body: RequestBody | None
+    timeout_s: float
+    fresh: bool
+
+
+class Receiver(abc.ABC):
+    """Consumer of one answer; called by curl, so methods must neither block nor raise.
+
+    The transport sets `resume`, which delivers a chunk again that was held back.
+    """
+
+    resume: Callable[[], None]
+
+    @abc.abstractmethod
+    def may_send(self) -> bool:
+        """Tell whether the request may still be sent; called right before its first byte."""
+
+    @abc.abstractmethod
+    def on_head(self, status: int, headers: HeaderList) -> bool:
+        """Take the final head; False ends the transfer."""
+
+    @abc.abstractmethod
+    def on_data(self, chunk: bytes) -> bool:
+        """Take a chunk of the body; False holds it back until `resume`."""
+
+
+@attrs.frozen
+class TransferResult:
+    """How a transfer ended; `error` is a curl code, 0 for a complete answer."""
+
+    error: int
+    sent: bool
+    message: str = ""
+
+    @property
+    def timed_out(self) -> bool:
+        """Whether the time of the exchange ran out."""
+        return self.error == pycurl.E_OPERATION_TIMEDOUT
+
+
+class CurlTransport(CurlAsyncHTTPClient):
+    """Tornado's curl client, with its own transfers instead of buffered requests."""
+
+    def initialize(self, connect_timeout_s: float = 1.0, idle_connections: int = 512) -> None:
+        """Create the multi handle; times are in seconds."""
+        super().initialize(max_clients=0)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, idle_connections)
+        self._connect_timeout_ms = int(connect_timeout_s * 1000)
+        self._idle: list[_Transfer] = []
+        self._active: dict[pycurl.Curl, _Transfer] = {}
+
+    @property
+    def active(self) -> int:
+        """Transfers in progress."""
+        return len(self._active)
+
+    async def run(self, exchange: Exchange, receiver: Receiver) -> TransferResult:
+        """Send a request and feed the answer to the receiver; cancelling closes the connection."""
+        transfer = self.start(exchange, receiver)
+        try:
+            return await transfer.done
+        except asyncio.CancelledError:
+            self._abandon(transfer)
+            raise
+
+    def start(self, exchange: Exchange, receiver: Receiver) -> "_Transfer":
+        """Start a transfer."""
+        transfer = self._idle.pop() if self._idle else _Transfer(self, self._connect_timeout_ms)
+        transfer.prepare(exchange, receiver)
+        self._active[transfer.curl] = transfer
+        self._multi.add_handle(transfer.curl)
+        return transfer
+
+    def close(self) -> None:
+        """Close all connections."""
+        for transfer in [*self._active.values(), *self._idle]:
+            transfer.curl.close()
+        self._active.clear()
+        self._idle.clear()
+        super().close()
+
+    def _abandon(self, transfer: "_Transfer") -> None:
+        if self._active.pop(transfer.curl, None) is not None:
+            self._multi.remove_handle(transfer.curl)
+            transfer.clear()
+            transfer.curl.close()
+
+    def _process_queue(self) -> None:
+        """Do nothing: transfers start at once."""
+
+    def _finish(
+        self, curl: pycurl.Curl, curl_error: int | None = None, curl_message: str | None = None
+    ) -> None:
+        transfer = self._active.pop(curl)
+        self._multi.remove_handle(curl)
+        done, sent = transfer.done, transfer.sent
+        transfer.clear()
+        if curl_error:
+            curl.close()
+        else:
+            self._idle.append(transfer)
+        if not done.done():
+            done.set_result(TransferResult(curl_error or 0, sent, curl_message or ""))
+
+
+class _Transfer:
+    """One curl handle with its callbacks; used again after a transfer without error."""
+
+    def __init__(self, transport: CurlTransport, connect_timeout_ms: int):
+        self._transport = transport
+        self.curl = curl = pycurl.Curl()
+        for option, value in FIXED_OPTIONS.items():
+            curl.setopt(option, value)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms)
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
+        curl.setopt(pycurl.READFUNCTION, self._on_read)
+        curl.setopt(pycurl.PREREQFUNCTION, self._before_send)
+        self.clear()
+
+    def clear(self) -> None:
+        """Forget the last exchange."""
+        body = getattr(self, "_body", None)
+        if body is not None:
+            body.on_data = None
+        self.done: asyncio.Future[TransferResult] = None  # type: ignore[assignment]
+        self.sent = False
+        self._receiver: Receiver = None  # type: ignore[assignment]
+        self._body: RequestBody | None = None
+        self._lines: list[bytes] = []
+        self._in_head = True
+        self._read_paused = self._write_paused = False
+
+    def prepare(self, exchange: Exchange, receiver: Receiver) -> None:
+        """Set every option that differs between exchanges."""
+        self.done = asyncio.get_running_loop().create_future()
+        self._receiver = receiver
+        receiver.resume = self.resume
+        self._body = exchange.body
+        curl = self.curl
+        curl.setopt(pycurl.URL, f"http://{exchange.address}/")
+        curl.setopt(pycurl.REQUEST_TARGET, exchange.target.encode("latin-1"))
+        curl.setopt(pycurl.HTTPHEADER, _header_lines(exchange.headers))
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(exchange.timeout_s * 1000)))
+        # curl sends a request again when a reused connection closes before the first byte.
+        curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh))
+        curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh))
+        curl.setopt(pycurl.HTTPGET, 1)
+        if exchange.body is not None:
+            curl.setopt(pycurl.UPLOAD, 1)
+            length = exchange.body.length
+            curl.setopt(pycurl.INFILESIZE, -1 if length is None else length)
+            exchange.body.on_data = self.resume_sending
+        elif exchange.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        curl.setopt(pycurl.CUSTOMREQUEST, exchange.method)
+
+    def resume(self) -> None:
+        """Deliver the answer's body again after the receiver held back a chunk."""
+        if self._write_paused:
+            self._write_paused = False
+            self._unpause()
+
+    def resume_sending(self) -> None:
+        """Read the request's body again after it had no data."""
+        if self._read_paused:
+            self._read_paused = False
+            self._unpause()
+
+    def _unpause(self) -> None:
+        flags = pycurl.PAUSE_CONT
+        if self._read_paused:
+            flags |= pycurl.PAUSE_SEND
+        if self._write_paused:
+            flags |= pycurl.PAUSE_RECV
+        try:
+            self.curl.pause(flags)
+        except pycurl.error:
+            # The transfer has failed; curl reports the error through `_finish`.
+            return
+
+    def _before_send(self, *_addresses: object) -> int:
+        # A second call is curl's resend; only the first hop decides about retries.
+        if self.sent or not self._receiver.may_send():
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
+    def _on_header(self, line: bytes) -> int:
+        if not self._in_head:
+            return len(line)  # trailer
+        if line in (b"\r\n", b"\n"):
+            return len(line) if self._end_head() else 0
+        self._lines.append(line)
+        return len(line)
+
+    def _end_head(self) -> bool:
+        lines, self._lines = self._lines, []
+        status = int(lines[0].split(None, 2)[1])
+        if status < 200:
+            return True
+        self._in_head = False
+        return self._receiver.on_head(status, _parse_headers(lines[1:]))
+
+    def _on_data(self, chunk: bytes) -> int:
+        if self._receiver.on_data(chunk):
+            return len(chunk)
+        self._write_paused = True
+        return pycurl.WRITEFUNC_PAUSE
+
+    def _on_read(self, size: int) -> bytes | int:
+        data = self._body.read(size) if self._body is not None else b""
+        if data is None:
+            self._read_paused = True
+            return pycurl.READFUNC_PAUSE
+        return data
+
+
+def _header_lines(headers: HeaderList) -> list[bytes]:
+    """Format headers for curl, which takes `Name;` for an empty value and drops `Name:`."""
+    lines = [f"{n}: {v}".encode("latin-1") if v else f"{n};".encode("latin-1") for n, v in headers]
+    lines.extend(ADDED_HEADERS)
+    names = {name.lower() for name, _ in headers}
+    if "accept" not in names:
+        lines.append(b"Accept:")
+    if "content-type" not in names:
+        lines.append(b"Content-Type:")
+    return lines
+
+
+def _parse_headers(lines: list[bytes]) -> HeaderList:
+    headers: HeaderList = []
+    for line in lines:
+        name, _, value = line.decode("latin-1").partition(":")
+        headers.append((name.strip(), value.strip()))
+    return headers
