--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -3,16 +3,17 @@
 import asyncio
 import logging
 
-from fireflyferry.edges import ObjectStore, PeerLink, VmList, WatchBatch
+from fireflyferry.edges import Clock, ObjectStore, PeerLink, VmList, WatchBatch
 from fireflyferry.edges.base import EdgeError
 from fireflyferry.entry.state import VM_LIST_OBJECT, VmState
+from fireflyferry.messages.control import LOST_PREFIX
 from fireflyferry.membership.roles import RELAYS_PER_DATA_CENTRE, relay_order
 
 __all__ = ["Feed"]
 
 _LOG = logging.getLogger(__name__)
 
-WATCHED_PREFIXES = ("config/tables", "groups/", "placements/")
+WATCHED_PREFIXES = ("config/tables", LOST_PREFIX, "groups/", "placements/")
 LONG_POLL_S = 20.0
 VM_LIST_INTERVAL_S = 2.0
 RETRY_S = 0.5
@@ -22,9 +23,15 @@
     """Keeps the mirror of this VM current."""
 
     def __init__(
-        self, state: VmState, store: ObjectStore, vm_list: VmList, peers: PeerLink
+        self,
+        state: VmState,
+        clock: Clock,
+        store: ObjectStore,
+        vm_list: VmList,
+        peers: PeerLink,
     ) -> None:
         self._state = state
+        self._clock = clock
         self._store = store
         self._vm_list = vm_list
         self._peers = peers
@@ -32,6 +39,17 @@
         self._followed: str | None = None
         self._position = 0
         self._changed = asyncio.Event()
+        self._answered_at_s: float | None = None
+        state.on_change.append(self._wake_followers)
+
+    @property
+    def source(self) -> str:
+        """`store`, or the id of the relay that this VM follows."""
+        return "store" if self._is_relay() else self._followed or ""
+
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the source last answered, in seconds."""
+        return now_s - self._answered_at_s if self._answered_at_s is not None else float("inf")
 
     @property
     def role(self) -> str:
@@ -54,10 +72,13 @@
         return mirror.changes_since(since)
 
     def apply(self, batch: WatchBatch) -> None:
-        """Apply changes to the mirror and wake the followers."""
-        if self._state.apply(batch.changes):
-            changed, self._changed = self._changed, asyncio.Event()
-            changed.set()
+        """Apply changes to the mirror."""
+        self._answered_at_s = self._clock.monotonic_s()
+        self._state.apply(batch.changes)
+
+    def _wake_followers(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     def _relays(self) -> list:
         return relay_order(self._state.vm_table, self._state.data_centre)
--- a/fireflyferry/entry/group_runtime.py
+++ b/fireflyferry/entry/group_runtime.py
@@ -5,7 +5,7 @@
 from fireflyferry.leases import GroupAuthority, LeaseTiming
 from fireflyferry.messages import GroupId, OwnerSet, VmIncarnation
 from fireflyferry.ownership import GrantBook, SaveOwners
-from fireflyferry.placement import HotKeySketch
+from fireflyferry.placement import HotKeyPlanner, HotKeySketch
 
 __all__ = ["GroupRuntime", "make_group_runtime"]
 
@@ -24,6 +24,7 @@
     authority: GroupAuthority
     book: GrantBook
     sketch: HotKeySketch
+    planner: HotKeyPlanner
     book_term: int = 0
     loading_term: int = 0
     led_since_s: float = 0.0
@@ -35,14 +36,23 @@
     pins: dict[str, str] = attrs.Factory(dict)
     next_placement_s: float = 0.0
     next_hot_keys_s: float = 0.0
-    handover_after_s: float = 0.0
-    hot_keys: tuple[str, ...] = ()
+    heard_at_s: float = float("-inf")
+    units_moved: int = 0
+    confirmed_save: int = 0
+    next_store_try_s: float = 0.0
+    used: set[str] = attrs.Factory(set)
     assigned: dict[str, str] = attrs.Factory(dict)
     saved: OwnerSet | None = None
 
+    @property
+    def term(self) -> int:
+        """Term of the newest known record, 0 without one."""
+        record = self.authority.record
+        return record.term if record else 0
+
     def leads(self, now_s: float) -> bool:
         """Tell whether this VM leads the group and its book serves the current term."""
-        return self.authority.is_leader(now_s) and self.book_term == self.authority.term
+        return self.authority.is_leader(now_s) and self.book_term == self.term
 
 
 def make_group_runtime(
@@ -54,4 +64,5 @@
         GroupAuthority(group, me, timing, hold=hold),
         GrantBook(group, timing),
         HotKeySketch(HOT_KEY_CAPACITY),
+        HotKeyPlanner(),
     )
--- a/fireflyferry/entry/lease_system.py
+++ b/fireflyferry/entry/lease_system.py
@@ -120,4 +120,4 @@
             },
         )
         if outcome is WriteOutcome.STORED:
-            self._state.publish(StoredObject(name, version, data))
+            self._state.apply((StoredObject(name, version, data),))
--- /dev/null
+++ b/fireflyferry/entry/operator_calls.py
@@ -0,0 +1,136 @@
+"""Operators' calls on one VM: status, assignment of a unit, drain of an upstream."""
+
+import asyncio
+import collections
+
+from fireflyferry.edges import Clock
+from fireflyferry.entry.group_runtime import GroupRuntime
+from fireflyferry.entry.state import VmState
+from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.messages import GroupId
+from fireflyferry.messages.control import (
+    AssignReply,
+    AssignRequest,
+    DrainReply,
+    DrainRequest,
+    GroupStatus,
+    Move,
+)
+from fireflyferry.ownership import Owner
+from fireflyferry.placement import parse_unit
+from fireflyferry.telemetry import Reason
+
+__all__ = ["OperatorCalls"]
+
+ASSIGN_TIMEOUT_S = 2.5
+POLL_S = 0.02
+
+
+class OperatorCalls:
+    """Reads and steers the groups that this VM leads."""
+
+    def __init__(
+        self,
+        state: VmState,
+        clock: Clock,
+        upstreams: UpstreamTable,
+        runtimes: dict[GroupId, GroupRuntime],
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._upstreams = upstreams
+        self._runtimes = runtimes
+
+    def groups(self) -> tuple[GroupStatus, ...]:
+        """Describe the groups that this VM leads."""
+        now_s = self._clock.monotonic_s()
+        led = [runtime for runtime in self._runtimes.values() if runtime.leads(now_s)]
+        return tuple(self._group_status(now_s, runtime) for runtime in led)
+
+    async def assign(self, request: AssignRequest) -> AssignReply:
+        """Place a unit on an upstream and answer when the new owner is saved and granted."""
+        now_s = self._clock.monotonic_s()
+        runtime, reply = self._find(request, now_s)
+        if runtime is None:
+            return reply
+        row = self._upstreams.get(request.upstream_id)
+        if row is None or row.entry.pool != request.pool:
+            return AssignReply(False, "unknown_upstream", group=str(runtime.group))
+        runtime.pins[request.unit] = request.upstream_id
+        unit = parse_unit(request.unit)
+        if unit.key is not None:
+            runtime.planner.adopt({*runtime.planner.keys, unit.key})
+        runtime.next_placement_s = 0.0
+        return await self._wait_until_owned(runtime, request)
+
+    def drain(self, request: DrainRequest) -> DrainReply:
+        """Give an upstream no new units and move its units away."""
+        if request.target == self._state.vm_id:
+            return DrainReply(True)
+        row = self._upstreams.get(request.target)
+        if row is None:
+            return DrainReply(False, "unknown_upstream")
+        row.drain_ordered = True
+        units = 0
+        for runtime in self._runtimes.values():
+            runtime.next_placement_s = 0.0
+            units += sum(name == request.target for name in runtime.assigned.values())
+        return DrainReply(True, units=units)
+
+    def _find(
+        self, request: AssignRequest, now_s: float
+    ) -> tuple[GroupRuntime | None, AssignReply]:
+        placement = self._state.placements.get(request.pool)
+        if placement is None:
+            return None, AssignReply(False, "unknown_pool")
+        group = placement.group_of(parse_unit(request.unit).bucket)
+        runtime = self._runtimes.get(group)
+        if runtime is not None and runtime.leads(now_s):
+            return runtime, AssignReply(True)
+        view = self._state.records.get(group)
+        entry = self._state.vm_table.get(view.record.leader.vm_id) if view else None
+        address = entry.peer_address if entry else ""
+        return None, AssignReply(False, Reason.NOT_LEADER, address, str(group))
+
+    async def _wait_until_owned(
+        self, runtime: GroupRuntime, request: AssignRequest
+    ) -> AssignReply:
+        end_s = self._clock.monotonic_s() + ASSIGN_TIMEOUT_S
+        group = str(runtime.group)
+        while (now_s := self._clock.monotonic_s()) < end_s:
+            owner = runtime.book.owner(now_s, request.unit)
+            if isinstance(owner, Owner) and owner.upstream_id == request.upstream_id:
+                return AssignReply(
+                    True, group=group, fence=owner.fence, durability=runtime.durability
+                )
+            await asyncio.sleep(POLL_S)
+        return AssignReply(False, "not_in_place_yet", group=group)
+
+    def _group_status(self, now_s: float, runtime: GroupRuntime) -> GroupStatus:
+        record = runtime.authority.record
+        owners = {unit: runtime.book.owner(now_s, unit) for unit in runtime.assigned}
+        held = [unit for unit, owner in owners.items() if owner is Reason.OWNER_HELD]
+        moves = [
+            Move(unit, owner.upstream_id if isinstance(owner, Owner) else "", target)
+            for unit, target in runtime.assigned.items()
+            if not isinstance(owner := owners[unit], Owner) or owner.upstream_id != target
+        ]
+        counts = collections.Counter(
+            owner.upstream_id for owner in owners.values() if isinstance(owner, Owner)
+        )
+        keys = {
+            unit: owner.upstream_id
+            for unit, owner in owners.items()
+            if unit.startswith("k:") and isinstance(owner, Owner)
+        }
+        return GroupStatus(
+            runtime.group,
+            record.term,
+            record.leader,
+            record.standby,
+            runtime.authority.authority_until_s() - now_s,
+            dict(counts),
+            keys,
+            tuple(moves),
+            tuple(held),
+        )
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from fireflyferry.edges import Clock, ObjectStore, UpstreamControl, VersionConflictError
 from fireflyferry.edges.base import EdgeError
@@ -33,6 +34,7 @@
         upstream_control: UpstreamControl,
         upstreams: UpstreamTable,
         tasks: TaskGroup,
+        term_begun: Callable[[GroupRuntime], None],
     ) -> None:
         self._state = state
         self._clock = clock
@@ -41,16 +43,18 @@
         self._upstreams = upstreams
         self._placing = Placing(state, upstreams)
         self._tasks = tasks
+        self._term_begun = term_begun
 
     def run(self, now_s: float, runtimes: list[GroupRuntime]) -> None:
         """Advance every led group."""
         led = [runtime for runtime in runtimes if runtime.authority.is_leader(now_s)]
         for runtime in led:
-            if runtime.book_term != runtime.authority.term:
+            if runtime.book_term != runtime.term:
                 self._start_loading(runtime)
                 continue
             self._placing.run(now_s, runtime)
             self._confirm_by_standby(runtime)
+            self._retry_store(now_s, runtime)
             actions = runtime.book.tick(now_s, runtime.authority.authority_until_s())
             for action in actions:
                 if isinstance(action, SendGrant):
@@ -69,7 +73,7 @@
     # Loading the owners at the start of a term
 
     def _start_loading(self, runtime: GroupRuntime) -> None:
-        term = runtime.authority.term
+        term = runtime.term
         if runtime.loading_term != term:
             runtime.loading_term = term
             self._tasks.start(self._load(runtime, term))
@@ -80,7 +84,7 @@
         The rewrite makes a late write of the earlier leader fail.
         """
         name = f"{ASSIGNMENTS_PREFIX}{runtime.group}"
-        while runtime.authority.term == term:
+        while runtime.term == term:
             try:
                 stored = await self._store.get(name)
                 known = decode(stored.data, OwnerSet) if stored and stored.data else None
@@ -107,7 +111,7 @@
         )
 
     def _begin_term(self, runtime: GroupRuntime, term: int, owners: OwnerSet) -> None:
-        if runtime.authority.term != term:
+        if runtime.term != term:
             return
         now_s = self._clock.monotonic_s()
         runtime.book.begin_term(
@@ -118,15 +122,20 @@
         runtime.assigned = dict(owners.owners)
         runtime.saved = owners
         runtime.next_placement_s = 0.0
+        runtime.used = set()
+        runtime.unsaved = None
+        runtime.confirmed_save = 0
+        self._term_begun(runtime)
         _LOG.info("term_begun", extra={"group": str(runtime.group), "term": term})
 
     # Saving owners
 
     def _start_saving(self, runtime: GroupRuntime, action: SaveOwners) -> None:
-        runtime.authority.publish_owners(action.owners)
+        runtime.authority.replicate(self._clock.monotonic_s(), action.owners)
         runtime.unsaved = action
         if not runtime.saving:
             runtime.saving = True
+            runtime.next_store_try_s = self._clock.monotonic_s() + STORE_CATCH_UP_S
             self._tasks.start(self._save(runtime, action))
 
     async def _save(self, runtime: GroupRuntime, action: SaveOwners) -> None:
@@ -163,14 +172,23 @@
     def _confirm_by_standby(self, runtime: GroupRuntime) -> None:
         """Accept the standby's copy while the store does not answer."""
         action = runtime.unsaved
-        if action is None or not runtime.store_away:
+        if action is None or not runtime.store_away or runtime.confirmed_save >= action.save_id:
             return
         wanted = (action.owners.term, action.owners.sequence)
-        if runtime.authority.acknowledged_owners >= wanted and runtime.durability != "standby":
+        if (runtime.authority.owners_acknowledged or (0, 0)) >= wanted:
             self._saved(runtime, action, "standby")
 
+    def _retry_store(self, now_s: float, runtime: GroupRuntime) -> None:
+        """Bring the store up to date after an outage."""
+        if runtime.unsaved is None or runtime.saving or now_s < runtime.next_store_try_s:
+            return
+        runtime.next_store_try_s = now_s + STORE_CATCH_UP_S
+        runtime.saving = True
+        self._tasks.start(self._save(runtime, runtime.unsaved))
+
     def _saved(self, runtime: GroupRuntime, action: SaveOwners, durability: str) -> None:
         runtime.durability = durability
+        runtime.confirmed_save = max(runtime.confirmed_save, action.save_id)
         runtime.saved = action.owners
         runtime.book.on_owners_saved(self._clock.monotonic_s(), action.save_id)
         if durability == "store":
--- a/fireflyferry/entry/peer_server.py
+++ b/fireflyferry/entry/peer_server.py
@@ -1,47 +1,38 @@
 """Peer port of an entry VM: heartbeats, feed, status and operators' calls."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import attrs
-import orjson
 from tornado import web
-
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.routing import PathMatches, Rule, RuleRouter
+
+from fireflyferry.edges.peer_auth import (
+    SIGNATURE_HEADER,
+    TIME_HEADER,
+    PeerSignatureError,
+    PeerSigner,
+)
 from fireflyferry.edges.wire import encode_batch
 from fireflyferry.entry.control import Control
 from fireflyferry.entry.feed import LONG_POLL_S, Feed
 from fireflyferry.errors import FireflyferryError
-from fireflyferry.messages import Heartbeat, VmIncarnation, decode, encode
+from fireflyferry.messages import Heartbeat, decode, encode
 from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.control import AssignRequest, DrainRequest, VmStatus
 
-__all__ = ["AssignRequest", "DeclareLostRequest", "PeerServices", "peer_routes"]
-
-MAX_NAME_LENGTH = 256
-
-
-@attrs.frozen
-class AssignRequest:
-    """An operator's order to place a key or unit on an upstream."""
-
-    pool: str
-    target: str
-    upstream: str
-
-
-@attrs.frozen
-class DeclareLostRequest:
-    """An operator's word that a VM is gone for good."""
-
-    vm_id: str
+__all__ = ["PeerServices", "make_peer_router"]
 
 
 @attrs.frozen
 class PeerServices:
-    """What the handlers need."""
+    """What the handlers need; `shut_down` starts the orderly shutdown of this VM."""
 
     control: Control
     feed: Feed
-    status: Callable[[], dict]
-    verify: Callable[[object], bool]
+    status: Callable[[], VmStatus]
+    signer: PeerSigner
+    shut_down: Callable[[], None]
 
 
 class _PeerHandler(web.RequestHandler):
@@ -51,31 +42,50 @@
         self._services = services
 
     def prepare(self) -> None:
-        if not self._services.verify(self.request):
-            self.set_status(401)
-            self.finish({"code": "not_authenticated"})
+        request = self.request
+        self._services.signer.verify(
+            request.method,
+            request.uri,
+            request.body,
+            request.headers.get(TIME_HEADER, ""),
+            request.headers.get(SIGNATURE_HEADER, ""),
+        )
 
     def write_error(self, status_code: int, **kwargs) -> None:
         error = kwargs.get("exc_info", (None, None, None))[1]
+        code = "internal_error"
         if isinstance(error, FireflyferryError):
-            self.set_status(400 if isinstance(error, MessageError) else 409)
-            self.finish({"code": error.code, "message": str(error)})
-        else:
-            self.finish({"code": "internal_error"})
+            code = error.code
+            self.set_status(_status_of(error))
+        self.finish({"code": code, "message": str(error)})
+
+    def log_exception(self, typ, value, tb) -> None:
+        if not isinstance(value, FireflyferryError):
+            super().log_exception(typ, value, tb)
 
-    def reply(self, body: bytes) -> None:
+    def reply(self, message: object) -> None:
+        """Finish with a message as JSON."""
+        self.reply_bytes(encode(message))
+
+    def reply_bytes(self, body: bytes) -> None:
         """Finish with a JSON body."""
         self.set_header("Content-Type", "application/json")
         self.finish(body)
 
 
+def _status_of(error: FireflyferryError) -> int:
+    if isinstance(error, PeerSignatureError):
+        return 401
+    return 400 if isinstance(error, MessageError) else 409
+
+
 class HeartbeatHandler(_PeerHandler):
     """Answers a leader's heartbeats with pledges."""
 
     def post(self) -> None:
         """Handle one message for all groups that the pair shares."""
         heartbeats = decode(self.request.body, tuple[Heartbeat, ...])
-        self.reply(encode(self._services.control.on_heartbeats(heartbeats)))
+        self.reply(self._services.control.on_heartbeats(heartbeats))
 
 
 class IdentityHandler(_PeerHandler):
@@ -83,7 +93,7 @@
 
     def get(self) -> None:
         """Return the VM's id and incarnation."""
-        self.reply(encode(self._services.control.me))
+        self.reply(self._services.control.me)
 
 
 class FeedHandler(_PeerHandler):
@@ -93,7 +103,8 @@
         """Wait for changes after `since`."""
         since = int(self.get_query_argument("since", "0"))
         timeout_s = min(float(self.get_query_argument("timeout_s", "0")), LONG_POLL_S)
-        self.reply(encode_batch(await self._services.feed.wait_for_changes(since, timeout_s)))
+        batch = await self._services.feed.wait_for_changes(since, timeout_s)
+        self.reply_bytes(encode_batch(batch))
 
 
 class StatusHandler(_PeerHandler):
@@ -101,7 +112,7 @@
 
     def get(self) -> None:
         """Return the status as JSON."""
-        self.reply(orjson.dumps(self._services.status()))
+        self.reply(self._services.status())
 
 
 class AssignHandler(_PeerHandler):
@@ -109,34 +120,26 @@
 
     async def post(self) -> None:
         """Handle an operator's assignment."""
-        await _answer(self, AssignRequest, self._services.control.assign)
+        request = decode(self.request.body, AssignRequest)
+        self.reply(await self._services.control.operator_calls.assign(request))
 
 
 class DrainHandler(_PeerHandler):
-    """Starts the orderly shutdown of this VM."""
+    """Drains an upstream, or starts the orderly shutdown of this VM."""
 
     def post(self) -> None:
-        """Hand over all groups, then finish the requests in flight."""
-        self._services.control.start_drain()
-        self.reply(b"{}")
-
-
-class DeclareLostHandler(_PeerHandler):
-    """Accepts an operator's word that a VM is gone."""
-
-    async def post(self) -> None:
-        """Handle the declaration."""
-        await _answer(self, DeclareLostRequest, self._services.control.declare_lost)
-
-
-async def _answer(
-    handler: _PeerHandler, kind: type, action: Callable[..., Awaitable[object]]
-) -> None:
-    handler.reply(orjson.dumps(await action(decode(handler.request.body, kind))))
-
-
-def peer_routes(services: PeerServices) -> list:
-    """Return the control routes of the peer port."""
+        """Handle an operator's drain."""
+        request = decode(self.request.body, DrainRequest)
+        control = self._services.control
+        if request.target == control.me.vm_id:
+            self._services.shut_down()
+        self.reply(control.operator_calls.drain(request))
+
+
+def make_peer_router(
+    services: PeerServices, forwards: HTTPServerConnectionDelegate
+) -> RuleRouter:
+    """Build the router of the peer port."""
     handlers = {
         "heartbeat": HeartbeatHandler,
         "identity": IdentityHandler,
@@ -144,8 +147,11 @@
         "status": StatusHandler,
         "assign": AssignHandler,
         "drain": DrainHandler,
-        "declare-lost": DeclareLostHandler,
     }
-    return [
-        (f"/peer/v1/{name}", handler, {"services": services}) for name, handler in handlers.items()
-    ]
+    application = web.Application(
+        [(f"/peer/v1/{name}", each, {"services": services}) for name, each in handlers.items()],
+        log_function=lambda handler: None,
+    )
+    return RuleRouter(
+        [Rule(PathMatches("/peer/v1/forward/.*"), forwards), Rule(PathMatches(".*"), application)]
+    )
--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -56,6 +56,7 @@
         if pool is None or placement is None:
             return
         self._plan_hot_keys(now_s, runtime)
+        self._upstreams.advance_ramps(now_s)
         loads = self._unit_loads(runtime, pool, placement.buckets_of(runtime.group))
         upstreams = list(self._usable(now_s, runtime))
         if now_s - runtime.led_since_s < SETTLE_S and not self._all_answered(now_s, runtime):
--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -63,14 +63,13 @@
         if not leaving:
             self._bootstrap_placements(tables)
         for group in groups_of(tables):
-            self._update(now_s, group, tables, runtimes, leaving)
+            self._update(now_s, group, runtimes, leaving)
 
     def on_record(self, view: RecordView, runtimes: dict[GroupId, GroupRuntime]) -> None:
         """Pass a record from the feed to the group's authority, and join a group that names us."""
         group = view.record.group
-        if group not in runtimes and self._state.me in (view.record.leader, view.record.standby):
-            tables = self._state.current()
-            self._join(group, tables, runtimes)
+        if self._state.me in (view.record.leader, view.record.standby):
+            self.join(group, runtimes)
         runtime = runtimes.get(group)
         if runtime is not None:
             now_s = self._clock.monotonic_s()
@@ -78,20 +77,30 @@
             # earliest safe value keeps it from counting as a fresh read.
             runtime.authority.observe_record(now_s, float("-inf"), view.record, view.version)
 
+    def join(self, group: GroupId, runtimes: dict[GroupId, GroupRuntime]) -> GroupRuntime:
+        """Return the row of a group, with a new one if this VM did not take part in it."""
+        runtime = runtimes.get(group)
+        if runtime is None:
+            tables = self._state.current()
+            pool = tables.pool(group.pool) if tables else None
+            hold = pool is not None and pool.takeover == "hold"
+            runtime = make_group_runtime(group, self._state.me, self._timing, hold)
+            runtimes[group] = runtime
+        return runtime
+
     # One group
 
     def _update(
         self,
         now_s: float,
         group: GroupId,
-        tables: Tables,
         runtimes: dict[GroupId, GroupRuntime],
         leaving: bool,
     ) -> None:
         preferred = preferred_leader(self._state.vm_table, group)
         is_preferred = preferred is not None and preferred.vm_id == self._state.vm_id
         if group not in runtimes and is_preferred and not leaving:
-            self._join(group, tables, runtimes)
+            self.join(group, runtimes)
         runtime = runtimes.get(group)
         if runtime is None:
             return
@@ -103,13 +112,6 @@
         elif authority.record is not None and not leaving:
             self._watch_for_loss(now_s, runtime)
 
-    def _join(
-        self, group: GroupId, tables: Tables | None, runtimes: dict[GroupId, GroupRuntime]
-    ) -> None:
-        pool = tables.pool(group.pool) if tables else None
-        hold = pool is not None and pool.takeover == "hold"
-        runtimes[group] = make_group_runtime(group, self._state.me, self._timing, hold)
-
     def _lead(
         self, now_s: float, runtime: GroupRuntime, preferred: VmEntry | None, leaving: bool
     ) -> None:
--- a/fireflyferry/entry/state.py
+++ b/fireflyferry/entry/state.py
@@ -10,6 +10,7 @@
 from fireflyferry.membership import Mirror, PlacementMap, VmTable
 from fireflyferry.messages import GroupId, GroupRecord, VmEntry, VmIncarnation, decode, encode
 from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.control import LOST_PREFIX
 from fireflyferry.tables import Tables
 
 __all__ = ["GROUPS_PREFIX", "PLACEMENTS_PREFIX", "VM_LIST_OBJECT", "RecordView", "VmState"]
@@ -54,6 +55,10 @@
         self.records: dict[GroupId, RecordView] = {}
         self.on_gone: list[Callable[[VmEntry], None]] = []
         self.on_record: list[Callable[[RecordView], None]] = []
+        self.on_lost: list[Callable[[StoredObject], None]] = []
+        self.on_change: list[Callable[[], None]] = []
+        self.rejected_revision = 0
+        self.rejected_reason = ""
         self._clock = clock
         self._tables: Tables | None = None
 
@@ -81,6 +86,9 @@
                 self._apply_object(item.name, item.version, item.data)
             except MessageError as error:
                 _LOG.error("bad_object", extra={"object": item.name, "error": str(error)})
+        if newer:
+            for callback in self.on_change:
+                callback()
         return bool(newer)
 
     def vm_list_object(self, version: int, entries: tuple[VmEntry, ...]) -> StoredObject:
@@ -98,6 +106,9 @@
         elif name.startswith(PLACEMENTS_PREFIX):
             placement = decode(data, PlacementMap)
             self.placements[placement.pool] = placement
+        elif name.startswith(LOST_PREFIX):
+            for callback in self.on_lost:
+                callback(StoredObject(name, version, data))
         elif name == VM_LIST_OBJECT:
             self._apply_vm_list(decode(data, VmListing).entries)
 
--- a/fireflyferry/entry/upstream_table.py
+++ b/fireflyferry/entry/upstream_table.py
@@ -3,11 +3,14 @@
 import attrs
 
 from fireflyferry.messages import Hello, VmEntry
+from fireflyferry.placement import ColdStartRamp
 
 __all__ = ["UpstreamRow", "UpstreamTable"]
 
 HELLO_INTERVAL_S = 0.5
 FRESH_S = 3.0
+# Weight of one service time in the moving average.
+SERVICE_TIME_GAIN = 0.1
 
 
 @attrs.define
@@ -18,9 +21,10 @@
     hello: Hello | None = None
     asked_at_s: float = float("-inf")
     answered_at_s: float = float("-inf")
-    joined_at_s: float = 0.0
     draining: bool = False
+    drain_ordered: bool = False
     service_s: float = 0.0
+    served: int = 0
 
     @property
     def upstream_id(self) -> str:
@@ -33,7 +37,7 @@
 
     def is_leaving(self) -> bool:
         """Tell whether the upstream must get no new work."""
-        return self.draining or self.entry.state != "live"
+        return self.draining or self.drain_ordered or self.entry.state != "live"
 
 
 class UpstreamTable:
@@ -41,6 +45,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[str, UpstreamRow] = {}
+        self._ramp = ColdStartRamp()
 
     def get(self, upstream_id: str) -> UpstreamRow | None:
         """Return the row of an upstream."""
@@ -58,6 +63,7 @@
     def forget(self, upstream_id: str) -> None:
         """Drop the row of an upstream that is gone."""
         self._rows.pop(upstream_id, None)
+        self._ramp.forget(upstream_id)
 
     def take_due_for_hello(self, now_s: float, upstream_id: str) -> UpstreamRow | None:
         """Return the row unless the upstream was asked lately, and note that it is asked now."""
@@ -72,8 +78,8 @@
         row = self._rows.get(upstream_id)
         if row is None:
             return
-        if row.hello is None:
-            row.joined_at_s = now_s
+        if hello.cold and (row.hello is None or not row.hello.cold):
+            self._ramp.start(now_s, upstream_id)
         row.hello = hello
         row.answered_at_s = now_s
         row.draining = hello.draining
@@ -84,3 +90,25 @@
         if row is not None:
             row.answered_at_s = now_s
             row.draining = draining
+
+    def on_service_time(self, upstream_id: str, service_s: float) -> None:
+        """Note how long an upstream took to answer a request."""
+        row = self._rows.get(upstream_id)
+        if row is not None:
+            row.served += 1
+            row.service_s += SERVICE_TIME_GAIN * (service_s - row.service_s)
+
+    def advance_ramps(self, now_s: float) -> None:
+        """Raise or lower the shares of upstreams that warm up."""
+        by_pool: dict[str, list[UpstreamRow]] = {}
+        for row in self._rows.values():
+            by_pool.setdefault(row.entry.pool, []).append(row)
+        for rows in by_pool.values():
+            mean_s = sum(row.service_s for row in rows) / len(rows)
+            for row in rows:
+                latency_ms = row.service_s * 1000 if row.served else None
+                self._ramp.observe(now_s, row.upstream_id, latency_ms, mean_s * 1000)
+
+    def share(self, upstream_id: str) -> float:
+        """Return the share of its normal load that an upstream gets now."""
+        return self._ramp.share(upstream_id)
