--- a/fireflyferry/leases/timing.py
+++ b/fireflyferry/leases/timing.py
@@ -36,9 +36,9 @@
                 raise LeaseTimingError(f"{field.name}: found {value}, allowed: above 0")
         if not 0 <= self.drift <= 0.1:
             raise LeaseTimingError(f"drift: found {self.drift}, allowed: 0 to 0.1")
-        # A new standby starts to wait for the session when it reads the record that names it.
-        # The leader still counts the old standby's pledge until it sends that write, so the
-        # wait must be at least as long as a pledge.
+        # A new standby waits for the session from when it reads the record that names it. Grants
+        # given under the old standby's pledge, just before that record was written, can run for
+        # pledge_s, so the wait must be at least as long.
         if self.session_s < self.pledge_s:
             raise LeaseTimingError(
                 f"session_s: found {self.session_s}, allowed: at least pledge_s={self.pledge_s}"
--- a/fireflyferry/messages/groups.py
+++ b/fireflyferry/messages/groups.py
@@ -44,7 +44,10 @@
 
 @attrs.frozen
 class GroupRecord:
-    """The store's record of a group; changed by conditional update only."""
+    """The store's record of a group; changed by conditional update only.
+
+    `session_s` is the session that the leader counts, for standbys with other settings.
+    """
 
     group: GroupId
     term: int
@@ -53,6 +56,7 @@
     session: int = 0
     resigned: bool = False
     write_id: str = ""
+    session_s: float = 0.0
 
 
 @attrs.frozen
