--- a/fireflyferry/operators/main.py
+++ b/fireflyferry/operators/main.py
@@ -8,7 +8,10 @@
 from collections.abc import Sequence
 
 from fireflyferry.edges import StoreUnavailableError
+from fireflyferry.edges.http_client import HttpCaller
 from fireflyferry.edges.http_store import HttpObjectStore, HttpVmList
+from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.edges.system_clock import SystemClock
 from fireflyferry.operators.arguments import SETTINGS_VARIABLE, make_parser
 from fireflyferry.operators.context import Context
 from fireflyferry.operators.errors import ExitCode, OperatorError
@@ -19,6 +22,8 @@
 
 __all__ = ["main", "run_command"]
 
+CALLER = "fireflyferryctl"
+
 
 def _read_settings(options: argparse.Namespace) -> CtlSettings:
     path = options.settings or os.environ.get(SETTINGS_VARIABLE)
@@ -58,14 +63,19 @@
 
 async def _connect_and_run(options: argparse.Namespace) -> int:
     settings = _read_settings(options)
-    timeout_s = settings.store.timeout_ms / 1000
-    store = HttpObjectStore(settings.store.address, timeout_s=timeout_s)
-    peers = HttpPeerControl(settings.secrets.current)
-    vms = HttpVmList(settings.store.address, timeout_s=timeout_s)
+    author = _author(options, settings)
+    caller = HttpCaller(CALLER, timeout_s=settings.store.timeout_ms / 1000)
+    signer = PeerSigner((settings.secrets.current.encode(),), SystemClock())
+    context = Context(
+        HttpObjectStore(settings.store.address, caller),
+        HttpVmList(settings.store.address, caller),
+        HttpPeerControl(caller, signer),
+        author,
+    )
     try:
-        return await run_command(Context(store, vms, peers, _author(options, settings)), options)
+        return await run_command(context, options)
     finally:
-        peers.close()
+        caller.close()
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/fireflyferry/operators/peers.py
+++ b/fireflyferry/operators/peers.py
@@ -3,10 +3,9 @@
 import abc
 from typing import Any, TypeVar
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
-
 from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.edges.http_client import HttpCaller, NoAnswerError
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.messages import decode, encode
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.messages.control import (
@@ -17,10 +16,7 @@
     VmStatus,
 )
 
-__all__ = ["SECRET_HEADER", "HttpPeerControl", "PeerControl"]
-
-SECRET_HEADER = "Firefly-Peer-Secret"
-CONNECT_TIMEOUT_S = 1.0
+__all__ = ["HttpPeerControl", "PeerControl"]
 
 T = TypeVar("T")
 
@@ -51,16 +47,11 @@
 
 
 class HttpPeerControl(PeerControl):
-    """Calls over HTTP with JSON bodies and the peers' shared secret."""
-
-    def __init__(self, secret: str, timeout_s: float = 3.0, max_clients: int = 64):
-        self._secret = secret
-        self._timeout_s = timeout_s
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
+    """Signed calls over HTTP with JSON bodies."""
 
-    def close(self) -> None:
-        """Close connections."""
-        self._client.close()
+    def __init__(self, caller: HttpCaller, signer: PeerSigner):
+        self._caller = caller
+        self._signer = signer
 
     async def status(self, address: str) -> VmStatus:
         """Ask a VM for its status."""
@@ -75,22 +66,14 @@
         return await self._call(address, "POST", "/peer/v1/drain", request, DrainReply)
 
     async def _call(self, address: str, method: str, path: str, body: Any, kind: type[T]) -> T:
-        request = HTTPRequest(
-            f"http://{address}{path}",
-            method=method,
-            body=None if body is None else encode(body),
-            headers={
-                SECRET_HEADER: self._secret,
-                "Content-Type": "application/json",
-                "Expect": "",
-            },
-            connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=self._timeout_s,
-            follow_redirects=False,
-            decompress_response=False,
-        )
+        data = None if body is None else encode(body)
+        headers = self._signer.headers(method, path, data or b"")
         try:
-            response = await self._client.fetch(request)
-            return decode(response.body, kind)
-        except (HTTPClientError, MessageError, OSError, ValueError) as error:
+            answer = await self._caller.call(
+                method, f"http://{address}{path}", data, headers, fresh=method == "POST"
+            )
+            if answer.status != 200:
+                raise PeerUnavailableError(f"{address}: {method} {path}: status {answer.status}")
+            return decode(answer.body, kind)
+        except (NoAnswerError, MessageError) as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
