--- a/fireflyferry/edges/base.py
+++ b/fireflyferry/edges/base.py
@@ -12,6 +12,7 @@
     HeartbeatReply,
     Hello,
     VmEntry,
+    VmIncarnation,
 )
 
 __all__ = [
@@ -163,6 +164,13 @@
 class PeerLink(abc.ABC):
     """Control calls between entry VMs; `address` is `IP:PORT` of the peer port."""
 
+    @abc.abstractmethod
+    async def identity(self, address: str) -> VmIncarnation:
+        """Ask which run of which VM listens at an address.
+
+        Raises PeerUnavailableError.
+        """
+
     @abc.abstractmethod
     async def heartbeat(
         self, address: str, heartbeats: tuple[Heartbeat, ...]
--- a/fireflyferry/edges/http_peer.py
+++ b/fireflyferry/edges/http_peer.py
@@ -6,7 +6,7 @@
 from fireflyferry.edges.http_client import HttpCaller, NoAnswerError
 from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.edges.wire import decode_batch
-from fireflyferry.messages import Heartbeat, HeartbeatReply, decode, encode
+from fireflyferry.messages import Heartbeat, HeartbeatReply, VmIncarnation, decode, encode
 from fireflyferry.messages.codec import MessageError
 
 __all__ = ["HttpPeerLink"]
@@ -19,6 +19,14 @@
         self._caller = caller
         self._signer = signer
 
+    async def identity(self, address: str) -> VmIncarnation:
+        """Ask which run of which VM listens at an address.
+
+        Raises PeerUnavailableError.
+        """
+        body = await self._call("GET", address, "/peer/v1/identity")
+        return _decoded(body, lambda data: decode(data, VmIncarnation))
+
     async def heartbeat(
         self, address: str, heartbeats: tuple[Heartbeat, ...]
     ) -> tuple[HeartbeatReply, ...]:
--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -1,13 +1,14 @@
 """Distribution of the store's objects: relays watch the store, the other VMs follow a relay."""
 
 import asyncio
+import contextlib
 import logging
 
 from fireflyferry.edges import Clock, ObjectStore, PeerLink, VmList, WatchBatch
 from fireflyferry.edges.base import EdgeError
 from fireflyferry.entry.state import VM_LIST_OBJECT, VmState
-from fireflyferry.messages.control import LOST_PREFIX
 from fireflyferry.membership.roles import RELAYS_PER_DATA_CENTRE, relay_order
+from fireflyferry.messages.control import LOST_PREFIX
 
 __all__ = ["Feed"]
 
@@ -65,10 +66,8 @@
         mirror = self._state.mirror
         if 0 < since == mirror.sequence:
             changed = self._changed
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), timeout_s)
-            except TimeoutError:
-                pass
         return mirror.changes_since(since)
 
     def apply(self, batch: WatchBatch) -> None:
--- /dev/null
+++ b/fireflyferry/entry/main.py
@@ -0,0 +1,229 @@
+"""Program `fireflyferry-entry`: one entry VM."""
+
+import argparse
+import asyncio
+import logging
+import random
+import secrets
+import signal
+import socket
+import sys
+
+import attrs
+import tornado.httpserver
+import tornado.netutil
+
+import fireflyferry
+from fireflyferry.edges.base import Metrics
+from fireflyferry.edges.http_client import HttpCaller
+from fireflyferry.edges.http_peer import HttpPeerLink
+from fireflyferry.edges.http_store import HttpObjectStore, HttpVmList
+from fireflyferry.edges.http_upstream import HttpUpstreamControl
+from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.edges.statsd_metrics import MemoryMetrics, StatsdMetrics, TeeMetrics
+from fireflyferry.edges.system_clock import SystemClock
+from fireflyferry.entry.control import Control
+from fireflyferry.entry.feed import Feed
+from fireflyferry.entry.owner_view import OwnerView
+from fireflyferry.entry.peer_server import PeerServices, make_peer_router
+from fireflyferry.entry.request_path import EntryRequestPath, make_request_path
+from fireflyferry.entry.state import VmState
+from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.errors import FireflyferryError
+from fireflyferry.leases import LeaseTiming
+from fireflyferry.messages import GroupId, VmIncarnation
+from fireflyferry.messages.control import VmStatus
+from fireflyferry.settings import EntrySettings, read_settings
+from fireflyferry.telemetry.logs import configure_logging
+
+__all__ = ["EntryProgram", "main"]
+
+_LOG = logging.getLogger(__name__)
+
+EXIT_DONE = 0
+EXIT_BAD_SETTINGS = 2
+EXIT_NO_PORT = 3
+# Calls to upstreams and peers must end before the lease they renew does.
+CONTROL_TIMEOUT_S = 0.6
+INCARNATION_BYTES = 8
+
+
+class EntryProgram:
+    """Wires the parts of one entry VM together."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        vm = settings.vm
+        clock = SystemClock()
+        me = VmIncarnation(vm.vm_id, secrets.token_hex(INCARNATION_BYTES))
+        self._state = VmState(me, vm.region, vm.data_centre, clock, settings.peers.addresses)
+        self._clock = clock
+        self._memory_metrics = MemoryMetrics()
+        self._signer = _make_signer(settings, clock)
+        caller = HttpCaller(vm.vm_id, timeout_s=CONTROL_TIMEOUT_S)
+        store_caller = HttpCaller(vm.vm_id, timeout_s=settings.store.timeout_ms / 1000)
+        store = HttpObjectStore(settings.store.address, store_caller)
+        peers = HttpPeerLink(caller, self._signer)
+        upstream_control = HttpUpstreamControl(caller)
+        upstreams = UpstreamTable()
+        runtimes: dict[GroupId, object] = {}
+        self._control = Control(
+            self._state,
+            clock,
+            store,
+            peers,
+            upstream_control,
+            LeaseTiming(**attrs.asdict(settings.leases)),
+            upstreams,
+            runtimes,
+        )
+        vm_list = HttpVmList(settings.store.address, store_caller)
+        self._feed = Feed(self._state, clock, store, vm_list, peers)
+        view = OwnerView(self._state, upstreams, runtimes)
+        self._requests = make_request_path(
+            vm_id=vm.vm_id,
+            clock=clock,
+            metrics=self._make_metrics(),
+            rng=random.Random(),
+            tables=self._state,
+            locator=view,
+            owners=view,
+            observer=view,
+            control=upstream_control,
+        )
+        self._control.attach(self._requests)
+        self._stop = asyncio.Event()
+
+    def status(self) -> VmStatus:
+        """Describe this VM for operators."""
+        snapshot = self._requests.snapshot()
+        return VmStatus(
+            self._state.me,
+            self._state.data_centre,
+            self._state.revision,
+            self._state.rejected_revision,
+            self._state.rejected_reason,
+            self._feed.source,
+            min(self._feed.age_s(self._clock.monotonic_s()), 1e9),
+            self._control.leaving,
+            self._control.operator_calls.groups(),
+            snapshot.reasons,
+            snapshot.retries,
+        )
+
+    async def run(self) -> None:
+        """Serve until a termination signal, then shut down without cutting a request."""
+        public = _listen(self._settings.vm.address, self._settings.vm.public_port)
+        peer = _listen(self._settings.vm.address, self._settings.vm.peer_port)
+        services = PeerServices(
+            self._control, self._feed, self.status, self._signer, self.shut_down
+        )
+        servers = self._serve(public, peer, services)
+        print(
+            f"ready public={_address(public)} peer={_address(peer)} "
+            f"incarnation={self._state.me.incarnation}",
+            flush=True,
+        )
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.shut_down)
+        background = [
+            asyncio.ensure_future(self._control.run()),
+            asyncio.ensure_future(self._feed.run()),
+        ]
+        await self._stop.wait()
+        await self._finish(servers, background)
+
+    def shut_down(self) -> None:
+        """Start the orderly shutdown."""
+        self._control.start_drain()
+        self._stop.set()
+
+    def _serve(
+        self, public: socket.socket, peer: socket.socket, services: PeerServices
+    ) -> list[tornado.httpserver.HTTPServer]:
+        options = EntryRequestPath.server_options()
+        public_server = tornado.httpserver.HTTPServer(self._requests.public_delegate, **options)
+        public_server.add_socket(public)
+        router = make_peer_router(services, self._requests.peer_delegate)
+        peer_server = tornado.httpserver.HTTPServer(router, **options)
+        peer_server.add_socket(peer)
+        return [public_server, peer_server]
+
+    async def _finish(
+        self, servers: list[tornado.httpserver.HTTPServer], background: list[asyncio.Future]
+    ) -> None:
+        """Hand over the groups, then wait for the requests in flight.
+
+        The ports stay open during the handover, since callers and peers still have this VM in
+        their tables.
+        """
+        handed_over = await self._control.handed_over()
+        _LOG.info("handed_over", extra={"complete": handed_over})
+        servers[0].stop()
+        try:
+            await asyncio.wait_for(self._requests.drain(), self._settings.drain.time_s)
+        except TimeoutError:
+            _LOG.warning("drain_timed_out", extra={"time_s": self._settings.drain.time_s})
+        servers[1].stop()
+        for task in background:
+            task.cancel()
+        self._control.stop()
+        for server in servers:
+            await server.close_all_connections()
+        self._requests.close()
+        _LOG.info("stopped")
+
+    def _make_metrics(self) -> Metrics:
+        statsd = self._settings.statsd
+        if not statsd.address:
+            return self._memory_metrics
+        host, _, port = statsd.address.rpartition(":")
+        return TeeMetrics(self._memory_metrics, StatsdMetrics(host, int(port), statsd.prefix))
+
+
+def _make_signer(settings: EntrySettings, clock: SystemClock) -> PeerSigner:
+    named = (settings.secrets.current, settings.secrets.previous)
+    return PeerSigner(tuple(secret.encode() for secret in named if secret), clock)
+
+
+def _listen(address: str, port: int) -> socket.socket:
+    return tornado.netutil.bind_sockets(port, address)[0]
+
+
+def _address(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program and return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="fireflyferry-entry",
+        description="Entry VM: routes requests to the owners of their keys.",
+        epilog="Exit codes: 0 stopped in good order, 2 bad settings, 3 a port is not free.",
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE", help="INI file")
+    parser.add_argument("--version", action="version", version=fireflyferry.__version__)
+    options = parser.parse_args(argv)
+    try:
+        settings = read_settings(options.settings, EntrySettings)
+    except FireflyferryError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    named = (settings.secrets.current, settings.secrets.previous)
+    configure_logging(settings.log.format, settings.log.level, [each for each in named if each])
+    try:
+        asyncio.run(_run(settings))
+    except OSError as error:
+        print(f"fireflyferry-entry: {error.strerror}", file=sys.stderr)
+        return EXIT_NO_PORT
+    return EXIT_DONE
+
+
+async def _run(settings: EntrySettings) -> None:
+    await EntryProgram(settings).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fireflyferry/entry/operator_calls.py
+++ b/fireflyferry/entry/operator_calls.py
@@ -92,9 +92,7 @@
         address = entry.peer_address if entry else ""
         return None, AssignReply(False, Reason.NOT_LEADER, address, str(group))
 
-    async def _wait_until_owned(
-        self, runtime: GroupRuntime, request: AssignRequest
-    ) -> AssignReply:
+    async def _wait_until_owned(self, runtime: GroupRuntime, request: AssignRequest) -> AssignReply:
         end_s = self._clock.monotonic_s() + ASSIGN_TIMEOUT_S
         group = str(runtime.group)
         while (now_s := self._clock.monotonic_s()) < end_s:
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -106,17 +106,13 @@
         newest = max(copies, key=lambda copy: (copy.term, copy.sequence), default=None)
         if newest is None:
             return OwnerSet(runtime.group, term, 0, {})
-        return OwnerSet(
-            runtime.group, term, 0, newest.owners, newest.releasing, newest.unchecked
-        )
+        return OwnerSet(runtime.group, term, 0, newest.owners, newest.releasing, newest.unchecked)
 
     def _begin_term(self, runtime: GroupRuntime, term: int, owners: OwnerSet) -> None:
         if runtime.term != term:
             return
         now_s = self._clock.monotonic_s()
-        runtime.book.begin_term(
-            now_s, term, owners, runtime.authority.previous_grants_until_s
-        )
+        runtime.book.begin_term(now_s, term, owners, runtime.authority.previous_grants_until_s)
         runtime.book_term = term
         runtime.led_since_s = now_s
         runtime.assigned = dict(owners.owners)
@@ -198,9 +194,7 @@
 
     # Upstreams
 
-    async def _send_grant(
-        self, runtime: GroupRuntime, action: SendGrant, sent_at_s: float
-    ) -> None:
+    async def _send_grant(self, runtime: GroupRuntime, action: SendGrant, sent_at_s: float) -> None:
         row = self._upstreams.get(action.upstream_id)
         if row is None:
             return
--- a/fireflyferry/entry/peer_server.py
+++ b/fireflyferry/entry/peer_server.py
@@ -136,9 +136,7 @@
         self.reply(control.operator_calls.drain(request))
 
 
-def make_peer_router(
-    services: PeerServices, forwards: HTTPServerConnectionDelegate
-) -> RuleRouter:
+def make_peer_router(services: PeerServices, forwards: HTTPServerConnectionDelegate) -> RuleRouter:
     """Build the router of the peer port."""
     handlers = {
         "heartbeat": HeartbeatHandler,
--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -71,9 +71,7 @@
     def _apply(self, now_s: float, runtime: GroupRuntime, wanted: dict[str, str]) -> None:
         if wanted == runtime.assigned and now_s - runtime.led_since_s > SETTLE_S:
             return
-        moved = sum(
-            1 for unit, name in wanted.items() if runtime.assigned.get(unit, name) != name
-        )
+        moved = sum(1 for unit, name in wanted.items() if runtime.assigned.get(unit, name) != name)
         if moved:
             runtime.units_moved += moved
             _LOG.info("units_moved", extra={"group": str(runtime.group), "units": moved})
--- /dev/null
+++ b/fireflyferry/experiments/deployment.py
@@ -0,0 +1,173 @@
+"""A customer's deployment on loopback: platform and upstream stand-ins, and entry VMs."""
+
+import pathlib
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+import orjson
+
+from fireflyferry.experiments.customers import Customer, tables_of
+from fireflyferry.experiments.http import fetch, fetch_json
+from fireflyferry.experiments.processes import Program, start_program
+from fireflyferry.messages import VmEntry, encode
+
+__all__ = ["Deployment"]
+
+SECRET = "loopback-experiments-only"
+ENTRY_MODULE = "fireflyferry.entry.main"
+START_WORKERS = 8
+
+
+@attrs.define
+class Deployment:
+    """Processes of one customer and the VM list that the platform shows.
+
+    Each upstream process holds all instances of a data centre, so a data centre is lost by
+    ending its upstream process and its entry VMs.
+    """
+
+    customer: Customer
+    folder: pathlib.Path
+    entry_vms_per_data_centre: int = 2
+    service_ms: float = 2.0
+    separate_upstreams: tuple[str, ...] = ()
+    lease_lines: str = ""
+    platform: Program | None = None
+    entries: dict[str, Program] = attrs.Factory(dict)
+    upstreams: dict[str, Program] = attrs.Factory(dict)
+    vms: dict[str, VmEntry] = attrs.Factory(dict)
+    _started: int = 0
+
+    @property
+    def store_address(self) -> str:
+        """Address of the platform stand-in."""
+        return self.platform.ready[0]["address"]
+
+    @property
+    def entry_urls(self) -> list[str]:
+        """Public URLs of the entry VMs that run."""
+        return [f"http://{self.vms[name].address}" for name in sorted(self.entries)]
+
+    @property
+    def upstream_addresses(self) -> dict[str, str]:
+        """Addresses of the listed upstreams by id."""
+        return {vm.vm_id: vm.address for vm in self.vms.values() if vm.role == "upstream"}
+
+    def start(self) -> None:
+        """Start all processes and publish the VM list."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.platform = self._start("platform", "fireflyferry.standins.platform_main", [])
+        jobs = [(self._start_upstreams, each) for each in self._upstream_groups()]
+        for region, data_centre in self.customer.data_centres:
+            for _ in range(self.entry_vms_per_data_centre):
+                jobs.append((self.start_entry, (region, data_centre)))
+        with ThreadPoolExecutor(START_WORKERS) as pool:
+            for future in [pool.submit(function, *args) for function, args in jobs]:
+                future.result()
+        self.publish_vms()
+
+    def start_entry(self, region: str, data_centre: str) -> str:
+        """Start an entry VM and return its id; the VM list is not published."""
+        self._started += 1
+        vm_id = f"entry-{data_centre}-{self._started}"
+        settings = self.folder / f"{vm_id}.ini"
+        settings.write_text(self._entry_settings(vm_id, region, data_centre))
+        program = self._start(vm_id, ENTRY_MODULE, ["--settings", str(settings)])
+        self.entries[vm_id] = program
+        ready = program.ready[0]
+        self.vms[vm_id] = VmEntry(
+            vm_id, "entry", region, data_centre, ready["public"], ready["peer"]
+        )
+        return vm_id
+
+    def publish_vms(self) -> None:
+        """Give the platform the present VM list."""
+        body = b'{"vms":%s}' % encode(tuple(self.vms.values()))
+        fetch(f"http://{self.store_address}/v1/vms", "PUT", body)
+
+    def remove_vm(self, vm_id: str) -> None:
+        """Drop a VM from the list that is published next."""
+        self.vms.pop(vm_id, None)
+
+    def set_tables(self, revision: int = 1, version: int = 0) -> None:
+        """Write the customer's tables to the store as the operators' program does."""
+        body = encode(tables_of(self.customer, revision))
+        url = f"http://{self.store_address}/v1/objects/config/tables"
+        fetch(url, "PUT", body, {"If-Match": str(version)})
+
+    def set_platform_faults(self, *faults: dict) -> None:
+        """Replace the faults of the platform stand-in."""
+        body = orjson.dumps({"faults": faults})
+        fetch(f"http://{self.store_address}/faults", "POST", body)
+
+    def kill_entry(self, vm_id: str) -> None:
+        """End an entry VM at once."""
+        self.entries.pop(vm_id).kill()
+
+    def executions(self) -> dict[str, int]:
+        """Return how often each request id ran, over all upstreams that answer."""
+        total: dict[str, int] = {}
+        for address in self.upstream_addresses.values():
+            answer = fetch_json(f"http://{address}/executions")
+            for request_id, count in answer["by_request_id"].items():
+                total[request_id] = total.get(request_id, 0) + count
+        return total
+
+    def stop(self) -> None:
+        """End every process."""
+        programs = [*self.entries.values(), *self.upstreams.values()]
+        for program in [*programs, *([self.platform] if self.platform else [])]:
+            if program.process.poll() is None:
+                program.send(signal.SIGCONT)
+                program.kill()
+
+    def _start(self, name: str, module: str, arguments: list[str], ready_lines: int = 1) -> Program:
+        return start_program(name, module, arguments, self.folder / f"{name}.log", ready_lines)
+
+    def _upstream_groups(self) -> list[tuple]:
+        """Return the arguments of each upstream process: one a service and data centre."""
+        groups = []
+        data_centres = self.customer.data_centres
+        for service in self.customer.services:
+            for place, (region, data_centre) in enumerate(data_centres):
+                numbers = range(place, service.instances, len(data_centres))
+                names = [f"{service.name}-{number}" for number in numbers]
+                if service.name in self.separate_upstreams:
+                    groups.extend((service, region, data_centre, [name]) for name in names)
+                else:
+                    groups.append((service, region, data_centre, names))
+        return groups
+
+    def _start_upstreams(self, service, region: str, data_centre: str, names: list[str]) -> None:
+        arguments = [f"--instance={name}:{service.name}:0" for name in names]
+        arguments += [f"--slots={service.slots}", f"--connections={service.connections}"]
+        arguments.append(f"--service-ms={self.service_ms}")
+        title = names[0] if len(names) == 1 else f"{service.name}-{data_centre}"
+        module = "fireflyferry.standins.upstream_main"
+        program = self._start(title, module, arguments, len(names))
+        for ready in program.ready:
+            name = ready["upstream"]
+            self.upstreams[name] = program
+            self.vms[name] = VmEntry(
+                name, "upstream", region, data_centre, ready["address"], pool=service.name
+            )
+
+    def _entry_settings(self, vm_id: str, region: str, data_centre: str) -> str:
+        return f"""[vm]
+vm_id = {vm_id}
+region = {region}
+data_centre = {data_centre}
+address = 127.0.0.1
+public_port = 0
+peer_port = 0
+
+[store]
+address = {self.store_address}
+
+[secrets]
+current = {SECRET}
+
+[leases]
+{self.lease_lines}
+"""
--- a/fireflyferry/settings/model.py
+++ b/fireflyferry/settings/model.py
@@ -11,6 +11,7 @@
     Number,
     Secret,
     Text,
+    TextList,
     Whole,
     field,
 )
@@ -24,6 +25,7 @@
     "LimitSettings",
     "LogSettings",
     "OperatorSettings",
+    "PeerSettings",
     "SecretSettings",
     "StatsdSettings",
     "StoreSettings",
@@ -135,6 +137,15 @@
     time_s: float = field(Number(0, 3600), 30.0)
 
 
+@attrs.frozen
+class PeerSettings:
+    """Peer addresses to learn tables and groups from when the store does not answer at start."""
+
+    addresses: tuple[str, ...] = field(
+        TextList(Text(r"[0-9A-Fa-f.:\[\]]{3,60}", "IP:PORT"), 0, 16), ()
+    )
+
+
 @attrs.frozen
 class EntrySettings:
     """Settings of `fireflyferry-entry`."""
@@ -147,6 +158,7 @@
     statsd: StatsdSettings
     log: LogSettings
     drain: DrainSettings
+    peers: PeerSettings
 
 
 @attrs.frozen
