Serve requests from end to end on separate processes

A first run on loopback found four faults: the VM list was unpacked as a pair, the rendezvous key was hashed unencoded, a control loop that ended went unnoticed, and a relay that listed an empty store missed the changes between its listings. The entry program now ends with exit code 4 when its control loop fails, and a relay watches from the lowest listing.

--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -8,6 +8,7 @@
 from fireflyferry.edges.base import EdgeError
 from fireflyferry.entry.state import VM_LIST_OBJECT, VmState
 from fireflyferry.membership.roles import RELAYS_PER_DATA_CENTRE, relay_order
+from fireflyferry.messages import VmEntry
 from fireflyferry.messages.control import LOST_PREFIX
 
 __all__ = ["Feed"]
@@ -103,12 +104,11 @@
 
     async def _watch_store(self, since: int | None) -> int:
         if since is None:
-            sequence = 0
-            for prefix in WATCHED_PREFIXES:
-                batch = await self._store.list(prefix)
+            batches = [await self._store.list(prefix) for prefix in WATCHED_PREFIXES]
+            for batch in batches:
                 self.apply(batch)
-                sequence = batch.sequence if not sequence else min(sequence, batch.sequence)
-            return sequence
+            # Changes between the first and the last listing are in none of the later positions.
+            return min(batch.sequence for batch in batches)
         batch = await self._store.watch(WATCHED_PREFIXES, since, LONG_POLL_S)
         self.apply(batch)
         return batch.sequence
@@ -149,13 +149,18 @@
         while True:
             if self._is_relay():
                 try:
-                    version, entries = await self._vm_list.fetch()
-                    self._apply_vm_list(version, entries)
+                    self._apply_vm_list(await self._vm_list.fetch())
                 except EdgeError as error:
                     _LOG.warning("vm_list_failed", extra={"error": error.code})
             await asyncio.sleep(VM_LIST_INTERVAL_S)
 
-    def _apply_vm_list(self, version, entries) -> None:
+    def _apply_vm_list(self, entries: tuple[VmEntry, ...]) -> None:
+        """Store a changed list under the time of its arrival.
+
+        The platform's list has no version. Wall time orders the lists of two relays well enough,
+        because a list only names candidates for roles.
+        """
+        version = int(self._clock.wall_s() * 1000)
         stored = self._state.vm_list_object(version, entries)
         known = self._state.mirror.get(VM_LIST_OBJECT)
         if known is None or known.data != stored.data:
--- a/fireflyferry/entry/main.py
+++ b/fireflyferry/entry/main.py
@@ -43,11 +43,18 @@
 EXIT_DONE = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_NO_PORT = 3
+EXIT_FAILED = 4
 # Calls to upstreams and peers must end before the lease they renew does.
 CONTROL_TIMEOUT_S = 0.6
 INCARNATION_BYTES = 8
 
 
+class ControlFailedError(FireflyferryError):
+    """The control loop or the feed ended because of a fault."""
+
+    code = "control_failed"
+
+
 class EntryProgram:
     """Wires the parts of one entry VM together."""
 
@@ -131,7 +138,12 @@
             asyncio.ensure_future(self._control.run()),
             asyncio.ensure_future(self._feed.run()),
         ]
-        await self._stop.wait()
+        stopping = asyncio.ensure_future(self._stop.wait())
+        await asyncio.wait([stopping, *background], return_when=asyncio.FIRST_COMPLETED)
+        failed = [task.exception() for task in background if task.done()]
+        if failed:
+            # Without its control loop or feed this VM would keep connections it cannot serve.
+            raise ControlFailedError("the control loop ended") from failed[0]
         await self._finish(servers, background)
 
     def shut_down(self) -> None:
@@ -201,7 +213,8 @@
     parser = argparse.ArgumentParser(
         prog="fireflyferry-entry",
         description="Entry VM: routes requests to the owners of their keys.",
-        epilog="Exit codes: 0 stopped in good order, 2 bad settings, 3 a port is not free.",
+        epilog="Exit codes: 0 stopped in good order, 2 bad settings, 3 a port is not free, "
+        "4 an internal fault.",
     )
     parser.add_argument("--settings", required=True, metavar="FILE", help="INI file")
     parser.add_argument("--version", action="version", version=fireflyferry.__version__)
@@ -218,6 +231,9 @@
     except OSError as error:
         print(f"fireflyferry-entry: {error.strerror}", file=sys.stderr)
         return EXIT_NO_PORT
+    except ControlFailedError:
+        _LOG.exception("control_failed")
+        return EXIT_FAILED
     return EXIT_DONE
 
 
--- a/fireflyferry/membership/roles.py
+++ b/fireflyferry/membership/roles.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Iterable, Iterator
 
-import xxhash
-
 from fireflyferry.membership.vm_table import VmTable
 from fireflyferry.messages import GroupId, VmEntry
+from fireflyferry.placement import rendezvous_weight
 from fireflyferry.tables import Tables
 
 __all__ = ["groups_of", "preferred_leader", "preferred_standby", "relay_order"]
@@ -57,6 +56,4 @@
 
 
 def _ranked(rank_key: str, vms: Iterable[VmEntry]) -> list[VmEntry]:
-    return sorted(
-        vms, key=lambda vm: (xxhash.xxh3_64_intdigest(f"{rank_key}|{vm.vm_id}"), vm.vm_id)
-    )
+    return sorted(vms, key=lambda vm: (-rendezvous_weight(rank_key, vm.vm_id), vm.vm_id))
