--- a/fireflyferry/ownership/book.py
+++ b/fireflyferry/ownership/book.py
@@ -150,7 +150,8 @@
         """Return the unit that a key belongs to now."""
         own = key_unit(bucket, key)
         row = self._units.get(own)
-        return own if row is not None and row.split else bucket_unit(bucket)
+        apart = row is not None and (row.split or row.target is None)
+        return own if apart else bucket_unit(bucket)
 
     def responsive(self, now_s: float, upstream_id: str) -> bool:
         """Return whether an upstream answers."""
@@ -203,7 +204,8 @@
             self._remove_if_free(unit, row)
         elif row.holder is None and row.split and self._may_grant(unit, row):
             self._grant(unit, row)
-        if row.holder == row.target and row.split and unit not in self._claims:
+        settled = row.holder is not None and row.holder == row.target and row.split
+        if settled and unit not in self._claims:
             self._pending.pop(unit, None)
 
     # Guards
@@ -303,20 +305,24 @@
         upstream.unacked[bucket] = self._upstreams.touch(upstream)
 
     def _remove_if_free(self, unit: str, row: UnitRow) -> None:
-        if row.split and (row.holder is not None or unit in self._claims):
+        """Remove an unwanted unit; a key first goes back to its bucket."""
+        if row.split and (row.holder or unit in self._claims or not self._is_saved(row)):
             return
-        if row.split and not self._is_saved(row):
-            return
-        if row.key is None and self._keys.get(unit):
+        if self._keys.get(unit):
             return
+        bucket = self._units.get(row.bucket) if row.key is not None else None
+        if bucket is not None and bucket.holder is not None:
+            if row.split:
+                row.split = False
+                self._regrant(row.bucket)
+            # The key stays apart until its bucket's holder has accepted it.
+            if row.bucket in self._upstreams.rows[bucket.holder].unacked:
+                return
         del self._units[unit]
         self._pending.pop(unit, None)
         self._saves.unsaved.pop(unit, None)
         if row.key is not None:
             del self._keys[row.bucket][unit]
-            bucket = self._units.get(row.bucket)
-            if row.split and bucket is not None and bucket.holder is not None:
-                self._regrant(row.bucket)
 
     def _retarget(self, unit: str, target: str | None) -> None:
         row = self._units[unit]
@@ -357,7 +363,7 @@
     def _releasing(self, unit: str) -> tuple[str, ...]:
         """Return the upstreams besides the target that may hold a unit under this save."""
         row = self._units.get(unit)
-        if row is None:
+        if row is None or (not row.split and row.target is None):
             return ()
         names = {row.holder, *self._claims.get(unit, ())}
         if not row.split and (bucket := self._units.get(row.bucket)) is not None:
--- /dev/null
+++ b/fireflyferry/ownership/tests/mutants.py
@@ -0,0 +1,191 @@
+"""GrantBook with one guard removed each, and the seed of a run that must fail without it."""
+
+from fireflyferry.leases import LeaseTiming
+from fireflyferry.ownership import GrantBook
+from fireflyferry.ownership.forwards import ForwardCounter
+from fireflyferry.ownership.tests.world import FAULTS, REQUEST_FAULTS
+from fireflyferry.ownership.upstreams import UpstreamTable
+
+__all__ = ["MUTANTS"]
+
+
+class FenceReused(GrantBook):
+    def _next_fence(self):
+        return self._term << 32 | 1
+
+
+class FenceWithoutTerm(GrantBook):
+    def _next_fence(self):
+        return super()._next_fence() & 0xFFFFFFFF
+
+
+class SaveSkipped(GrantBook):
+    def _is_saved(self, row):
+        return True
+
+
+class ReleasingNotSaved(GrantBook):
+    def _releasing(self, unit):
+        return ()
+
+
+class ReleasingNotLoaded(GrantBook):
+    def _keep_claim(self, unit, upstream_id):
+        if unit not in self._units:
+            super()._keep_claim(unit, upstream_id)
+
+
+class GrantedBeforeRelease(GrantBook):
+    def _may_grant(self, unit, row):
+        return self._is_saved(row) and row.target in self._upstreams.rows
+
+
+class OlderSetAcknowledged(GrantBook):
+    def _has_ended(self, now_s, unit, upstream_id, claim):
+        acked = self._upstreams.rows.get(upstream_id)
+        return bool(acked and acked.acked_version) or super()._has_ended(
+            now_s, unit, upstream_id, claim
+        )
+
+
+class EndedEarly(GrantBook):
+    def _has_ended(self, now_s, unit, upstream_id, claim):
+        return super()._has_ended(now_s + 0.1, unit, upstream_id, claim)
+
+
+class UncheckedEndsWithTime(GrantBook):
+    def _has_ended(self, now_s, unit, upstream_id, claim):
+        return now_s >= claim.until_s or super()._has_ended(now_s, unit, upstream_id, claim)
+
+
+class BusyIgnored(GrantBook):
+    def _is_busy(self, upstream, unit):
+        return self._forwards.is_running(upstream.upstream_id, unit, self._units[unit])
+
+
+class ForwardsIgnored(GrantBook):
+    def __init__(self, group, timing):
+        super().__init__(group, timing)
+        self._forwards.is_running = lambda upstream_id, unit, row: False
+
+
+class NoForwardUnderBucket(GrantBook):
+    def __init__(self, group, timing):
+        super().__init__(group, timing)
+        running = ForwardCounter.is_running
+        self._forwards.is_running = lambda upstream_id, unit, row: running(
+            self._forwards, upstream_id, unit, type(row)("none", None)
+        )
+
+
+class PinIgnored(GrantBook):
+    def _is_pinned(self, upstream_id):
+        return False
+
+
+class PreviousGrantsIgnored(GrantBook):
+    def begin_term(self, now_s, term, saved, previous_grants_until_s=None, stopped=False):
+        super().begin_term(now_s, term, saved, None, stopped)
+
+
+class SplitWithoutRelease(GrantBook):
+    def _split(self, unit, row):
+        row.split = True
+
+
+class MergedTooEarly(GrantBook):
+    def _has_ended(self, now_s, unit, upstream_id, claim):
+        merged = self._units[unit].key is not None and self._units[unit].target is None
+        return merged or super()._has_ended(now_s, unit, upstream_id, claim)
+
+
+class OwnersNotLoaded(GrantBook):
+    def begin_term(self, now_s, term, saved, previous_grants_until_s=None, stopped=False):
+        super().begin_term(now_s, term, None, previous_grants_until_s, stopped)
+
+
+class _FirstReadingTable(UpstreamTable):
+    def grant_end_s(self, row, length_s):
+        return row.token_after_s + self.timing.shortened(length_s) - 0.1
+
+
+class _LatestEndTable(UpstreamTable):
+    def on_reply(self, now_s, sent_at_s, term, reply):
+        row = self.rows.get(reply.upstream_id)
+        before_s = row.usable_until_s if row else 0.0
+        full = super().on_reply(now_s, sent_at_s, term, reply)
+        if row:
+            row.usable_until_s = max(row.usable_until_s, before_s)
+        return full
+
+
+class _TokenArrivalTable(UpstreamTable):
+    def _take_token(self, now_s, row, sent_at_s, token):
+        super()._take_token(now_s, row, now_s, token)
+
+
+class _RenewalAcknowledgesTable(UpstreamTable):
+    def on_reply(self, now_s, sent_at_s, term, reply):
+        full = super().on_reply(now_s, sent_at_s, term, reply)
+        if reply.accepted and reply.term == term and reply.upstream_id in self.rows:
+            self.rows[reply.upstream_id].acked_version = reply.set_version
+        return full
+
+
+class _VersionReusedTable(UpstreamTable):
+    def touch(self, row):
+        row.version = max(1, row.version)
+        row.changed = True
+        return row.version
+
+
+def _with_table(name, table):
+    def __init__(self, group, timing):  # noqa: N807
+        GrantBook.__init__(self, group, timing)
+        self._upstreams = table(timing)
+
+    return type(name, (GrantBook,), {"__init__": __init__})
+
+
+class _UnlimitedTiming(LeaseTiming):
+    def grant_length_s(self, now_s, authority_until_s):
+        return self.grant_s
+
+
+class LongerThanAuthority(GrantBook):
+    def __init__(self, group, timing):
+        super().__init__(group, _UnlimitedTiming())
+
+
+GrantEndFromFirstReading = _with_table("GrantEndFromFirstReading", _FirstReadingTable)
+UsableUntilLatestEnd = _with_table("UsableUntilLatestEnd", _LatestEndTable)
+UsableFromTokenArrival = _with_table("UsableFromTokenArrival", _TokenArrivalTable)
+RenewalAcknowledges = _with_table("RenewalAcknowledges", _RenewalAcknowledgesTable)
+VersionReused = _with_table("VersionReused", _VersionReusedTable)
+
+# Class, seed of `run_random`, faults, and what the failure says.
+MUTANTS = (
+    (FenceReused, 0, FAULTS, "fence of"),
+    (FenceWithoutTerm, 2, FAULTS, "fence of"),
+    (SaveSkipped, 0, FAULTS, "not saved"),
+    (ReleasingNotSaved, 2, FAULTS, "not saved"),
+    (ReleasingNotLoaded, 2, FAULTS, "is held by"),
+    (OwnersNotLoaded, 0, FAULTS, "were not kept"),
+    (GrantedBeforeRelease, 2, FAULTS, "is held by"),
+    (OlderSetAcknowledged, 5, FAULTS, "is held by"),
+    (EndedEarly, 9, FAULTS, "is held by"),
+    (UncheckedEndsWithTime, 2, FAULTS, "is held by"),
+    (BusyIgnored, 4, REQUEST_FAULTS, "is held by"),
+    (ForwardsIgnored, 0, REQUEST_FAULTS, "is held by"),
+    (NoForwardUnderBucket, 24, REQUEST_FAULTS, "is held by"),
+    (PinIgnored, 4, REQUEST_FAULTS, "is held by"),
+    (PreviousGrantsIgnored, 79, FAULTS, "is held by"),
+    (SplitWithoutRelease, 4, FAULTS, "is held by"),
+    (MergedTooEarly, 73, FAULTS, "is held by"),
+    (LongerThanAuthority, 293, FAULTS, "is held by"),
+    (GrantEndFromFirstReading, 9, FAULTS, "is held by"),
+    (UsableUntilLatestEnd, 29, FAULTS, "may not be forwarded"),
+    (UsableFromTokenArrival, 20, FAULTS, "may not be forwarded"),
+    (RenewalAcknowledges, 10, FAULTS, "owners when quiet"),
+    (VersionReused, 0, FAULTS, "owners when quiet"),
+)
--- /dev/null
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -0,0 +1,157 @@
+"""Guards against two upstreams holding a key, lost owners, and units that stay unserved."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from fireflyferry.leases import LeaseTiming
+from fireflyferry.messages import GrantReply, OwnerSet
+from fireflyferry.ownership import GrantBook, Owner
+from fireflyferry.ownership.tests.mutants import MUTANTS
+from fireflyferry.ownership.tests.world import (
+    BUCKETS,
+    FAULTS,
+    GROUP,
+    UPSTREAMS,
+    ViolationError,
+    World,
+    apply,
+    run_random,
+)
+from fireflyferry.telemetry.reasons import Reason
+
+
+class GrantBookMachine(RuleBasedStateMachine):
+    """Guards all invariants of `World` under faults in combination."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        self.world = World(seed)
+        self.world.run(1.0)
+
+    @rule(
+        fault=st.sampled_from(FAULTS),
+        name=st.sampled_from(sorted(UPSTREAMS)),
+        bucket=st.integers(0, BUCKETS - 1),
+        amount=st.floats(0, 1),
+    )
+    def fault(self, fault, name, bucket, amount):
+        apply(self.world, fault, name, bucket, amount)
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.settle()
+
+
+TestGrantBookMachine = GrantBookMachine.TestCase
+
+
+@pytest.mark.parametrize(("mutant", "seed", "faults", "failure"), MUTANTS)
+def test_removed_guard_is_noticed(mutant, seed, faults, failure):
+    """Guards against a guard that no invariant of the world depends on."""
+    run_random(seed, faults=faults)
+    with pytest.raises(ViolationError, match=failure):
+        run_random(seed, faults=faults, book_class=mutant)
+
+
+def _quiet_world(**owners):
+    world = World(0)
+    world.naive.update({f"b:{b}": owners.get(f"b{b}", "u0") for b in range(BUCKETS)})
+    world._desire()
+    world.settle(3.0)
+    return world
+
+
+def _time_until_owned(world, unit, name):
+    start_s = world.now_s
+    while getattr(world.book.owner(world.leader_s, unit), "upstream_id", "") != name:
+        world.run(0.05)
+        assert world.now_s - start_s < 10
+    return world.now_s - start_s
+
+
+def test_units_of_a_lost_upstream_are_served_within_1_7_s():
+    """Guards against a detection or save that takes longer than the design page says."""
+    world = _quiet_world(b0="u0")
+    world.nodes["u0"].cut = True
+    start_s = world.now_s
+    while not world.book.lost(world.leader_s, "u0"):
+        world.run(0.05)
+    world.move("b:0", "u1")
+    _time_until_owned(world, "b:0", "u1")
+    assert world.now_s - start_s <= 1.7
+
+
+def test_upstream_without_checks_keeps_its_units_until_it_is_gone():
+    """Guards against elapsed time as proof that an upstream without checks has stopped."""
+    world = _quiet_world(b0="n0")
+    world.nodes["n0"].frozen = True
+    world.move("b:0", "u1")
+    world.run(20.0)
+    assert world.book.owner(world.leader_s, "b:0") is Reason.OWNER_HELD
+    assert not world.book.lost(world.leader_s, "n0")
+    world.replace("n0")
+    assert _time_until_owned(world, "b:0", "u1") < 1.0
+
+
+def test_unit_stays_while_its_next_owner_does_not_answer():
+    """Guards against a release that leaves a unit with no upstream to go to."""
+    world = _quiet_world(b0="u0")
+    world.nodes["u1"].frozen = True
+    world.run(2.0)
+    world.move("b:0", "u1")
+    world.run(5.0)
+    assert world.book.owner(world.leader_s, "b:0").upstream_id == "u0"
+
+
+def test_leader_change_keeps_units_without_checks_served_and_in_place():
+    """Guards against a delayed forward of the earlier leader that runs beside the next owner."""
+    world = _quiet_world(b0="n0")
+    world.takeover(resign=False)
+    world.run(1.0)
+    assert world.book.owner(world.leader_s, "b:0").upstream_id == "n0"
+    world.move("b:0", "u1")
+    world.run(10.0)
+    assert world.book.owner(world.leader_s, "b:0").upstream_id == "n0"
+    world.earlier_leaders_stopped()
+    assert _time_until_owned(world, "b:0", "u1") < 1.5
+
+
+def test_no_owner_and_no_message_without_authority():
+    """Guards against forwards and grants by a leader whose authority has ended."""
+    world = _quiet_world(b0="u0")
+    assert isinstance(world.book.owner(world.leader_s, "b:0"), Owner)
+    assert world.book.tick(world.leader_s, world.leader_s) == []
+    assert world.book.owner(world.leader_s, "b:0") is Reason.OWNER_UNAVAILABLE
+
+
+def test_reply_of_another_upstream_or_unknown_message_is_ignored():
+    """Guards against a crossed answer that is taken for an acknowledgement."""
+    book = GrantBook(GROUP, LeaseTiming())
+    book.begin_term(0.0, 1, OwnerSet(GROUP, 0, 1, {"b:0": "u0"}))
+    sent = book.tick(0.0, 1.2)
+    reply = GrantReply("u1", "t", True, 1, 1)
+    book.on_grant_reply(0.1, "u0", 0.0, reply)
+    book.on_grant_reply(0.1, "u0", 0.05, GrantReply("u0", "t", True, 1, 1))
+    assert len(sent) == 2
+    assert book.owner(0.1, "b:0") is Reason.OWNER_UNAVAILABLE
+
+
+def test_term_must_rise():
+    """Guards against fences that are used again under the same term."""
+    book = GrantBook(GROUP, LeaseTiming())
+    book.begin_term(0.0, 2, None)
+    with pytest.raises(ValueError, match="term 2 is not above 2"):
+        book.begin_term(0.0, 2, None)
+
+
+def test_same_leader_keeps_claims_in_a_new_term():
+    """Guards against a raised term that forgets what upstreams hold under the earlier one."""
+    world = _quiet_world(b0="u0")
+    world.nodes["u0"].cut = True
+    saved = OwnerSet(GROUP, 1, 99, {"b:0": "u1", "b:1": "u0", "b:2": "u0"})
+    world.book.begin_term(world.leader_s, 2, saved, None, True)
+    world.store, world.term = saved, 2
+    world.book.tick(world.leader_s, world.leader_s + 1.0)
+    assert world.book._claims["b:0"].keys() >= {"u0"}
+    assert world.book.owner(world.leader_s, "b:0") is Reason.OWNER_UNAVAILABLE
--- a/fireflyferry/ownership/upstreams.py
+++ b/fireflyferry/ownership/upstreams.py
@@ -125,8 +125,8 @@
             row.acked_version = sent.version
         if sent.version == row.acked_version:
             row.busy = frozenset(reply.busy)
-            usable_until_s = sent.token_after_s + self.timing.shortened(sent.length_s)
-            row.usable_until_s = max(row.usable_until_s, usable_until_s)
+            # Not the latest end of all messages: units that this message added end with it.
+            row.usable_until_s = sent.token_after_s + self.timing.shortened(sent.length_s)
         return sent.full
 
     def _refused(self, now_s: float, row: UpstreamRow, sent: SentGrant, reply: GrantReply) -> None:
