--- a/fireflyferry/standins/platform_main.py
+++ b/fireflyferry/standins/platform_main.py
@@ -10,7 +10,15 @@
 from fireflyferry.messages import VmEntry, decode
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.standins.platform_server import Platform, make_application
-from fireflyferry.standins.program import ProgramError, bind, make_parser, ready, run_program
+from fireflyferry.standins.program import (
+    ProgramError,
+    bind,
+    make_parser,
+    non_negative,
+    port_number,
+    ready,
+    run_program,
+)
 
 __all__ = ["main"]
 
@@ -21,9 +29,9 @@
     """Run the program and return its exit code."""
     parser = make_parser(NAME, "Stand-in for the platform: object store and VM list.")
     parser.add_argument("--address", default="127.0.0.1", help="IP address to listen on")
-    parser.add_argument("--port", type=int, default=0, help="port; 0 picks a free one")
+    parser.add_argument("--port", type=port_number, default=0, help="port; 0 picks a free one")
     parser.add_argument("--vms", metavar="FILE", help='VM list: {"vms": [{"vm_id": ...}]}')
-    parser.add_argument("--vms-lag-s", type=float, default=0.0, help="lag of the VM list")
+    parser.add_argument("--vms-lag-s", type=non_negative, default=0.0, help="lag of the VM list")
     return run_program(NAME, _start, parser.parse_args(argv))
 
 
--- a/fireflyferry/standins/platform_server.py
+++ b/fireflyferry/standins/platform_server.py
@@ -212,8 +212,12 @@
         except MessageError as error:
             self.send_error_text(400, str(error))
             return
-        lag_s = self.get_query_argument("lag_s", None)
-        self._platform.vms.replace(time.monotonic(), vms, None if lag_s is None else float(lag_s))
+        lag_text = self.get_query_argument("lag_s", None)
+        try:
+            lag_s = None if lag_text is None else float(lag_text)
+        except ValueError:
+            raise tornado.web.HTTPError(400, reason="lag_s is not a number") from None
+        self._platform.vms.replace(time.monotonic(), vms, lag_s)
         self.send_json(encode(VmListBody(vms)))
 
     def _visible(self) -> tuple[VmEntry, ...]:
--- a/fireflyferry/standins/program.py
+++ b/fireflyferry/standins/program.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import math
 import signal
 import sys
 from importlib import metadata
@@ -10,7 +11,17 @@
 
 from fireflyferry.errors import FireflyferryError
 
-__all__ = ["EXIT_CODES", "ProgramError", "bind", "make_parser", "ready", "run_program"]
+__all__ = [
+    "EXIT_CODES",
+    "ProgramError",
+    "bind",
+    "make_parser",
+    "non_negative",
+    "port_number",
+    "positive_int",
+    "ready",
+    "run_program",
+]
 
 EXIT_CODES = """\
 exit codes:
@@ -44,6 +55,31 @@
     return parser
 
 
+def port_number(text: str) -> int:
+    """Parse a port; getaddrinfo would take 99999 for port 34463."""
+    if not text.isdecimal() or int(text) > 65_535:
+        raise argparse.ArgumentTypeError(f"{text!r} is not a port from 0 to 65535")
+    return int(text)
+
+
+def positive_int(text: str) -> int:
+    """Parse a whole number from 1."""
+    if not text.isdecimal() or int(text) < 1:
+        raise argparse.ArgumentTypeError(f"{text!r} is not a whole number from 1")
+    return int(text)
+
+
+def non_negative(text: str) -> float:
+    """Parse a finite number from 0."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not (math.isfinite(value) and value >= 0):
+        raise argparse.ArgumentTypeError(f"{text!r} is not a number from 0")
+    return value
+
+
 def bind(address: str, port: int) -> list:
     """Bind listening sockets; port 0 picks a free one.
 
@@ -51,7 +87,7 @@
     """
     try:
         return tornado.netutil.bind_sockets(port, address, backlog=1024)
-    except (OSError, OverflowError) as error:
+    except OSError as error:
         raise ProgramError(f"cannot listen on {address}:{port}: {error}", 3) from error
 
 
--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -30,6 +30,7 @@
     service_ms: float | None
     size_bytes: int
     chunked: bool
+    body_bytes: int
 
 
 def first_line(upstream_id: str, request: DataRequest) -> bytes:
@@ -40,6 +41,7 @@
         "upstream_id": upstream_id,
         "unit": request.unit,
         "fence": request.fence,
+        "body_bytes": request.body_bytes,
     }
     return orjson.dumps(fields) + b"\n"
 
@@ -103,6 +105,7 @@
                 None if service_ms is None else float(service_ms),
                 min(int(self.get_query_argument("size_bytes", "0")), MAX_ANSWER_BYTES),
                 self.get_query_argument("chunked", "0") == "1",
+                len(self.request.body),
             )
         except ValueError as error:
             raise tornado.web.HTTPError(400, reason="header or parameter: no number") from error
--- a/fireflyferry/standins/upstream_instance.py
+++ b/fireflyferry/standins/upstream_instance.py
@@ -121,7 +121,9 @@
         now_s = time.monotonic()
         reply = self.holder.accept(now_s, message)
         if reply.accepted:
-            until_s = _token_reading_s(message.token) + message.length_s if self.checks() else None
+            until_s = None
+            if self.holder.checks:
+                until_s = _token_reading_s(message.token) + message.length_s
             self.ownership.on_accepted(now_s, message, until_s)
         return reply
 
--- a/fireflyferry/standins/upstream_main.py
+++ b/fireflyferry/standins/upstream_main.py
@@ -5,7 +5,16 @@
 
 import attrs
 
-from fireflyferry.standins.program import ProgramError, bind, make_parser, ready, run_program
+from fireflyferry.standins.program import (
+    ProgramError,
+    bind,
+    make_parser,
+    non_negative,
+    port_number,
+    positive_int,
+    ready,
+    run_program,
+)
 from fireflyferry.standins.upstream_instance import InstanceSettings, UpstreamInstance
 from fireflyferry.standins.upstream_server import make_server
 
@@ -26,14 +35,24 @@
         required=True,
         help="an instance; port 0 picks a free one; may be repeated",
     )
-    add("--slots", type=int, default=2, help="requests run at once")
-    add("--connections", type=int, default=130, help="limit of connections")
+    add("--slots", type=positive_int, default=2, help="requests run at once")
+    add("--connections", type=positive_int, default=130, help="limit of connections")
     add("--waiting", type=int, default=16, help="requests that wait for a slot before shedding")
     add("--checks", choices=("grants", "none"), default="grants", help="what is checked")
-    add("--service-ms", type=float, default=5.0, help="mean service time")
-    add("--jitter", type=float, default=0.2, help="share by which the service time varies")
-    add("--cold-s", type=float, default=0.0, help="time after the start during which it is slow")
-    add("--cold-factor", type=float, default=5.0, help="factor of the service time while cold")
+    add("--service-ms", type=non_negative, default=5.0, help="mean service time")
+    add("--jitter", type=non_negative, default=0.2, help="share by which the service time varies")
+    add(
+        "--cold-s",
+        type=non_negative,
+        default=0.0,
+        help="time after the start during which it is slow",
+    )
+    add(
+        "--cold-factor",
+        type=non_negative,
+        default=5.0,
+        help="factor of the service time while cold",
+    )
     add("--seed", type=int, default=1, help="seed of the service times")
     return run_program(NAME, _start, parser.parse_args(argv))
 
@@ -48,11 +67,15 @@
 
 def _parse_instance(text: str, arguments: argparse.Namespace) -> tuple[InstanceSettings, int]:
     parts = text.split(":")
-    if len(parts) != 3 or not parts[2].isdecimal() or int(parts[2]) > 65_535:
+    if len(parts) != 3 or not all(parts):
         raise ProgramError(f"--instance {text!r} is not of the form ID:POOL:PORT")
+    try:
+        port = port_number(parts[2])
+    except argparse.ArgumentTypeError as error:
+        raise ProgramError(f"--instance {text!r}: {error}") from error
     names = {field.name for field in attrs.fields(InstanceSettings)}
     options = {name: value for name, value in vars(arguments).items() if name in names}
-    return InstanceSettings(upstream_id=parts[0], pool=parts[1], **options), int(parts[2])
+    return InstanceSettings(upstream_id=parts[0], pool=parts[1], **options), port
 
 
 if __name__ == "__main__":
--- a/fireflyferry/standins/upstream_ownership.py
+++ b/fireflyferry/standins/upstream_ownership.py
@@ -29,10 +29,15 @@
     def __init__(self, upstream_id: str, max_closed: int = 100_000) -> None:
         self._upstream_id = upstream_id
         self._open: dict[tuple[str, str], Holding] = {}
+        self._positions: dict[str, tuple[int, int]] = {}
         self._closed: collections.deque[Holding] = collections.deque(maxlen=max_closed)
 
     def on_accepted(self, now_s: float, message: GrantMessage, until_s: float | None) -> None:
         """Note an accepted message whose units may be served until a time; None: no limit."""
+        position = message.term, message.set_version
+        if position < self._positions.get(message.group, position):
+            return  # accepted without effect by an upstream that checks nothing
+        self._positions[message.group] = position
         grants = message.units
         if grants is None:
             grants = tuple(
@@ -49,6 +54,14 @@
         """Return all holdings known, the closed ones first."""
         return (*self._closed, *self._open.values())
 
+    def held_units(self, now_s: float) -> dict[str, int]:
+        """Return units held now with their fences."""
+        return {
+            it.unit: it.fence
+            for it in self._open.values()
+            if it.until_s is None or now_s < it.until_s
+        }
+
     def _release(self, now_s: float, group: str, kept: set[str]) -> None:
         for name, holding in list(self._open.items()):
             if holding.group == group and holding.unit not in kept:
