--- a/fireflyferry/entry/exchange.py
+++ b/fireflyferry/entry/exchange.py
@@ -89,6 +89,8 @@
 
     def on_connection_close(self) -> None:
         """Cancel the work for a sender that is gone."""
+        if self._closed:
+            return
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
--- a/fireflyferry/entry/first_hop.py
+++ b/fireflyferry/entry/first_hop.py
@@ -6,7 +6,7 @@
 
 from fireflyferry.edges import Clock
 from fireflyferry.entry.calls import Call
-from fireflyferry.entry.interfaces import Location, Locator
+from fireflyferry.entry.interfaces import Locator
 from fireflyferry.entry.last_hop import LastHop
 from fireflyferry.entry.limits import RequestLimits
 from fireflyferry.entry.remote import RemoteHop
@@ -35,37 +35,54 @@
     async def run(self, call: Call, pool: Pool, sink: AnswerSink) -> Verdict:
         """Handle a request with its retries; on an answer, the sink is finished."""
         budget = self._budget(pool)
+        may_have_run: Verdict | None = None
         hint: Verdict | None = None
-        redirected = False
         while True:
-            verdict = await self._attempt(call, pool, sink, hint)
+            verdict, seen_term = await self._attempt(call, pool, sink, hint)
             if verdict.outcome is Outcome.ANSWERED:
                 budget.on_success()
                 return verdict
-            if sink.started or not may_retry(verdict, call.idempotent):
-                return verdict
-            hint = verdict if verdict.leader_address and not redirected else None
-            if not self._rewind(call) or call.attempt >= self._limits.max_attempts:
-                return verdict
-            if hint is not None:
-                redirected = True
-            elif not budget.try_spend() or not await self._wait(call):
-                return verdict
+            if verdict.outcome is Outcome.UNKNOWN:
+                may_have_run = verdict
+            redirect = hint is None and verdict.leader_term > seen_term
+            hint = verdict if redirect else None
+            if not self._repeatable(call, verdict, sink) or not (
+                redirect or (budget.try_spend() and await self._wait(call))
+            ):
+                # A refusal of the last attempt says nothing about an earlier one.
+                return may_have_run or verdict
             call.attempt += 1
             self._statistics.retried(verdict)
 
+    def _repeatable(self, call: Call, verdict: Verdict, sink: AnswerSink) -> bool:
+        return (
+            not sink.started
+            and may_retry(verdict, call.idempotent)
+            and call.attempt < self._limits.max_attempts
+            and (call.body is None or call.body.rewind())
+        )
+
     async def _attempt(
         self, call: Call, pool: Pool, sink: AnswerSink, hint: Verdict | None
-    ) -> Verdict:
+    ) -> tuple[Verdict, int]:
+        """Make one attempt; returns its result and the leader's term as seen here."""
         if self._clock.monotonic_s() >= call.deadline_s:
-            return Verdict(Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT)
+            return Verdict(Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT), 0
         location = self._locator.locate(call.pool, call.key)
         if isinstance(location, Reason):
-            return Verdict(Outcome.NOT_RUN, location)
-        location = _redirected(location, hint)
+            return Verdict(Outcome.NOT_RUN, location), 0
+        if hint is not None and hint.leader_term > location.term:
+            location = attrs.evolve(
+                location,
+                leader_address=hint.leader_address,
+                term=hint.leader_term,
+                local=False,
+            )
         if location.local:
-            return await self._last_hop.run(call, location, pool, sink)
-        return await self._remote.run(call, location, sink)
+            verdict = await self._last_hop.run(call, location, pool, sink)
+        else:
+            verdict = await self._remote.run(call, location, sink)
+        return verdict, location.term
 
     async def _wait(self, call: Call) -> bool:
         """Back off before a retry; False when the deadline would pass meanwhile."""
@@ -75,9 +92,6 @@
         await asyncio.sleep(delay_s)
         return True
 
-    def _rewind(self, call: Call) -> bool:
-        return call.body is None or call.body.rewind()
-
     def _budget(self, pool: Pool) -> RetryBudget:
         budget = self._budgets.get(pool.name)
         if budget is None:
@@ -85,12 +99,3 @@
             self._budgets[pool.name] = budget
         budget.share = pool.retry_share
         return budget
-
-
-def _redirected(location: Location, hint: Verdict | None) -> Location:
-    """Prefer the leader that a last hop named, if its term is newer than the one seen here."""
-    if hint is None or hint.leader_term <= location.term:
-        return location
-    return attrs.evolve(
-        location, leader_address=hint.leader_address, term=hint.leader_term, local=False
-    )
--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -1,7 +1,6 @@
 """Last hop: request ids, admission, authority check and forwarding to the owner."""
 
 import asyncio
-import contextlib
 import logging
 
 import attrs
@@ -170,15 +169,20 @@
         task.add_done_callback(self._cleanups.discard)
 
     async def _cancel(self, call: Call, location: Location, target: UpstreamTarget) -> None:
-        """Stop work that nobody waits for, and only then free its slot."""
+        """Stop work that nobody waits for, and only then free its slot.
+
+        An upstream that does not confirm keeps the slot until the deadline, at which it stops.
+        """
         try:
-            with contextlib.suppress(UpstreamUnavailableError):
-                await asyncio.wait_for(
-                    self._control.cancel(target.address, call.request_id),
-                    self._limits.cancel_wait_s,
-                )
-        except TimeoutError:
-            logger.info("cancellation not confirmed", extra={"upstream": target.upstream_id})
+            await asyncio.wait_for(
+                self._control.cancel(target.address, call.request_id), self._limits.cancel_wait_s
+            )
+        except (TimeoutError, UpstreamUnavailableError) as error:
+            logger.info(
+                "cancellation not confirmed",
+                extra={"upstream": target.upstream_id, "error": repr(error)},
+            )
+            await asyncio.sleep(max(0.0, call.deadline_s - self._clock.monotonic_s()))
         finally:
             self._free(target, location, None)
 
--- a/fireflyferry/entry/tests/support.py
+++ b/fireflyferry/entry/tests/support.py
@@ -289,6 +289,8 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return Reply(0, {}, b"", False)
+    if head[0].split()[1] == "100":
+        return await read_reply(reader, method)
     headers = {}
     for line in head[1:-2]:
         name, _, value = line.partition(":")
@@ -303,5 +305,5 @@
             while size := int(await reader.readuntil(b"\r\n"), 16):
                 body += (await reader.readexactly(size + 2))[:-2]
     except (asyncio.IncompleteReadError, ConnectionError) as error:
-        body, complete = getattr(error, "partial", b""), False
+        body, complete = body + getattr(error, "partial", b""), False
     return Reply(int(head[0].split()[1]), headers, body, complete)
--- a/fireflyferry/entry/transport.py
+++ b/fireflyferry/entry/transport.py
@@ -23,6 +23,7 @@
     pycurl.HTTP_VERSION: pycurl.CURL_HTTP_VERSION_1_1,  # no upgrade, which repeats a request
     pycurl.HTTP09_ALLOWED: 0,  # a body without a head has no id to compare
     pycurl.PATH_AS_IS: 1,  # the upstream sees the path that the route matched
+    pycurl.USERAGENT: "",  # callers set their own
     pycurl.NOSIGNAL: 1,
     pycurl.TCP_NODELAY: 1,
     pycurl.BUFFERSIZE: 65_536,
@@ -186,7 +187,7 @@
         curl.setopt(pycurl.URL, f"http://{exchange.address}/")
         curl.setopt(pycurl.REQUEST_TARGET, exchange.target.encode("latin-1"))
         curl.setopt(pycurl.HTTPHEADER, _header_lines(exchange.headers))
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(exchange.timeout_s * 1000)))
+        curl.setopt(pycurl.TIMEOUT_MS, timeout_ms(exchange.timeout_s))
         # curl sends a request again when a reused connection closes before the first byte.
         curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh))
         curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh))
@@ -261,6 +262,11 @@
         return data
 
 
+def timeout_ms(timeout_s: float) -> int:
+    """Return curl's time limit of a transfer, for which 0 would mean none."""
+    return max(1, int(timeout_s * 1000))
+
+
 def _header_lines(headers: HeaderList) -> list[bytes]:
     """Format headers for curl, which takes `Name;` for an empty value and drops `Name:`."""
     lines = [f"{n}: {v}".encode("latin-1") if v else f"{n};".encode("latin-1") for n, v in headers]
