--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -17,7 +17,7 @@
 from fireflyferry.entry.seen_ids import SeenIds
 from fireflyferry.entry.sinks import AnswerSink, RecordingSink
 from fireflyferry.entry.slots import SlotGate
-from fireflyferry.entry.transport import CurlTransport, Exchange, TransferResult
+from fireflyferry.entry.transport import CurlTransport, Exchange
 from fireflyferry.retries import (
     BadRequestIdError,
     Done,
@@ -143,11 +143,10 @@
             may_send=lambda: self._owners.may_forward(self._clock.monotonic_s(), location.group),
         )
         exchange = self._exchange(call, location, target, call.deadline_s - started_s)
-        result: TransferResult | None = None
+        verdict = Verdict(Outcome.UNKNOWN)
         try:
-            result = await self._transport.run(exchange, receiver)
+            verdict = receiver.verdict(await self._transport.run(exchange, receiver))
         finally:
-            verdict = Verdict(Outcome.UNKNOWN) if result is None else receiver.verdict(result)
             self._settle(call, location, target, verdict, self._clock.monotonic_s() - started_s)
         return verdict
 
--- a/fireflyferry/entry/tests/support.py
+++ b/fireflyferry/entry/tests/support.py
@@ -1,4 +1,4 @@
-"""Two entry VMs and a scripted upstream in one process."""
+"""Three entry VMs and a scripted upstream in one process."""
 
 import asyncio
 import contextlib
@@ -25,6 +25,7 @@
 from fireflyferry.tables import Pool, Route, Tables
 from fireflyferry.telemetry import Reason
 
+VMS = 3
 GROUP = GroupId("janela", "natal-1", 0)
 POOL = Pool("janela", ("natal-1",), buckets=64, tenants={"antenna": 1, "fishing": 1})
 TABLES = Tables(
@@ -38,11 +39,13 @@
 
 
 class SystemClock(Clock):
+    wall_shift_s = 0.0
+
     def monotonic_s(self):
         return time.monotonic()
 
     def wall_s(self):
-        return time.time()
+        return time.time() + self.wall_shift_s
 
 
 class NoMetrics(Metrics):
@@ -82,13 +85,13 @@
 
 @attrs.define(eq=False)
 class Cluster(TablesSource):
-    """The shared truth that both VMs see: leader, owner and tables."""
+    """The shared truth that all VMs see: leader, owner and tables."""
 
     tables: Tables | None = TABLES
     leader: int = 0
     term: int = 1
-    peer_addresses: list[str] = attrs.field(factory=lambda: ["", ""])
-    public_ports: list[int] = attrs.field(factory=lambda: [0, 0])
+    peer_addresses: list[str] = attrs.field(factory=lambda: [""] * VMS)
+    public_ports: list[int] = attrs.field(factory=lambda: [0] * VMS)
     target: UpstreamTarget | Reason = Reason.OWNER_UNAVAILABLE
     may_forward: bool = True
     seen_leader: dict[int, int] = attrs.field(factory=dict)
@@ -125,18 +128,19 @@
 
 
 @contextlib.asynccontextmanager
-async def two_vms(upstream_port, slots=2, limits=None, tables=TABLES):
-    """Start two entry VMs that forward to one upstream port; VM 0 leads."""
+async def entry_vms(upstream_port, slots=2, limits=None, tables=TABLES):
+    """Start entry VMs that forward to one upstream port; VM 0 leads."""
     cluster = Cluster(tables)
     cluster.target = UpstreamTarget(
         "up-0", f"127.0.0.1:{upstream_port}", 1 << 32, 1, slots, "grants"
     )
-    for me in range(2):
+    for me in range(VMS):
         view = View(cluster, me)
         control = RecordingControl()
+        clock = SystemClock()
         path = make_request_path(
             vm_id=f"vm-{me}",
-            clock=SystemClock(),
+            clock=clock,
             metrics=NoMetrics(),
             rng=random.Random(me),
             tables=cluster,
@@ -146,8 +150,10 @@
             control=control,
             limits=limits or RequestLimits(),
         )
-        # Request ids of the tests are older than the table, unless it starts in the past.
+        # Ids that are issued during the test are then later than the horizon and the skew.
+        clock.wall_shift_s = -10.0
         path.group_gained(GROUP, 1)
+        clock.wall_shift_s = 0.0
         cluster.paths.append(path)
         cluster.controls.append(control)
         for delegate in (path.public_delegate, path.peer_delegate):
--- a/fireflyferry/entry/tests/test_curl_hazards.py
+++ b/fireflyferry/entry/tests/test_curl_hazards.py
@@ -12,7 +12,7 @@
 
 from fireflyferry.entry import answers, sinks, transport
 from fireflyferry.entry.limits import RequestLimits
-from fireflyferry.entry.tests.support import TABLES, ScriptedUpstream, answer, ask, two_vms
+from fireflyferry.entry.tests.support import TABLES, ScriptedUpstream, answer, ask, entry_vms
 
 GUARDED = pytest.mark.parametrize("guarded", [True, False])
 LARGE = attrs.evolve(
@@ -39,7 +39,7 @@
     async def run():
         async with (
             ScriptedUpstream(script) as upstream,
-            two_vms(upstream.port, limits=limits, tables=tables) as cluster,
+            entry_vms(upstream.port, limits=limits, tables=tables) as cluster,
         ):
             await requests(cluster.public_ports[0], cluster, upstream)
 
@@ -155,7 +155,7 @@
                 assert not reply.complete
             elif framing == "chunked":
                 assert reply.complete
-        assert len(upstream.seen) == 2
+        assert len(upstream.seen) == len(cluster.public_ports)
 
     run_with(script, requests)
 
--- a/fireflyferry/entry/tests/test_end_to_end.py
+++ b/fireflyferry/entry/tests/test_end_to_end.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fireflyferry.entry.tests.support import ScriptedUpstream, ask, two_vms
+from fireflyferry.entry.tests.support import ScriptedUpstream, ask, entry_vms
 from fireflyferry.telemetry import Reason
 
 
@@ -14,7 +14,7 @@
     """Guards against a hop that loses or repeats the request, its key, fence or query."""
 
     async def run():
-        async with ScriptedUpstream() as upstream, two_vms(upstream.port) as cluster:
+        async with ScriptedUpstream() as upstream, entry_vms(upstream.port) as cluster:
             target = f"/{route}/a%20key/x?q=1"
             reply = await ask(cluster.public_ports[first_hop], target, "POST", body=b"data")
             assert (reply.status, reply.outcome, reply.complete) == (200, "answered", True)
@@ -33,7 +33,7 @@
     """Guards against a refusal without outcome, reason or Retry-After."""
 
     async def run():
-        async with ScriptedUpstream() as upstream, two_vms(upstream.port) as cluster:
+        async with ScriptedUpstream() as upstream, entry_vms(upstream.port) as cluster:
             port = cluster.public_ports[0]
             assert (await ask(port, "/none/key")).reason == "unknown_route"
             assert (await ask(port, "/read/")).reason == "missing_key"
