Add the state machine tests of admission and of at-most-once

The steps of the first hop move into a pure class, so that a machine can drive retries, repeats, lost answers and changes of leader in any order. An id issued exactly at the horizon plus the skew passed as fresh although its entry may have been evicted; the comparison now includes that instant.

--- /dev/null
+++ b/fireflyferry/admission/tests/test_admission.py
@@ -0,0 +1,208 @@
+"""Slots, fairness, bounds and deadlines of an upstream's queue."""
+
+import collections
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from fireflyferry.admission import (
+    Admit,
+    FairQueue,
+    QueueLimits,
+    Refuse,
+    ServiceTimes,
+    UpstreamQueue,
+    Wait,
+    Work,
+)
+from fireflyferry.telemetry import Reason
+
+TENANTS = {"a": 1, "b": 1, "c": 2}
+LIMITS = QueueLimits(length=8, wait_s=10.0, weights=TENANTS)
+
+
+def busy_queue(limits=LIMITS, service_s=None):
+    """Return a queue whose two slots are taken, with a mean service time."""
+    queue = UpstreamQueue(2, limits)
+    for _ in range(2):
+        assert queue.offer(0.0, Work("a", 1e9)) == Admit()
+    if service_s is not None:
+        for _ in range(200):
+            queue.release(0.0, service_s)
+            assert queue.offer(0.0, Work("a", 1e9)) == Admit()
+    return queue
+
+
+def test_slots_are_exact():
+    """Guards against more work at an upstream than it has slots."""
+    queue = busy_queue()
+    assert queue.offer(0.0, Work("a", 1e9)) == Wait()
+    assert queue.pop(0.0) is None
+    queue.release(0.0)
+    assert queue.offer(0.0, Work("b", 1e9)) == Wait(), "a free slot belongs to work that waits"
+    assert queue.pop(0.0).tenant == "a"
+    assert queue.pop(0.0) is None
+
+
+def test_length_and_tenant_bounds():
+    """Guards against a tenant that fills the queue, and against an unbounded queue."""
+    queue = busy_queue()
+    answers = [queue.offer(0.0, Work("a", 1e9)) for _ in range(5)]
+    assert answers == [Wait()] * 4 + [Refuse(Reason.TENANT_LIMIT)]
+    assert [queue.offer(0.0, Work("b", 1e9)) for _ in range(4)] == [Wait()] * 4
+    assert queue.offer(0.0, Work("c", 1e9)) == Refuse(Reason.QUEUE_FULL)
+
+
+def test_a_single_tenant_may_fill_the_queue():
+    """Guards against a bound that only makes sense between tenants."""
+    queue = busy_queue(QueueLimits(length=8))
+    assert [queue.offer(0.0, Work("x", 1e9)) for _ in range(8)] == [Wait()] * 8
+
+
+def test_deadlines():
+    """Guards against work that is sent although it cannot finish in time."""
+    queue = busy_queue(service_s=1.0)
+    assert queue.offer(0.0, Work("a", 0.0)) == Refuse(Reason.DEADLINE_TOO_SHORT)
+    assert queue.offer(0.0, Work("a", 1.4)) == Refuse(Reason.DEADLINE_TOO_SHORT)
+    late = Work("a", 1.6)
+    assert queue.offer(0.0, late) == Wait()
+    queue.release(0.7, 1.0)
+    assert queue.pop(0.7) is None
+    assert queue.expire(0.7) == [(late, Refuse(Reason.DEADLINE_PASSED_IN_QUEUE))]
+
+
+def test_idle_upstream_gets_work_despite_slow_observations():
+    """Guards against an estimate that refuses all work and so is never corrected."""
+    queue = busy_queue(service_s=100.0)
+    queue.release(0.0)
+    queue.release(0.0)
+    assert queue.offer(0.0, Work("a", 1.0)) == Admit()
+    assert queue.offer(0.0, Work("a", 1.0)) == Refuse(Reason.DEADLINE_TOO_SHORT)
+
+
+def test_waiting_time_is_bounded():
+    """Guards against work that waits longer than the pool allows."""
+    queue = busy_queue(QueueLimits(wait_s=0.5))
+    work = Work("a", 1e9)
+    assert queue.offer(1.0, work) == Wait()
+    assert queue.expire(1.4) == []
+    assert queue.expire(1.5) == [(work, Refuse(Reason.DEADLINE_PASSED_IN_QUEUE))]
+    assert queue.waiting == 0
+
+
+def test_greedy_tenant_does_not_delay_the_others():
+    """Guards against a tenant that sends ten times its part and takes the others' turns."""
+    queue = FairQueue(TENANTS)
+    for number in range(100):
+        for tenant in "aaaaaaaaaa":
+            queue.push(tenant, (tenant, number))
+        queue.push("b", ("b", number))
+        for _ in range(2):
+            queue.push("c", ("c", number))
+    served = collections.Counter(queue.pop()[0] for _ in range(400))
+    assert served == {"a": 100, "b": 100, "c": 200}
+
+
+def test_unlisted_tenants_share_one_turn():
+    """Guards against a share that grows with invented tenant names."""
+    queue = FairQueue({"a": 1})
+    for number in range(50):
+        queue.push(f"invented-{number}", "other")
+        queue.push("a", "a")
+    served = collections.Counter(queue.pop() for _ in range(40))
+    assert served == {"a": 20, "other": 20}
+
+
+@given(st.lists(st.sampled_from("abcx"), max_size=60), st.sampled_from("abcx"))
+def test_ahead_of_bounds_the_items_served_before(tenants, newcomer):
+    """Guards against a wait estimate that is too short."""
+    queue = FairQueue(TENANTS)
+    for tenant in tenants:
+        queue.push(tenant, "old")
+    bound = queue.ahead_of(newcomer)
+    queue.push(newcomer, "new")
+    assert [queue.pop() for _ in range(len(queue))].index("new") <= bound
+
+
+@pytest.mark.parametrize("values", [[1.0] * 50, [0.5, 1.5] * 50])
+def test_service_times(values):
+    """Guards against an estimate far from the observations."""
+    times = ServiceTimes()
+    for value in values:
+        times.observe(value)
+    assert times.mean_s == pytest.approx(1.0, abs=0.1)
+    assert 0 <= times.low_s <= min(values)
+
+
+class QueueMachine(RuleBasedStateMachine):
+    """Offers, releases, cancellations and time in any order against a plain model."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.running = []
+        self.waiting = []
+
+    @initialize(slots=st.integers(1, 4), length=st.integers(0, 6))
+    def start(self, slots, length):
+        self.limits = QueueLimits(length=length, wait_s=2.0, weights=TENANTS)
+        self.queue = UpstreamQueue(slots, self.limits)
+
+    @rule(tenant=st.sampled_from("abcx"), time_s=st.sampled_from([0.0, 0.5, 5.0]))
+    def offer(self, tenant, time_s):
+        work = Work(tenant, self.now_s + time_s)
+        answer = self.queue.offer(self.now_s, work)
+        if answer == Admit():
+            self.running.append(work)
+        elif answer == Wait():
+            self.waiting.append(work)
+
+    @precondition(lambda self: self.running)
+    @rule(service_s=st.sampled_from([None, 0.1, 1.0]))
+    def release(self, service_s):
+        self.running.pop()
+        self.queue.release(self.now_s, service_s)
+        while (work := self.queue.pop(self.now_s)) is not None:
+            assert work.deadline_s > self.now_s
+            self.waiting.remove(work)
+            self.running.append(work)
+        self.drop_late()
+
+    @rule(time_s=st.sampled_from([0.1, 1.0]))
+    def advance(self, time_s):
+        self.now_s += time_s
+        self.drop_late()
+        assert all(work.queued_s + 2.0 > self.now_s for work in self.waiting)
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def cancel(self, data):
+        work = data.draw(st.sampled_from(self.waiting))
+        assert self.queue.cancel(work)
+        assert not self.queue.cancel(work)
+        self.waiting.remove(work)
+
+    @rule(slots=st.integers(1, 4))
+    def configure(self, slots):
+        self.queue.configure(slots, self.limits)
+        while (work := self.queue.pop(self.now_s)) is not None:
+            self.waiting.remove(work)
+            self.running.append(work)
+        self.drop_late()
+
+    def drop_late(self):
+        for work, refusal in self.queue.expire(self.now_s):
+            assert refusal.reason is Reason.DEADLINE_PASSED_IN_QUEUE
+            self.waiting.remove(work)
+
+    @invariant()
+    def counts_agree(self):
+        if hasattr(self, "queue"):
+            assert self.queue.busy == len(self.running)
+            assert self.queue.waiting == len(self.waiting) <= self.limits.length
+            assert not self.waiting or self.queue.busy >= self.queue.slots
+
+
+TestQueueMachine = QueueMachine.TestCase
--- a/fireflyferry/entry/first_hop.py
+++ b/fireflyferry/entry/first_hop.py
@@ -12,7 +12,7 @@
 from fireflyferry.entry.remote import RemoteHop
 from fireflyferry.entry.sinks import AnswerSink
 from fireflyferry.entry.statistics import Statistics
-from fireflyferry.retries import Backoff, RetryBudget, Verdict, may_retry
+from fireflyferry.retries import Attempts, Backoff, RetryBudget, Step, Verdict
 from fireflyferry.tables import Pool
 from fireflyferry.telemetry import Outcome, Reason
 
@@ -34,34 +34,18 @@
 
     async def run(self, call: Call, pool: Pool, sink: AnswerSink) -> Verdict:
         """Handle a request with its retries; on an answer, the sink is finished."""
-        budget = self._budget(pool)
-        may_have_run: Verdict | None = None
+        attempts = Attempts(call.idempotent, self._budget(pool), self._limits.max_attempts)
         hint: Verdict | None = None
         while True:
             verdict, seen_term = await self._attempt(call, pool, sink, hint)
-            if verdict.outcome is Outcome.ANSWERED:
-                budget.on_success()
-                return verdict
-            if verdict.outcome is Outcome.UNKNOWN:
-                may_have_run = verdict
-            redirect = hint is None and verdict.leader_term > seen_term
-            hint = verdict if redirect else None
-            if not self._repeatable(call, verdict, sink) or not (
-                redirect or (budget.try_spend() and await self._wait(call))
-            ):
-                # A refusal of the last attempt says nothing about an earlier one.
-                return may_have_run or verdict
+            repeatable = not sink.started and (call.body is None or call.body.rewind())
+            step = attempts.next_step(verdict, seen_term, repeatable)
+            if step is Step.STOP or (step is Step.BACK_OFF and not await self._wait(call)):
+                return attempts.final(verdict)
+            hint = verdict if step is Step.REDIRECT else None
             call.attempt += 1
             self._statistics.retried(verdict)
 
-    def _repeatable(self, call: Call, verdict: Verdict, sink: AnswerSink) -> bool:
-        return (
-            not sink.started
-            and may_retry(verdict, call.idempotent)
-            and call.attempt < self._limits.max_attempts
-            and (call.body is None or call.body.rewind())
-        )
-
     async def _attempt(
         self, call: Call, pool: Pool, sink: AnswerSink, hint: Verdict | None
     ) -> tuple[Verdict, int]:
--- a/fireflyferry/retries/__init__.py
+++ b/fireflyferry/retries/__init__.py
@@ -1,5 +1,6 @@
 """Outcome classification, retry budget, backoff and request ids."""
 
+from fireflyferry.retries.attempts import Attempts, Step
 from fireflyferry.retries.backoff import Backoff
 from fireflyferry.retries.budget import RetryBudget
 from fireflyferry.retries.outcomes import Failure, Verdict, classify, may_retry
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "Attempts",
     "Backoff",
     "BadRequestIdError",
     "Done",
@@ -25,6 +27,7 @@
     "RequestIdTable",
     "RetryBudget",
     "SmallAnswer",
+    "Step",
     "Unknown",
     "Verdict",
     "classify",
--- a/fireflyferry/retries/request_ids.py
+++ b/fireflyferry/retries/request_ids.py
@@ -146,7 +146,7 @@
             issued_s = issued_wall_s(request_id)
             if issued_s > wall_s + self._skew_s:
                 raise BadRequestIdError(f"request id {request_id} was issued in the future")
-            if issued_s < self._horizon_of(bucket) + self._skew_s:
+            if issued_s <= self._horizon_of(bucket) + self._skew_s:
                 return Unknown()
         self._entries[request_id] = _Entry(fingerprint, wall_s)
         return Fresh()
