--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -1,7 +1,6 @@
 """Last hop: request ids, admission, authority check and forwarding to the owner."""
 
 import asyncio
-import contextlib
 import logging
 
 import attrs
@@ -18,7 +17,7 @@
 from fireflyferry.entry.seen_ids import SeenIds
 from fireflyferry.entry.sinks import AnswerSink, RecordingSink
 from fireflyferry.entry.slots import SlotGate
-from fireflyferry.entry.transport import CurlTransport, Exchange, TransferResult
+from fireflyferry.entry.transport import CurlTransport, Exchange
 from fireflyferry.retries import (
     BadRequestIdError,
     Done,
@@ -144,11 +143,10 @@
             may_send=lambda: self._owners.may_forward(self._clock.monotonic_s(), location.group),
         )
         exchange = self._exchange(call, location, target, call.deadline_s - started_s)
-        result: TransferResult | None = None
+        verdict = Verdict(Outcome.UNKNOWN)
         try:
-            result = await self._transport.run(exchange, receiver)
+            verdict = receiver.verdict(await self._transport.run(exchange, receiver))
         finally:
-            verdict = Verdict(Outcome.UNKNOWN) if result is None else receiver.verdict(result)
             self._settle(call, location, target, verdict, self._clock.monotonic_s() - started_s)
         return verdict
 
@@ -170,15 +168,20 @@
         task.add_done_callback(self._cleanups.discard)
 
     async def _cancel(self, call: Call, location: Location, target: UpstreamTarget) -> None:
-        """Stop work that nobody waits for, and only then free its slot."""
+        """Stop work that nobody waits for, and only then free its slot.
+
+        An upstream that does not confirm keeps the slot until the deadline, at which it stops.
+        """
         try:
-            with contextlib.suppress(UpstreamUnavailableError):
-                await asyncio.wait_for(
-                    self._control.cancel(target.address, call.request_id),
-                    self._limits.cancel_wait_s,
-                )
-        except TimeoutError:
-            logger.info("cancellation not confirmed", extra={"upstream": target.upstream_id})
+            await asyncio.wait_for(
+                self._control.cancel(target.address, call.request_id), self._limits.cancel_wait_s
+            )
+        except (TimeoutError, UpstreamUnavailableError) as error:
+            logger.info(
+                "cancellation not confirmed",
+                extra={"upstream": target.upstream_id, "error": repr(error)},
+            )
+            await asyncio.sleep(max(0.0, call.deadline_s - self._clock.monotonic_s()))
         finally:
             self._free(target, location, None)
 
