--- a/fireflyferry/standins/upstream_instance.py
+++ b/fireflyferry/standins/upstream_instance.py
@@ -41,6 +41,7 @@
 
     upstream_id: str
     pool: str
+    journal: str = ""
     slots: int = 2
     connections: int = 130
     waiting: int = 16
@@ -87,6 +88,8 @@
         self._started_s = time.monotonic()
         self._draining_since_s: float | None = None
         self._random = random.Random(f"{settings.seed}:{settings.upstream_id}")
+        # Unbuffered, so that the last runs survive a kill of this process.
+        self._journal = open(settings.journal, "ab", buffering=0) if settings.journal else None
 
     @property
     def cold(self) -> bool:
@@ -141,6 +144,8 @@
         self.by_request[request_id] += 1
         self.by_key[key] += 1
         self.runs.append(run)
+        if self._journal is not None:
+            self._journal.write(f"{self.settings.upstream_id} {request_id} {key}\n".encode())
         return run
 
     def service_s(self, requested_ms: float | None, caller: str, key: str) -> float:
--- a/fireflyferry/standins/upstream_main.py
+++ b/fireflyferry/standins/upstream_main.py
@@ -53,6 +53,7 @@
         default=5.0,
         help="factor of the service time while cold",
     )
+    add("--journal", default="", metavar="FILE", help="append a line for each run")
     add("--seed", type=int, default=1, help="seed of the service times")
     return run_program(NAME, _start, parser.parse_args(argv))
 
