--- /dev/null
+++ b/fireflyferry/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, scenarios, results and reports."""
--- /dev/null
+++ b/fireflyferry/experiments/load_main.py
@@ -0,0 +1,143 @@
+"""Program `fireflyferry-load`: open-loop load, reports, plots and comparisons."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import urllib.parse
+
+from fireflyferry.experiments.load_plots import PlotsUnavailableError, save_plots
+from fireflyferry.experiments.load_report import compare, report
+from fireflyferry.experiments.load_result import LoadResult
+from fireflyferry.experiments.load_runner import LoadRunner
+from fireflyferry.experiments.load_scenario import ScenarioError, read_scenario
+from fireflyferry.messages import decode, encode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.standins.program import ProgramError, make_parser
+
+__all__ = ["main"]
+
+NAME = "fireflyferry-load"
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program and return its exit code."""
+    arguments = _parser().parse_args(argv)
+    try:
+        return arguments.command(arguments)
+    except (ProgramError, ScenarioError, PlotsUnavailableError) as error:
+        print(f"{NAME}: {error}", file=sys.stderr)
+        return getattr(error, "exit_code", 2)
+    except KeyboardInterrupt:
+        print(f"{NAME}: interrupted; no result was written", file=sys.stderr)
+        return 130
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = make_parser(NAME, "Open-loop load on entry VMs, with reports and comparisons.")
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    run = commands.add_parser("run", help="run a scenario; exit code 1 if a promise was broken")
+    run.set_defaults(command=_run)
+    run.add_argument("scenario", help="INI file")
+    run.add_argument(
+        "--target",
+        metavar="URL[,URL]",
+        action="append",
+        required=True,
+        help="base URLs of entry VMs; may be repeated",
+    )
+    run.add_argument(
+        "--upstream",
+        metavar="IP:PORT[,IP:PORT]",
+        action="append",
+        default=[],
+        help="upstream stand-ins to ask for their executions; may be repeated",
+    )
+    run.add_argument(
+        "--direct", action="store_true", help="targets are upstream stand-ins, without a router"
+    )
+    run.add_argument("--label", default="", help="name of the run in reports")
+    run.add_argument("--out", metavar="FILE", help="write the result as JSON")
+    run.add_argument("--png", metavar="FILE", help="write plots; needs matplotlib")
+    show = commands.add_parser("report", help="show the text report of a result file")
+    show.set_defaults(command=_report)
+    show.add_argument("result")
+    show.add_argument("--png", metavar="FILE", help="write plots; needs matplotlib")
+    both = commands.add_parser("compare", help="compare two result files")
+    both.set_defaults(command=_compare)
+    both.add_argument("before")
+    both.add_argument("after")
+    both.add_argument("--png", metavar="FILE", help="write plots; needs matplotlib")
+    return parser
+
+
+def _run(arguments: argparse.Namespace) -> int:
+    scenario = read_scenario(arguments.scenario)
+    targets = _split(arguments.target)
+    for target in targets:
+        parts = urllib.parse.urlsplit(target)
+        if parts.scheme not in ("http", "https") or not parts.netloc:
+            raise ProgramError(f"--target {target!r} is not a URL such as http://127.0.0.1:8080")
+
+    async def run() -> LoadResult:
+        upstreams = _split(arguments.upstream)
+        runner = LoadRunner(scenario, targets, upstreams, arguments.direct)
+        return await runner.run(arguments.label)
+
+    if arguments.out:
+        _write(arguments.out, b"")  # a path that cannot be written is found before the run
+    result = asyncio.run(run())
+    if arguments.out:
+        _write(arguments.out, encode(result))
+    _save_plots((result,), arguments.png)
+    print(report(result), end="")
+    if result.sent and result.refused.get("client_connect_failed") == result.sent:
+        raise ProgramError("no target accepted a connection", 3)
+    return 1 if any(result.violations().values()) else 0
+
+
+def _report(arguments: argparse.Namespace) -> int:
+    result = _read(arguments.result)
+    print(report(result), end="")
+    _save_plots((result,), arguments.png)
+    return 0
+
+
+def _compare(arguments: argparse.Namespace) -> int:
+    results = _read(arguments.before), _read(arguments.after)
+    print(compare(*results), end="")
+    _save_plots(results, arguments.png)
+    return 0
+
+
+def _split(texts: list[str]) -> tuple[str, ...]:
+    return tuple(part for text in texts for part in text.split(",") if part)
+
+
+def _read(path: str) -> LoadResult:
+    try:
+        return decode(pathlib.Path(path).read_bytes(), LoadResult)
+    except OSError as error:
+        raise ProgramError(f"cannot read {path}: {error.strerror}") from error
+    except MessageError as error:
+        raise ProgramError(f"{path} is not a result file: {error}") from error
+
+
+def _write(path: str, data: bytes) -> None:
+    try:
+        pathlib.Path(path).write_bytes(data)
+    except OSError as error:
+        raise ProgramError(f"cannot write {path}: {error.strerror}") from error
+
+
+def _save_plots(results: tuple[LoadResult, ...], path: str | None) -> None:
+    if path is None:
+        return
+    try:
+        save_plots(results, path)
+    except OSError as error:
+        raise ProgramError(f"cannot write {path}: {error.strerror}") from error
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fireflyferry/experiments/load_plan.py
@@ -0,0 +1,80 @@
+"""Pure plan of a load run: when which request is to be sent."""
+
+import bisect
+import itertools
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from fireflyferry.experiments.load_scenario import RequestKind, Scenario
+
+__all__ = ["Arrival", "arrivals", "make_request_id"]
+
+# Moves the popular keys to others that were not popular; prime, so that it visits all of them.
+HOT_SHIFT_KEYS = 99_991
+
+
+@attrs.frozen
+class Arrival:
+    """A request that is due `at_s` seconds after the start."""
+
+    at_s: float
+    kind: RequestKind
+    key: str
+    tenant: str
+
+
+class _Chooser:
+    """Draws positions by weight."""
+
+    def __init__(self, weights: Iterator[float]) -> None:
+        self._cumulated = list(itertools.accumulate(weights))
+
+    def draw(self, rng: random.Random) -> int:
+        point = rng.random() * self._cumulated[-1]
+        return min(bisect.bisect(self._cumulated, point), len(self._cumulated) - 1)
+
+
+def _key_chooser(kind: RequestKind) -> _Chooser | None:
+    if kind.distribution == "uniform":
+        return None
+    return _Chooser(1 / rank**kind.zipf_exponent for rank in range(1, kind.keys + 1))
+
+
+def arrivals(scenario: Scenario) -> Iterator[Arrival]:
+    """Generate the requests of a scenario in order of time; the same for the same seed."""
+    rng = random.Random(scenario.seed)
+    kinds = _Chooser(kind.share for kind in scenario.kinds)
+    tenants = _Chooser(iter(scenario.tenants.values()))
+    tenant_names = list(scenario.tenants)
+    key_choosers = [_key_chooser(kind) for kind in scenario.kinds]
+    at_s = 0.0
+    while True:
+        if scenario.arrivals == "poisson":
+            at_s += rng.expovariate(scenario.rate_per_s)
+        else:
+            at_s += 1 / scenario.rate_per_s
+        if at_s >= scenario.duration_s:
+            return
+        position = kinds.draw(rng)
+        kind = scenario.kinds[position]
+        number = _key_number(rng, at_s, kind, key_choosers[position])
+        tenant = tenant_names[tenants.draw(rng)]
+        yield Arrival(at_s, kind, f"{kind.name}-{number}", tenant)
+
+
+def _key_number(
+    rng: random.Random, at_s: float, kind: RequestKind, chooser: _Chooser | None
+) -> int:
+    if chooser is None:
+        return rng.randrange(kind.keys)
+    shifts = int(at_s / kind.hot_shift_s) if kind.hot_shift_s else 0
+    return (chooser.draw(rng) + shifts * HOT_SHIFT_KEYS) % kind.keys
+
+
+def make_request_id(wall_s: float, rng: random.Random) -> str:
+    """Return a UUIDv7 with the time of issue."""
+    value = int(wall_s * 1000) << 80 | 0x7 << 76 | rng.getrandbits(12) << 64
+    text = f"{value | 0b10 << 62 | rng.getrandbits(62):032x}"
+    return "-".join((text[:8], text[8:12], text[12:16], text[16:20], text[20:]))
--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -166,6 +166,7 @@
         run.ownership = "held" if held or not checks else "lapsed"
         if stopped:
             self.set_header("Firefly-Outcome", "unknown")
+            self.set_header("Firefly-Reason", "timed_out")
             self.send_error_text(503, "cancelled")
             return
         await self._answer(request, run.ownership)
