--- a/fireflyferry/experiments/deployment.py
+++ b/fireflyferry/experiments/deployment.py
@@ -1,5 +1,7 @@
 """A customer's deployment on loopback: platform and upstream stand-ins, and entry VMs."""
 
+import collections
+import itertools
 import pathlib
 import signal
 from concurrent.futures import ThreadPoolExecutor
@@ -106,13 +108,19 @@
         self.entries.pop(vm_id).kill()
 
     def executions(self) -> dict[str, int]:
-        """Return how often each request id ran, over all upstreams that answer."""
-        total: dict[str, int] = {}
-        for address in self.upstream_addresses.values():
-            answer = fetch_json(f"http://{address}/executions")
-            for request_id, count in answer["by_request_id"].items():
-                total[request_id] = total.get(request_id, 0) + count
-        return total
+        """Return how often each request id ran, from the journals of all upstreams."""
+        lines = itertools.chain.from_iterable(
+            journal.read_text().splitlines() for journal in self.folder.glob("*.journal")
+        )
+        return dict(collections.Counter(line.split()[1] for line in lines))
+
+    def holdings(self) -> list[dict]:
+        """Return what the upstreams that answer held, from when to when."""
+        found = []
+        for vm_id, address in self.upstream_addresses.items():
+            if self.upstreams[vm_id].process.poll() is None:
+                found.extend(fetch_json(f"http://{address}/ownership")["holdings"])
+        return found
 
     def stop(self) -> None:
         """End every process."""
@@ -143,6 +151,7 @@
         arguments = [f"--instance={name}:{service.name}:0" for name in names]
         arguments += [f"--slots={service.slots}", f"--connections={service.connections}"]
         arguments.append(f"--service-ms={self.service_ms}")
+        arguments.append(f"--journal={self.folder / names[0]}.journal")
         title = names[0] if len(names) == 1 else f"{service.name}-{data_centre}"
         module = "fireflyferry.standins.upstream_main"
         program = self._start(title, module, arguments, len(names))
--- a/fireflyferry/experiments/load_runner.py
+++ b/fireflyferry/experiments/load_runner.py
@@ -4,6 +4,7 @@
 import datetime
 import random
 import time
+from collections.abc import Callable
 
 import orjson
 import pycurl
@@ -33,7 +34,8 @@
 
     `targets` are base URLs of entry VMs, chosen at random as by a balancer that passes over a VM
     which refuses the connection; `upstreams` are `IP:PORT` of stand-ins to ask for executions.
-    With `direct`, targets are upstream stand-ins, which measures them without the router.
+    `on_sample` gets each request's end. With `direct`, targets are upstream stand-ins, which
+    measures them without the router.
     """
 
     def __init__(
@@ -42,8 +44,10 @@
         targets: tuple[str, ...],
         upstreams: tuple[str, ...] = (),
         direct: bool = False,
+        on_sample: Callable[[Sample], None] | None = None,
     ) -> None:
         self._direct = direct
+        self._on_sample = on_sample
         self._scenario = scenario
         self._targets = targets
         self._upstreams = upstreams
@@ -95,7 +99,10 @@
             self._tally.sent(sent_s - arrival.at_s)
             judgement = await self._try_targets(arrival, request_id)
             self._in_flight -= 1
-            self._tally.add(Sample(arrival, request_id, sent_s, self._now_s(), judgement))
+            sample = Sample(arrival, request_id, sent_s, self._now_s(), judgement)
+            self._tally.add(sample)
+            if self._on_sample is not None:
+                self._on_sample(sample)
 
     async def _try_targets(self, arrival: Arrival, request_id: str) -> Judgement:
         judgement = Judgement(Verdict.REFUSED, "client_connect_failed")
--- a/fireflyferry/standins/upstream_instance.py
+++ b/fireflyferry/standins/upstream_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import random
 import secrets
 import time
@@ -89,7 +90,8 @@
         self._draining_since_s: float | None = None
         self._random = random.Random(f"{settings.seed}:{settings.upstream_id}")
         # Unbuffered, so that the last runs survive a kill of this process.
-        self._journal = open(settings.journal, "ab", buffering=0) if settings.journal else None
+        flags = os.O_APPEND | os.O_CREAT | os.O_WRONLY
+        self._journal = os.open(settings.journal, flags) if settings.journal else None
 
     @property
     def cold(self) -> bool:
@@ -145,7 +147,8 @@
         self.by_key[key] += 1
         self.runs.append(run)
         if self._journal is not None:
-            self._journal.write(f"{self.settings.upstream_id} {request_id} {key}\n".encode())
+            line = f"{self.settings.upstream_id} {request_id} {key}\n"
+            os.write(self._journal, line.encode())
         return run
 
     def service_s(self, requested_ms: float | None, caller: str, key: str) -> float:
