--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -6,6 +6,7 @@
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.state import VmState
 from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.membership import group_upstreams
 from fireflyferry.messages import GroupId, VmEntry
 from fireflyferry.placement import (
     PlacementWeights,
@@ -40,10 +41,15 @@
 
     def candidates(self, group: GroupId) -> list[VmEntry]:
         """Return the listed upstreams that a group may use, in its home data centre first."""
-        table = self._state.vm_table
-        sibling = table.sibling_of(group.data_centre)
-        home = list(table.upstreams(group.pool, group.data_centre))
-        return home + (list(table.upstreams(group.pool, sibling)) if sibling else [])
+        sibling = self._state.vm_table.sibling_of(group.data_centre)
+        home = self._listed(group, group.data_centre)
+        return home + (self._listed(group, sibling) if sibling else [])
+
+    def _listed(self, group: GroupId, data_centre: str) -> list[VmEntry]:
+        tables = self._state.current()
+        pool = tables.pool(group.pool) if tables else None
+        groups = pool.groups_per_data_centre if pool else 1
+        return group_upstreams(self._state.vm_table, group, groups, data_centre)
 
     def run(self, now_s: float, runtime: GroupRuntime) -> None:
         """Update the desired owners of a group if it is time to."""
@@ -91,7 +97,7 @@
     def _answering(
         self, now_s: float, runtime: GroupRuntime, data_centre: str
     ) -> Iterator[UpstreamLoad]:
-        for entry in self._state.vm_table.upstreams(runtime.group.pool, data_centre):
+        for entry in self._listed(runtime.group, data_centre):
             row = self._upstreams.track(entry)
             name = row.upstream_id
             if row.hello is None or runtime.book.lost(now_s, name):
@@ -103,8 +109,7 @@
             yield UpstreamLoad(name, row.hello.slots, self._upstreams.share(name), draining)
 
     def _all_answered(self, now_s: float, runtime: GroupRuntime) -> bool:
-        group = runtime.group
-        home = self._state.vm_table.upstreams(group.pool, group.data_centre)
+        home = self._listed(runtime.group, runtime.group.data_centre)
         names = [entry.vm_id for entry in home]
         return bool(names) and all(runtime.book.responsive(now_s, name) for name in names)
 
@@ -123,8 +128,8 @@
         if now_s < runtime.next_hot_keys_s:
             return
         runtime.next_hot_keys_s = now_s + HOT_KEYS_INTERVAL_S
-        home = self._state.vm_table.upstreams(runtime.group.pool, runtime.group.data_centre)
-        runtime.planner.plan(now_s, runtime.sketch, len(list(home)))
+        home = self._listed(runtime.group, runtime.group.data_centre)
+        runtime.planner.plan(now_s, runtime.sketch, len(home))
         runtime.sketch.decay(HOT_KEYS_DECAY)
 
     def _unit_loads(
--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -10,6 +10,7 @@
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.membership import (
     bootstrap_placement,
+    group_upstreams,
     groups_of,
     preferred_leader,
     preferred_standby,
@@ -224,7 +225,8 @@
         table = self._state.vm_table
         groups = [group for group in groups_of(tables) if group.pool == pool.name]
         capacity = {
-            group: len(list(table.upstreams(group.pool, group.data_centre))) for group in groups
+            group: len(group_upstreams(table, group, pool.groups_per_data_centre))
+            for group in groups
         }
         placement = bootstrap_placement(pool.name, pool.buckets, capacity)
         try:
--- a/fireflyferry/membership/__init__.py
+++ b/fireflyferry/membership/__init__.py
@@ -3,6 +3,7 @@
 from fireflyferry.membership.mirror import Mirror
 from fireflyferry.membership.placements import PlacementMap, bootstrap_placement
 from fireflyferry.membership.roles import (
+    group_upstreams,
     groups_of,
     preferred_leader,
     preferred_standby,
@@ -15,6 +16,7 @@
     "PlacementMap",
     "VmTable",
     "bootstrap_placement",
+    "group_upstreams",
     "groups_of",
     "preferred_leader",
     "preferred_standby",
--- a/fireflyferry/membership/roles.py
+++ b/fireflyferry/membership/roles.py
@@ -7,7 +7,7 @@
 from fireflyferry.placement import rendezvous_weight
 from fireflyferry.tables import Tables
 
-__all__ = ["groups_of", "preferred_leader", "preferred_standby", "relay_order"]
+__all__ = ["group_upstreams", "groups_of", "preferred_leader", "preferred_standby", "relay_order"]
 
 RELAYS_PER_DATA_CENTRE = 2
 
@@ -20,6 +20,23 @@
                 yield GroupId(pool.name, data_centre, index)
 
 
+def group_upstreams(
+    table: VmTable, group: GroupId, groups_per_data_centre: int, data_centre: str | None = None
+) -> list[VmEntry]:
+    """Return the upstreams of a group in its home data centre, or in another one.
+
+    Each upstream belongs to one group of its data centre, so that one leader counts its slots.
+    """
+    listed = table.upstreams(group.pool, data_centre or group.data_centre)
+    if groups_per_data_centre == 1:
+        return list(listed)
+    return [vm for vm in listed if _index_of(vm, groups_per_data_centre) == group.index]
+
+
+def _index_of(upstream: VmEntry, groups: int) -> int:
+    return max(range(groups), key=lambda index: rendezvous_weight(upstream.vm_id, str(index)))
+
+
 def relay_order(table: VmTable, data_centre: str) -> list[VmEntry]:
     """Order the entry VMs of a data centre by their weight as relay."""
     return _ranked(f"relay/{data_centre}", table.entry_vms(data_centre))
