--- a/fireflyferry/placement/assignment.py
+++ b/fireflyferry/placement/assignment.py
@@ -1,7 +1,8 @@
 """Bounded-load assignment of units to upstreams with least movement and hysteresis."""
 
+import bisect
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 
 import attrs
 
@@ -9,6 +10,9 @@
 
 _MIN_BAND = 0.02
 _MAX_BAND = 0.5
+# Sort keys around the loads that may move: units without load stay where they are.
+_SMALLEST_LOAD = 5e-324
+_AFTER_ANY_UNIT = chr(0x10FFFF)
 
 
 @attrs.frozen
@@ -55,6 +59,26 @@
         return 0.0 if self.draining else self.slots * self.share
 
 
+class _Ranking:
+    """Upstreams by load relative to the fair share, as a heap with outdated entries."""
+
+    def __init__(self, ratios: Mapping[str, float], highest_first: bool):
+        self._sign = -1.0 if highest_first else 1.0
+        self._heap = [(self._sign * ratio, name) for name, ratio in ratios.items()]
+        heapq.heapify(self._heap)
+
+    def update(self, name: str, ratio: float) -> None:
+        heapq.heappush(self._heap, (self._sign * ratio, name))
+
+    def first(self, ratios: Mapping[str, float], skipped: Set[str]) -> str | None:
+        while self._heap:
+            value, name = self._heap[0]
+            if name not in skipped and self._sign * value == ratios[name]:
+                return name
+            heapq.heappop(self._heap)
+        return None
+
+
 class _Balancer:
     """Loads, fair shares and units of each upstream during one assignment."""
 
@@ -62,24 +86,21 @@
         self.loads = loads
         live = sorted((u for u in upstreams if u.capacity > 0), key=lambda u: u.upstream_id)
         capacity = sum(u.capacity for u in live)
-        total = sum(loads.values())
-        self.fair = {u.upstream_id: total * u.capacity / capacity for u in live}
+        self.total = sum(loads.values())
+        self.fair = {u.upstream_id: self.total * u.capacity / capacity for u in live}
         self.load = dict.fromkeys(self.fair, 0.0)
-        self.units: dict[str, dict[str, None]] = {name: {} for name in self.fair}
+        self.owners: dict[str, str] = {}
+        self._sorted: dict[str, list[tuple[float, str]]] = {}
 
     def put(self, unit: str, name: str) -> None:
-        self.units[name][unit] = None
+        self.owners[unit] = name
         self.load[name] += self.loads[unit]
 
-    def take(self, unit: str, name: str) -> None:
-        del self.units[name][unit]
-        self.load[name] -= self.loads[unit]
-
     def ratio(self, name: str) -> float:
         return self.load[name] / self.fair[name] if self.fair[name] > 0 else 1.0
 
     def place_free(self, free: list[str]) -> None:
-        """Place units that have no upstream, largest first, on the least loaded upstream."""
+        """Place units that have no upstream, largest first, where the load is lowest after it."""
         heap = [(self.ratio(name), name) for name in self.fair]
         heapq.heapify(heap)
         for unit in sorted(free, key=lambda unit: (-self.loads[unit], unit)):
@@ -87,37 +108,63 @@
             self.put(unit, name)
             heapq.heapreplace(heap, (self.ratio(name), name))
 
-    def _move_for_balance(self, source: str, target: str, room: float) -> float:
-        """Move one unit if it fits into `room` and lowers the larger of the two ratios."""
-        for unit in self.units[source]:
-            load = self.loads[unit]
-            after = (self.load[target] + load) / self.fair[target]
-            if 0 < load <= room and after < self.ratio(source):
-                self.take(unit, source)
-                self.put(unit, target)
-                return load
-        return 0.0
-
     def balance(self, band: float, budget: float) -> None:
         """Move load from upstreams above the band, and to upstreams below it.
 
         A move starts only outside the band and continues to half the band, so that small
         changes of load move nothing.
         """
-        names = list(self.fair)
-        outside = {n for n in names if abs(self.ratio(n) - 1.0) > band}
-        while outside and budget > 0:
-            source = max(names, key=lambda n: (self.ratio(n), n))
-            target = min(names, key=lambda n: (self.ratio(n), n))
-            if not (source in outside or target in outside):
-                break
-            outside = {n for n in outside if abs(self.ratio(n) - 1.0) > band / 2}
-            if not (source in outside or target in outside):
-                break
-            moved = self._move_for_balance(source, target, budget)
+        ratios = {name: self.ratio(name) for name in self.fair}
+        outside = {name for name, ratio in ratios.items() if abs(ratio - 1.0) > band}
+        if not outside:
+            return
+        self._sort_units()
+        highest, lowest = _Ranking(ratios, True), _Ranking(ratios, False)
+        stuck: set[str] = set()
+        while budget > 0:
+            source = highest.first(ratios, stuck)
+            target = lowest.first(ratios, frozenset())
+            if source is None or target is None or source == target:
+                return
+            above = source in outside and ratios[source] > 1.0 + band / 2
+            below = target in outside and ratios[target] < 1.0 - band / 2
+            if not (above or below):
+                return
+            moved = self._move(source, target, budget)
             if moved == 0.0:
-                break
+                stuck.add(source)
+                continue
             budget -= moved
+            for name in (source, target):
+                ratios[name] = self.ratio(name)
+                highest.update(name, ratios[name])
+                lowest.update(name, ratios[name])
+
+    def _sort_units(self) -> None:
+        self._sorted = {name: [] for name in self.fair}
+        for unit, name in self.owners.items():
+            self._sorted[name].append((self.loads[unit], unit))
+        for units in self._sorted.values():
+            units.sort()
+
+    def _move(self, source: str, target: str, budget: float) -> float:
+        """Move the unit that fits best, and return its load; 0 if none improves the balance.
+
+        The largest unit that fits is taken, because fewer units then move.
+        """
+        units = self._sorted[source]
+        gap = (self.ratio(source) - self.ratio(target)) * self.fair[target]
+        fit = min(self.load[source] - self.fair[source], self.fair[target] - self.load[target])
+        at = bisect.bisect_right(units, (min(fit, budget), _AFTER_ANY_UNIT)) - 1
+        if at < 0 or units[at][0] <= 0:
+            at = bisect.bisect_left(units, (_SMALLEST_LOAD, ""))
+        if at >= len(units) or units[at][0] >= gap or units[at][0] > budget:
+            return 0.0
+        load, unit = units.pop(at)
+        self.load[source] -= load
+        self.put(unit, target)
+        bisect.insort(self._sorted[target], (load, unit))
+        return load
 
 
 def assign(
@@ -143,6 +190,5 @@
         else:
             free.append(unit)
     balancer.place_free(free)
-    total = sum(buckets.values())
-    balancer.balance(weights.band, weights.move_fraction * total)
-    return {unit: name for name, units in balancer.units.items() for unit in units}
+    balancer.balance(weights.band, weights.move_fraction * balancer.total)
+    return balancer.owners
--- /dev/null
+++ b/fireflyferry/placement/tests/test_assignment.py
@@ -0,0 +1,165 @@
+"""Guards against keys that hash elsewhere, needless moves, and load on the wrong upstream."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fireflyferry.placement import (
+    ColdStartRamp,
+    PlacementWeights,
+    Unit,
+    UpstreamLoad,
+    assign,
+    bucket_of,
+    parse_unit,
+    rendezvous_weight,
+)
+
+# No weight on unavailable time: one call may make all its moves.
+WEIGHTS = PlacementWeights(unavailable=0.0, churn=2.0)
+UNITS = {f"b:{bucket}": 1.0 for bucket in range(1024)}
+
+upstream_lists = st.lists(
+    st.builds(
+        UpstreamLoad,
+        st.integers(0, 30).map("u{}".format),
+        slots=st.integers(1, 4),
+        share=st.sampled_from((0.1, 0.5, 1.0)),
+        draining=st.booleans(),
+    ),
+    max_size=12,
+    unique_by=lambda upstream: upstream.upstream_id,
+)
+
+
+def _fleet(count):
+    return [UpstreamLoad(f"u{index:03}") for index in range(count)]
+
+
+def _moved(before, after):
+    return sum(before[unit] != after[unit] for unit in before)
+
+
+def test_bucket_is_stable():
+    """Guards against a hash that differs from the saved placements; the value is XXH3's own."""
+    assert bucket_of("", 2**64) == 0x2D06800538D394C2
+
+
+@given(st.integers(0, 2**14), st.none() | st.text())
+def test_unit_ids_round_trip(bucket, key):
+    """Guards against keys with colons or empty keys that name another unit."""
+    assert parse_unit(str(Unit(bucket, key))) == Unit(bucket, key)
+
+
+@pytest.mark.parametrize("text", ["", "b:", "b:x", "b:-1", "k:3", "k::a", "17", "c:1"])
+def test_other_unit_ids_are_refused(text):
+    """Guards against unit ids that are parsed to a bucket nobody meant."""
+    with pytest.raises(ValueError, match="unit id"):
+        parse_unit(text)
+
+
+def test_rendezvous_moves_only_the_lost_nodes_items_and_follows_weights():
+    """Guards against a relay or leader choice that changes for items of other nodes."""
+
+    def winner(item, nodes):
+        return max(nodes, key=lambda node: rendezvous_weight(item, node, nodes[node]))
+
+    nodes = {"a": 1.0, "b": 1.0, "c": 2.0}
+    items = [f"i{index}" for index in range(4000)]
+    before = {item: winner(item, nodes) for item in items}
+    assert Counter(before.values())["c"] == pytest.approx(2000, rel=0.06)
+    after = {item: winner(item, {"a": 1.0, "c": 2.0}) for item in items}
+    assert all(after[item] == before[item] for item in items if before[item] != "b")
+
+
+@given(upstream_lists, upstream_lists, st.lists(st.floats(0, 10), max_size=60))
+def test_assignment_is_complete_and_keeps_away_from_draining(old, new, loads):
+    """Guards against units without an owner and new work for an upstream that leaves."""
+    units = {f"b:{bucket}": load for bucket, load in enumerate(loads)}
+    first = assign(units, old, {}, WEIGHTS)
+    second = assign(units, new, first, WEIGHTS)
+    able = {upstream.upstream_id for upstream in new if not upstream.draining}
+    assert set(second.values()) <= able
+    assert second.keys() == (units.keys() if able else set())
+
+
+@given(upstream_lists, upstream_lists)
+def test_assignment_is_stable(old, new):
+    """Guards against movement without a change of upstreams or loads."""
+    first = assign(UNITS, new, assign(UNITS, old, {}, WEIGHTS), WEIGHTS)
+    assert assign(UNITS, new, first, WEIGHTS) == first
+
+
+@pytest.mark.parametrize("count", [3, 15, 60])
+def test_join_leave_and_drain_move_least(count):
+    """Guards against moves between upstreams that neither join nor leave."""
+    fleet = _fleet(count)
+    before = assign(UNITS, fleet, {}, WEIGHTS)
+    joined = assign(UNITS, [*fleet, UpstreamLoad("new")], before, WEIGHTS)
+    changed = {unit for unit in UNITS if joined[unit] != before[unit]}
+    assert {joined[unit] for unit in changed} == {"new"}
+    assert len(changed) <= len(UNITS) / (count + 1) + 1
+    left = assign(UNITS, fleet[1:], before, WEIGHTS)
+    drained = assign(UNITS, [UpstreamLoad("u000", draining=True), *fleet[1:]], before, WEIGHTS)
+    assert left == drained
+    assert _moved(before, left) == Counter(before.values())["u000"]
+
+
+def test_loads_stay_within_the_band():
+    """Guards against an upstream that gets more than its slots allow."""
+    fleet = [UpstreamLoad("a", slots=2), UpstreamLoad("b", slots=4), UpstreamLoad("c", slots=2)]
+    counts = Counter(assign(UNITS, fleet, dict.fromkeys(UNITS, "a"), WEIGHTS).values())
+    assert counts["b"] == pytest.approx(512, rel=WEIGHTS.band)
+    assert counts["a"] == pytest.approx(256, rel=WEIGHTS.band)
+
+
+def test_small_changes_of_load_move_nothing():
+    """Guards against constant movement when loads fluctuate inside the band."""
+    fleet = _fleet(8)
+    owners = assign(UNITS, fleet, {}, WEIGHTS)
+    for step in range(20):
+        loads = {
+            unit: 1.0 + 0.09 * ((bucket * 7 + step * 3) % 11 - 5) / 5
+            for bucket, unit in enumerate(UNITS)
+        }
+        assert assign(loads, fleet, owners, WEIGHTS) == owners
+
+
+def test_weights_decide_between_balance_and_movement():
+    """Guards against pools that all get the same compromise."""
+    fleet = _fleet(4)
+    balanced = assign(UNITS, fleet, {}, WEIGHTS)
+    loads = {unit: 1.12 if balanced[unit] == "u000" else 1.0 for unit in UNITS}
+    parbrett = PlacementWeights(imbalance=4.0, churn=1.0, unavailable=1.0)
+    caatinga = PlacementWeights(imbalance=1.0, churn=1.0, unavailable=4.0)
+    assert parbrett.band < caatinga.band
+    assert parbrett.move_fraction > caatinga.move_fraction
+    assert _moved(balanced, assign(loads, fleet, balanced, parbrett)) > 0
+    assert assign(loads, fleet, balanced, caatinga) == balanced
+
+
+def test_moves_for_balance_are_spread_over_calls():
+    """Guards against a pool that loses most of its units for a moment after a join."""
+    weights = PlacementWeights(imbalance=1.0, churn=1.0, unavailable=8.0)
+    owners = dict.fromkeys(UNITS, "u000")
+    after = assign(UNITS, _fleet(2), owners, weights)
+    assert 0 < _moved(owners, after) <= weights.move_fraction * len(UNITS)
+
+
+def test_cold_upstream_gets_more_as_its_latency_allows():
+    """Guards against a new upstream that gets its whole share while it is slow."""
+    ramp = ColdStartRamp()
+    ramp.start(0.0, "new")
+    shares = [ramp.share("new")]
+    for now_s, latency_ms in ((1.0, 5.0), (2.0, 5.0), (4.0, 90.0), (6.0, None), (8.0, 5.0)):
+        ramp.observe(now_s, "new", latency_ms, pool_latency_ms=10.0)
+        shares.append(ramp.share("new"))
+    assert shares == [0.1, 0.1, 0.2, 0.1, 0.1, 0.2]
+    for now_s in (10.0, 12.0, 14.0):
+        ramp.observe(now_s, "new", 5.0, pool_latency_ms=10.0)
+    assert ramp.share("new") == 1.0
+    fleet = [*_fleet(9), UpstreamLoad("new", share=0.1)]
+    counts = Counter(assign(UNITS, fleet, {}, WEIGHTS).values())
+    assert counts["new"] == pytest.approx(len(UNITS) * 0.1 / 9.1, abs=1)
