--- a/fireflyferry/experiments/load_plots.py
+++ b/fireflyferry/experiments/load_plots.py
@@ -63,7 +63,9 @@
     times = range(len(result.seconds))
     names = ("answered", "refused", "unknown", "wrong")
     series = [[getattr(second, name) for second in result.seconds] for name in names]
-    axis.stackplot(times, *series, labels=names, colors=("#4c9a5f", "#e0a030", "#888", "#c03030"))
+    axis.stackplot(
+        times, *series, labels=names, step="post", colors=("#4c9a5f", "#e0a030", "#888", "#c03030")
+    )
     axis.set(xlabel="time, s", ylabel="requests per s", title=result.label or result.started)
     axis.legend(loc="lower left")
     slowest = axis.twinx()
--- /dev/null
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -0,0 +1,241 @@
+"""Guards against a load program that overlooks a broken promise or flatters latency."""
+
+import collections
+import pathlib
+import random
+import uuid
+
+import attrs
+import pytest
+import tornado.testing
+
+from fireflyferry.experiments import load_main
+from fireflyferry.experiments.load_check import Judgement, Received, Verdict, judge
+from fireflyferry.experiments.load_plan import Arrival, arrivals, make_request_id
+from fireflyferry.experiments.load_result import Executions, Generator, LoadResult
+from fireflyferry.experiments.load_runner import LoadRunner
+from fireflyferry.experiments.load_scenario import (
+    RequestKind,
+    Scenario,
+    ScenarioError,
+    read_scenario,
+)
+from fireflyferry.experiments.load_tally import Sample, Tally
+from fireflyferry.messages import decode, encode
+from fireflyferry.standins.faults import Fault
+from fireflyferry.standins.upstream_instance import InstanceSettings, UpstreamInstance
+from fireflyferry.standins.upstream_server import make_server
+
+READ = RequestKind("read", "/x/{key}", keys=100)
+WRITE = RequestKind("write", "/w/{key}", method="POST", idempotent=False, keys=5, body_bytes=9)
+LINE = b'{"request_id":"r1","key":"k"}\n'
+SCENARIOS = pathlib.Path(__file__).parents[1] / "scenarios"
+
+
+def answer(body=LINE, status=200, **headers):
+    named = {f"firefly-{name.replace('_', '-')}": value for name, value in headers.items()}
+    return Received(status, named, body)
+
+
+@pytest.mark.parametrize(
+    ("received", "size_bytes", "verdict", "reason"),
+    [
+        (answer(), 0, "answered", ""),
+        (answer(LINE + b"." * 10), len(LINE) + 10, "answered", ""),
+        (answer(LINE + b"." * 9), len(LINE) + 10, "truncated", None),
+        (answer(LINE[:-1]), 0, "truncated", None),
+        (answer(b""), 0, "truncated", None),
+        (answer(LINE + b".x"), 0, "malformed", "padding"),
+        (answer(b"[]\n"), 0, "malformed", "first line"),
+        (answer(LINE.replace(b"r1", b"r2")), 0, "crossed", "request_id"),
+        (answer(LINE.replace(b"k", b"j", 9)), 0, "malformed", "first line"),
+        (answer(b'{"request_id":"r1","key":"j"}\n'), 0, "crossed", "key"),
+        (answer(request_id="r2", outcome="not-run"), 0, "crossed", "request_id_header"),
+        (answer(b"x", 503, outcome="not-run", reason="queue_full"), 0, "refused", "queue_full"),
+        (answer(b"x", 504, outcome="unknown", reason="timed_out"), 0, "unknown", "timed_out"),
+        (answer(b"x", 302, outcome="answered"), 0, "other_status", "302"),
+    ],
+)
+def test_every_answer_is_judged(received, size_bytes, verdict, reason):
+    found = judge(received, "r1", "k", size_bytes)
+    assert found.verdict == verdict
+    assert reason is None or found.reason == reason
+
+
+def test_plan_is_repeatable_and_keeps_to_rate_and_shares():
+    """Guards against two runs that cannot be compared."""
+    kind = attrs.evolve(READ, distribution="zipf", share=3.0, hot_shift_s=50.0)
+    scenario = Scenario(200.0, 100.0, kinds=(kind, WRITE), tenants={"a": 1.0, "b": 3.0})
+    plan = list(arrivals(scenario))
+    assert plan == list(arrivals(scenario))
+    assert len(plan) == pytest.approx(20_000, rel=0.05)
+    tenants = collections.Counter(it.tenant for it in plan)
+    assert tenants["b"] / tenants["a"] == pytest.approx(3.0, rel=0.1)
+    reads = [it for it in plan if it.kind is kind]
+    assert len(reads) / len(plan) == pytest.approx(0.75, rel=0.05)
+    for number, hottest in enumerate(("read-0", f"read-{99_991 % 100}")):
+        half = [it.key for it in reads if it.at_s // 50 == number]
+        # 1 / (1 + 1/2 + ... + 1/100) of the requests go to the most popular key.
+        assert half.count(hottest) / len(half) == pytest.approx(0.193, rel=0.1)
+
+
+def test_request_ids_carry_the_time_of_issue():
+    """Guards against ids that the router refuses or takes for old ones."""
+    made = uuid.UUID(make_request_id(1_700_000_000.123, random.Random(1)))
+    assert (made.version, made.variant) == (7, uuid.RFC_4122)
+    assert made.int >> 80 == 1_700_000_000_123
+
+
+def sample(tally, request_id, verdict, kind=READ, at_s=0.0, done_s=0.1, key="k"):
+    tally.sent(0.0)
+    found = Judgement(Verdict(verdict), "some_reason")
+    tally.add(Sample(Arrival(at_s, kind, key, ""), request_id, at_s, done_s, found))
+
+
+def finish(tally, counts):
+    return tally.result((), "", tally.executions(counts), Generator(elapsed_s=20.0))
+
+
+def test_executions_show_what_callers_cannot_see():
+    """Guards against a request that ran twice, was lost, or ran although refused."""
+    tally = Tally(Scenario(kinds=(READ, WRITE)))
+    for name, verdict, kind in (
+        ("good", "answered", WRITE),
+        ("twice", "unknown", WRITE),
+        ("lost", "answered", WRITE),
+        ("ran", "refused", WRITE),
+        ("repeated", "answered", READ),
+        ("refused", "refused", READ),
+    ):
+        sample(tally, name, verdict, kind)
+    counts = {"u1": {"good": 1, "twice": 1, "ran": 1}, "u2": {"twice": 1, "repeated": 2}}
+    found = finish(tally, counts).violations()
+    assert {name: count for name, count in found.items() if count} == {
+        "ran_twice": 1,
+        "lost": 1,
+        "false_refusals": 1,
+    }
+    partial = tally.executions({**counts, "u3": None})
+    assert (partial.missing, partial.lost, partial.ran_twice) == (("u3",), 0, 1)
+
+
+def test_unavailable_time_is_the_gap_around_failures():
+    """Guards against unavailable time that counts idle keys or misses an end in failure."""
+    tally = Tally(Scenario(kinds=(READ,)))
+    for name, at_s, verdict, key in (
+        ("a", 0.0, "answered", "quiet"),
+        ("b", 9.0, "answered", "quiet"),
+        ("c", 0.0, "answered", "failed"),
+        ("d", 1.0, "refused", "failed"),
+        ("e", 4.0, "answered", "failed"),
+        ("f", 5.0, "unknown", "never"),
+    ):
+        sample(tally, name, verdict, at_s=at_s, done_s=at_s, key=key)
+    gaps = finish(tally, {}).key_gaps
+    assert [(it.key, it.gap_s) for it in gaps.worst] == [("never", 15.0), ("failed", 4.0)]
+    assert (gaps.keys, gaps.keys_with_failures, gaps.longest_quiet_gap_s) == (3, 2, 15.0)
+
+
+class RunnerTest(tornado.testing.AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        settings = InstanceSettings("u1", "p", slots=50, waiting=900, checks="none")
+        self.instance = UpstreamInstance(settings)
+        sock, port = tornado.testing.bind_unused_port()
+        make_server(self.instance).add_socket(sock)
+        self.address = f"127.0.0.1:{port}"
+
+    async def run_load(self, **changed):
+        scenario = Scenario(100.0, 0.8, settle_s=0.0, kinds=(READ, WRITE))
+        scenario = attrs.evolve(scenario, **changed)
+        targets = f"http://{self.address}", "http://127.0.0.1:1"
+        runner = LoadRunner(scenario, targets, (self.address,), direct=True)
+        return await runner.run()
+
+    @tornado.testing.gen_test
+    async def test_run_against_a_stand_in_passes_over_dead_targets(self):
+        """Guards against results that differ from what the upstream counted."""
+        result = await self.run_load()
+        assert not any(result.violations().values())
+        assert result.answered == result.sent == result.executions.runs > 50
+        assert result.generator.connect_failovers > 0
+        assert decode(encode(result), LoadResult) == result
+
+    @tornado.testing.gen_test
+    async def test_a_stall_shows_in_the_latency_of_all_that_came_during_it(self):
+        """Guards against coordinated omission: a stall that slows the arrivals down."""
+        self.instance.faults.replace((Fault("freeze"),))
+
+        def thaw():
+            self.instance.faults.replace(())
+            self.instance.changed.notify()
+
+        self.io_loop.call_later(0.5, thaw)
+        result = await self.run_load(arrivals="uniform", max_in_flight=2)
+        slow = [second.max_ms for second in result.seconds]
+        assert max(slow) >= 450
+        # About 50 requests were due in 0.5 s, and half of them waited for more than 0.25 s.
+        assert result.latency["all"].p50_ms >= 100
+        assert result.answered == result.sent
+
+    @tornado.testing.gen_test
+    async def test_faults_of_the_upstream_are_reported(self):
+        """Guards against a broken promise that ends with exit code 0."""
+        for kind, found in (
+            ("wrong_request_id", ("wrong", {"crossed:request_id_header": 2})),
+            ("truncated_body", ("unknown", {"client_body_cut": 2})),
+            ("shed", ("refused", {"upstream_shed": 2})),
+            ("redirect", ("wrong", {"other_status:302": 2})),
+        ):
+            self.instance.faults.replace((Fault(kind, count=2),))
+            result = await self.run_load(duration_s=0.2)
+            assert (kind, getattr(result, found[0])) == (kind, found[1])
+            assert result.answered == result.sent - 2
+            assert result.violations()["crossed"] == (2 if kind == "wrong_request_id" else 0)
+
+
+@pytest.mark.parametrize(
+    ("text", "shown"),
+    [
+        ("", "no section [request:NAME]"),
+        ("[load]\nrate_per_s = 0\n", "[load] rate_per_s = '0': allowed is a number above 0"),
+        ("[load]\nspeed = 1\n", "[load] speed: unknown key; allowed are rate_per_s"),
+        ("[loads]\n", "[loads]: allowed are [load]"),
+        ("[request:x]\nshare = 1\n", "[request:x] path: missing"),
+        ("[request:x]\npath = /{id}\n", "[request:x] path = '/{id}'"),
+        ("[request:x]\npath = /\nidempotent = maybe\n", "idempotent = 'maybe': allowed are yes"),
+        ("[request:x]\npath = /\nkeys = 1e9\n", "keys = '1e9'"),
+        ("[request:x]\npath = /\ndistribution = even\n", "allowed are uniform, zipf"),
+        ("rate = 1\n", "no section headers"),
+    ],
+)
+def test_scenario_errors_say_where_and_what_is_allowed(tmp_path, capsys, text, shown):
+    path = tmp_path / "scenario.ini"
+    path.write_text(text)
+    with pytest.raises(ScenarioError) as caught:
+        read_scenario(str(path))
+    assert str(path) in str(caught.value)
+    assert shown in str(caught.value)
+    assert load_main.main(["run", str(path), "--target", "http://127.0.0.1:1"]) == 2
+    assert shown in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("path", sorted(SCENARIOS.glob("*.ini")), ids=lambda path: path.name)
+def test_shipped_scenarios_are_valid(path):
+    assert read_scenario(str(path)).kinds
+
+
+def test_report_compare_and_plots_from_files(tmp_path, capsys):
+    """Guards against result files that the program itself cannot read."""
+    tally = Tally(Scenario(kinds=(READ,)))
+    sample(tally, "a", "answered")
+    result = tally.result((), "", Executions(upstreams=1, ran_twice=3), Generator(), "first")
+    path, png = tmp_path / "a.json", tmp_path / "a.png"
+    path.write_bytes(encode(result))
+    assert load_main.main(["report", str(path)]) == 0
+    assert "violations: ran_twice 3" in capsys.readouterr().out
+    assert load_main.main(["compare", str(path), str(path), "--png", str(png)]) == 0
+    assert png.read_bytes().startswith(b"\x89PNG")
+    path.write_bytes(b"{}")
+    assert load_main.main(["report", str(path)]) == 2
+    assert "not a result file" in capsys.readouterr().err
