--- a/fireflyferry/entry/main.py
+++ b/fireflyferry/entry/main.py
@@ -34,6 +34,7 @@
 from fireflyferry.messages import GroupId, VmIncarnation
 from fireflyferry.messages.control import VmStatus
 from fireflyferry.settings import EntrySettings, read_settings
+from fireflyferry.standins.link_cut import make_cut_router
 from fireflyferry.telemetry.logs import configure_logging
 
 __all__ = ["EntryProgram", "main"]
@@ -158,6 +159,9 @@
         public_server = tornado.httpserver.HTTPServer(self._requests.public_delegate, **options)
         public_server.add_socket(public)
         router = make_peer_router(services, self._requests.peer_delegate)
+        if self._settings.testing.fault_injection:
+            _LOG.warning("fault_injection_enabled")
+            router = make_cut_router(router)
         peer_server = tornado.httpserver.HTTPServer(router, **options)
         peer_server.add_socket(peer)
         return [public_server, peer_server]
--- a/fireflyferry/experiments/deployment.py
+++ b/fireflyferry/experiments/deployment.py
@@ -100,8 +100,49 @@
 
     def set_platform_faults(self, *faults: dict) -> None:
         """Replace the faults of the platform stand-in."""
+        self._set_faults(self.store_address, *faults)
+
+    def cut_off(self, data_centre: str, store: bool = True) -> None:
+        """Cut a data centre off from the others, and from the store if asked."""
+        inside = [f"entry-{data_centre}-*"]
+        outside = [f"entry-{dc}-*" for _, dc in self.customer.data_centres if dc != data_centre]
+        for vm in self.vms.values():
+            callers = outside if vm.data_centre == data_centre else inside
+            if vm.role == "entry" and vm.vm_id in self.entries:
+                self._set_faults(vm.peer_address, {"kind": "cut", "callers": callers})
+            elif vm.role == "upstream":
+                fault = {"kind": "outage", "mode": "hang", "callers": callers}
+                self._set_faults(vm.address, fault)
+        if store:
+            fault = {"kind": "outage", "mode": "hang", "callers": inside}
+            self._set_faults(self.store_address, fault)
+
+    def heal(self) -> None:
+        """End all injected faults."""
+        for vm in self.vms.values():
+            alive = vm.vm_id in self.entries or vm.role == "upstream"
+            if alive and self._is_running(vm.vm_id):
+                self._set_faults(vm.peer_address or vm.address)
+        self._set_faults(self.store_address)
+
+    def lose_data_centre(self, data_centre: str) -> None:
+        """End all processes of a data centre at once."""
+        for vm in list(self.vms.values()):
+            if vm.data_centre != data_centre:
+                continue
+            if vm.role == "entry" and vm.vm_id in self.entries:
+                self.kill_entry(vm.vm_id)
+            elif vm.role == "upstream":
+                self.upstreams[vm.vm_id].kill()
+
+    def _is_running(self, vm_id: str) -> bool:
+        program = self.entries.get(vm_id) or self.upstreams.get(vm_id)
+        return program is not None and program.process.poll() is None
+
+    @staticmethod
+    def _set_faults(address: str, *faults: dict) -> None:
         body = orjson.dumps({"faults": faults})
-        fetch(f"http://{self.store_address}/faults", "POST", body)
+        fetch(f"http://{address}/faults", "POST", body)
 
     def kill_entry(self, vm_id: str) -> None:
         """End an entry VM at once."""
@@ -177,6 +218,9 @@
 [secrets]
 current = {SECRET}
 
+[testing]
+fault_injection = yes
+
 [leases]
 {self.lease_lines}
 """
--- a/fireflyferry/settings/model.py
+++ b/fireflyferry/settings/model.py
@@ -7,6 +7,7 @@
 from fireflyferry.settings.values import (
     Choice,
     Endpoint,
+    Flag,
     IpAddress,
     Number,
     Secret,
@@ -29,6 +30,7 @@
     "SecretSettings",
     "StatsdSettings",
     "StoreSettings",
+    "TestingSettings",
     "VmSettings",
 ]
 
@@ -146,6 +148,13 @@
     )
 
 
+@attrs.frozen
+class TestingSettings:
+    """Fault injection on the peer port, for experiments only."""
+
+    fault_injection: bool = field(Flag(), False)
+
+
 @attrs.frozen
 class EntrySettings:
     """Settings of `fireflyferry-entry`."""
@@ -159,6 +168,7 @@
     log: LogSettings
     drain: DrainSettings
     peers: PeerSettings
+    testing: TestingSettings
 
 
 @attrs.frozen
