--- a/fireflyferry/experiments/tests/test_load.py
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -178,6 +178,16 @@
         assert result.latency["all"].p50_ms >= 100
         assert result.answered == result.sent
 
+    @tornado.testing.gen_test
+    async def test_non_idempotent_requests_are_sent_once(self):
+        """Guards against libcurl's resend, which looks like a router that runs things twice."""
+        keys = tuple(f"write-{number}" for number in range(WRITE.keys))
+        fault = Fault("close_before_first_byte", keys=keys, count=3)
+        self.io_loop.call_later(0.3, self.instance.faults.replace, (fault,))
+        result = await self.run_load()
+        assert result.unknown == {"client_connection_lost": 3}
+        assert result.executions.ran_twice == 0
+
     @tornado.testing.gen_test
     async def test_faults_of_the_upstream_are_reported(self):
         """Guards against a broken promise that ends with exit code 0."""
--- a/fireflyferry/standins/tests/test_platform_table.py
+++ b/fireflyferry/standins/tests/test_platform_table.py
@@ -18,7 +18,7 @@
 
     def __init__(self):
         super().__init__()
-        self.table = ObjectTable(log_changes=6, batch_changes=2)
+        self.table = ObjectTable(log_changes=3, batch_changes=2)
         self.changes = []
         self.latest = {}
         self.reader = {}
