--- a/fireflyferry/standins/tests/test_upstream.py
+++ b/fireflyferry/standins/tests/test_upstream.py
@@ -89,6 +89,14 @@
         await self.instance.cancel("r1")
         assert [it.code for it in await asyncio.gather(*first)] == [503, 503]
 
+    @tornado.testing.gen_test
+    async def test_encoded_units_and_keys_match_grants(self):
+        """Guards against refusals of keys that cannot stand in a header as they are."""
+        self.grant(30.0, (UnitGrant("k:1:a é%", 8),), set_version=2)
+        named = {"Firefly_Unit": "k:1:a%20%C3%A9%25", "Firefly_Fence": "8"}
+        assert (await self.fetch("r1", Firefly_Key="a%20%C3%A9%25", **named)).code == 200
+        assert (await self.fetch("r2", Firefly_Key="a", **named)).code == 503
+
     @tornado.testing.gen_test
     async def test_cancel_returns_when_nothing_runs_and_refuses_late_arrivals(self):
         """Guards against a cancelled request that runs later."""
--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import urllib.parse
 
 import attrs
 import orjson
@@ -20,7 +21,10 @@
 
 @attrs.frozen
 class DataRequest:
-    """A parsed data request; `deadline_s` is monotonic, None without a deadline."""
+    """A parsed data request; `deadline_s` is monotonic, None without a deadline.
+
+    `key` and `unit` are percent-encoded, as in the headers.
+    """
 
     request_id: str
     key: str
@@ -32,6 +36,13 @@
     chunked: bool
     body_bytes: int
 
+    @property
+    def decoded(self) -> tuple[str, str]:
+        """Unit and key as grants name them."""
+        return tuple(
+            urllib.parse.unquote(it, errors="surrogateescape") for it in (self.unit, self.key)
+        )
+
 
 def first_line(upstream_id: str, request: DataRequest) -> bytes:
     """Return the JSON line with which every answer begins."""
@@ -123,9 +134,7 @@
         if request.deadline_s is not None and time.monotonic() >= request.deadline_s:
             return "deadline_passed_in_queue"
         if instance.checks(self.caller):
-            result = instance.holder.check(
-                time.monotonic(), request.unit, request.key, request.fence
-            )
+            result = instance.holder.check(time.monotonic(), *request.decoded, request.fence)
             return "" if result is CheckResult.HELD else result.value
         return ""
 
@@ -156,7 +165,7 @@
             self._refuse(request, reason)
             return
         checks = instance.checks(self.caller)
-        ticket = instance.holder.begin(time.monotonic(), request.unit, request.key, request.fence)
+        ticket = instance.holder.begin(time.monotonic(), *request.decoded, request.fence)
         run = instance.start_run(request.request_id, request.key, request.unit, request.fence)
         stopped = await self._take_service_time(request)
         held = True
