--- a/fireflyferry/experiments/tests/test_load.py
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -181,9 +181,10 @@
     @tornado.testing.gen_test
     async def test_non_idempotent_requests_are_sent_once(self):
         """Guards against libcurl's resend, which looks like a router that runs things twice."""
-        fault = Fault("close_before_first_byte", count=3)
+        keys = tuple(f"write-{number}" for number in range(WRITE.keys))
+        fault = Fault("close_before_first_byte", keys=keys, count=3)
         self.io_loop.call_later(0.3, self.instance.faults.replace, (fault,))
-        result = await self.run_load(kinds=(WRITE,))
+        result = await self.run_load()
         assert result.unknown == {"client_connection_lost": 3}
         assert result.executions.ran_twice == 0
 
