--- a/fireflyferry/operators/context.py
+++ b/fireflyferry/operators/context.py
@@ -22,7 +22,8 @@
     author: str
     show: Callable[[str], None] = print
     pause: Callable[[float], Awaitable[None]] = asyncio.sleep
+    editor_type: type[TableEditor] = TableEditor
 
     def editor(self) -> TableEditor:
         """Return an editor of the tables."""
-        return TableEditor(self.store, self.pause)
+        return self.editor_type(self.store, self.pause)
--- a/fireflyferry/operators/tests/fake_fleet.py
+++ b/fireflyferry/operators/tests/fake_fleet.py
@@ -15,8 +15,9 @@
     """Object table with one fault per write, taken from `faults` in order.
 
     `lost`: takes effect, no answer. `refused`: no effect, no answer. `late`: takes effect after
-    the caller gave up, when `deliver` is called. A coroutine function: takes effect, then the
-    function runs, and no answer. `before` runs ahead of each table write.
+    the caller gave up, when `deliver` is called. `deliver`: late writes arrive just before this
+    one. A coroutine function: takes effect, then the function runs, and no answer. `before` runs
+    ahead of the next write of the tables.
     """
 
     table: ObjectTable = attrs.Factory(ObjectTable)
@@ -49,6 +50,8 @@
         fault = self.faults.pop(0) if self.faults else "none"
         if fault == "refused":
             raise StoreUnavailableError("refused")
+        if fault == "deliver":
+            self.deliver()
         if fault == "late":
             self.late.append((name, data, expected_version))
             raise StoreUnavailableError("late")
--- a/fireflyferry/operators/tests/test_editing_commands.py
+++ b/fireflyferry/operators/tests/test_editing_commands.py
@@ -89,6 +89,12 @@
     assert (tables(store).route("w").timeout_ms, tables(store).revision) == (5, 3)
 
 
+def test_conflict_with_ones_own_late_write_counts_as_done(store):
+    store.faults = ["none", "late", "deliver"]
+    assert run(store, "routes set w timeout_ms=5") == ExitCode.DONE
+    assert (tables(store).revision, tables(store).route("w").timeout_ms) == (3, 5)
+
+
 def test_edit_that_took_effect_and_was_replaced_counts_as_done(store):
     async def other():
         options = make_parser().parse_args(["routes", "set", "w", "priority=3"])
