--- a/fireflyferry/messages/groups.py
+++ b/fireflyferry/messages/groups.py
@@ -44,7 +44,10 @@
 
 @attrs.frozen
 class GroupRecord:
-    """The store's record of a group; changed by conditional update only."""
+    """The store's record of a group; changed by conditional update only.
+
+    `session_s` is the session that the leader counts, for standbys with other settings.
+    """
 
     group: GroupId
     term: int
@@ -53,16 +56,24 @@
     session: int = 0
     resigned: bool = False
     write_id: str = ""
+    session_s: float = 0.0
 
 
 @attrs.frozen
 class OwnerSet:
-    """Owners of a group's units, ordered by (term, sequence)."""
+    """Owners of a group's units, ordered by (term, sequence).
+
+    `releasing` lists upstreams besides the owner that may still hold a unit. `unchecked` lists
+    upstreams that check neither grants nor fences. A new leader needs both, because an owner is
+    saved before the earlier one has released the unit.
+    """
 
     group: GroupId
     term: int
     sequence: int
     owners: dict[str, str]
+    releasing: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    unchecked: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -30,6 +30,7 @@
     service_ms: float | None
     size_bytes: int
     chunked: bool
+    body_bytes: int
 
 
 def first_line(upstream_id: str, request: DataRequest) -> bytes:
@@ -40,6 +41,7 @@
         "upstream_id": upstream_id,
         "unit": request.unit,
         "fence": request.fence,
+        "body_bytes": request.body_bytes,
     }
     return orjson.dumps(fields) + b"\n"
 
@@ -103,6 +105,7 @@
                 None if service_ms is None else float(service_ms),
                 min(int(self.get_query_argument("size_bytes", "0")), MAX_ANSWER_BYTES),
                 self.get_query_argument("chunked", "0") == "1",
+                len(self.request.body),
             )
         except ValueError as error:
             raise tornado.web.HTTPError(400, reason="header or parameter: no number") from error
@@ -163,6 +166,7 @@
         run.ownership = "held" if held or not checks else "lapsed"
         if stopped:
             self.set_header("Firefly-Outcome", "unknown")
+            self.set_header("Firefly-Reason", "timed_out")
             self.send_error_text(503, "cancelled")
             return
         await self._answer(request, run.ownership)
--- a/fireflyferry/standins/upstream_instance.py
+++ b/fireflyferry/standins/upstream_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import random
 import secrets
 import time
@@ -41,6 +42,7 @@
 
     upstream_id: str
     pool: str
+    journal: str = ""
     slots: int = 2
     connections: int = 130
     waiting: int = 16
@@ -87,6 +89,9 @@
         self._started_s = time.monotonic()
         self._draining_since_s: float | None = None
         self._random = random.Random(f"{settings.seed}:{settings.upstream_id}")
+        # Unbuffered, so that the last runs survive a kill of this process.
+        flags = os.O_APPEND | os.O_CREAT | os.O_WRONLY
+        self._journal = os.open(settings.journal, flags) if settings.journal else None
 
     @property
     def cold(self) -> bool:
@@ -121,7 +126,9 @@
         now_s = time.monotonic()
         reply = self.holder.accept(now_s, message)
         if reply.accepted:
-            until_s = _token_reading_s(message.token) + message.length_s if self.checks() else None
+            until_s = None
+            if self.holder.checks:
+                until_s = _token_reading_s(message.token) + message.length_s
             self.ownership.on_accepted(now_s, message, until_s)
         return reply
 
@@ -139,6 +146,9 @@
         self.by_request[request_id] += 1
         self.by_key[key] += 1
         self.runs.append(run)
+        if self._journal is not None:
+            line = f"{self.settings.upstream_id} {request_id} {key}\n"
+            os.write(self._journal, line.encode())
         return run
 
     def service_s(self, requested_ms: float | None, caller: str, key: str) -> float:
