--- a/fireflyferry/entry/group_runtime.py
+++ b/fireflyferry/entry/group_runtime.py
@@ -31,6 +31,7 @@
     assignments_version: int = 0
     saving: bool = False
     unsaved: SaveOwners | None = None
+    save_started_s: float = 0.0
     store_away: bool = False
     durability: str = "store"
     pins: dict[str, str] = attrs.Factory(dict)
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -21,6 +21,9 @@
 ASSIGNMENTS_PREFIX = "assignments/"
 LOAD_RETRY_S = 0.2
 STORE_CATCH_UP_S = 2.0
+# The store answers in milliseconds. Waiting for its timeout before the standby's copy counts
+# added 2 s to the unavailable time of an owner that is lost during an outage.
+STORE_PATIENCE_S = 0.3
 
 
 class OwnerSystem:
@@ -135,6 +138,7 @@
             self._tasks.start(self._save(runtime, action))
 
     async def _save(self, runtime: GroupRuntime, action: SaveOwners) -> None:
+        runtime.save_started_s = self._clock.monotonic_s()
         name = f"{ASSIGNMENTS_PREFIX}{runtime.group}"
         try:
             runtime.assignments_version = await self._store.put(
@@ -168,7 +172,10 @@
     def _confirm_by_standby(self, runtime: GroupRuntime) -> None:
         """Accept the standby's copy while the store does not answer."""
         action = runtime.unsaved
-        if action is None or not runtime.store_away or runtime.confirmed_save >= action.save_id:
+        if action is None or runtime.confirmed_save >= action.save_id:
+            return
+        waited_s = self._clock.monotonic_s() - runtime.save_started_s
+        if not runtime.store_away and (not runtime.saving or waited_s < STORE_PATIENCE_S):
             return
         wanted = (action.owners.term, action.owners.sequence)
         if (runtime.authority.owners_acknowledged or (0, 0)) >= wanted:
--- a/fireflyferry/experiments/deployment.py
+++ b/fireflyferry/experiments/deployment.py
@@ -46,10 +46,10 @@
         """Address of the platform stand-in."""
         return self.platform.ready[0]["address"]
 
-    @property
-    def entry_urls(self) -> list[str]:
-        """Public URLs of the entry VMs that run."""
-        return [f"http://{self.vms[name].address}" for name in sorted(self.entries)]
+    def entry_urls(self, avoid_data_centre: str = "") -> list[str]:
+        """Return public URLs of the entry VMs that run, those of one data centre left out."""
+        vms = (self.vms[name] for name in sorted(self.entries))
+        return [f"http://{vm.address}" for vm in vms if vm.data_centre != avoid_data_centre]
 
     @property
     def upstream_addresses(self) -> dict[str, str]:
@@ -219,7 +219,7 @@
 current = {SECRET}
 
 [testing]
-fault_injection = yes
+fault_injection = true
 
 [leases]
 {self.lease_lines}
