--- a/fireflyferry/leases/authority.py
+++ b/fireflyferry/leases/authority.py
@@ -44,6 +44,7 @@
         self._replica: OwnerSet | None = None
         # Reads.
         self._seen_term = 0
+        self._doubted_s = NEVER
         self._last_read_s = NEVER
         self._next_read_s = NEVER
         self._read_retry_s = self._first_retry_s
@@ -199,6 +200,7 @@
         now_s = self._advance(now_s)
         self._seen_term = max(self._seen_term, heartbeat.term)
         if not self._may_pledge(heartbeat):
+            self._doubted_s = now_s
             term = self._record.term if self._record else 0
             return HeartbeatReply(self._group, term, self._me, 0.0)
         self._last_heard_s = now_s
@@ -260,6 +262,8 @@
             return True
         if self._seen_term > (record.term if record else 0):
             return True
+        if self._last_read_s < self._doubted_s:
+            return True
         if record is None or self._leaving or self._leads:
             return False
         if record.leader == self._me:
@@ -295,7 +299,7 @@
         if record is None or heartbeat.term > record.term:
             return True
         same = heartbeat.term == record.term and heartbeat.leader == record.leader
-        return same and not record.resigned
+        return same and record.standby == self._me and not record.resigned
 
     def _takeover_in_flight(self) -> bool:
         return self._open is not None
--- a/fireflyferry/leases/trial_book.py
+++ b/fireflyferry/leases/trial/book.py
@@ -28,8 +28,8 @@
         self.sequence = 0
 
     def grants_until_s(self) -> float:
-        """Return when the last grant given has ended."""
-        return max(self._ends_s.values(), default=NEVER)
+        """Return when the grants of this term and of the terms before it have ended."""
+        return max(self._start_s, *self._ends_s.values(), NEVER)
 
     def place(self, now_s: float, desired: Mapping[str, str]) -> int:
         """Release and grant units towards the desired owners; return how many changed."""
