--- a/fireflyferry/leases/trial/faults.py
+++ b/fireflyferry/leases/trial/faults.py
@@ -54,14 +54,8 @@
 
     def disturb(self, loss: float, delay_s: float, duration_s: float) -> None:
         """Lose and delay messages, so that they overtake each other."""
-        world = self.world
-        before = world.loss, world.delay_s
-        world.loss, world.delay_s = loss, delay_s
-
-        def end() -> None:
-            world.loss, world.delay_s = before
-
-        self._later(duration_s, end)
+        self.world.loss, self.world.delay_s = loss, delay_s
+        self._later(duration_s, self.world.calm)
 
     def restart(self, process: TrialVm | TrialUpstream, down_s: float) -> None:
         """End a process and start a new run of it."""
@@ -105,7 +99,9 @@
             self._later(index * interval_s, lambda owner=owner: self.move(unit, owner))
 
     def _later(self, delay_s: float, event: Callable[[], None]) -> None:
-        self.world.at(delay_s, event)
+        """Run an event unless all faults have been ended until then."""
+        heals = self.world.heals
+        self.world.at(delay_s, lambda: event() if self.world.heals == heals else None)
 
 
 def run_random_faults(world: TrialWorld, duration_s: float, operations: bool = True) -> None:
--- a/fireflyferry/leases/trial/processes.py
+++ b/fireflyferry/leases/trial/processes.py
@@ -1,6 +1,7 @@
 """Processes of the lease trial: entry VMs and upstreams, each with a clock of its own."""
 
 import math
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -47,6 +48,7 @@
         self._rate = world.random.uniform(1 / spread, spread)
         self._offset_s = world.random.uniform(0, 1000)
         self.paused_until_s = 0.0
+        self.backlog: list[Callable[[], None]] = []
         self.alive = True
         self.run = 0
         self.start()
--- a/fireflyferry/leases/trial/world.py
+++ b/fireflyferry/leases/trial/world.py
@@ -32,7 +32,9 @@
         self.now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self.loss, self.delay_s, self.store_delay_s = 0.0, 0.02, 0.0
+        self.store_delay_s = 0.0
+        self.calm()
+        self.heals = 0
         self.cuts: set[frozenset[str]] = set()
         self.store_up = True
         self.record: GroupRecord | None = None
@@ -132,7 +134,7 @@
             if not process.alive or run not in (None, process.run):
                 return
             if self.now_s < process.paused_until_s:
-                self._push(process.paused_until_s - self.now_s, process, run, event)
+                process.backlog.append(fire)
                 return
             event()
             self._check_leaders()
@@ -151,6 +153,13 @@
     def pause(self, process: TrialProcess, duration_s: float) -> None:
         """Stop a process for some time; its clock goes on."""
         process.paused_until_s = max(process.paused_until_s, self.now_s + duration_s)
+        self.at(duration_s, lambda: self._resume(process))
+
+    def _resume(self, process: TrialProcess) -> None:
+        if self.now_s >= process.paused_until_s:
+            backlog, process.backlog = process.backlog, []
+            for event in backlog:
+                event()
 
     def stop(self, process: TrialProcess) -> None:
         """End a process."""
@@ -162,18 +171,24 @@
         if process.alive:
             self.stop(process)
         process.run += 1
-        process.alive, process.paused_until_s = True, 0.0
+        process.alive, process.paused_until_s, process.backlog = True, 0.0, []
         process.start()
 
+    def calm(self) -> None:
+        """Deliver all messages, within 20 ms."""
+        self.loss, self.delay_s = 0.0, 0.02
+
     def heal(self) -> None:
-        """End all faults and restart VMs that are down or leaving."""
+        """End all faults and restart processes that are down or leaving."""
+        self.heals += 1
         self.cuts.clear()
-        self.store_up, self.loss, self.delay_s, self.store_delay_s = True, 0.0, 0.02, 0.0
+        self.calm()
+        self.store_up, self.store_delay_s = True, 0.0
         for process in (*self.vms, *self.upstreams):
             process.paused_until_s = min(process.paused_until_s, self.now_s)
-        for vm in self.vms:
-            if not vm.alive or vm.authority.leaving:
-                self.restart(vm)
+            self._resume(process)
+            if not process.alive or (process in self.vms and process.authority.leaving):
+                self.restart(process)
 
     def reported_lost(self, vm: TrialVm, run: VmIncarnation) -> bool:
         """Return whether the platform has told a VM that a run of another has ended."""
