Add the benchmark of placement and grants

The benchmark compares assign() with a hash ring and rendezvous hashing, and times the sketch, assign() and GrantBook.

--- /dev/null
+++ b/fireflyferry/placement/bench.py
@@ -0,0 +1,209 @@
+"""Benchmark of placement and of grants; prints Markdown tables of three runs.
+
+Run it with `python -m fireflyferry.placement.bench`.
+"""
+
+import itertools
+import random
+import statistics
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping, Sequence
+
+import attrs
+
+from fireflyferry.ownership import bench as grants
+from fireflyferry.placement.assignment import PlacementWeights, UpstreamLoad, assign
+from fireflyferry.placement.baselines import by_rendezvous, by_ring
+from fireflyferry.placement.hot_keys import HotKeySketch
+from fireflyferry.placement.units import bucket_of, bucket_unit, key_unit
+
+__all__ = ["main"]
+
+RUNS = 3
+KEYS = 1_000_000
+BUCKETS = 16_384
+HOT_KEYS = 10
+WEIGHTS = PlacementWeights()
+SPLIT_NONE: frozenset[int] = frozenset()
+
+
+@attrs.frozen
+class Workload:
+    """Keys with loads; key number 0 is the hottest."""
+
+    name: str
+    keys: list[str]
+    loads: list[float]
+
+    def units(self, buckets: int, hot_keys: int) -> tuple[dict[str, float], dict[str, int]]:
+        """Return the load and the number of keys of each unit."""
+        loads = {bucket_unit(bucket): 0.0 for bucket in range(buckets)}
+        counts = dict.fromkeys(loads, 0)
+        for index, (key, load) in enumerate(zip(self.keys, self.loads, strict=True)):
+            bucket = bucket_of(key, buckets)
+            unit = key_unit(bucket, key) if index < hot_keys else bucket_unit(bucket)
+            loads[unit] = loads.get(unit, 0.0) + load
+            counts[unit] = counts.get(unit, 0) + 1
+        return loads, counts
+
+
+def workload(name: str, run: int) -> Workload:
+    """Return uniform keys, or keys with Zipf loads of exponent 1."""
+    keys = [f"key-{run}-{index}" for index in range(KEYS)]
+    if name == "uniform":
+        return Workload(name, keys, [1.0] * KEYS)
+    return Workload(name, keys, [1.0 / rank for rank in range(1, KEYS + 1)])
+
+
+Place = Callable[[Mapping[str, float], Sequence[str], Mapping[str, str]], dict[str, str]]
+
+
+def by_assign(
+    loads: Mapping[str, float], names: Sequence[str], current: Mapping[str, str]
+) -> dict[str, str]:
+    """Place units by assign(), called until it moves no more."""
+    while True:
+        placed = assign(loads, [UpstreamLoad(name) for name in names], current, WEIGHTS)
+        if placed == current:
+            return placed
+        current = placed
+
+
+METHODS: dict[str, Place] = {
+    "hash ring": lambda loads, names, current: by_ring(loads, names),
+    "rendezvous": lambda loads, names, current: by_rendezvous(loads, names),
+    "assign": by_assign,
+}
+
+
+def fleet(count: int) -> list[str]:
+    """Return upstream ids."""
+    return [f"i{index:03}" for index in range(count)]
+
+
+def imbalance(loads: Mapping[str, float], owners: Mapping[str, str], upstreams: int) -> float:
+    """Return the largest load of an upstream over the mean."""
+    totals: Counter[str] = Counter()
+    for unit, load in loads.items():
+        totals[owners[unit]] += load
+    return max(totals.values()) * upstreams / sum(loads.values())
+
+
+def movement(load: Workload, count: int) -> Iterator[tuple[str, float]]:
+    """Yield keys moved over the least possible, and the imbalance after it."""
+    loads, counts = load.units(BUCKETS, HOT_KEYS if load.name == "zipf" else 0)
+    names = fleet(count)
+    for method, place in METHODS.items():
+        before = place(loads, names, {})
+        owned = Counter(dict.fromkeys(names, 0))
+        for unit, owner in before.items():
+            owned[owner] += counts[unit]
+        cases = {
+            "join": ([*names, "new"], KEYS / (count + 1)),
+            "leave": (names[1:], owned[names[0]]),
+        }
+        for case, (left, least) in cases.items():
+            after = place(loads, left, before)
+            moved = sum(counts[unit] for unit in loads if after[unit] != before[unit])
+            yield f"{case}, {load.name}, {count} upstreams, {method}: moved / least", moved / least
+            yield (
+                f"{case}, {load.name}, {count} upstreams, {method}: imbalance after",
+                imbalance(loads, after, len(left)),
+            )
+    drained = [UpstreamLoad(name, draining=name == names[0]) for name in names]
+    after = assign(loads, drained, before, WEIGHTS)
+    moved = sum(counts[unit] for unit in loads if after[unit] != before[unit])
+    yield f"drain, {load.name}, {count} upstreams, assign: moved / least", moved / least
+
+
+def balance(load: Workload, count: int, buckets: int) -> Iterator[tuple[str, float]]:
+    """Yield the imbalance of a first placement with and without hot-key units."""
+    for hot_keys, (method, place) in itertools.product((0, HOT_KEYS), METHODS.items()):
+        loads, _ = load.units(buckets, hot_keys)
+        owners = place(loads, fleet(count), {})
+        label = f"{load.name}, {buckets} buckets, {count} upstreams, {hot_keys} key units, {method}"
+        yield label, imbalance(loads, owners, count)
+
+
+def sketch_costs(run: int) -> Iterator[tuple[str, float]]:
+    """Yield time per observation and memory of the sketch."""
+    chooser = random.Random(run)
+    weights = list(itertools.accumulate(1.0 / rank for rank in range(1, KEYS + 1)))
+    streams = {
+        "zipf": chooser.choices(range(KEYS), cum_weights=weights, k=200_000),
+        "uniform": [chooser.randrange(KEYS) for _ in range(200_000)],
+    }
+    for name, stream in streams.items():
+        keys = [f"key-{run}-{index}" for index in stream]
+        sketch = HotKeySketch(512)
+        start_s = time.perf_counter()
+        for key in keys:
+            sketch.observe(key)
+        elapsed_s = time.perf_counter() - start_s
+        yield f"sketch, {name}: us per observation", elapsed_s * 1e6 / len(keys)
+        if name == "zipf":
+            hottest = {f"key-{run}-{index}" for index in range(HOT_KEYS)}
+            found = {entry.key for entry in sketch.top(HOT_KEYS)}
+            yield "sketch, zipf: of the 10 hottest keys found", len(hottest & found)
+    tracemalloc.start()
+    sketch = HotKeySketch(512)
+    for index in range(50_000):
+        sketch.observe(f"key-{run}-{index}")
+    yield "sketch, 512 counters: memory in KB", tracemalloc.get_traced_memory()[0] / 1000
+    tracemalloc.stop()
+
+
+def assign_times(run: int, count: int) -> Iterator[tuple[str, float]]:
+    """Yield the time of one call of assign() in ms."""
+    chooser = random.Random(run)
+    loads = {bucket_unit(bucket): chooser.uniform(0.5, 1.5) for bucket in range(BUCKETS)}
+    names = fleet(count)
+    owners: dict[str, str] = {}
+    cases = {
+        "first": names,
+        "no change": names,
+        "join": [*names, "new"],
+        "leave": names[1:],
+    }
+    for case, live in cases.items():
+        upstreams = [UpstreamLoad(name) for name in live]
+        start_s = time.perf_counter()
+        placed = assign(loads, upstreams, owners, WEIGHTS)
+        elapsed_s = time.perf_counter() - start_s
+        yield f"assign(), {BUCKETS} buckets, {count} upstreams, {case}: ms", elapsed_s * 1e3
+        owners = placed if case == "first" else owners
+
+
+def measure(run: int) -> Iterator[tuple[str, str, float]]:
+    """Yield section, label and value of every measurement of one run."""
+    for name in ("uniform", "zipf"):
+        load = workload(name, run)
+        for count in (15, 60):
+            yield from (("Movement", *row) for row in movement(load, count))
+        for buckets in (256, BUCKETS):
+            yield from (("Imbalance", *row) for row in balance(load, 15, buckets))
+    yield from (("Sketch", *row) for row in sketch_costs(run))
+    for count in (15, 60, 240):
+        yield from (("assign()", *row) for row in assign_times(run, count))
+    for count in (4, 12, 48):
+        yield from (("Grants", *row) for row in grants.measure(count))
+
+
+def main() -> None:
+    """Run all measurements three times and print tables."""
+    tables: dict[str, dict[str, list[float]]] = {}
+    for run in range(1, RUNS + 1):
+        for section, label, value in measure(run):
+            tables.setdefault(section, {}).setdefault(label, []).append(value)
+    for section, rows in tables.items():
+        print(f"\n### {section}\n\n| measurement | run 1 | run 2 | run 3 | median |")
+        print("| --- | ---: | ---: | ---: | ---: |")
+        for label, values in rows.items():
+            cells = [*values, statistics.median(values)]
+            print(f"| {label} | " + " | ".join(f"{value:.4g}" for value in cells) + " |")
+
+
+if __name__ == "__main__":
+    main()
