--- a/fireflyferry/experiments/load_main.py
+++ b/fireflyferry/experiments/load_main.py
@@ -9,11 +9,11 @@
 from fireflyferry.experiments.load_plots import PlotsUnavailableError, save_plots
 from fireflyferry.experiments.load_report import compare, report
 from fireflyferry.experiments.load_result import LoadResult
-from fireflyferry.experiments.load_runner import LoadRunner
+from fireflyferry.experiments.load_runner import run_load
 from fireflyferry.experiments.load_scenario import ScenarioError, read_scenario
 from fireflyferry.messages import decode, encode
 from fireflyferry.messages.codec import MessageError
-from fireflyferry.standins.program import ProgramError, make_parser
+from fireflyferry.standins.program import ProgramError, make_parser, positive_int
 
 __all__ = ["main"]
 
@@ -56,6 +56,9 @@
     run.add_argument(
         "--direct", action="store_true", help="targets are upstream stand-ins, without a router"
     )
+    run.add_argument(
+        "--senders", type=positive_int, default=1, help="processes that share the load"
+    )
     run.add_argument("--label", default="", help="name of the run in reports")
     run.add_argument("--out", metavar="FILE", help="write the result as JSON")
     run.add_argument("--png", metavar="FILE", help="write plots; needs matplotlib")
@@ -80,9 +83,14 @@
             raise ProgramError(f"--target {target!r} is not a URL such as http://127.0.0.1:8080")
 
     async def run() -> LoadResult:
-        upstreams = _split(arguments.upstream)
-        runner = LoadRunner(scenario, targets, upstreams, arguments.direct)
-        return await runner.run(arguments.label)
+        return await run_load(
+            scenario,
+            targets,
+            _split(arguments.upstream),
+            arguments.direct,
+            arguments.senders,
+            arguments.label,
+        )
 
     if arguments.out:
         _write(arguments.out, b"")  # a path that cannot be written is found before the run
--- a/fireflyferry/experiments/load_report.py
+++ b/fireflyferry/experiments/load_report.py
@@ -36,12 +36,13 @@
     yield from _execution_lines(result)
     yield (
         f"generator lag p50 {generator.lag_p50_ms:.2f} ms, p99 {generator.lag_p99_ms:.2f} ms, "
-        f"max {generator.lag_max_ms:.2f} ms; most in flight {generator.peak_in_flight}; "
-        f"connections refused and sent elsewhere {generator.connect_failovers}"
+        f"max {generator.lag_max_ms:.2f} ms; {generator.senders} senders; "
+        f"most in flight {generator.peak_in_flight}; connections refused and sent elsewhere {generator.connect_failovers}"
     )
     broken = {name: count for name, count in result.violations().items() if count}
     yield f"violations: {', '.join(f'{n} {c}' for n, c in broken.items()) or 'none'}"
-    yield from (f"  {text}" for text in (*result.executions.examples, *result.examples))
+    examples = (*result.ownership.examples, *result.executions.examples, *result.examples)
+    yield from (f"  {text}" for text in examples)
 
 
 def _gap_lines(result: LoadResult) -> Iterator[str]:
@@ -67,6 +68,10 @@
     )
     if found.missing:
         yield f"  no count from {', '.join(found.missing)}; the figures are lower bounds"
+    owned = result.ownership
+    yield f"ownership: {owned.holdings} holdings, {owned.overlaps} overlaps of two owners"
+    if owned.missing:
+        yield f"  no log from {', '.join(owned.missing)}; overlaps with it are not known"
 
 
 def _share(result: LoadResult) -> str:
--- a/fireflyferry/experiments/load_result.py
+++ b/fireflyferry/experiments/load_result.py
@@ -12,6 +12,7 @@
     "KeyGaps",
     "Latency",
     "LoadResult",
+    "OwnershipCheck",
     "Second",
 ]
 
@@ -84,6 +85,16 @@
     examples: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class OwnershipCheck:
+    """Overlaps are pairs of holdings of two upstreams that cover a key at the same time."""
+
+    holdings: int = 0
+    overlaps: int = 0
+    missing: tuple[str, ...] = ()
+    examples: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class Generator:
     """How well the generator kept to its plan; a large lag means that it was overloaded."""
@@ -91,6 +102,7 @@
     lag_p50_ms: float = 0.0
     lag_p99_ms: float = 0.0
     lag_max_ms: float = 0.0
+    senders: int = 1
     peak_in_flight: int = 0
     connect_failovers: int = 0
     elapsed_s: float = 0.0
@@ -113,6 +125,7 @@
     key_gaps: KeyGaps
     executions: Executions
     generator: Generator
+    ownership: OwnershipCheck = OwnershipCheck()
     examples: tuple[str, ...] = ()
     label: str = ""
 
@@ -132,6 +145,7 @@
 
 
 VIOLATIONS = {
+    "two_owners": lambda result: result.ownership.overlaps,
     "ran_twice": lambda result: result.executions.ran_twice,
     "lost": lambda result: result.executions.lost,
     "false_refusals": lambda result: result.executions.false_refusals,
--- a/fireflyferry/experiments/load_runner.py
+++ b/fireflyferry/experiments/load_runner.py
@@ -1,174 +1,112 @@
-"""Open-loop execution of a scenario against entry VMs."""
+"""Runs a scenario with one or several senders and collects what the upstreams say."""
 
 import asyncio
+import concurrent.futures
 import datetime
-import random
+import multiprocessing
 import time
 
 import orjson
-import pycurl
-import tornado.curl_httpclient
 import tornado.httpclient
 
-from fireflyferry.experiments.load_check import (
-    Judgement,
-    Received,
-    Verdict,
-    judge,
-    judge_error,
-)
-from fireflyferry.experiments.load_plan import Arrival, arrivals, make_request_id
-from fireflyferry.experiments.load_result import Generator, LoadResult
+from fireflyferry.experiments.load_ownership import check_ownership
+from fireflyferry.experiments.load_result import Generator, LoadResult, OwnershipCheck
 from fireflyferry.experiments.load_scenario import Scenario
-from fireflyferry.experiments.load_tally import Sample, Tally
-
-__all__ = ["LoadRunner"]
-
-# The router answers by the deadline that it was given; past this grace the caller gives up.
-ANSWER_GRACE_S = 1.0
-
-
-class LoadRunner:
-    """Sends the requests of a scenario at their intended times, whatever came back before.
-
-    `targets` are base URLs of entry VMs, chosen at random as by a balancer that passes over a VM
-    which refuses the connection; `upstreams` are `IP:PORT` of stand-ins to ask for executions.
-    With `direct`, targets are upstream stand-ins, which measures them without the router.
+from fireflyferry.experiments.load_sender import Order, Sender, SenderResult
+from fireflyferry.experiments.load_tally import Tally
+from fireflyferry.messages import decode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.standins.upstream_ownership import Holding
+
+__all__ = ["run_load"]
+
+# A sender process needs about 0.5 s for its imports.
+PROCESS_START_S = 2.0
+
+
+async def run_load(
+    scenario: Scenario,
+    targets: tuple[str, ...],
+    upstreams: tuple[str, ...] = (),
+    direct: bool = False,
+    senders: int = 1,
+    label: str = "",
+) -> LoadResult:
+    """Run a scenario and return its result.
+
+    `upstreams` are `IP:PORT` of stand-ins to ask what ran and what they held. One sender runs in
+    this process, several in processes of their own.
     """
-
-    def __init__(
-        self,
-        scenario: Scenario,
-        targets: tuple[str, ...],
-        upstreams: tuple[str, ...] = (),
-        direct: bool = False,
-    ) -> None:
-        self._direct = direct
-        self._scenario = scenario
-        self._targets = targets
-        self._upstreams = upstreams
-        self._tally = Tally(scenario)
-        self._rng = random.Random()
-        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=scenario.max_in_flight
-        )
-        self._slots = asyncio.Semaphore(scenario.max_in_flight)
-        self._in_flight = 0
-        self._peak_in_flight = 0
-        self._failovers = 0
-        self._start_s = 0.0
-
-    async def run(self, label: str = "") -> LoadResult:
-        """Run the scenario and return its result."""
-        started = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
-        self._start_s = time.monotonic()
-        tasks: set[asyncio.Task] = set()
-        for arrival in arrivals(self._scenario):
-            delay_s = arrival.at_s - self._now_s()
-            # Yielding also when late lets answers be read, so that a late generator recovers.
-            await asyncio.sleep(max(0.0, delay_s))
-            task = asyncio.create_task(self._send(arrival))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-        while tasks:
-            await asyncio.wait(set(tasks))
-        elapsed_s = self._now_s()
-        await asyncio.sleep(self._scenario.settle_s)
-        executions = self._tally.executions(await self._executions())
-        self._client.close()
-        generator = Generator(
-            peak_in_flight=self._peak_in_flight,
-            connect_failovers=self._failovers,
-            elapsed_s=elapsed_s,
-        )
-        return self._tally.result(self._targets, started, executions, generator, label)
-
-    def _now_s(self) -> float:
-        return time.monotonic() - self._start_s
-
-    async def _send(self, arrival: Arrival) -> None:
-        async with self._slots:
-            self._in_flight += 1
-            self._peak_in_flight = max(self._peak_in_flight, self._in_flight)
-            request_id = make_request_id(time.time(), self._rng)
-            sent_s = self._now_s()
-            self._tally.sent(sent_s - arrival.at_s)
-            judgement = await self._try_targets(arrival, request_id)
-            self._in_flight -= 1
-            self._tally.add(Sample(arrival, request_id, sent_s, self._now_s(), judgement))
-
-    async def _try_targets(self, arrival: Arrival, request_id: str) -> Judgement:
-        judgement = Judgement(Verdict.REFUSED, "client_connect_failed")
-        for position, target in enumerate(self._rng.sample(self._targets, len(self._targets))):
-            self._failovers += position > 0
-            judgement = await self._fetch(target, arrival, request_id)
-            if judgement.reason != "client_connect_failed":
-                break
-        return judgement
-
-    async def _fetch(self, target: str, arrival: Arrival, request_id: str) -> Judgement:
+    started = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+    start_s = time.monotonic() + (PROCESS_START_S if senders > 1 else 0.0)
+    orders = [Order(scenario, targets, start_s, direct, it, senders) for it in range(senders)]
+    results = await _send_all(orders)
+    elapsed_s = time.monotonic() - start_s
+    await asyncio.sleep(scenario.settle_s)
+    tally = Tally(scenario)
+    samples = (sample for result in results for sample in result.samples)
+    for sample in sorted(samples, key=lambda it: it.done_s):
+        tally.add(sample)
+    generator = Generator(
+        senders=senders,
+        peak_in_flight=sum(it.peak_in_flight for it in results),
+        connect_failovers=sum(it.connect_failovers for it in results),
+        elapsed_s=elapsed_s,
+    )
+    return tally.result(
+        tally.executions(await _executions(upstreams)),
+        generator,
+        targets=targets,
+        started=started,
+        ownership=await _ownership(upstreams),
+        label=label,
+    )
+
+
+async def _send_all(orders: list[Order]) -> list[SenderResult]:
+    if len(orders) == 1:
+        return [await Sender(orders[0]).run()]
+    loop = asyncio.get_running_loop()
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(len(orders), context) as pool:
+        calls = [loop.run_in_executor(pool, _run_sender, order) for order in orders]
+        return await asyncio.gather(*calls)
+
+
+def _run_sender(order: Order) -> SenderResult:
+    async def run() -> SenderResult:
+        return await Sender(order).run()
+
+    return asyncio.run(run())
+
+
+async def _executions(upstreams: tuple[str, ...]) -> dict[str, dict[str, int] | None]:
+    counts: dict[str, dict[str, int] | None] = {}
+    for address in upstreams:
+        body = await _get(address, "executions")
+        counts[address] = body.get("by_request") if body else None
+    return counts
+
+
+async def _ownership(upstreams: tuple[str, ...]) -> OwnershipCheck:
+    holdings: list[Holding] = []
+    missing = []
+    for address in upstreams:
+        body = await _get(address, "ownership")
         try:
-            response = await self._client.fetch(
-                self._request(target, arrival, request_id), raise_error=False
-            )
-        except tornado.httpclient.HTTPClientError as error:
-            return judge_error(getattr(error, "errno", None))
-        headers = {name.lower(): value for name, value in response.headers.get_all()}
-        received = Received(response.code, headers, response.body)
-        return judge(received, request_id, arrival.key, arrival.kind.size_bytes)
-
-    def _request(
-        self, target: str, arrival: Arrival, request_id: str
-    ) -> tornado.httpclient.HTTPRequest:
-        kind = arrival.kind
-        headers = {
-            "Request-Id": request_id,
-            "Firefly-Deadline-Ms": str(self._scenario.timeout_ms),
-        }
-        if arrival.tenant:
-            headers["Firefly-Tenant"] = arrival.tenant
-        if self._direct:
-            headers |= {"Firefly-Request-Id": request_id, "Firefly-Key": arrival.key}
-        body = b"." * kind.body_bytes if kind.method in ("PUT", "POST") else None
-        timeout_s = self._scenario.timeout_ms / 1000 + ANSWER_GRACE_S
-        return tornado.httpclient.HTTPRequest(
-            target.rstrip("/") + _path(arrival),
-            method=kind.method,
-            headers=headers,
-            body=body,
-            connect_timeout=timeout_s,
-            request_timeout=timeout_s,
-            follow_redirects=False,
-            decompress_response=False,
-            prepare_curl_callback=_connection_options(fresh=not kind.idempotent),
-        )
-
-    async def _executions(self) -> dict[str, dict[str, int] | None]:
-        counts: dict[str, dict[str, int] | None] = {}
-        for address in self._upstreams:
-            try:
-                answer = await self._client.fetch(f"http://{address}/executions")
-                counts[address] = orjson.loads(answer.body)["by_request"]
-            except (tornado.httpclient.HTTPClientError, OSError, ValueError, KeyError):
-                counts[address] = None
-        return counts
-
-
-def _path(arrival: Arrival) -> str:
-    kind = arrival.kind
-    path = kind.path.format(key=arrival.key, tenant=arrival.tenant)
-    options = {"size_bytes": kind.size_bytes, "service_ms": kind.service_ms}
-    query = "&".join(f"{name}={value}" for name, value in options.items() if value)
-    separator = "&" if "?" in path else "?"
-    return f"{path}{separator}{query}" if query else path
-
-
-def _connection_options(fresh: bool):
-    def prepare(curl: pycurl.Curl) -> None:
-        # On a reused connection that closes early, libcurl sends a request a second time. That
-        # would count as a request that ran twice although the router sent it once.
-        curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
-        curl.setopt(pycurl.FORBID_REUSE, int(fresh))
-        curl.setopt(pycurl.NOPROXY, "*")
-
-    return prepare
+            holdings += decode(orjson.dumps(body["holdings"]), list[Holding]) if body else []
+        except (KeyError, MessageError):
+            body = None
+        if body is None:
+            missing.append(address)
+    check = check_ownership(holdings)
+    return OwnershipCheck(check.holdings, check.overlaps, tuple(missing), check.examples)
+
+
+async def _get(address: str, path: str) -> dict | None:
+    client = tornado.httpclient.AsyncHTTPClient()
+    try:
+        answer = await client.fetch(f"http://{address}/{path}")
+        return orjson.loads(answer.body)
+    except (tornado.httpclient.HTTPClientError, OSError, ValueError):
+        return None
--- a/fireflyferry/experiments/load_tally.py
+++ b/fireflyferry/experiments/load_tally.py
@@ -91,13 +91,10 @@
         self._examples: list[str] = []
         self._answered = 0
 
-    def sent(self, lag_s: float) -> None:
-        """Note that a request was sent some seconds after its intended time."""
-        self._sent += 1
-        self._lag.record_value(max(1, round(lag_s * 1e6)))
-
     def add(self, sample: Sample) -> None:
         """Note the end of a request."""
+        self._sent += 1
+        self._lag.record_value(max(1, round((sample.sent_s - sample.arrival.at_s) * 1e6)))
         kind, judgement = sample.arrival.kind, sample.judgement
         self._ids[sample.request_id] = (kind.idempotent, judgement.verdict)
         key = self._keys.setdefault(sample.arrival.key, _KeyState(sample.arrival.at_s))
@@ -111,21 +108,12 @@
             self._count_failure(sample)
         self._add_second(sample, latency_s)
 
-    def result(
-        self,
-        targets: tuple[str, ...],
-        started: str,
-        executions: Executions,
-        generator: Generator,
-        label: str = "",
-    ) -> LoadResult:
-        """Return the result of the run."""
+    def result(self, executions: Executions, generator: Generator, **about) -> LoadResult:
+        """Return the result of the run; `about` holds its other fields."""
         lag = latency_summary(self._lag)
         length = max(self._seconds, default=-1) + 1
         return LoadResult(
             scenario=self._scenario,
-            targets=targets,
-            started=started,
             sent=self._sent,
             answered=self._answered,
             refused=dict(self._refused),
@@ -139,7 +127,7 @@
                 generator, lag_p50_ms=lag.p50_ms, lag_p99_ms=lag.p99_ms, lag_max_ms=lag.max_ms
             ),
             examples=tuple(self._examples),
-            label=label,
+            **about,
         )
 
     def executions(self, counts: dict[str, dict[str, int] | None]) -> Executions:
--- a/fireflyferry/experiments/tests/test_load.py
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -11,9 +11,10 @@
 
 from fireflyferry.experiments import load_main
 from fireflyferry.experiments.load_check import Judgement, Received, Verdict, judge
+from fireflyferry.experiments.load_ownership import check_ownership
 from fireflyferry.experiments.load_plan import Arrival, arrivals, make_request_id
 from fireflyferry.experiments.load_result import Executions, Generator, LoadResult
-from fireflyferry.experiments.load_runner import LoadRunner
+from fireflyferry.experiments.load_runner import run_load
 from fireflyferry.experiments.load_scenario import (
     RequestKind,
     Scenario,
@@ -24,6 +25,7 @@
 from fireflyferry.messages import decode, encode
 from fireflyferry.standins.faults import Fault
 from fireflyferry.standins.upstream_instance import InstanceSettings, UpstreamInstance
+from fireflyferry.standins.upstream_ownership import Holding
 from fireflyferry.standins.upstream_server import make_server
 
 READ = RequestKind("read", "/x/{key}", keys=100)
@@ -87,13 +89,13 @@
 
 
 def sample(tally, request_id, verdict, kind=READ, at_s=0.0, done_s=0.1, key="k"):
-    tally.sent(0.0)
     found = Judgement(Verdict(verdict), "some_reason")
     tally.add(Sample(Arrival(at_s, kind, key, ""), request_id, at_s, done_s, found))
 
 
 def finish(tally, counts):
-    return tally.result((), "", tally.executions(counts), Generator(elapsed_s=20.0))
+    about = {"targets": (), "started": ""}
+    return tally.result(tally.executions(counts), Generator(elapsed_s=20.0), **about)
 
 
 def test_executions_show_what_callers_cannot_see():
@@ -136,6 +138,32 @@
     assert (gaps.keys, gaps.keys_with_failures, gaps.longest_quiet_gap_s) == (3, 2, 15.0)
 
 
+def held(upstream_id, unit, from_s, until_s, group="p/a/0", excluded=()):
+    return Holding(upstream_id, group, 1, unit, 1, excluded, from_s, until_s)
+
+
+@pytest.mark.parametrize(
+    ("second", "overlaps"),
+    [
+        (held("u2", "b:1", 4.9, 6.0), 1),
+        (held("u2", "b:1", 5.0, 6.0), 0),
+        (held("u2", "b:1", 0.0, None, "p/b/0"), 1),
+        (held("u2", "b:1", 0.0, 6.0, "q/a/0"), 0),
+        (held("u2", "b:2", 0.0, 6.0), 0),
+        (held("u1", "b:1", 0.0, 6.0, "p/b/0"), 0),
+        (held("u2", "k:1:in", 0.0, 6.0), 1),
+        (held("u2", "k:1:out", 0.0, 6.0), 0),
+        (held("u2", "k:2:in", 0.0, 6.0), 0),
+        (held("u2", "b:1", 3.0, 2.0), 0),
+    ],
+)
+def test_two_owners_of_a_key_at_once_are_found(second, overlaps):
+    """Guards against two owners that no request happened to reveal."""
+    first = held("u1", "b:1", 1.0, 5.0, excluded=("out",))
+    assert check_ownership([first, second]).overlaps == overlaps
+    assert check_ownership([second, first]).overlaps == overlaps
+
+
 class RunnerTest(tornado.testing.AsyncTestCase):
     def setUp(self):
         super().setUp()
@@ -145,12 +173,11 @@
         make_server(self.instance).add_socket(sock)
         self.address = f"127.0.0.1:{port}"
 
-    async def run_load(self, **changed):
+    async def run_load(self, senders=1, **changed):
         scenario = Scenario(100.0, 0.8, settle_s=0.0, kinds=(READ, WRITE))
         scenario = attrs.evolve(scenario, **changed)
         targets = f"http://{self.address}", "http://127.0.0.1:1"
-        runner = LoadRunner(scenario, targets, (self.address,), direct=True)
-        return await runner.run()
+        return await run_load(scenario, targets, (self.address,), True, senders)
 
     @tornado.testing.gen_test
     async def test_run_against_a_stand_in_passes_over_dead_targets(self):
@@ -161,6 +188,15 @@
         assert result.generator.connect_failovers > 0
         assert decode(encode(result), LoadResult) == result
 
+    @tornado.testing.gen_test(timeout=30)
+    async def test_several_senders_share_one_plan(self):
+        """Guards against a rate, or requests, that depend on the number of senders."""
+        single = [it.key for it in arrivals(Scenario(100.0, 0.8, kinds=(READ, WRITE)))]
+        result = await self.run_load(senders=2)
+        assert result.answered == result.sent == len(single)
+        assert sum(self.instance.by_key.values()) == len(single)
+        assert self.instance.by_key == collections.Counter(single)
+
     @tornado.testing.gen_test
     async def test_a_stall_shows_in_the_latency_of_all_that_came_during_it(self):
         """Guards against coordinated omission: a stall that slows the arrivals down."""
@@ -239,7 +275,8 @@
     """Guards against result files that the program itself cannot read."""
     tally = Tally(Scenario(kinds=(READ,)))
     sample(tally, "a", "answered")
-    result = tally.result((), "", Executions(upstreams=1, ran_twice=3), Generator(), "first")
+    executions = Executions(upstreams=1, ran_twice=3)
+    result = tally.result(executions, Generator(), targets=(), started="", label="first")
     path, png = tmp_path / "a.json", tmp_path / "a.png"
     path.write_bytes(encode(result))
     assert load_main.main(["report", str(path)]) == 0
