--- a/fireflyferry/experiments/load_report.py
+++ b/fireflyferry/experiments/load_report.py
@@ -37,7 +37,8 @@
     yield (
         f"generator lag p50 {generator.lag_p50_ms:.2f} ms, p99 {generator.lag_p99_ms:.2f} ms, "
         f"max {generator.lag_max_ms:.2f} ms; {generator.senders} senders; "
-        f"most in flight {generator.peak_in_flight}; connections refused and sent elsewhere {generator.connect_failovers}"
+        f"most in flight {generator.peak_in_flight}; "
+        f"connections refused and sent elsewhere {generator.connect_failovers}"
     )
     broken = {name: count for name, count in result.violations().items() if count}
     yield f"violations: {', '.join(f'{n} {c}' for n, c in broken.items()) or 'none'}"
