--- a/fireflyferry/experiments/__init__.py
+++ b/fireflyferry/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Load generator, scenarios, results and reports."""
+"""Load generator, baselines, deployments of stand-ins, scenarios and the demo."""
--- a/fireflyferry/experiments/load_main.py
+++ b/fireflyferry/experiments/load_main.py
@@ -9,7 +9,7 @@
 from fireflyferry.experiments.load_plots import PlotsUnavailableError, save_plots
 from fireflyferry.experiments.load_report import compare, report
 from fireflyferry.experiments.load_result import LoadResult
-from fireflyferry.experiments.load_runner import run_load
+from fireflyferry.experiments.load_runner import LoadRunner
 from fireflyferry.experiments.load_scenario import ScenarioError, read_scenario
 from fireflyferry.messages import decode, encode
 from fireflyferry.messages.codec import MessageError
@@ -83,14 +83,14 @@
             raise ProgramError(f"--target {target!r} is not a URL such as http://127.0.0.1:8080")
 
     async def run() -> LoadResult:
-        return await run_load(
+        runner = LoadRunner(
             scenario,
             targets,
             _split(arguments.upstream),
             arguments.direct,
-            arguments.senders,
-            arguments.label,
+            senders=arguments.senders,
         )
+        return await runner.run(arguments.label)
 
     if arguments.out:
         _write(arguments.out, b"")  # a path that cannot be written is found before the run
--- a/fireflyferry/experiments/load_runner.py
+++ b/fireflyferry/experiments/load_runner.py
@@ -5,6 +5,7 @@
 import datetime
 import multiprocessing
 import time
+from collections.abc import Callable
 
 import orjson
 import tornado.httpclient
@@ -13,64 +14,84 @@
 from fireflyferry.experiments.load_result import Generator, LoadResult, OwnershipCheck
 from fireflyferry.experiments.load_scenario import Scenario
 from fireflyferry.experiments.load_sender import Order, Sender, SenderResult
-from fireflyferry.experiments.load_tally import Tally
+from fireflyferry.experiments.load_tally import Sample, Tally
 from fireflyferry.messages import decode
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.standins.upstream_ownership import Holding
 
-__all__ = ["run_load"]
+__all__ = ["LoadRunner"]
 
 # A sender process needs about 0.5 s for its imports.
 PROCESS_START_S = 2.0
 
 
-async def run_load(
-    scenario: Scenario,
-    targets: tuple[str, ...],
-    upstreams: tuple[str, ...] = (),
-    direct: bool = False,
-    senders: int = 1,
-    label: str = "",
-) -> LoadResult:
-    """Run a scenario and return its result.
+class LoadRunner:
+    """Runs a scenario once.
 
-    `upstreams` are `IP:PORT` of stand-ins to ask what ran and what they held. One sender runs in
-    this process, several in processes of their own.
+    `targets` are base URLs of entry VMs; with `direct`, of upstream stand-ins, which measures
+    them without the router. `upstreams` are `IP:PORT` of stand-ins to ask what ran and what they
+    held. `on_sample` gets each request's end. One sender runs in this process, several in
+    processes of their own, and samples are then given to `on_sample` at the end of the run.
     """
-    started = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
-    start_s = time.monotonic() + (PROCESS_START_S if senders > 1 else 0.0)
-    orders = [Order(scenario, targets, start_s, direct, it, senders) for it in range(senders)]
-    results = await _send_all(orders)
-    elapsed_s = time.monotonic() - start_s
-    await asyncio.sleep(scenario.settle_s)
-    tally = Tally(scenario)
-    samples = (sample for result in results for sample in result.samples)
-    for sample in sorted(samples, key=lambda it: it.done_s):
-        tally.add(sample)
-    generator = Generator(
-        senders=senders,
-        peak_in_flight=sum(it.peak_in_flight for it in results),
-        connect_failovers=sum(it.connect_failovers for it in results),
-        elapsed_s=elapsed_s,
-    )
-    return tally.result(
-        tally.executions(await _executions(upstreams)),
-        generator,
-        targets=targets,
-        started=started,
-        ownership=await _ownership(upstreams),
-        label=label,
-    )
-
-
-async def _send_all(orders: list[Order]) -> list[SenderResult]:
-    if len(orders) == 1:
-        return [await Sender(orders[0]).run()]
-    loop = asyncio.get_running_loop()
-    context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(len(orders), context) as pool:
-        calls = [loop.run_in_executor(pool, _run_sender, order) for order in orders]
-        return await asyncio.gather(*calls)
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        targets: tuple[str, ...],
+        upstreams: tuple[str, ...] = (),
+        direct: bool = False,
+        on_sample: Callable[[Sample], None] | None = None,
+        senders: int = 1,
+    ) -> None:
+        self._scenario = scenario
+        self._targets = targets
+        self._upstreams = upstreams
+        self._direct = direct
+        self._on_sample = on_sample
+        self._senders = senders
+
+    async def run(self, label: str = "") -> LoadResult:
+        """Run the scenario and return its result."""
+        started = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+        start_s = time.monotonic() + (PROCESS_START_S if self._senders > 1 else 0.0)
+        results = await self._send_all(start_s)
+        elapsed_s = time.monotonic() - start_s
+        await asyncio.sleep(self._scenario.settle_s)
+        tally = Tally(self._scenario)
+        samples = (sample for result in results for sample in result.samples)
+        for sample in sorted(samples, key=lambda it: it.done_s):
+            tally.add(sample)
+        generator = Generator(
+            senders=self._senders,
+            peak_in_flight=sum(it.peak_in_flight for it in results),
+            connect_failovers=sum(it.connect_failovers for it in results),
+            elapsed_s=elapsed_s,
+        )
+        return tally.result(
+            tally.executions(await _executions(self._upstreams)),
+            generator,
+            targets=self._targets,
+            started=started,
+            ownership=await _ownership(self._upstreams),
+            label=label,
+        )
+
+    async def _send_all(self, start_s: float) -> list[SenderResult]:
+        orders = [
+            Order(self._scenario, self._targets, start_s, self._direct, it, self._senders)
+            for it in range(self._senders)
+        ]
+        if len(orders) == 1:
+            return [await Sender(orders[0], self._on_sample).run()]
+        loop = asyncio.get_running_loop()
+        context = multiprocessing.get_context("spawn")
+        with concurrent.futures.ProcessPoolExecutor(len(orders), context) as pool:
+            calls = [loop.run_in_executor(pool, _run_sender, order) for order in orders]
+            results = await asyncio.gather(*calls)
+        for sample in (it for result in results for it in result.samples):
+            if self._on_sample is not None:
+                self._on_sample(sample)
+        return results
 
 
 def _run_sender(order: Order) -> SenderResult:
--- a/fireflyferry/experiments/load_sender.py
+++ b/fireflyferry/experiments/load_sender.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 
 import attrs
 import pycurl
@@ -59,8 +60,9 @@
     connection.
     """
 
-    def __init__(self, order: Order) -> None:
+    def __init__(self, order: Order, on_sample: Callable[[Sample], None] | None = None) -> None:
         self._order = order
+        self._on_sample = on_sample
         self._scenario = order.scenario
         self._samples: list[Sample] = []
         self._rng = random.Random()
@@ -101,7 +103,10 @@
             sent_s = self._now_s()
             judgement = await self._try_targets(arrival, request_id)
             self._in_flight -= 1
-            self._samples.append(Sample(arrival, request_id, sent_s, self._now_s(), judgement))
+            sample = Sample(arrival, request_id, sent_s, self._now_s(), judgement)
+            self._samples.append(sample)
+            if self._on_sample is not None:
+                self._on_sample(sample)
 
     async def _try_targets(self, arrival: Arrival, request_id: str) -> Judgement:
         judgement = Judgement(Verdict.REFUSED, "client_connect_failed")
--- a/fireflyferry/experiments/tests/test_load.py
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -14,7 +14,7 @@
 from fireflyferry.experiments.load_ownership import check_ownership
 from fireflyferry.experiments.load_plan import Arrival, arrivals, make_request_id
 from fireflyferry.experiments.load_result import Executions, Generator, LoadResult
-from fireflyferry.experiments.load_runner import run_load
+from fireflyferry.experiments.load_runner import LoadRunner
 from fireflyferry.experiments.load_scenario import (
     RequestKind,
     Scenario,
@@ -177,7 +177,7 @@
         scenario = Scenario(100.0, 0.8, settle_s=0.0, kinds=(READ, WRITE))
         scenario = attrs.evolve(scenario, **changed)
         targets = f"http://{self.address}", "http://127.0.0.1:1"
-        return await run_load(scenario, targets, (self.address,), True, senders)
+        return await LoadRunner(scenario, targets, (self.address,), True, senders=senders).run()
 
     @tornado.testing.gen_test
     async def test_run_against_a_stand_in_passes_over_dead_targets(self):
--- /dev/null
+++ b/fireflyferry/operators/peers.py
@@ -0,0 +1,79 @@
+"""Operators' calls to the peer ports of entry VMs."""
+
+import abc
+from typing import Any, TypeVar
+
+from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.edges.http_client import HttpCaller, NoAnswerError
+from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.messages import decode, encode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.control import (
+    AssignReply,
+    AssignRequest,
+    DrainReply,
+    DrainRequest,
+    VmStatus,
+)
+
+__all__ = ["HttpPeerControl", "PeerControl"]
+
+T = TypeVar("T")
+
+
+class PeerControl(abc.ABC):
+    """Operators' calls; `address` is `IP:PORT` of a peer port."""
+
+    @abc.abstractmethod
+    async def status(self, address: str) -> VmStatus:
+        """Ask a VM for its status.
+
+        Raises PeerUnavailableError.
+        """
+
+    @abc.abstractmethod
+    async def assign(self, address: str, request: AssignRequest) -> AssignReply:
+        """Ask a VM to place a unit on an upstream.
+
+        Raises PeerUnavailableError when the request may or may not have been carried out.
+        """
+
+    @abc.abstractmethod
+    async def drain(self, address: str, request: DrainRequest) -> DrainReply:
+        """Ask a VM to drain an upstream or itself.
+
+        Raises PeerUnavailableError when the request may or may not have been carried out.
+        """
+
+
+class HttpPeerControl(PeerControl):
+    """Signed calls over HTTP with JSON bodies."""
+
+    def __init__(self, caller: HttpCaller, signer: PeerSigner):
+        self._caller = caller
+        self._signer = signer
+
+    async def status(self, address: str) -> VmStatus:
+        """Ask a VM for its status."""
+        return await self._call(address, "GET", "/peer/v1/status", None, VmStatus)
+
+    async def assign(self, address: str, request: AssignRequest) -> AssignReply:
+        """Ask a VM to place a unit on an upstream."""
+        return await self._call(address, "POST", "/peer/v1/assign", request, AssignReply)
+
+    async def drain(self, address: str, request: DrainRequest) -> DrainReply:
+        """Ask a VM to drain an upstream or itself."""
+        return await self._call(address, "POST", "/peer/v1/drain", request, DrainReply)
+
+    async def _call(self, address: str, method: str, path: str, body: Any, kind: type[T]) -> T:
+        data = None if body is None else encode(body)
+        headers = self._signer.headers(method, path, data or b"")
+        try:
+            answer = await self._caller.call(
+                method, f"http://{address}{path}", data, headers, fresh=method == "POST"
+            )
+            if answer.status != 200:
+                raise PeerUnavailableError(f"{address}: {method} {path}: status {answer.status}")
+            return decode(answer.body, kind)
+        except (NoAnswerError, MessageError) as error:
+            raise PeerUnavailableError(f"{address}: {error}") from error
