Give each attempt its own id, and hold slots of unconfirmed cancellations

An upstream refuses an id that was cancelled, so the retry of an idempotent request after a lost connection would never have run. A frozen upstream confirms no cancellation and still has the work: its slot now stays taken until it answers, is gone, or a bounded time has passed. Clean-up moves to task callbacks, since a task cancelled before its first step runs no finally block.

--- a/fireflyferry/entry/exchange.py
+++ b/fireflyferry/entry/exchange.py
@@ -126,6 +126,8 @@
             self._timer = None
         if self._task is None and not self._closed:
             self._task = asyncio.ensure_future(self._run())
+            # A callback also runs for a task that is cancelled before its first step.
+            self._task.add_done_callback(self._on_done)
 
     def _refuse_body(self) -> None:
         """End a body that is longer than allowed; part of it may already have been sent on."""
@@ -140,16 +142,14 @@
     async def _run(self) -> None:
         try:
             await self.handle()
-        except asyncio.CancelledError:
-            if not self._closed:
-                raise
         except Exception:
             logger.exception("request failed")
             self._fail()
-        finally:
-            if self._body is not None:
-                self._body.discard()
-            self.ended()
+
+    def _on_done(self, _task: asyncio.Task[None]) -> None:
+        if self._body is not None:
+            self._body.discard()
+        self.ended()
 
     def _fail(self) -> None:
         if self._sink.started:
--- a/fireflyferry/entry/first_hop.py
+++ b/fireflyferry/entry/first_hop.py
@@ -1,6 +1,7 @@
 """First hop: finds the leader of a key, sends the request there, and decides about retries."""
 
 import asyncio
+import random
 
 import attrs
 
@@ -12,7 +13,7 @@
 from fireflyferry.entry.remote import RemoteHop
 from fireflyferry.entry.sinks import AnswerSink
 from fireflyferry.entry.statistics import Statistics
-from fireflyferry.retries import Attempts, Backoff, RetryBudget, Step, Verdict
+from fireflyferry.retries import Attempts, Backoff, RetryBudget, Step, Verdict, new_request_id
 from fireflyferry.tables import Pool
 from fireflyferry.telemetry import Outcome, Reason
 
@@ -29,6 +30,7 @@
     _remote: RemoteHop
     _limits: RequestLimits
     _backoff: Backoff
+    _rng: random.Random
     _statistics: Statistics
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
 
@@ -44,6 +46,8 @@
                 return attempts.final(verdict)
             hint = verdict if step is Step.REDIRECT else None
             call.attempt += 1
+            if call.idempotent:
+                call.attempt_id = new_request_id(self._clock.wall_s(), self._rng)
             self._statistics.retried(verdict)
 
     async def _attempt(
--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -1,6 +1,7 @@
 """Last hop: request ids, admission, authority check and forwarding to the owner."""
 
 import asyncio
+import functools
 import logging
 
 import attrs
@@ -54,12 +55,19 @@
     seen: SeenIds
     _in_flight: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _queue_limits: dict[str, tuple[Pool, QueueLimits]] = attrs.field(factory=dict)
-    _cleanups: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _cleanups: dict[asyncio.Task[None], str] = attrs.field(factory=dict)
 
     def in_flight(self, upstream_id: str, unit: str) -> int:
         """Count requests for a unit that an upstream may be working on."""
         return self._in_flight.get((upstream_id, unit), 0)
 
+    def upstream_gone(self, upstream_id: str) -> None:
+        """Refuse what waits for an upstream that is gone, and stop cancelling there."""
+        self.gate.drop(upstream_id)
+        for task, name in list(self._cleanups.items()):
+            if name == upstream_id:
+                task.cancel()
+
     @property
     def sent(self) -> int:
         """Requests that upstreams may be working on."""
@@ -138,7 +146,7 @@
         receiver = AnswerReceiver(
             sink,
             call.method,
-            call.request_id,
+            call.attempt_id,
             from_peer=False,
             may_send=lambda: self._owners.may_forward(self._clock.monotonic_s(), location.group),
         )
@@ -163,27 +171,39 @@
             answered = verdict.outcome is Outcome.ANSWERED
             self._free(target, location, service_s if answered else None)
             return
-        task = asyncio.ensure_future(self._cancel(call, location, target))
-        self._cleanups.add(task)
-        task.add_done_callback(self._cleanups.discard)
+        task = asyncio.ensure_future(self._cancel(call, target))
+        self._cleanups[task] = target.upstream_id
+        # A callback also runs for a task that is cancelled before its first step.
+        task.add_done_callback(functools.partial(self._cleaned, location, target))
+
+    def _cleaned(
+        self, location: Location, target: UpstreamTarget, task: asyncio.Task[None]
+    ) -> None:
+        del self._cleanups[task]
+        self._free(target, location, None)
 
-    async def _cancel(self, call: Call, location: Location, target: UpstreamTarget) -> None:
+    async def _cancel(self, call: Call, target: UpstreamTarget) -> None:
         """Stop work that nobody waits for, and only then free its slot.
 
-        An upstream that does not confirm keeps the slot until the deadline, at which it stops.
+        A frozen upstream confirms nothing and still has the work, so the slot stays taken until
+        it answers, is gone, or `cancel_hold_s` has passed after the deadline.
         """
+        limits = self._limits
+        until_s = max(call.deadline_s, self._clock.monotonic_s()) + limits.cancel_hold_s
+        while not await self._cancelled(call, target):
+            if self._clock.monotonic_s() >= until_s:
+                break
+            await asyncio.sleep(limits.cancel_pause_s)
+
+    async def _cancelled(self, call: Call, target: UpstreamTarget) -> bool:
+        cancel = self._control.cancel(target.address, call.attempt_id)
         try:
-            await asyncio.wait_for(
-                self._control.cancel(target.address, call.request_id), self._limits.cancel_wait_s
-            )
+            await asyncio.wait_for(cancel, self._limits.cancel_wait_s)
         except (TimeoutError, UpstreamUnavailableError) as error:
-            logger.info(
-                "cancellation not confirmed",
-                extra={"upstream": target.upstream_id, "error": repr(error)},
-            )
-            await asyncio.sleep(max(0.0, call.deadline_s - self._clock.monotonic_s()))
-        finally:
-            self._free(target, location, None)
+            fields = {"upstream": target.upstream_id, "error": repr(error)}
+            logger.info("cancellation not confirmed", extra=fields)
+            return False
+        return True
 
     def _free(self, target: UpstreamTarget, location: Location, service_s: float | None) -> None:
         self._count(target.upstream_id, location.unit, -1)
@@ -206,7 +226,7 @@
             (names.UNIT, encode_header_text(location.unit)),
             (names.FENCE, str(target.fence)),
             (names.DEADLINE_MS, str(max(1, int(remaining_s * 1000)))),
-            (names.REQUEST_ID, call.request_id),
+            (names.REQUEST_ID, call.attempt_id),
             (names.TENANT, call.tenant),
             (names.GROUP, str(location.group)),
             (names.TERM, str(target.term)),
--- a/fireflyferry/entry/peer.py
+++ b/fireflyferry/entry/peer.py
@@ -82,6 +82,7 @@
             idempotent=headers[names.IDEMPOTENT] == "1",
             deadline_s=now_s + int(headers[names.DEADLINE_MS]) / 1000,
             request_id=request_id,
+            attempt_id=request_id,
             caller_id="Request-Id" in headers,
             attempt=int(headers[names.ATTEMPT]),
         )
--- a/fireflyferry/entry/public.py
+++ b/fireflyferry/entry/public.py
@@ -119,6 +119,7 @@
             deadline_s=now_s + self._timeout_s(route),
             request_id=request_id,
             caller_id=caller_id,
+            attempt_id=self._attempt_id(route, request_id, caller_id),
         )
 
     def _request_id(self) -> tuple[str, bool]:
@@ -132,6 +133,12 @@
             raise _Refused(Reason.BAD_REQUEST_ID) from error
         return given, True
 
+    def _attempt_id(self, route: Route, request_id: str, caller_id: bool) -> str:
+        # Two requests in flight may carry one id of a caller; cancelling one must spare the other.
+        if route.idempotent and caller_id:
+            return new_request_id(self._services.clock.wall_s(), self._services.rng)
+        return request_id
+
     def _timeout_s(self, route: Route) -> float:
         given = self._headers.get(names.DEADLINE_MS)
         if given is None:
--- a/fireflyferry/entry/remote.py
+++ b/fireflyferry/entry/remote.py
@@ -26,7 +26,7 @@
     async def run(self, call: Call, location: Location, sink: AnswerSink) -> Verdict:
         """Handle one attempt; on an answer, the sink is finished when this returns."""
         remaining_s = call.deadline_s - self._clock.monotonic_s()
-        receiver = AnswerReceiver(sink, call.method, call.request_id, from_peer=True)
+        receiver = AnswerReceiver(sink, call.method, call.attempt_id, from_peer=True)
         exchange = Exchange(
             location.leader_address,
             call.method,
@@ -45,7 +45,7 @@
             (names.KEY, encode_header_text(call.key)),
             (names.UNIT, encode_header_text(location.unit)),
             (names.DEADLINE_MS, str(max(1, int(remaining_s * 1000)))),
-            (names.REQUEST_ID, call.request_id),
+            (names.REQUEST_ID, call.attempt_id),
             (names.TENANT, call.tenant),
             (names.GROUP, str(location.group)),
             (names.TERM, str(location.term)),
--- a/fireflyferry/entry/request_path.py
+++ b/fireflyferry/entry/request_path.py
@@ -80,7 +80,7 @@
 
     def upstream_gone(self, upstream_id: str) -> None:
         """Refuse what waits for an upstream that is gone."""
-        self._services.last_hop.gate.drop(upstream_id)
+        self._services.last_hop.upstream_gone(upstream_id)
 
     def in_flight(self, upstream_id: str, unit: str) -> int:
         """Count requests for a unit that an upstream may be working on."""
@@ -97,7 +97,7 @@
         statistics.last_active_s = services.clock.monotonic_s()
         while True:
             quiet_s = services.clock.monotonic_s() - statistics.last_active_s
-            busy = statistics.in_flight + statistics.peer_in_flight + services.last_hop.sent
+            busy = statistics.in_flight + statistics.peer_in_flight
             if not busy and quiet_s >= services.limits.drain_quiet_s:
                 return
             await asyncio.sleep(0.02)
@@ -157,6 +157,6 @@
     )
     backoff = Backoff(rng, limits.backoff_base_s, limits.backoff_limit_s)
     remote = RemoteHop(clock, transport, vm_id)
-    first_hop = FirstHop(clock, locator, last_hop, remote, limits, backoff, statistics)
+    first_hop = FirstHop(clock, locator, last_hop, remote, limits, backoff, rng, statistics)
     services = Services(clock, rng, limits, tables, locator, statistics, last_hop, first_hop)
     return EntryRequestPath(services, transport)
--- a/fireflyferry/entry/tests/test_curl_hazards.py
+++ b/fireflyferry/entry/tests/test_curl_hazards.py
@@ -82,6 +82,8 @@
         assert (await ask(port)).status == 200
         attempts = [seen.headers["firefly-attempt"] for seen in upstream.seen]
         assert attempts == (["1", "1", "2"] if guarded else ["1", "1", "1"])
+        ids = {seen.request_id for seen in upstream.seen}
+        assert len(ids) == (3 if guarded else 2), "a cancelled id must not be sent again"
         retries = cluster.paths[0].snapshot().retries
         assert retries == ({"connection_lost": 1} if guarded else {})
 
