--- a/fireflyferry/entry/tests/support.py
+++ b/fireflyferry/entry/tests/support.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import time
+from collections.abc import Callable
 
 import attrs
 from tornado.httpserver import HTTPServer
@@ -93,6 +94,7 @@
     peer_addresses: list[str] = attrs.field(factory=lambda: [""] * VMS)
     public_ports: list[int] = attrs.field(factory=lambda: [0] * VMS)
     target: UpstreamTarget | Reason = Reason.OWNER_UNAVAILABLE
+    owner_of: Callable[[str], UpstreamTarget] | None = None
     may_forward: bool = True
     seen_leader: dict[int, int] = attrs.field(factory=dict)
     paths: list = attrs.field(factory=list)
@@ -121,6 +123,8 @@
     def owner(self, now_s, group, unit):
         if self.cluster.leader != self.me:
             return Reason.NOT_LEADER
+        if self.cluster.owner_of is not None:
+            return self.cluster.owner_of(unit)
         return self.cluster.target
 
     def may_forward(self, now_s, group):
