Drain an upstream through the upstream itself as well as its leaders

A leader keeps an ordered drain in memory, so the order was lost with a change of leader, and VMs that lead no group of the upstream made the command report a partial result. The upstream is now told too and tells each later leader. Keys that are not printable text, which JSON cannot carry, are refused, and bucket and unit ids come from the routing module.

--- a/fireflyferry/operators/fleet_commands.py
+++ b/fireflyferry/operators/fleet_commands.py
@@ -5,8 +5,6 @@
 import datetime
 import re
 
-import xxhash
-
 from fireflyferry.edges import StoreUnavailableError, VersionConflictError
 from fireflyferry.edges.base import PeerUnavailableError
 from fireflyferry.messages import GroupRecord, VmEntry, decode, encode
@@ -15,16 +13,20 @@
     LOST_PREFIX,
     AssignReply,
     AssignRequest,
+    DrainReply,
     DrainRequest,
     LostVm,
 )
 from fireflyferry.operators.context import Context
 from fireflyferry.operators.errors import ExitCode, OperatorError
+from fireflyferry.routing import bucket_of, key_unit
 from fireflyferry.tables import Pool
 
-__all__ = ["assign", "declare_lost", "drain", "entry_vms", "unit_of"]
+__all__ = ["assign", "declare_lost", "drain", "entry_vms", "named_unit"]
 
 ENTRY_ROLE = "entry"
+UPSTREAM_ROLE = "upstream"
+UNKNOWN_UPSTREAM = "unknown_upstream"
 GROUPS_PREFIX = "groups/"
 MAX_REDIRECTS = 3
 WRITE_ATTEMPTS = 4
@@ -40,28 +42,26 @@
     return tuple(sorted(found, key=lambda vm: vm.vm_id))
 
 
-def unit_of(pool: Pool, text: str, is_key: bool) -> str:
+def named_unit(pool: Pool, text: str, is_key: bool) -> str:
     """Return the unit that an operator names by unit id or by key.
 
     Raises OperatorError for a unit that the pool does not have.
     """
-    match = None if is_key else re.fullmatch(r"b:([0-9]{1,6})|k:([0-9]{1,6}):(.+)", text, re.DOTALL)
+    if not text.isprintable() or not text:
+        message = f"key: found {text!a}, allowed: printable text in UTF-8"
+        raise OperatorError("no_such_unit", ExitCode.REFUSED, message)
+    match = None if is_key else re.fullmatch(r"b:([0-9]{1,6})|k:([0-9]{1,6}):(.+)", text)
     if match is None:
-        return f"k:{_bucket(pool, text)}:{text}"
-    bucket = int(match[1] or match[2])
-    if bucket >= pool.buckets or (match[3] and bucket != _bucket(pool, match[3])):
-        right = (
-            f"k:{_bucket(pool, match[3])}:{match[3]}" if match[3] else f"b:0 to b:{pool.buckets-1}"
-        )
+        return key_unit(bucket_of(text, pool.buckets), text)
+    right = f"b:0 to b:{pool.buckets - 1}"
+    if match[3]:
+        right = key_unit(bucket_of(match[3], pool.buckets), match[3])
+    if (match[3] and text != right) or (match[1] and int(match[1]) >= pool.buckets):
         message = f"unit: found {text!r}, allowed: {right} (or give --key)"
         raise OperatorError("no_such_unit", ExitCode.REFUSED, message)
     return text
 
 
-def _bucket(pool: Pool, key: str) -> int:
-    return xxhash.xxh3_64_intdigest(key.encode()) % pool.buckets
-
-
 async def assign(context: Context, options: argparse.Namespace) -> int:
     """Place a unit on an upstream, through the leader of its group."""
     current = await context.editor().read()
@@ -70,7 +70,7 @@
         names = ", ".join(row.name for row in current.tables.pools) or "none"
         message = f"pools {options.pool}: no such row; rows: {names}"
         raise OperatorError("bad_edit", ExitCode.REFUSED, message)
-    unit = unit_of(pool, options.key_or_unit, options.key)
+    unit = named_unit(pool, options.key_or_unit, options.key)
     request = AssignRequest(pool.name, unit, options.upstream, context.author)
     reply = await _ask_leader(context, request)
     if not reply.accepted:
@@ -106,37 +106,53 @@
 
 
 async def drain(context: Context, options: argparse.Namespace) -> int:
-    """Drain an entry VM, or have every entry VM drain an upstream."""
-    vms = await entry_vms(context)
-    own = tuple(vm for vm in vms if vm.vm_id == options.target)
-    request = DrainRequest(options.target, context.author)
-    targets = own or vms
-    if not targets:
-        message = "The VM list has no entry VM with a peer address."
-        raise OperatorError("no_vms", ExitCode.UNAVAILABLE, message)
-    replies = await asyncio.gather(
-        *(context.peers.drain(vm.peer_address, request) for vm in targets), return_exceptions=True
-    )
-    failures = []
-    accepted = units = 0
-    for vm, reply in zip(targets, replies, strict=True):
-        if isinstance(reply, PeerUnavailableError):
-            failures.append(f"{vm.vm_id}: {reply}")
-        elif isinstance(reply, BaseException):
-            raise reply
-        elif not reply.accepted:
-            failures.append(f"{vm.vm_id}: {reply.reason}")
-        else:
-            accepted += 1
-            units += reply.units
+    """Drain an entry VM, or an upstream through its leaders."""
+    listed = await context.vms.fetch()
+    entries = [vm for vm in listed if vm.role == ENTRY_ROLE and vm.peer_address]
+    own = [vm for vm in entries if vm.vm_id == options.target]
+    upstreams = [vm for vm in listed if vm.vm_id == options.target and vm.role == UPSTREAM_ROLE]
+    if not own and not upstreams:
+        message = f"{options.target} is neither an entry VM nor an upstream of the VM list."
+        raise OperatorError("no_such_vm", ExitCode.REFUSED, message)
+    failures = [] if own else await _drain_upstream(context, upstreams[0])
+    replies, unheard = await _ask_drain(context, own or entries, options.target)
+    failures.extend(unheard)
+    accepted = [reply for reply in replies if reply.accepted]
+    # A VM that leads no group of the upstream does not know it and has nothing to drain.
+    refused = {reply.reason for reply in replies if not reply.accepted} - {UNKNOWN_UPSTREAM}
+    units = sum(reply.units for reply in accepted)
     what = "entry VM" if own else "upstream"
-    context.show(
-        f"{what} {options.target}: {accepted} of {len(targets)} VMs drain it, {units} units left."
-    )
+    context.show(f"{what} {options.target}: {len(accepted)} VMs drain it, {units} units left.")
+    failures.extend(sorted(refused))
     if not failures:
         return ExitCode.DONE
-    exit_code = ExitCode.PARTIAL if accepted else ExitCode.REFUSED
-    raise OperatorError("drain_incomplete", exit_code, *failures)
+    exit_code = ExitCode.PARTIAL if accepted else ExitCode.UNKNOWN
+    raise OperatorError("drain_incomplete", exit_code, *failures, "Repeat the command.")
+
+
+async def _drain_upstream(context: Context, upstream: VmEntry) -> list[str]:
+    """Tell the upstream itself, which tells every later leader; return what failed."""
+    try:
+        await context.peers.drain_upstream(upstream.address)
+    except PeerUnavailableError as error:
+        return [f"{upstream.vm_id}: {error}"]
+    return []
+
+
+async def _ask_drain(
+    context: Context, vms: list[VmEntry], target: str
+) -> tuple[list[DrainReply], list[str]]:
+    request = DrainRequest(target, context.author)
+    calls = (context.peers.drain(vm.peer_address, request) for vm in vms)
+    replies, failures = [], []
+    for vm, result in zip(vms, await asyncio.gather(*calls, return_exceptions=True), strict=True):
+        if isinstance(result, DrainReply):
+            replies.append(result)
+        elif isinstance(result, PeerUnavailableError):
+            failures.append(f"{vm.vm_id}: {result}")
+        else:
+            raise result
+    return replies, failures
 
 
 async def declare_lost(context: Context, options: argparse.Namespace) -> int:
--- a/fireflyferry/operators/peers.py
+++ b/fireflyferry/operators/peers.py
@@ -1,4 +1,4 @@
-"""Operators' calls to the peer ports of entry VMs."""
+"""Operators' calls to the peer ports of entry VMs and to upstreams."""
 
 import abc
 from typing import Any, TypeVar
@@ -45,6 +45,13 @@
         Raises PeerUnavailableError when the request may or may not have been carried out.
         """
 
+    @abc.abstractmethod
+    async def drain_upstream(self, address: str) -> None:
+        """Ask an upstream at its own address to drain, so that a later leader learns it too.
+
+        Raises PeerUnavailableError when the request may or may not have been carried out.
+        """
+
 
 class HttpPeerControl(PeerControl):
     """Signed calls over HTTP with JSON bodies."""
@@ -65,15 +72,27 @@
         """Ask a VM to drain an upstream or itself."""
         return await self._call(address, "POST", "/peer/v1/drain", request, DrainReply)
 
+    async def drain_upstream(self, address: str) -> None:
+        """Ask an upstream at its own address to drain."""
+        await self._send(address, "POST", "/control/v1/drain", b"{}", {})
+
     async def _call(self, address: str, method: str, path: str, body: Any, kind: type[T]) -> T:
         data = None if body is None else encode(body)
         headers = self._signer.headers(method, path, data or b"")
+        answer = await self._send(address, method, path, data, headers)
+        try:
+            return decode(answer, kind)
+        except MessageError as error:
+            raise PeerUnavailableError(f"{address}: {error}") from error
+
+    async def _send(
+        self, address: str, method: str, path: str, data: bytes | None, headers: dict[str, str]
+    ) -> bytes:
+        url, fresh = f"http://{address}{path}", method == "POST"
         try:
-            answer = await self._caller.call(
-                method, f"http://{address}{path}", data, headers, fresh=method == "POST"
-            )
-            if answer.status != 200:
-                raise PeerUnavailableError(f"{address}: {method} {path}: status {answer.status}")
-            return decode(answer.body, kind)
-        except (NoAnswerError, MessageError) as error:
+            answer = await self._caller.call(method, url, data, headers, fresh=fresh)
+        except NoAnswerError as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
+        if answer.status != 200:
+            raise PeerUnavailableError(f"{address}: {method} {path}: status {answer.status}")
+        return answer.body
--- a/fireflyferry/operators/tests/fake_fleet.py
+++ b/fireflyferry/operators/tests/fake_fleet.py
@@ -102,6 +102,13 @@
     async def drain(self, address, request):
         return self._answer(self.drains, address, request)
 
+    async def drain_upstream(self, address):
+        self._answer(self.drains, address, "drain")
+
+
+def upstream(name):
+    return VmEntry(name, "upstream", "natal", "natal-1", f"{name}:2", pool="janela")
+
 
 def entry(name, data_centre="natal-1"):
     return VmEntry(name, "entry", "natal", data_centre, "127.0.0.1:1", f"{name}:1")
--- a/fireflyferry/settings/values.py
+++ b/fireflyferry/settings/values.py
@@ -191,7 +191,7 @@
 class TextList(Value):
     """Distinct strings, separated by commas in text."""
 
-    item: Text
+    item: Value
     low: int
     high: int
 
