--- a/fireflyferry/entry/control.py
+++ b/fireflyferry/entry/control.py
@@ -164,6 +164,8 @@
     def _declared_lost(self, stored: StoredObject) -> None:
         """Carry out an operator's word that a VM is lost."""
         lost = decode(stored.data, LostVm)
+        if lost.withdrawn:
+            return
         now_s = self._clock.monotonic_s()
         for incarnation in lost.incarnations:
             for runtime in self._runtimes.values():
--- a/fireflyferry/messages/control.py
+++ b/fireflyferry/messages/control.py
@@ -117,7 +117,8 @@
     """The operator's word that runs of a VM have ended, kept in `config/lost/VM`.
 
     `incarnations` are those found in group records when the word was given; a later run of the
-    same VM is not covered. It is empty for a VM that is in no group record, such as an upstream.
+    same VM is not covered. It is empty for a VM that is in no group record, such as an upstream;
+    the word then holds until it is withdrawn.
     """
 
     vm_id: str
@@ -125,3 +126,4 @@
     author: str = ""
     note: str = ""
     declared_at: str = ""
+    withdrawn: bool = False
--- a/fireflyferry/operators/arguments.py
+++ b/fireflyferry/operators/arguments.py
@@ -136,6 +136,9 @@
     )
     made.add_argument("vm", type=_vm_id, metavar="VM")
     made.add_argument("--yes", action="store_true", help="the VM is known to be stopped")
+    made.add_argument(
+        "--withdraw", action="store_true", help="take the word back, before the VM starts again"
+    )
     made.add_argument("--note", default="", help="how that is known")
     made = command("status", status.status, "show VMs, groups, owners, moves and refusals")
     made.add_argument("--json", action="store_true", help="write JSON")
--- a/fireflyferry/operators/fleet_commands.py
+++ b/fireflyferry/operators/fleet_commands.py
@@ -157,6 +157,8 @@
 
 async def declare_lost(context: Context, options: argparse.Namespace) -> int:
     """Record the operator's word that the present runs of a VM have ended."""
+    if options.withdraw:
+        return await _withdraw(context, options)
     incarnations = await _recorded_incarnations(context, options.vm)
     await _refuse_if_answering(context, options.vm)
     context.show(f"{options.vm}: runs in group records: {', '.join(incarnations) or 'none'}")
@@ -167,10 +169,26 @@
             f"Nothing was recorded. If {options.vm} still runs, its keys can get a second owner. "
             "Make sure that it is stopped, then repeat with --yes.",
         )
-    now = datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
-    word = LostVm(options.vm, incarnations, context.author, options.note, now)
+    word = LostVm(options.vm, incarnations, context.author, options.note, _utc_now())
     await _write_word(context, f"{LOST_PREFIX}{options.vm}", encode(word))
-    context.show(f"Recorded: the listed runs of {options.vm} have ended.")
+    context.show(f"Recorded: {options.vm} is lost.")
+    return ExitCode.DONE
+
+
+def _utc_now() -> str:
+    return datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+async def _withdraw(context: Context, options: argparse.Namespace) -> int:
+    """Take the word back, so that it does not cover a later run of an upstream."""
+    name = f"{LOST_PREFIX}{options.vm}"
+    stored = await context.store.get(name)
+    if stored is None or stored.data is None:
+        message = f"{options.vm} is not declared lost; nothing was changed."
+        raise OperatorError("not_declared", ExitCode.REFUSED, message)
+    word = LostVm(options.vm, (), context.author, options.note, _utc_now(), withdrawn=True)
+    await _write_word(context, name, encode(word))
+    context.show(f"Withdrawn: {options.vm} is no longer declared lost.")
     return ExitCode.DONE
 
 
--- a/fireflyferry/operators/tests/test_fleet_commands.py
+++ b/fireflyferry/operators/tests/test_fleet_commands.py
@@ -128,6 +128,14 @@
     assert (word.incarnations, word.author) == (("run-a",), "ana")
 
 
+def test_word_is_withdrawn_for_a_later_run(store):
+    assert refused(store, FakePeers(), "declare-lost u-1 --withdraw").code == "not_declared"
+    command(store, FakePeers(), "declare-lost u-1 --yes")
+    assert not decode(store.table.get("config/lost/u-1").data, LostVm).withdrawn
+    command(store, FakePeers(), "declare-lost u-1 --withdraw")
+    assert decode(store.table.get("config/lost/u-1").data, LostVm).withdrawn
+
+
 def test_vm_that_answers_cannot_be_declared_lost(store):
     peers = FakePeers({"e-1:1": status("e-1")})
     assert refused(store, peers, "declare-lost e-1 --yes").code == "vm_answers"
