--- a/fireflyferry/settings/model.py
+++ b/fireflyferry/settings/model.py
@@ -7,6 +7,7 @@
 from fireflyferry.settings.values import (
     Choice,
     Endpoint,
+    Flag,
     IpAddress,
     Number,
     Secret,
@@ -29,6 +30,7 @@
     "SecretSettings",
     "StatsdSettings",
     "StoreSettings",
+    "TestingSettings",
     "VmSettings",
 ]
 
@@ -144,6 +146,13 @@
     addresses: tuple[str, ...] = field(TextList(Endpoint(), 0, 16), ())
 
 
+@attrs.frozen
+class TestingSettings:
+    """Fault injection on the peer port, for experiments only."""
+
+    fault_injection: bool = field(Flag(), False)
+
+
 @attrs.frozen
 class EntrySettings:
     """Settings of `fireflyferry-entry`."""
@@ -157,6 +166,7 @@
     log: LogSettings
     drain: DrainSettings
     peers: PeerSettings
+    testing: TestingSettings
 
 
 @attrs.frozen
