Reject tables with a fault on each VM and report why

An entry VM decoded the tables without checking them, so an object written by other means than fireflyferryctl could take effect with a fault, and status never showed a rejected revision.

--- a/fireflyferry/entry/state.py
+++ b/fireflyferry/entry/state.py
@@ -11,7 +11,7 @@
 from fireflyferry.messages import GroupId, GroupRecord, VmEntry, VmIncarnation, decode, encode
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.messages.control import LOST_PREFIX
-from fireflyferry.tables import Tables
+from fireflyferry.tables import InvalidTablesError, Tables, load_tables
 
 __all__ = ["GROUPS_PREFIX", "PLACEMENTS_PREFIX", "VM_LIST_OBJECT", "RecordView", "VmState"]
 
@@ -21,6 +21,8 @@
 GROUPS_PREFIX = "groups/"
 PLACEMENTS_PREFIX = "placements/"
 VM_LIST_OBJECT = "vms"
+# Findings of a rejected revision that are kept for the status.
+MAX_FINDINGS = 5
 
 
 @attrs.frozen
@@ -97,7 +99,7 @@
 
     def _apply_object(self, name: str, version: int, data: bytes) -> None:
         if name == TABLES_OBJECT:
-            self._apply_tables(decode(data, Tables))
+            self._apply_tables(data)
         elif name.startswith(GROUPS_PREFIX):
             view = RecordView(decode(data, GroupRecord), version, self._clock.monotonic_s())
             self.records[view.record.group] = view
@@ -112,7 +114,18 @@
         elif name == VM_LIST_OBJECT:
             self._apply_vm_list(decode(data, VmListing).entries)
 
-    def _apply_tables(self, tables: Tables) -> None:
+    def _apply_tables(self, data: bytes) -> None:
+        """Apply a higher revision, or keep the present one if the new one has any fault."""
+        try:
+            tables = load_tables(data)
+        except InvalidTablesError as error:
+            self.rejected_revision = error.revision
+            self.rejected_reason = "; ".join(map(str, error.findings[:MAX_FINDINGS]))
+            _LOG.error(
+                "tables_rejected",
+                extra={"revision": error.revision, "findings": self.rejected_reason},
+            )
+            return
         if tables.revision <= self.revision:
             return
         self._tables = tables
--- a/fireflyferry/tables/findings.py
+++ b/fireflyferry/tables/findings.py
@@ -26,10 +26,14 @@
 
 
 class InvalidTablesError(FireflyferryError):
-    """Tables that are refused as a whole; `findings` lists every fault."""
+    """Tables that are refused as a whole; `findings` lists every fault.
+
+    `revision` is 0 when it could not be read.
+    """
 
     code = "invalid_tables"
 
-    def __init__(self, findings: Iterable[Finding]):
+    def __init__(self, findings: Iterable[Finding], revision: int = 0):
         self.findings = tuple(findings)
+        self.revision = revision
         super().__init__("; ".join(map(str, self.findings)))
--- a/fireflyferry/tables/rows.py
+++ b/fireflyferry/tables/rows.py
@@ -138,5 +138,5 @@
     tables = Tables(routes=routes, pools=pools, **head)
     findings.extend(validate(tables, _raw_names(raw.get("pools"))))
     if findings:
-        raise InvalidTablesError(sorted(findings))
+        raise InvalidTablesError(sorted(findings), tables.revision)
     return tables
