--- /dev/null
+++ b/fireflyferry/entry/bench.py
@@ -0,0 +1,173 @@
+"""Benchmark of the request path: cost per hop, added latency, goodput and fairness.
+
+Starts upstreams, entry VMs and the naive router as processes on loopback, and prints a report.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import random
+import subprocess
+import sys
+from collections.abc import Iterator
+
+import attrs
+
+from fireflyferry.entry.bench_load import LoadResult, Shot, closed_loop, open_loop
+from fireflyferry.entry.bench_roles import ROLES, TENANTS, run_role
+
+__all__ = ["main"]
+
+SERVICE_MS = 10.0
+SLOTS = 4
+CAPACITY = SLOTS / (SERVICE_MS / 1000)
+DEADLINE_MS = 200
+
+
+@attrs.frozen
+class _Process:
+    process: subprocess.Popen
+    port: int
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far in seconds."""
+        with open(f"/proc/{self.process.pid}/stat") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@contextlib.contextmanager
+def _start(module: str, *arguments: str) -> Iterator[_Process]:
+    command = [sys.executable, "-m", module, *arguments]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        line = process.stdout.readline()
+        port = int(line.partition("port=")[2].split()[0])
+        yield _Process(process, port)
+    finally:
+        process.terminate()
+        process.wait(10)
+
+
+def _role(role: str, upstreams: list[str], *arguments: str):
+    options = [part for address in upstreams for part in ("--upstream", address)]
+    return _start("fireflyferry.entry.bench", "--role", role, *options, *arguments)
+
+
+def _standin():
+    instance = ["--instance", "up-0:bench:0", "--slots", str(SLOTS), "--checks", "none"]
+    options = ["--service-ms", str(SERVICE_MS), "--jitter", "0.2", "--waiting", "1000"]
+    return _start("fireflyferry.standins.upstream_main", *instance, *options)
+
+
+def _measure(name: str, port: int, hops: list[_Process], route: str, seconds: float) -> None:
+    """Print rate and processor time of a closed loop, then times at a low fixed rate."""
+    before = [hop.cpu_s() for hop in hops]
+    load = asyncio.run(closed_loop(port, route, 16, seconds))
+    after = [hop.cpu_s() for hop in hops]
+    count = sum(load.answered.values())
+    costs = [(end - start) / count * 1e6 for start, end in zip(before, after, strict=True)]
+    shots = [Shot(f"/{route}/{number}") for number in range(int(200 * seconds))]
+    quiet = asyncio.run(open_loop(port, shots, 200.0))
+    cost = " + ".join(f"{value:.0f}" for value in costs) or "-"
+    print(
+        f"{name:24} {load.rate:8.0f} {cost:>12} {quiet.quantile_ms(0.5):8.2f}"
+        f" {quiet.quantile_ms(0.99):8.2f} {sum(load.other.values()):6d}",
+        flush=True,
+    )
+
+
+def _cost(seconds: float, profile: str) -> None:
+    print(f"{'path':24} {'req/s':>8} {'us/req, hop':>12} {'p50 ms':>8} {'p99 ms':>8} {'failed':>6}")
+    with contextlib.ExitStack() as stack:
+        upstream = stack.enter_context(_role("upstream", []))
+        upstreams = [upstream.address]
+        options = ["--slots", "64"]
+        entry = stack.enter_context(_role("entry", upstreams, *options))
+        peer = stack.enter_context(_role("peer", upstreams, *options))
+        first = stack.enter_context(_role("entry", upstreams, "--leader", peer.address))
+        naive = stack.enter_context(_role("naive", upstreams))
+        _measure("direct", upstream.port, [], "read", seconds)
+        _measure("naive", naive.port, [naive], "read", seconds)
+        _measure("one hop, read", entry.port, [entry], "read", seconds)
+        _measure("two hops, read", first.port, [first, peer], "read", seconds)
+        _measure("one hop, write", entry.port, [entry], "write", seconds)
+        _measure("two hops, write", first.port, [first, peer], "write", seconds)
+        if profile:
+            arguments = ("--profile", profile, *options)
+            profiled = stack.enter_context(_role("entry", upstreams, *arguments))
+            asyncio.run(closed_loop(profiled.port, "read", 16, seconds))
+
+
+def _goodput(seconds: float) -> None:
+    print(f"\ncapacity {CAPACITY:.0f}/s, deadline {DEADLINE_MS} ms, open loop")
+    print(f"{'router':8} {'offered':>8} {'goodput/s':>10} {'p99 ms':>8}  other outcomes")
+    for name, role in (("ours", "entry"), ("naive", "naive")):
+        for factor in (0.5, 1.0, 2.0, 4.0):
+            with _standin() as upstream, _role(role, [upstream.address], "--slots", "4") as router:
+                rate = factor * CAPACITY
+                shots = [Shot(f"/read/{number}") for number in range(int(rate * seconds))]
+                load = asyncio.run(open_loop(router.port, shots, rate, DEADLINE_MS))
+            other = ", ".join(f"{reason} {count}" for reason, count in load.other.most_common(4))
+            print(
+                f"{name:8} {factor:7.1f}x {load.rate:10.0f} {_p99(load):8.1f}  {other}", flush=True
+            )
+
+
+def _p99(load: LoadResult) -> float:
+    return load.quantile_ms(0.99) if load.times_s else float("nan")
+
+
+def _fairness(seconds: float) -> None:
+    """Let one tenant send ten times its part, while the others send theirs."""
+    part = CAPACITY / len(TENANTS)
+    parts = {"one": 10 * part, "two": 0.9 * part, "three": 0.9 * part}
+    rng = random.Random(1)
+    rate = sum(parts.values())
+    shots = [
+        Shot(f"/read/{number}", tenant)
+        for number, tenant in enumerate(
+            rng.choices(list(parts), list(parts.values()), k=int(rate * seconds))
+        )
+    ]
+    print(f"\nanswers/s per tenant; fair part {part:.0f}/s, tenant one offers {parts['one']:.0f}/s")
+    for name, role in (("ours", "entry"), ("naive", "naive")):
+        with _standin() as upstream, _role(role, [upstream.address], "--slots", "4") as router:
+            load = asyncio.run(open_loop(router.port, shots, rate, DEADLINE_MS))
+        shares = "  ".join(
+            f"{tenant} {load.answered[tenant] / seconds:.0f} of {offered:.0f}"
+            for tenant, offered in parts.items()
+        )
+        print(f"{name:8} {shares}", flush=True)
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the benchmark, or one of its processes."""
+    parser = argparse.ArgumentParser(prog="python -m fireflyferry.entry.bench", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=4.0, help="length of each load")
+    parser.add_argument("--profile", default="", help="file for the profile of one hop")
+    parser.add_argument("--part", choices=("cost", "goodput", "fairness"), action="append")
+    parser.add_argument("--role", choices=sorted(ROLES), help=argparse.SUPPRESS)
+    parser.add_argument("--upstream", action="append", default=[], help=argparse.SUPPRESS)
+    parser.add_argument("--leader", default="", help=argparse.SUPPRESS)
+    parser.add_argument("--slots", type=int, default=64, help=argparse.SUPPRESS)
+    arguments = parser.parse_args(argv)
+    if arguments.role:
+        run_role(arguments)
+        return
+    parts = arguments.part or ["cost", "goodput", "fairness"]
+    if "cost" in parts:
+        _cost(arguments.seconds, arguments.profile)
+    if "goodput" in parts:
+        _goodput(arguments.seconds)
+    if "fairness" in parts:
+        _fairness(arguments.seconds)
+
+
+if __name__ == "__main__":
+    main()
