--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -24,9 +24,13 @@
     """A parsed data request; `deadline_s` is monotonic, None without a deadline.
 
     `key` and `unit` are percent-encoded, as in the headers.
+
+    `request_id` is the id of the attempt, `caller_id` the one that the caller sent, if any. Runs
+    are counted by the caller's id, so that retries of one request count together.
     """
 
     request_id: str
+    caller_id: str
     key: str
     unit: str
     fence: int
@@ -47,7 +51,7 @@
 def first_line(upstream_id: str, request: DataRequest) -> bytes:
     """Return the JSON line with which every answer begins."""
     fields = {
-        "request_id": request.request_id,
+        "request_id": request.caller_id,
         "key": request.key,
         "upstream_id": upstream_id,
         "unit": request.unit,
@@ -107,8 +111,10 @@
         try:
             deadline_ms = headers.get("Firefly-Deadline-Ms")
             service_ms = self.get_query_argument("service_ms", None)
+            request_id = headers.get("Firefly-Request-Id", "")
             return DataRequest(
-                headers.get("Firefly-Request-Id", ""),
+                request_id,
+                headers.get("Request-Id", request_id),
                 headers.get("Firefly-Key", ""),
                 headers.get("Firefly-Unit", ""),
                 int(headers.get("Firefly-Fence", "0")),
@@ -166,7 +172,7 @@
             return
         checks = instance.checks(self.caller)
         ticket = instance.holder.begin(time.monotonic(), *request.decoded, request.fence)
-        run = instance.start_run(request.request_id, request.key, request.unit, request.fence)
+        run = instance.start_run(request.caller_id, request.key, request.unit, request.fence)
         stopped = await self._take_service_time(request)
         held = True
         if ticket.result is CheckResult.HELD:
@@ -208,7 +214,8 @@
             self.drop_connection()
             return
         if instance.faults.take("wrong_request_id", self.caller, "data", request.key):
-            request = attrs.evolve(request, request_id=instance.last_request_id or "other")
+            other = instance.last_request_id or "other"
+            request = attrs.evolve(request, request_id=other, caller_id=other)
         else:
             instance.last_request_id = request.request_id
         line = first_line(instance.settings.upstream_id, request)
