Take over when the pledges end, without a second wait for the session

Cause: the standby began to wait for the session only after its last pledge had ended, so a lost leader cost P + S. The wait may run while pledges are given: a session of the version seen was written before it was seen, and a later session has another version, on which the takeover write fails.

--- a/fireflyferry/leases/authority.py
+++ b/fireflyferry/leases/authority.py
@@ -173,7 +173,7 @@
             return
         if self._open is not None:
             self._open.note_read(asked_at_s)
-        self._watch.observe(now_s, asked_at_s, changed=False)
+        self._watch.observe(now_s, changed=False)
 
     def on_write_result(
         self,
@@ -328,7 +328,7 @@
                 confirmed = self._open
             self._open = None
         before, self._record, self._version = self._record, record, version
-        self._watch.observe(now_s, asked_at_s, changed=True)
+        self._watch.observe(now_s, changed=True)
         if record is None or record.leader != self._me:
             self._lose_lead()
             return
--- a/fireflyferry/leases/lease.py
+++ b/fireflyferry/leases/lease.py
@@ -108,18 +108,20 @@
         self.unchanged_since_s: float | None = None
 
     def give_pledge(self, now_s: float, term: int, unlimited: bool) -> None:
-        """Promise not to take over; the wait for the session starts again afterwards."""
+        """Promise not to take over."""
         until_s = now_s + self._timing.lengthened(self._timing.pledge_s)
         self._pledged_until_s = max(self._pledged_until_s, until_s)
         if unlimited:
             self._unlimited_term = max(self._unlimited_term, term)
-        self.unchanged_since_s = None
 
-    def observe(self, now_s: float, asked_at_s: float, changed: bool) -> None:
-        """Note a read of the newest known version of the record."""
-        if changed:
-            self.unchanged_since_s = None
-        if self.unchanged_since_s is None and asked_at_s >= self._pledged_until_s:
+    def observe(self, now_s: float, changed: bool) -> None:
+        """Note a read of the newest known version of the record.
+
+        The wait for the session runs from here even while pledges are given: a session of this
+        version was written before, and a later one has another version, on which a takeover
+        write that expects this one fails.
+        """
+        if changed or self.unchanged_since_s is None:
             self.unchanged_since_s = now_s
 
     def pledges_over(self, now_s: float, term: int) -> bool:
