--- a/fireflyferry/settings/tests/test_settings.py
+++ b/fireflyferry/settings/tests/test_settings.py
@@ -78,6 +78,20 @@
     assert [each.key for each in faults(GOOD + f"[drain]\ntime_s = {number}\n")] == ["time_s"]
 
 
+@pytest.mark.parametrize(
+    "text, value", [("true", True), ("yes", True), ("false", False), ("no", False)]
+)
+def test_flag_has_two_spellings(text, value):
+    settings = parse_settings(f"{GOOD}[testing]\nfault_injection = {text}\n", EntrySettings)
+    assert settings.testing.fault_injection is value
+
+
+@pytest.mark.parametrize("text", ["", "True", "1", "on", "n"])
+def test_flag_in_another_form_is_refused(text):
+    found = faults(f"{GOOD}[testing]\nfault_injection = {text}\n")
+    assert [each.key for each in found] == ["fault_injection"]
+
+
 def test_check_program_reports_and_returns_a_code(tmp_path, capsys):
     good, bad = tmp_path / "good.ini", tmp_path / "bad.ini"
     good.write_text(GOOD)
--- a/fireflyferry/settings/values.py
+++ b/fireflyferry/settings/values.py
@@ -133,7 +133,7 @@
     @property
     def allowed(self) -> str:
         """Describe the allowed values."""
-        return "true or false"
+        return "true or false, also written yes or no"
 
     def convert(self, value: Any) -> bool:
         """Check the type."""
@@ -142,8 +142,8 @@
         return value
 
     def parse(self, text: str) -> bool:
-        """Read `true` or `false`."""
-        return self.convert({"true": True, "false": False}.get(text))
+        """Read `true`, `yes`, `false` or `no`."""
+        return self.convert({"true": True, "yes": True, "false": False, "no": False}.get(text))
 
     def format(self, value: bool) -> str:
         """Write `true` or `false`."""
