Restore tables that are missing or not valid, and ask VMs without the store

A trial with real processes showed three faults. Tables overwritten by other means with a fault could not be undone, because undo read them first; it now starts from the latest valid revision in the history, where each accepted revision is saved too. An assignment timed out at 2 s while the leader waits up to 2.5 s, and was sent again through every VM; it now waits 5 s and asks each address once. Status needed the VM list and so failed when the store was away; peer addresses can be given instead.

--- a/fireflyferry/operators/arguments.py
+++ b/fireflyferry/operators/arguments.py
@@ -5,7 +5,7 @@
 import attrs
 
 from fireflyferry.operators import fleet_commands, status, table_commands
-from fireflyferry.settings.values import Text, value_of
+from fireflyferry.settings.values import Endpoint, Text, Value, value_of
 from fireflyferry.tables.rows import ROW_KINDS
 
 __all__ = ["SETTINGS_VARIABLE", "make_parser"]
@@ -30,12 +30,20 @@
 
 
 def _vm_id(text: str) -> str:
+    return _converted(_VM_ID, text)
+
+
+def _converted(rule: Value, text: str) -> str:
     try:
-        return _VM_ID.convert(text)
+        return rule.convert(text)
     except ValueError as error:
         raise argparse.ArgumentTypeError(f"found {text!r}, allowed: {error}") from error
 
 
+def _endpoint(text: str) -> str:
+    return _converted(Endpoint(), text)
+
+
 def _revision(text: str) -> int:
     if not (text.isascii() and text.isdigit() and len(text) <= 18):
         raise argparse.ArgumentTypeError(f"found {text!r}, allowed: a whole number from 0")
@@ -142,6 +150,14 @@
     made.add_argument("--note", default="", help="how that is known")
     made = command("status", status.status, "show VMs, groups, owners, moves and refusals")
     made.add_argument("--json", action="store_true", help="write JSON")
+    made.add_argument(
+        "--peer",
+        type=_endpoint,
+        action="append",
+        default=[],
+        metavar="IP:PORT",
+        help="ask this peer address instead of the listed VMs; can be repeated",
+    )
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/fireflyferry/operators/editing.py
+++ b/fireflyferry/operators/editing.py
@@ -1,10 +1,12 @@
 """Edits of the tables in the store: one conditional update, with history and read-back."""
 
+import contextlib
 import datetime
 import uuid
 from collections.abc import Awaitable, Callable
 
 import attrs
+import orjson
 
 from fireflyferry.edges import ObjectStore, StoreUnavailableError, VersionConflictError
 from fireflyferry.messages import encode
@@ -26,6 +28,8 @@
 
 ATTEMPTS = 6
 PAUSE_S = 0.2
+# Above this, numbers in JSON lose precision in many programs.
+MAX_REVISION = 2**53
 
 
 @attrs.frozen
@@ -35,6 +39,7 @@
     tables: Tables
     version: int
     data: bytes = b""
+    damaged: bool = False
 
 
 def _utc_now() -> str:
@@ -49,12 +54,29 @@
         raise OperatorError("invalid_tables", ExitCode.REFUSED, *lines) from error
 
 
+def _load_or_none(data: bytes) -> Tables | None:
+    try:
+        return load_tables(data)
+    except InvalidTablesError:
+        return None
+
+
+def _raw_revision(data: bytes) -> int:
+    """Return the revision in tables that are not valid; 0 if it cannot be read."""
+    try:
+        revision = orjson.loads(data)["revision"]
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return 0
+    return revision if type(revision) is int and 0 <= revision < MAX_REVISION else 0
+
+
 class TableEditor:
     """Reads and edits the tables for one operator.
 
     Each edit is one update of `config/tables`, conditional on the version that was read. The
     revision that it replaces is first saved under `config/history/`, so a revision that is no
-    longer in force can always be found there.
+    longer in force can always be found there. The new revision is saved there too if the store
+    answers.
     """
 
     def __init__(
@@ -72,28 +94,47 @@
     async def read(self, restoring: bool = False) -> Current:
         """Read the tables in force.
 
-        Raises StoreUnavailableError, or OperatorError when they are not valid, or missing although
-        there is history; with `restoring`, missing tables count as empty.
+        With `restoring`, tables that are missing or not valid are replaced by the rows of the
+        latest valid revision in the history, under the revision that was lost, and the result is
+        marked `damaged`. Without it they are an error.
+
+        Raises StoreUnavailableError or OperatorError.
         """
         stored = await self._store.get(TABLES_NAME)
         if stored is not None and stored.data is not None:
-            return Current(_load(TABLES_NAME, stored.data), stored.version, stored.data)
-        batch = await self._store.list(HISTORY_PREFIX)
-        suffixes = (change.name.removeprefix(HISTORY_PREFIX) for change in batch.changes)
-        latest = max((int(text) for text in suffixes if text.isdecimal()), default=0)
-        if latest and not restoring:
+            try:
+                return Current(_load(TABLES_NAME, stored.data), stored.version, stored.data)
+            except OperatorError:
+                if not restoring:
+                    raise
+                return await self._read_damaged(stored.version, stored.data)
+        current = await self._read_damaged(0, b"")
+        latest = current.tables.revision - 1
+        if latest > 0 and not restoring:
             raise OperatorError(
                 "tables_missing",
                 ExitCode.REFUSED,
                 f"{TABLES_NAME} is missing, but revisions up to {latest} are in the history.",
                 f"Restore one of them with: fireflyferryctl undo {latest}",
             )
-        # The lost revision was the one after the latest in the history, and must not be reused.
-        return Current(Tables(revision=latest + 1 if latest else 0), 0)
+        return current if latest > 0 else Current(Tables(), 0)
+
+    async def _read_damaged(self, version: int, data: bytes) -> Current:
+        history: dict[int, Tables | None] = {}
+        for item in (await self._store.list(HISTORY_PREFIX)).changes:
+            suffix = item.name.removeprefix(HISTORY_PREFIX)
+            if suffix.isdecimal() and item.data is not None:
+                history[int(suffix)] = _load_or_none(item.data)
+        valid = [revision for revision, tables in history.items() if tables is not None]
+        base = history[max(valid)] if valid else Tables()
+        # The lost revision may have come after the latest in the history, and must not be used
+        # again.
+        revision = max(max(history, default=0) + 1, _raw_revision(data))
+        return Current(attrs.evolve(base, revision=revision), version, data, damaged=True)
 
     async def read_revision(self, current: Current, revision: int) -> Tables | None:
         """Read a revision from the history, or the one in force; None if there is none."""
-        if current.version and current.tables.revision == revision:
+        if current.version and not current.damaged and current.tables.revision == revision:
             return current.tables
         stored = await self._store.get(history_name(revision))
         if stored is None or stored.data is None:
@@ -128,7 +169,15 @@
         Raises OperatorError for a lost race, an unavailable store or an unknown outcome.
         """
         await self._save_history(current)
-        data, sent = encode(new), False
+        data = encode(new)
+        await self._write(current, new, data)
+        # Not needed for later edits, which save it again, but keeps the revision in force when
+        # the object is lost or overwritten by other means.
+        with contextlib.suppress(StoreUnavailableError, VersionConflictError):
+            await self._store.put(history_name(new.revision), data, 0)
+
+    async def _write(self, current: Current, new: Tables, data: bytes) -> None:
+        sent = False
         for attempt in range(ATTEMPTS):
             if attempt:
                 await self._pause(PAUSE_S * 2**attempt)
@@ -203,7 +252,9 @@
             return False
         if stored is None or stored.data is None:
             raise self._unknown(new)
-        latest = _load(TABLES_NAME, stored.data)
+        latest = _load_or_none(stored.data)
+        if latest is None:
+            raise self._unknown(new)
         accepted: Tables | None = latest
         if latest.revision != new.revision:
             accepted = await self.read_revision(Current(latest, stored.version), new.revision)
--- a/fireflyferry/operators/fleet_commands.py
+++ b/fireflyferry/operators/fleet_commands.py
@@ -28,6 +28,8 @@
 UPSTREAM_ROLE = "upstream"
 UNKNOWN_UPSTREAM = "unknown_upstream"
 GROUPS_PREFIX = "groups/"
+# The leader keeps such an assignment and carries it out when it can.
+NOT_IN_PLACE = "not_in_place_yet"
 MAX_REDIRECTS = 3
 WRITE_ATTEMPTS = 4
 
@@ -73,6 +75,9 @@
     unit = named_unit(pool, options.key_or_unit, options.key)
     request = AssignRequest(pool.name, unit, options.upstream, context.author)
     reply = await _ask_leader(context, request)
+    if reply.reason == NOT_IN_PLACE:
+        message = f"{unit} waits for {options.upstream}; see the moves in `fireflyferryctl status`"
+        raise OperatorError(reply.reason, ExitCode.UNKNOWN, message)
     if not reply.accepted:
         message = f"{unit} was not assigned to {options.upstream}: {reply.reason}"
         raise OperatorError(reply.reason or "refused", ExitCode.REFUSED, message)
@@ -84,25 +89,25 @@
 
 
 async def _ask_leader(context: Context, request: AssignRequest) -> AssignReply:
-    """Ask any entry VM, then the leader that it names."""
-    failures = []
+    """Ask entry VMs in turn, and the leader that they name, each address once."""
+    failed: dict[str, str] = {}
     for vm in await entry_vms(context):
-        address, reply = vm.peer_address, None
+        address = vm.peer_address
         for _ in range(MAX_REDIRECTS):
+            if address in failed:
+                break
             try:
                 reply = await context.peers.assign(address, request)
             except PeerUnavailableError as error:
-                failures.append(str(error))
+                failed[address] = str(error)
                 break
             if reply.accepted or not reply.leader_address:
                 return reply
             address = reply.leader_address
-        if reply is not None and reply.leader_address:
-            failures.append(f"{address}: names another leader, {reply.leader_address}")
     # A request whose answer was lost may have been carried out.
-    exit_code = ExitCode.UNKNOWN if failures else ExitCode.UNAVAILABLE
-    lines = ("No VM confirmed the assignment; `fireflyferryctl status` shows the owner.", *failures)
-    raise OperatorError("no_leader", exit_code, *lines)
+    exit_code = ExitCode.UNKNOWN if failed else ExitCode.UNAVAILABLE
+    lines = ("No leader confirmed the assignment; `fireflyferryctl status` shows the owner.",)
+    raise OperatorError("no_leader", exit_code, *lines, *failed.values())
 
 
 async def drain(context: Context, options: argparse.Namespace) -> int:
--- a/fireflyferry/operators/peers.py
+++ b/fireflyferry/operators/peers.py
@@ -18,6 +18,9 @@
 
 __all__ = ["HttpPeerControl", "PeerControl"]
 
+# A leader answers when the owner is in place, or after 2.5 s.
+ASSIGN_TIMEOUT_S = 5.0
+
 T = TypeVar("T")
 
 
@@ -66,7 +69,8 @@
 
     async def assign(self, address: str, request: AssignRequest) -> AssignReply:
         """Ask a VM to place a unit on an upstream."""
-        return await self._call(address, "POST", "/peer/v1/assign", request, AssignReply)
+        path = "/peer/v1/assign"
+        return await self._call(address, "POST", path, request, AssignReply, ASSIGN_TIMEOUT_S)
 
     async def drain(self, address: str, request: DrainRequest) -> DrainReply:
         """Ask a VM to drain an upstream or itself."""
@@ -76,21 +80,35 @@
         """Ask an upstream at its own address to drain."""
         await self._send(address, "POST", "/control/v1/drain", b"{}", {})
 
-    async def _call(self, address: str, method: str, path: str, body: Any, kind: type[T]) -> T:
+    async def _call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: Any,
+        kind: type[T],
+        timeout_s: float | None = None,
+    ) -> T:
         data = None if body is None else encode(body)
         headers = self._signer.headers(method, path, data or b"")
-        answer = await self._send(address, method, path, data, headers)
+        answer = await self._send(address, method, path, data, headers, timeout_s)
         try:
             return decode(answer, kind)
         except MessageError as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
 
     async def _send(
-        self, address: str, method: str, path: str, data: bytes | None, headers: dict[str, str]
+        self,
+        address: str,
+        method: str,
+        path: str,
+        data: bytes | None,
+        headers: dict[str, str],
+        timeout_s: float | None = None,
     ) -> bytes:
         url, fresh = f"http://{address}{path}", method == "POST"
         try:
-            answer = await self._caller.call(method, url, data, headers, fresh=fresh)
+            answer = await self._caller.call(method, url, data, headers, timeout_s, fresh)
         except NoAnswerError as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
         if answer.status != 200:
--- a/fireflyferry/operators/status.py
+++ b/fireflyferry/operators/status.py
@@ -3,7 +3,7 @@
 import argparse
 import asyncio
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 
@@ -37,11 +37,14 @@
 class FleetStatus:
     """All reports; `revision` is the store's, 0 without tables and None if it did not answer.
 
+    `damaged` says that the tables in the store are missing or not valid.
+
     `groups` has the report with the highest term of each group; `rivals` names groups that two
     VMs report to lead under different terms, as happens during a takeover.
     """
 
     revision: int | None
+    damaged: bool
     vms: tuple[VmReport, ...]
     groups: tuple[GroupStatus, ...]
     rivals: tuple[str, ...]
@@ -70,26 +73,27 @@
         return None
 
 
-async def collect(context: Context) -> FleetStatus:
-    """Ask the store and every listed entry VM.
+async def collect(context: Context, addresses: Sequence[str] = ()) -> FleetStatus:
+    """Ask the store, and every listed entry VM or the given peer addresses.
 
-    Raises StoreUnavailableError when the VM list cannot be read.
+    Raises StoreUnavailableError when the VM list is needed and cannot be read.
     """
-    vms = await entry_vms(context)
+    given = tuple(VmEntry(each, "entry", "", "", "", each) for each in addresses)
+    vms = given or await entry_vms(context)
     try:
         current = await context.editor().read(restoring=True)
-        revision = current.tables.revision if current.version else 0
+        revision, damaged = current.tables.revision, current.damaged
     except (StoreUnavailableError, OperatorError):
-        revision = None
+        revision, damaged = None, False
     answers = await asyncio.gather(*(_ask(context, vm) for vm in vms))
     reports = tuple(
         VmReport(vm.vm_id, vm.data_centre, vm.state, answer, lag_reason(answer, revision))
         for vm, answer in zip(vms, answers, strict=True)
     )
-    return _combine(revision, reports)
+    return _combine(revision, damaged, reports)
 
 
-def _combine(revision: int | None, reports: tuple[VmReport, ...]) -> FleetStatus:
+def _combine(revision: int | None, damaged: bool, reports: tuple[VmReport, ...]) -> FleetStatus:
     answered = [report.status for report in reports if report.status is not None]
     by_group: dict[str, list[GroupStatus]] = collections.defaultdict(list)
     for vm in answered:
@@ -100,7 +104,7 @@
     rivals = tuple(name for name in names if len(by_group[name]) > 1)
     refusals = _total(vm.refusals for vm in answered)
     retries = _total(vm.retries for vm in answered)
-    return FleetStatus(revision, reports, latest, rivals, refusals, retries)
+    return FleetStatus(revision, damaged, reports, latest, rivals, refusals, retries)
 
 
 def _total(counts: Iterable[dict[str, int]]) -> dict[str, int]:
@@ -138,9 +142,11 @@
 
 def format_status(fleet: FleetStatus) -> str:
     """Write the status for a person to read."""
-    revision = (
-        "unknown, the store gives no valid tables" if fleet.revision is None else fleet.revision
-    )
+    revision = str(fleet.revision)
+    if fleet.revision is None:
+        revision = "unknown, the store does not answer"
+    elif fleet.damaged:
+        revision += ", but the tables are missing or not valid; see `fireflyferryctl history`"
     lines = [f"Revision in the store: {revision}", *_format_vms(fleet)]
     lines.append(f"Groups: {len(fleet.groups)}")
     for group in fleet.groups:
@@ -154,8 +160,8 @@
 
 async def status(context: Context, options: argparse.Namespace) -> int:
     """Show the status; the exit code says whether every VM answered and is up to date."""
-    fleet = await collect(context)
+    fleet = await collect(context, options.peer)
     context.show(encode(fleet).decode() if options.json else format_status(fleet))
-    if fleet.revision is None or any(vm.lag for vm in fleet.vms):
+    if fleet.revision is None or fleet.damaged or any(vm.lag for vm in fleet.vms):
         return ExitCode.PARTIAL
     return ExitCode.DONE
--- a/fireflyferry/operators/table_commands.py
+++ b/fireflyferry/operators/table_commands.py
@@ -96,7 +96,7 @@
     """Show an edit's differences, then write it unless it is a dry run."""
     await _check_expected(editor, current, options.expect_revision)
     changes = diff_tables(current.tables, edited)
-    if not changes and current.version:
+    if not changes and current.version and not current.damaged:
         context.show(f"Nothing to change; revision {current.tables.revision} stays in force.")
         return ExitCode.DONE
     new = editor.prepare(current, edited, context.author, options.note, options.confirm_unsafe)
@@ -213,12 +213,16 @@
 async def history(context: Context, options: argparse.Namespace) -> int:
     """Show the latest revisions, newest first."""
     editor = context.editor()
-    current = await editor.read()
+    current = await editor.read(restoring=True)
     newest = current.tables.revision
     for revision in range(newest, max(0, newest - options.limit), -1):
-        tables = await editor.read_revision(current, revision)
+        try:
+            tables = await editor.read_revision(current, revision)
+        except OperatorError as error:
+            context.show(f"{revision}  not valid: {error.lines[1]}")
+            continue
         if tables is None:
-            context.show(f"{revision}  not in the history")
+            context.show(f"{revision}  missing or not valid")
             continue
         author, note = tables.author or "unknown", tables.note or "no note"
         context.show(f"{revision}  {tables.edited_at}  {author}  {note}  edit id {tables.edit_id}")
--- a/fireflyferry/operators/tests/test_editing_machine.py
+++ b/fireflyferry/operators/tests/test_editing_machine.py
@@ -20,7 +20,13 @@
 from fireflyferry.operators.errors import ExitCode, OperatorError
 from fireflyferry.operators.main import run_command
 from fireflyferry.standins.platform_table import ObjectTable
-from fireflyferry.tables import TABLES_NAME, diff_tables, history_name, load_tables
+from fireflyferry.tables import (
+    HISTORY_PREFIX,
+    TABLES_NAME,
+    diff_tables,
+    history_name,
+    load_tables,
+)
 
 OPERATORS = st.integers(0, 3)
 FAULTS = st.sampled_from(["none"] * 4 + ["refused", "lost", "late"])
@@ -167,6 +173,12 @@
             if result in (ExitCode.CONFLICT, ExitCode.UNAVAILABLE, ExitCode.REFUSED):
                 assert author not in authors
 
+    @invariant()
+    def history_has_only_accepted_revisions(self):
+        accepted = {history_name(tables.revision): data for tables, data in self.accepted}
+        for kept in self.table.list(HISTORY_PREFIX).changes:
+            assert accepted.get(kept.name) == kept.data
+
     @invariant()
     def replaced_revisions_are_in_the_history(self):
         for tables, data in self.accepted[:-1]:
@@ -181,6 +193,7 @@
         self.revisions_are_consecutive()
         self.each_edit_keeps_the_edits_before_it()
         self.results_are_true()
+        self.history_has_only_accepted_revisions()
         self.replaced_revisions_are_in_the_history()
 
 
--- a/fireflyferry/operators/tests/test_fleet_commands.py
+++ b/fireflyferry/operators/tests/test_fleet_commands.py
@@ -73,6 +73,11 @@
     assert peers.calls[1][1].unit == unit
 
 
+def test_assign_that_waits_for_a_release_is_not_reported_as_refused(store):
+    peers = FakePeers(assigns={"e-1:1": AssignReply(False, "not_in_place_yet")})
+    assert refused(store, peers, "assign janela b:1 u-1").exit_code == ExitCode.UNKNOWN
+
+
 def test_assign_without_an_answer_is_unknown(store):
     assert refused(store, FakePeers(), "assign janela b:1 u-1").exit_code == ExitCode.UNKNOWN
 
@@ -175,6 +180,23 @@
     assert orjson.loads(text)["groups"][0]["term"] == 4
 
 
+def test_status_of_given_peers_needs_no_store(store):
+    store.down = True
+    peers = FakePeers({"127.0.0.1:9": status("e-1")})
+    code, text = command(store, peers, "status --peer 127.0.0.1:9", None)
+    assert code == ExitCode.PARTIAL
+    assert "unknown, the store does not answer" in text and "revision 1" in text
+
+
+def test_status_reports_tables_that_are_not_valid(store):
+    current = store.table.get("config/tables")
+    store.table.put("config/tables", b'{"revision": 2}', current.version)
+    rejected = status("e-1", rejected_revision=2, rejected_reason="routes: found None")
+    code, text = command(store, FakePeers({"e-1:1": rejected}), "status", VMS[:1])
+    assert code == ExitCode.PARTIAL and "2, but the tables are missing or not valid" in text
+    assert "lag: rejected revision 2: routes: found None" in text
+
+
 def test_status_of_an_up_to_date_fleet_succeeds(store):
     peers = FakePeers({"e-1:1": status("e-1")})
     assert command(store, peers, "status", VMS[:1])[0] == ExitCode.DONE
