--- a/fireflyferry/experiments/load_main.py
+++ b/fireflyferry/experiments/load_main.py
@@ -13,7 +13,7 @@
 from fireflyferry.experiments.load_scenario import ScenarioError, read_scenario
 from fireflyferry.messages import decode, encode
 from fireflyferry.messages.codec import MessageError
-from fireflyferry.standins.program import ProgramError, make_parser
+from fireflyferry.standins.program import ProgramError, make_parser, positive_int
 
 __all__ = ["main"]
 
@@ -56,6 +56,9 @@
     run.add_argument(
         "--direct", action="store_true", help="targets are upstream stand-ins, without a router"
     )
+    run.add_argument(
+        "--senders", type=positive_int, default=1, help="processes that share the load"
+    )
     run.add_argument("--label", default="", help="name of the run in reports")
     run.add_argument("--out", metavar="FILE", help="write the result as JSON")
     run.add_argument("--png", metavar="FILE", help="write plots; needs matplotlib")
@@ -80,8 +83,13 @@
             raise ProgramError(f"--target {target!r} is not a URL such as http://127.0.0.1:8080")
 
     async def run() -> LoadResult:
-        upstreams = _split(arguments.upstream)
-        runner = LoadRunner(scenario, targets, upstreams, arguments.direct)
+        runner = LoadRunner(
+            scenario,
+            targets,
+            _split(arguments.upstream),
+            arguments.direct,
+            senders=arguments.senders,
+        )
         return await runner.run(arguments.label)
 
     if arguments.out:
