--- a/fireflyferry/experiments/load_scenario.py
+++ b/fireflyferry/experiments/load_scenario.py
@@ -128,9 +128,9 @@
 
 def _value(place: str, name: str, text: str, kind: type):
     if kind is bool:
-        if text not in ("yes", "no"):
-            raise ScenarioError(f"{place} {name} = {text!r}: allowed are yes, no")
-        return text == "yes"
+        if text not in ("true", "false"):
+            raise ScenarioError(f"{place} {name} = {text!r}: allowed are true, false")
+        return text == "true"
     if kind is str:
         if text not in _CHOICES.get(name, (text,)):
             raise ScenarioError(
--- a/fireflyferry/experiments/tests/test_load.py
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -249,7 +249,7 @@
         ("[loads]\n", "[loads]: allowed are [load]"),
         ("[request:x]\nshare = 1\n", "[request:x] path: missing"),
         ("[request:x]\npath = /{id}\n", "[request:x] path = '/{id}'"),
-        ("[request:x]\npath = /\nidempotent = maybe\n", "idempotent = 'maybe': allowed are yes"),
+        ("[request:x]\npath = /\nidempotent = maybe\n", "idempotent = 'maybe': allowed are true"),
         ("[request:x]\npath = /\nkeys = 1e9\n", "keys = '1e9'"),
         ("[request:x]\npath = /\ndistribution = even\n", "allowed are uniform, zipf"),
         ("rate = 1\n", "no section headers"),
