--- a/fireflyferry/standins/tests/test_upstream.py
+++ b/fireflyferry/standins/tests/test_upstream.py
@@ -89,6 +89,18 @@
         await self.instance.cancel("r1")
         assert [it.code for it in await asyncio.gather(*first)] == [503, 503]
 
+    @tornado.testing.gen_test
+    async def test_attempts_of_one_request_count_together(self):
+        """Guards against repeats that hide behind the ids that the router gives to attempts."""
+        for attempt_id in ("a1", "a2"):
+            answer = await self.fetch(attempt_id, Request_Id="r1")
+            assert answer.headers["Firefly-Request-Id"] == attempt_id
+            assert orjson.loads(answer.body)["request_id"] == "r1"
+        assert dict(self.instance.by_request) == {"r1": 2}
+        await self.instance.cancel("a1")
+        assert (await self.fetch("a1", Request_Id="r1")).code == 503
+        assert (await self.fetch("a3", Request_Id="r1")).code == 200
+
     @tornado.testing.gen_test
     async def test_encoded_units_and_keys_match_grants(self):
         """Guards against refusals of keys that cannot stand in a header as they are."""
--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -23,10 +23,12 @@
 class DataRequest:
     """A parsed data request; `deadline_s` is monotonic, None without a deadline.
 
-    `key` and `unit` are percent-encoded, as in the headers.
+    `key` and `unit` are percent-encoded, as in the headers. `attempt_id` is the id that the router
+    gave to this attempt, `request_id` the caller's own if it sent one: runs are counted by that.
     """
 
     request_id: str
+    attempt_id: str
     key: str
     unit: str
     fence: int
@@ -107,8 +109,10 @@
         try:
             deadline_ms = headers.get("Firefly-Deadline-Ms")
             service_ms = self.get_query_argument("service_ms", None)
+            attempt_id = headers.get("Firefly-Request-Id", "")
             return DataRequest(
-                headers.get("Firefly-Request-Id", ""),
+                headers.get("Request-Id", attempt_id),
+                attempt_id,
                 headers.get("Firefly-Key", ""),
                 headers.get("Firefly-Unit", ""),
                 int(headers.get("Firefly-Fence", "0")),
@@ -129,7 +133,7 @@
             return "connection_limit"
         if instance.faults.take("shed", self.caller, "data", request.key):
             return "upstream_shed"
-        if instance.is_cancelled(request.request_id):
+        if instance.is_cancelled(request.attempt_id):
             return "cancelled"
         if request.deadline_s is not None and time.monotonic() >= request.deadline_s:
             return "deadline_passed_in_queue"
@@ -140,14 +144,14 @@
 
     def _refuse(self, request: DataRequest, reason: str) -> None:
         self._instance.refused[reason] += 1
-        self.set_header("Firefly-Request-Id", request.request_id)
+        self.set_header("Firefly-Request-Id", request.attempt_id)
         self.set_header("Firefly-Outcome", "not-run")
         self.set_header("Firefly-Reason", reason)
         self.send_error_text(503, reason)
 
     def _answer_without_running(self, request: DataRequest) -> bool:
         faults = self._instance.faults
-        self.set_header("Firefly-Request-Id", request.request_id)
+        self.set_header("Firefly-Request-Id", request.attempt_id)
         if faults.take("redirect", self.caller, "data", request.key):
             self.set_header("Location", "/elsewhere")
             self.send_error_text(302, "redirect")
@@ -184,7 +188,7 @@
         """Take the service time; True if the request was cancelled meanwhile."""
         instance = self._instance
         cancelled = asyncio.Event()
-        instance.running.setdefault(request.request_id, []).append(cancelled)
+        instance.running.setdefault(request.attempt_id, []).append(cancelled)
         service_s = instance.service_s(request.service_ms, self.caller, request.key)
         try:
             await asyncio.wait_for(cancelled.wait(), service_s)
@@ -192,10 +196,10 @@
             pass
         finally:
             await instance.thawed(self.caller, "data")
-            events = instance.running[request.request_id]
+            events = instance.running[request.attempt_id]
             events.remove(cancelled)
             if not events:
-                del instance.running[request.request_id]
+                del instance.running[request.attempt_id]
             instance.changed.notify()
         return cancelled.is_set()
 
@@ -208,12 +212,13 @@
             self.drop_connection()
             return
         if instance.faults.take("wrong_request_id", self.caller, "data", request.key):
-            request = attrs.evolve(request, request_id=instance.last_request_id or "other")
+            request_id, attempt_id = instance.last_ids
+            request = attrs.evolve(request, request_id=request_id, attempt_id=attempt_id)
         else:
-            instance.last_request_id = request.request_id
+            instance.last_ids = request.request_id, request.attempt_id
         line = first_line(instance.settings.upstream_id, request)
         size_bytes = answer_size_bytes(line, request.size_bytes)
-        self.set_header("Firefly-Request-Id", request.request_id)
+        self.set_header("Firefly-Request-Id", request.attempt_id)
         self.set_header("Firefly-Ownership", ownership)
         self.set_header("Content-Type", "text/plain")
         if not request.chunked:
--- a/fireflyferry/standins/upstream_instance.py
+++ b/fireflyferry/standins/upstream_instance.py
@@ -83,7 +83,7 @@
         self.refused: collections.Counter[str] = collections.Counter()
         self.runs: collections.deque[Run] = collections.deque(maxlen=MAX_RUNS)
         self.running: dict[str, list[asyncio.Event]] = {}
-        self.last_request_id = ""
+        self.last_ids = ("other", "other")
         self.last_work_after_drain_s: float | None = None
         self._cancelled: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._started_s = time.monotonic()
