--- a/fireflyferry/edges/http_client.py
+++ b/fireflyferry/edges/http_client.py
@@ -92,6 +92,8 @@
     def prepare(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.FRESH_CONNECT, int(fresh))
         curl.setopt(pycurl.FORBID_REUSE, int(fresh))
+        # libcurl would shorten `a/../b` to `b`, which is another object's name.
+        curl.setopt(pycurl.PATH_AS_IS, 1)
         # Proxy variables of the environment must not divert calls between processes.
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOPROXY, "*")
--- a/fireflyferry/edges/peer_auth.py
+++ b/fireflyferry/edges/peer_auth.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import math
 
 from fireflyferry.edges.base import Clock
 from fireflyferry.errors import FireflyferryError
@@ -52,8 +53,11 @@
         ]
         if not any(matches):
             raise PeerSignatureError(f"{method} {path}: signature missing or wrong")
-        age_s = self._clock.wall_s() - float(time)
-        if abs(age_s) > self._max_age_s:
+        try:
+            age_s = self._clock.wall_s() - float(time)
+        except ValueError:
+            age_s = math.nan
+        if not abs(age_s) <= self._max_age_s:  # also refuses a time that is not a number
             raise PeerSignatureError(
                 f"{method} {path}: signed {age_s:.1f} s ago, allowed {self._max_age_s:g} s"
             )
