--- a/fireflyferry/standins/faults.py
+++ b/fireflyferry/standins/faults.py
@@ -48,6 +48,12 @@
     def __init__(self, modes: dict[str, tuple[str, ...]]) -> None:
         self._modes = modes
         self._faults: list[Fault] = []
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """Number of times that the faults were replaced."""
+        return self._generation
 
     @property
     def faults(self) -> tuple[Fault, ...]:
@@ -67,6 +73,7 @@
                     f"mode {fault.mode!r} of {fault.kind}; allowed: {self._modes[fault.kind]}"
                 )
         self._faults = list(faults)
+        self._generation += 1
 
     def find(self, kind: str, caller: str, operation: str, key: str = "") -> Fault | None:
         """Return the first fault that applies, without spending its count."""
--- a/fireflyferry/standins/http_base.py
+++ b/fireflyferry/standins/http_base.py
@@ -10,7 +10,7 @@
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.standins.faults import Fault, FaultTable, UnknownFaultError
 
-__all__ = ["Broadcast", "FaultsBody", "FaultsHandler", "StandinHandler"]
+__all__ = ["Broadcast", "FaultsBody", "FaultsHandler", "StandinHandler", "outlast"]
 
 
 @attrs.frozen
@@ -45,6 +45,19 @@
         return True
 
 
+async def outlast(table: FaultTable, changed: Broadcast, kind: str, caller: str, operation: str):
+    """Wait until the faults are replaced by ones that no longer match.
+
+    A fault limited by count holds its requests too, although it matches no further ones.
+    """
+    while True:
+        generation = table.generation
+        while table.generation == generation:
+            await changed.wait()
+        if table.find(kind, caller, operation) is None:
+            return
+
+
 class StandinHandler(tornado.web.RequestHandler):
     """Handler with JSON answers and a way to drop the connection."""
 
--- a/fireflyferry/standins/platform_server.py
+++ b/fireflyferry/standins/platform_server.py
@@ -11,7 +11,7 @@
 from fireflyferry.messages import VmEntry, decode, encode
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.standins.faults import FaultTable
-from fireflyferry.standins.http_base import Broadcast, FaultsHandler, StandinHandler
+from fireflyferry.standins.http_base import Broadcast, FaultsHandler, StandinHandler, outlast
 from fireflyferry.standins.platform_table import ObjectTable, ValueTooLargeError
 from fireflyferry.standins.platform_vms import VmTable
 
@@ -88,8 +88,8 @@
         if fault.mode == "refuse":
             self.send_error_text(503, "outage")
             return False
-        while self._platform.faults.find("outage", self.caller, operation):
-            await self._platform.changed.wait()
+        platform = self._platform
+        await outlast(platform.faults, platform.changed, "outage", self.caller, operation)
         if fault.mode == "hold":
             return True
         self.drop_connection()
--- a/fireflyferry/standins/upstream_data.py
+++ b/fireflyferry/standins/upstream_data.py
@@ -10,7 +10,7 @@
 import tornado.web
 
 from fireflyferry.leases import CheckResult
-from fireflyferry.standins.http_base import StandinHandler
+from fireflyferry.standins.http_base import StandinHandler, outlast
 from fireflyferry.standins.upstream_instance import UpstreamInstance
 
 __all__ = ["DataHandler", "answer_size_bytes", "first_line"]
@@ -84,8 +84,8 @@
         instance = self._instance
         outage = instance.faults.take("outage", self.caller, "data")
         if outage is not None:
-            while outage.mode == "hang" and instance.faults.find("outage", self.caller, "data"):
-                await instance.changed.wait()
+            if outage.mode == "hang":
+                await outlast(instance.faults, instance.changed, "outage", self.caller, "data")
             self.drop_connection()
             return
         await instance.thawed(self.caller, "data")
--- a/fireflyferry/standins/upstream_server.py
+++ b/fireflyferry/standins/upstream_server.py
@@ -11,7 +11,7 @@
 
 from fireflyferry.messages import GrantMessage, decode, encode
 from fireflyferry.messages.codec import MessageError
-from fireflyferry.standins.http_base import FaultsHandler, StandinHandler
+from fireflyferry.standins.http_base import FaultsHandler, StandinHandler, outlast
 from fireflyferry.standins.upstream_data import DataHandler
 from fireflyferry.standins.upstream_instance import UpstreamInstance
 
@@ -66,10 +66,9 @@
             return
         fault = instance.faults.take("outage", self.caller, self._operation)
         if fault is not None:
-            while fault.mode == "hang" and instance.faults.find(
-                "outage", self.caller, self._operation
-            ):
-                await instance.changed.wait()
+            if fault.mode == "hang":
+                operation = self._operation
+                await outlast(instance.faults, instance.changed, "outage", self.caller, operation)
             self.drop_connection()
             return
         await instance.thawed(self.caller, self._operation)
