--- a/fireflyferry/standins/http_base.py
+++ b/fireflyferry/standins/http_base.py
@@ -26,6 +26,11 @@
     def __init__(self) -> None:
         self._waiting: set[asyncio.Future] = set()
 
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return len(self._waiting)
+
     def notify(self) -> None:
         """Wake everyone who waits."""
         for future in self._waiting:
