--- a/fireflyferry/leases/authority.py
+++ b/fireflyferry/leases/authority.py
@@ -22,6 +22,10 @@
 
 __all__ = ["GroupAuthority"]
 
+# Only two runs, the leader's and the standby's, matter at any time; the rest allows for words
+# that come before the record names a run.
+MAX_LOST = 16
+
 
 class GroupAuthority(GroupWrites):
     """Leader and standby roles of one run of a VM for one group.
@@ -141,10 +145,15 @@
     def declare_lost(
         self, now_s: float, vm_incarnation: VmIncarnation, by_operator: bool = False
     ) -> None:
-        """Note the platform's or an operator's word that a run of a VM has ended."""
+        """Note the platform's or an operator's word that a run of a VM has ended.
+
+        Repeat it while the record names that run, since only the latest words are kept.
+        """
         now_s = self._advance(now_s)
-        lost_s, operator = self._lost.get(vm_incarnation, (now_s, False))
+        lost_s, operator = self._lost.pop(vm_incarnation, (now_s, False))
         self._lost[vm_incarnation] = lost_s, operator or by_operator
+        if len(self._lost) > MAX_LOST:
+            del self._lost[next(iter(self._lost))]
 
     def replicate(self, now_s: float, owners: OwnerSet) -> None:
         """Send owners to the standby in heartbeats until it acknowledges them.
--- a/fireflyferry/leases/tests/test_lease_machine.py
+++ b/fireflyferry/leases/tests/test_lease_machine.py
@@ -1,10 +1,18 @@
 """Guards the lease promises against any sequence of faults that hypothesis finds."""
 
-from hypothesis import settings
+import pytest
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-
-from fireflyferry.leases import LeaseTiming
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from lease_mutants import TakeoverBeforePledgeEnd
+
+from fireflyferry.leases import GroupAuthority, LeaseTiming
 from fireflyferry.leases.trial import TrialFaults, TrialOptions, TrialWorld
 from fireflyferry.leases.trial.world import LIST_LAG_S
 
@@ -25,9 +33,11 @@
 class LeaseMachine(RuleBasedStateMachine):
     """Two or three VMs, a store and two upstreams under faults."""
 
+    authority = GroupAuthority
+
     @initialize(seed=st.integers(0, 2**16), vms=st.integers(2, 3))
     def start(self, seed, vms):
-        self.world = TrialWorld(seed, TrialOptions(vms=vms))
+        self.world = TrialWorld(seed, TrialOptions(vms=vms, authority=self.authority))
         self.faults = TrialFaults(self.world)
         self.world.run(1.0)
 
@@ -119,6 +129,19 @@
 TestLeaseMachine.settings = settings(stateful_step_count=40)
 
 
+class UnsafeLeaseMachine(LeaseMachine):
+    """The same machine around a class that lacks a guard."""
+
+    authority = TakeoverBeforePledgeEnd
+
+
+def test_machine_reports_a_missing_guard():
+    """Guards against a state machine that could not find a broken promise."""
+    quick = settings(stateful_step_count=40, phases=[Phase.generate], report_multiple_bugs=False)
+    with pytest.raises(AssertionError, match="two leaders"):
+        run_state_machine_as_test(UnsafeLeaseMachine, settings=quick)
+
+
 def test_recovery_bound_with_default_timing():
     """Guards against a bound so long that the progress check could not fail."""
     assert recovery_bound_s(LeaseTiming()) < 7
