--- /dev/null
+++ b/fireflyferry/operators/fleet_commands.py
@@ -0,0 +1,235 @@
+"""Commands on VMs, upstreams and units: assign, drain, declare-lost."""
+
+import argparse
+import asyncio
+import datetime
+import re
+
+from fireflyferry.edges import StoreUnavailableError, VersionConflictError
+from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.messages import GroupRecord, VmEntry, decode, encode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.control import (
+    LOST_PREFIX,
+    AssignReply,
+    AssignRequest,
+    DrainReply,
+    DrainRequest,
+    LostVm,
+)
+from fireflyferry.operators.context import Context
+from fireflyferry.operators.errors import ExitCode, OperatorError
+from fireflyferry.routing import bucket_of, key_unit
+from fireflyferry.tables import Pool
+
+__all__ = ["assign", "declare_lost", "drain", "entry_vms", "named_unit"]
+
+ENTRY_ROLE = "entry"
+UPSTREAM_ROLE = "upstream"
+UNKNOWN_UPSTREAM = "unknown_upstream"
+GROUPS_PREFIX = "groups/"
+MAX_REDIRECTS = 3
+WRITE_ATTEMPTS = 4
+
+
+async def entry_vms(context: Context) -> tuple[VmEntry, ...]:
+    """Return the entry VMs of the platform's list that have a peer address.
+
+    Raises StoreUnavailableError.
+    """
+    listed = await context.vms.fetch()
+    found = (vm for vm in listed if vm.role == ENTRY_ROLE and vm.peer_address)
+    return tuple(sorted(found, key=lambda vm: vm.vm_id))
+
+
+def named_unit(pool: Pool, text: str, is_key: bool) -> str:
+    """Return the unit that an operator names by unit id or by key.
+
+    Raises OperatorError for a unit that the pool does not have.
+    """
+    if not text.isprintable() or not text:
+        message = f"key: found {text!a}, allowed: printable text in UTF-8"
+        raise OperatorError("no_such_unit", ExitCode.REFUSED, message)
+    match = None if is_key else re.fullmatch(r"b:([0-9]{1,6})|k:([0-9]{1,6}):(.+)", text)
+    if match is None:
+        return key_unit(bucket_of(text, pool.buckets), text)
+    right = f"b:0 to b:{pool.buckets - 1}"
+    if match[3]:
+        right = key_unit(bucket_of(match[3], pool.buckets), match[3])
+    if (match[3] and text != right) or (match[1] and int(match[1]) >= pool.buckets):
+        message = f"unit: found {text!r}, allowed: {right} (or give --key)"
+        raise OperatorError("no_such_unit", ExitCode.REFUSED, message)
+    return text
+
+
+async def assign(context: Context, options: argparse.Namespace) -> int:
+    """Place a unit on an upstream, through the leader of its group."""
+    current = await context.editor().read()
+    pool = current.tables.pool(options.pool)
+    if pool is None:
+        names = ", ".join(row.name for row in current.tables.pools) or "none"
+        message = f"pools {options.pool}: no such row; rows: {names}"
+        raise OperatorError("bad_edit", ExitCode.REFUSED, message)
+    unit = named_unit(pool, options.key_or_unit, options.key)
+    request = AssignRequest(pool.name, unit, options.upstream, context.author)
+    reply = await _ask_leader(context, request)
+    if not reply.accepted:
+        message = f"{unit} was not assigned to {options.upstream}: {reply.reason}"
+        raise OperatorError(reply.reason or "refused", ExitCode.REFUSED, message)
+    context.show(
+        f"{unit} of group {reply.group} is assigned to {options.upstream} with fence "
+        f"{reply.fence}; saved in the {reply.durability or 'unknown place'}."
+    )
+    return ExitCode.DONE
+
+
+async def _ask_leader(context: Context, request: AssignRequest) -> AssignReply:
+    """Ask any entry VM, then the leader that it names."""
+    failures = []
+    for vm in await entry_vms(context):
+        address, reply = vm.peer_address, None
+        for _ in range(MAX_REDIRECTS):
+            try:
+                reply = await context.peers.assign(address, request)
+            except PeerUnavailableError as error:
+                failures.append(str(error))
+                break
+            if reply.accepted or not reply.leader_address:
+                return reply
+            address = reply.leader_address
+        if reply is not None and reply.leader_address:
+            failures.append(f"{address}: names another leader, {reply.leader_address}")
+    # A request whose answer was lost may have been carried out.
+    exit_code = ExitCode.UNKNOWN if failures else ExitCode.UNAVAILABLE
+    lines = ("No VM confirmed the assignment; `fireflyferryctl status` shows the owner.", *failures)
+    raise OperatorError("no_leader", exit_code, *lines)
+
+
+async def drain(context: Context, options: argparse.Namespace) -> int:
+    """Drain an entry VM, or an upstream through its leaders."""
+    listed = await context.vms.fetch()
+    entries = [vm for vm in listed if vm.role == ENTRY_ROLE and vm.peer_address]
+    own = [vm for vm in entries if vm.vm_id == options.target]
+    upstreams = [vm for vm in listed if vm.vm_id == options.target and vm.role == UPSTREAM_ROLE]
+    if not own and not upstreams:
+        message = f"{options.target} is neither an entry VM nor an upstream of the VM list."
+        raise OperatorError("no_such_vm", ExitCode.REFUSED, message)
+    failures = [] if own else await _drain_upstream(context, upstreams[0])
+    replies, unheard = await _ask_drain(context, own or entries, options.target)
+    failures.extend(unheard)
+    accepted = [reply for reply in replies if reply.accepted]
+    # A VM that leads no group of the upstream does not know it and has nothing to drain.
+    refused = {reply.reason for reply in replies if not reply.accepted} - {UNKNOWN_UPSTREAM}
+    units = sum(reply.units for reply in accepted)
+    what = "entry VM" if own else "upstream"
+    context.show(f"{what} {options.target}: {len(accepted)} VMs drain it, {units} units left.")
+    failures.extend(sorted(refused))
+    if not failures:
+        return ExitCode.DONE
+    exit_code = ExitCode.PARTIAL if accepted else ExitCode.UNKNOWN
+    raise OperatorError("drain_incomplete", exit_code, *failures, "Repeat the command.")
+
+
+async def _drain_upstream(context: Context, upstream: VmEntry) -> list[str]:
+    """Tell the upstream itself, which tells every later leader; return what failed."""
+    try:
+        await context.peers.drain_upstream(upstream.address)
+    except PeerUnavailableError as error:
+        return [f"{upstream.vm_id}: {error}"]
+    return []
+
+
+async def _ask_drain(
+    context: Context, vms: list[VmEntry], target: str
+) -> tuple[list[DrainReply], list[str]]:
+    request = DrainRequest(target, context.author)
+    calls = (context.peers.drain(vm.peer_address, request) for vm in vms)
+    replies, failures = [], []
+    for vm, result in zip(vms, await asyncio.gather(*calls, return_exceptions=True), strict=True):
+        if isinstance(result, DrainReply):
+            replies.append(result)
+        elif isinstance(result, PeerUnavailableError):
+            failures.append(f"{vm.vm_id}: {result}")
+        else:
+            raise result
+    return replies, failures
+
+
+async def declare_lost(context: Context, options: argparse.Namespace) -> int:
+    """Record the operator's word that the present runs of a VM have ended."""
+    if options.withdraw:
+        return await _withdraw(context, options)
+    incarnations = await _recorded_incarnations(context, options.vm)
+    await _refuse_if_answering(context, options.vm)
+    context.show(f"{options.vm}: runs in group records: {', '.join(incarnations) or 'none'}")
+    if not options.yes:
+        raise OperatorError(
+            "not_confirmed",
+            ExitCode.REFUSED,
+            f"Nothing was recorded. If {options.vm} still runs, its keys can get a second owner. "
+            "Make sure that it is stopped, then repeat with --yes.",
+        )
+    word = LostVm(options.vm, incarnations, context.author, options.note, _utc_now())
+    await _write_word(context, f"{LOST_PREFIX}{options.vm}", encode(word))
+    context.show(f"Recorded: {options.vm} is lost.")
+    return ExitCode.DONE
+
+
+def _utc_now() -> str:
+    return datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+async def _withdraw(context: Context, options: argparse.Namespace) -> int:
+    """Take the word back, so that it does not cover a later run of an upstream."""
+    name = f"{LOST_PREFIX}{options.vm}"
+    stored = await context.store.get(name)
+    if stored is None or stored.data is None:
+        message = f"{options.vm} is not declared lost; nothing was changed."
+        raise OperatorError("not_declared", ExitCode.REFUSED, message)
+    word = LostVm(options.vm, (), context.author, options.note, _utc_now(), withdrawn=True)
+    await _write_word(context, name, encode(word))
+    context.show(f"Withdrawn: {options.vm} is no longer declared lost.")
+    return ExitCode.DONE
+
+
+async def _recorded_incarnations(context: Context, vm_id: str) -> tuple[str, ...]:
+    found = set()
+    for item in (await context.store.list(GROUPS_PREFIX)).changes:
+        if item.data is None:
+            continue
+        try:
+            record = decode(item.data, GroupRecord)
+        except MessageError as error:
+            raise OperatorError("bad_record", ExitCode.REFUSED, f"{item.name}: {error}") from error
+        runs = (record.leader, record.standby)
+        found.update(run.incarnation for run in runs if run is not None and run.vm_id == vm_id)
+    return tuple(sorted(found))
+
+
+async def _refuse_if_answering(context: Context, vm_id: str) -> None:
+    for vm in await entry_vms(context):
+        if vm.vm_id != vm_id:
+            continue
+        try:
+            await context.peers.status(vm.peer_address)
+        except PeerUnavailableError:
+            continue
+        message = f"{vm_id} answers at {vm.peer_address}, so it is not lost; nothing was recorded."
+        raise OperatorError("vm_answers", ExitCode.REFUSED, message)
+
+
+async def _write_word(context: Context, name: str, data: bytes) -> None:
+    """Write an object whatever its version; a repeat of the same word does no harm."""
+    for attempt in range(WRITE_ATTEMPTS):
+        if attempt:
+            await context.pause(0.2 * 2**attempt)
+        try:
+            stored = await context.store.get(name)
+            if stored is not None and stored.data == data:
+                return
+            await context.store.put(name, data, stored.version if stored else 0)
+            return
+        except (StoreUnavailableError, VersionConflictError):
+            continue
+    message = f"The store did not confirm {name}; it may have been written. Repeat the command."
+    raise OperatorError("outcome_unknown", ExitCode.UNKNOWN, message)
--- /dev/null
+++ b/fireflyferry/ownership/forwards.py
@@ -0,0 +1,41 @@
+"""Requests on their way to upstreams that check nothing."""
+
+from collections import Counter
+
+from fireflyferry.ownership.rows import UnitRow
+
+__all__ = ["ForwardCounter"]
+
+
+class ForwardCounter:
+    """Requests that were forwarded and neither answered nor acknowledged as cancelled."""
+
+    def __init__(self) -> None:
+        self._by_unit: Counter[tuple[str, str]] = Counter()
+        self._by_key: Counter[tuple[str, str, str]] = Counter()
+
+    def begin(self, upstream_id: str, unit: str, key: str) -> None:
+        """Count a request before it is sent."""
+        self._by_unit[upstream_id, unit] += 1
+        self._by_key[upstream_id, unit, key] += 1
+
+    def end(self, upstream_id: str, unit: str, key: str) -> None:
+        """Drop a counted request; a request that was not counted has no effect."""
+        if (upstream_id, unit, key) in self._by_key:
+            _decrement(self._by_unit, (upstream_id, unit))
+            _decrement(self._by_key, (upstream_id, unit, key))
+
+    def is_running(self, upstream_id: str, unit: str, row: UnitRow) -> bool:
+        """Return whether requests of a unit may still reach an upstream.
+
+        Requests for a split key may have been sent under its bucket.
+        """
+        return (upstream_id, unit) in self._by_unit or (
+            row.key is not None and (upstream_id, row.bucket, row.key) in self._by_key
+        )
+
+
+def _decrement(counter: Counter, entry: tuple[str, ...]) -> None:
+    counter[entry] -= 1
+    if not counter[entry]:
+        del counter[entry]
