--- a/fireflyferry/leases/authority.py
+++ b/fireflyferry/leases/authority.py
@@ -85,7 +85,7 @@
 
     @property
     def replica(self) -> OwnerSet | None:
-        """The newest owners received from a leader."""
+        """The newest owners received from a leader or replicated by this VM."""
         return self._replica
 
     @property
@@ -165,6 +165,8 @@
             raise ValueError(f"owners of {owners.group} term {owners.term} are not of this term")
         if self._owners is None or owners.sequence > self._owners.sequence:
             self._owners = owners
+            # This VM needs them itself if it begins another term without a leader in between.
+            self._keep_replica(owners)
 
     # Events.
 
--- a/fireflyferry/leases/tests/lease_mutants.py
+++ b/fireflyferry/leases/tests/lease_mutants.py
@@ -1,7 +1,8 @@
 """Lease classes with one guard removed each, to show that the checks can fail."""
 
+from lease_book_vm import GrantBookVm
+
 from fireflyferry.leases import GrantHolder, GroupAuthority, LeaseTiming, WriteOutcome
-from fireflyferry.leases.bench import PledgeDuringTakeover, SkipSessionWait
 from fireflyferry.leases.lease import NEVER, LeaderLease, StandbyWatch
 from fireflyferry.leases.trial import TrialOptions
 
@@ -65,6 +66,17 @@
         return None if self._me in (record.leader, record.standby) else NEVER
 
 
+class OwnOwnersIgnored(GroupAuthority):
+    """Run with the real GrantBook: a term raised by its leader begins with older owners."""
+
+    vm = GrantBookVm
+
+    def replicate(self, now_s, owners):
+        kept = self._replica
+        super().replicate(now_s, owners)
+        self._replica = kept
+
+
 class UnboundedGrant(LeaseTiming):
     def grant_length_s(self, now_s, authority_until_s):
         return self.grant_s
@@ -89,22 +101,5 @@
         (GrantHolder, {"holder": mutant}),
     ):
         if issubclass(mutant, base):
-            return TrialOptions(vms=vms, **field)
+            return TrialOptions(vms=vms, vm=getattr(mutant, "vm", None), **field)
     return TrialOptions(vms=vms, timing=mutant())
-
-
-MUTANTS = (
-    PledgeDuringTakeover,
-    SkipSessionWait,
-    TakeoverBeforePledgeEnd,
-    AuthorityOverrun,
-    OldStandbyCounts,
-    UnknownWriteDropped,
-    SessionFromConfirmation,
-    LeadsWhileResigning,
-    ResignedGrantsIgnored,
-    ThirdWithoutWord,
-    UnboundedGrant,
-    TokenNotChecked,
-    LowerSetAccepted,
-)
--- a/fireflyferry/leases/tests/test_lease_machine.py
+++ b/fireflyferry/leases/tests/test_lease_machine.py
@@ -10,6 +10,7 @@
     rule,
     run_state_machine_as_test,
 )
+from lease_book_vm import GrantBookVm
 from lease_mutants import TakeoverBeforePledgeEnd
 
 from fireflyferry.leases import GroupAuthority, LeaseTiming
@@ -34,10 +35,13 @@
     """Two or three VMs, a store and two upstreams under faults."""
 
     authority = GroupAuthority
+    vm_class = None
 
     @initialize(seed=st.integers(0, 2**16), vms=st.integers(2, 3))
     def start(self, seed, vms):
-        self.world = TrialWorld(seed, TrialOptions(vms=vms, authority=self.authority))
+        self.world = TrialWorld(
+            seed, TrialOptions(vms=vms, authority=self.authority, vm=self.vm_class)
+        )
         self.faults = TrialFaults(self.world)
         self.world.run(1.0)
 
@@ -129,6 +133,16 @@
 TestLeaseMachine.settings = settings(stateful_step_count=40)
 
 
+class GrantBookLeaseMachine(LeaseMachine):
+    """The same machine with the real GrantBook and owners saved in the store."""
+
+    vm_class = GrantBookVm
+
+
+TestGrantBookLeaseMachine = GrantBookLeaseMachine.TestCase
+TestGrantBookLeaseMachine.settings = settings(stateful_step_count=40)
+
+
 class UnsafeLeaseMachine(LeaseMachine):
     """The same machine around a class that lacks a guard."""
 
--- a/fireflyferry/leases/trial/processes.py
+++ b/fireflyferry/leases/trial/processes.py
@@ -36,6 +36,7 @@
     authority: type[GroupAuthority] = GroupAuthority
     holder: type[GrantHolder] = GrantHolder
     book: type[TrialBook] = TrialBook
+    vm: type["TrialVm"] | None = None
 
 
 class TrialProcess:
--- a/fireflyferry/leases/trial/world.py
+++ b/fireflyferry/leases/trial/world.py
@@ -47,7 +47,7 @@
         self._lost_s: dict[VmIncarnation, float] = {}
         self.vms: list[TrialVm] = []
         for index in range(self.options.vms):
-            self.vms.append(TrialVm(self, f"vm-{index}"))
+            self.vms.append((self.options.vm or TrialVm)(self, f"vm-{index}"))
         self.upstreams = [TrialUpstream(self, f"u-{i}") for i in range(self.options.upstreams)]
         self.desired = {f"b:{unit}": "u-0" for unit in range(self.options.units)}
 
