Give upstreams time to answer after a pause of the leader or a takeover

lost() was true for every upstream that checks grants at the first tick of a new leader, and after a pause of the leader longer than a grant, so placement would have moved all units. The planner gives unit ids, and a drain within 3 s is tested.

--- a/fireflyferry/ownership/bench.py
+++ b/fireflyferry/ownership/bench.py
@@ -79,6 +79,11 @@
     yield f"{label}: first grant of all units, worst tick ms", max(first)
     yield f"{label}: full set, largest, bytes", max(run.full_sizes)
     yield f"{label}: saved owners, bytes", run.save_sizes[-1]
+    units = list(run.owners) * 20
+    start_s = time.perf_counter()
+    for unit in units:
+        run.book.owner(run.now_s, unit)
+    yield f"{label}: owner(), us", (time.perf_counter() - start_s) * 1e6 / len(units)
     drained = {
         unit: run.names[(index + 1) % (upstreams - 1)] if owner == run.names[-1] else owner
         for index, (unit, owner) in enumerate(run.owners.items())
--- a/fireflyferry/ownership/rows.py
+++ b/fireflyferry/ownership/rows.py
@@ -83,7 +83,8 @@
 
     `until_s` is the latest end of any grant sent to it, `usable_until_s` the earliest end of the
     acknowledged one. The token's clock reading was taken after `token_after_s` and before
-    `token_before_s`.
+    `token_before_s`. `unanswered_since_s` is when the first message without any later answer was
+    sent.
     """
 
     upstream_id: str
@@ -99,6 +100,7 @@
     acked_version: int = 0
     changed: bool = True
     refused: bool = False
+    unanswered_since_s: float | None = None
     next_send_s: float = -math.inf
     units: dict[str, None] = attrs.Factory(dict)
     unacked: dict[str, int] = attrs.Factory(dict)
--- a/fireflyferry/ownership/tests/test_grant_book.py
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -82,6 +82,36 @@
     assert world.now_s - start_s <= 1.7
 
 
+def test_pause_of_the_leader_loses_no_upstream():
+    """Guards against a leader that moves all units because it did not read the answers."""
+    world = _quiet_world(b0="u0")
+    world.now_s += 10.0
+    for _ in range(40):
+        world.run(0.05)
+        assert not any(world.book.lost(world.leader_s, name) for name in world.nodes)
+
+
+def test_new_leader_loses_no_upstream_before_it_could_answer():
+    """Guards against a takeover that moves all units before the first answers."""
+    world = _quiet_world(b0="u0")
+    world._hello = lambda node: None
+    world.takeover(resign=False)
+    for _ in range(40):
+        assert not world.book.lost(world.leader_s, "u0")
+        world.run(0.05)
+    assert world.book.owner(world.leader_s, "b:0").upstream_id == "u0"
+
+
+def test_draining_upstream_has_no_units_within_3_s():
+    """Guards against new work for an upstream that leaves."""
+    world = _quiet_world(b0="u0", b1="u0", b2="u0")
+    world.drain("u0")
+    world.run(3.0)
+    assert world.book.draining("u0")
+    owners = [world.book.owner(world.leader_s, f"b:{bucket}") for bucket in range(BUCKETS)]
+    assert all(isinstance(owner, Owner) and owner.upstream_id != "u0" for owner in owners)
+
+
 def test_upstream_without_checks_keeps_its_units_until_it_is_gone():
     """Guards against elapsed time as proof that an upstream without checks has stopped."""
     world = _quiet_world(b0="n0")
--- a/fireflyferry/ownership/upstreams.py
+++ b/fireflyferry/ownership/upstreams.py
@@ -24,6 +24,7 @@
     timing: LeaseTiming
     rows: dict[str, UpstreamRow] = attrs.Factory(dict)
     version: int = 0
+    _sent_at_s: float = attrs.field(default=-math.inf, init=False)
 
     def ensure(self, upstream_id: str) -> UpstreamRow:
         """Return an upstream's row, added if needed."""
@@ -48,11 +49,15 @@
         return row is not None and now_s - row.token_after_s < self.timing.grant_s
 
     def lost(self, now_s: float, upstream_id: str) -> bool:
-        """Return whether an upstream that checks grants let its grant run out."""
+        """Return whether an upstream is unknown, or checks grants and let its grant run out."""
         row = self.rows.get(upstream_id)
         if row is None:
             return True
-        return row.checks and now_s >= row.until_s and not self.responsive(now_s, upstream_id)
+        # A leader that was paused, or that is new, has not given the upstream a chance to answer.
+        wait_s = self.timing.grant_s - self.timing.renew_s
+        since_s = row.unanswered_since_s
+        silent = since_s is not None and now_s - since_s >= wait_s
+        return row.checks and silent and now_s >= row.until_s
 
     def on_hello(self, now_s: float, sent_at_s: float, hello: Hello) -> None:
         """Add an upstream, or take its token if it is known."""
@@ -80,6 +85,7 @@
         length_s = math.floor(self.timing.grant_length_s(now_s, authority_until_s) * 1e3) / 1e3
         if length_s <= 0:
             return
+        self._note_pause(now_s)
         for row in self.rows.values():
             responsive = self.responsive(now_s, row.upstream_id)
             if now_s < row.next_send_s and not (row.changed and responsive):
@@ -94,11 +100,20 @@
             message = GrantMessage(group, term, row.version, row.token, length_s, grants)
             yield SendGrant(row.upstream_id, message)
 
+    def _note_pause(self, now_s: float) -> None:
+        """After a pause of the leader, give upstreams the usual time to answer again."""
+        if now_s - self._sent_at_s > self.timing.renew_s:
+            for row in self.rows.values():
+                row.unanswered_since_s = None
+        self._sent_at_s = now_s
+
     def _record(self, now_s: float, row: UpstreamRow, full: bool, length_s: float) -> None:
         sent = SentGrant(row.version, full, row.token, row.token_after_s, length_s)
         oldest_s = now_s - _REPLY_GRANTS * self.timing.grant_s
         row.sent = {at_s: old for at_s, old in row.sent.items() if at_s >= oldest_s}
         row.sent[now_s] = sent
+        if row.unanswered_since_s is None:
+            row.unanswered_since_s = now_s
         if row.token:
             row.until_s = max(row.until_s, self.grant_end_s(row, length_s))
 
@@ -117,6 +132,7 @@
             return False
         # Replies to earlier messages are out of date from here on.
         row.sent = {at_s: later for at_s, later in row.sent.items() if at_s > sent_at_s}
+        row.unanswered_since_s = None
         row.draining = reply.draining
         self._take_token(now_s, row, sent_at_s, reply.token)
         if not reply.accepted or (reply.term, reply.set_version) != (term, sent.version):
--- a/fireflyferry/placement/hot_keys.py
+++ b/fireflyferry/placement/hot_keys.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from fireflyferry.placement.units import bucket_of, key_unit
+
 __all__ = ["HotKeyPlanner", "HotKeyRules", "HotKeySketch", "KeyCount"]
 
 
@@ -118,6 +120,10 @@
         """Return the keys that are split now."""
         return frozenset(self._cool_since_s)
 
+    def units(self, buckets: int) -> frozenset[str]:
+        """Return the unit ids of the split keys for a pool with this number of buckets."""
+        return frozenset(key_unit(bucket_of(key, buckets), key) for key in self._cool_since_s)
+
     def adopt(self, keys: Iterable[str]) -> None:
         """Take over the split keys of an earlier leader."""
         self._cool_since_s = dict.fromkeys(keys)
--- a/fireflyferry/placement/tests/test_hot_keys.py
+++ b/fireflyferry/placement/tests/test_hot_keys.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fireflyferry.placement import HotKeyPlanner, HotKeyRules, HotKeySketch
+from fireflyferry.placement import HotKeyPlanner, HotKeyRules, HotKeySketch, parse_unit
 
 
 @given(st.lists(st.sampled_from("abcdefghij")), st.integers(1, 6))
@@ -93,6 +93,7 @@
     """Guards against a leader change that merges all hot keys and splits them again."""
     planner = HotKeyPlanner(HotKeyRules())
     planner.adopt(["a", "b"])
+    assert {parse_unit(unit).key for unit in planner.units(64)} == {"a", "b"}
     sketch = HotKeySketch(4)
     sketch.observe("c")
     assert planner.plan(0.0, sketch, 12) >= {"a", "b"}
