Make the pause test fail without its guard; split the test world

Messages before the pause are now lost and answers after it delayed, and the test fails without the guard.

--- a/fireflyferry/ownership/tests/mutants.py
+++ b/fireflyferry/ownership/tests/mutants.py
@@ -3,7 +3,7 @@
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.ownership import GrantBook
 from fireflyferry.ownership.forwards import ForwardCounter
-from fireflyferry.ownership.tests.world import FAULTS, REQUEST_FAULTS
+from fireflyferry.ownership.tests.faults import FAULTS, REQUEST_FAULTS
 from fireflyferry.ownership.upstreams import UpstreamTable
 
 __all__ = ["MUTANTS"]
--- a/fireflyferry/ownership/tests/test_grant_book.py
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -7,16 +7,14 @@
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.messages import GrantReply, OwnerSet
 from fireflyferry.ownership import GrantBook, Owner
+from fireflyferry.ownership.tests.faults import FAULTS, apply, run_random
 from fireflyferry.ownership.tests.mutants import MUTANTS
 from fireflyferry.ownership.tests.world import (
     BUCKETS,
-    FAULTS,
     GROUP,
     UPSTREAMS,
     ViolationError,
     World,
-    apply,
-    run_random,
 )
 from fireflyferry.telemetry.reasons import Reason
 
@@ -85,7 +83,12 @@
 def test_pause_of_the_leader_loses_no_upstream():
     """Guards against a leader that moves all units because it did not read the answers."""
     world = _quiet_world(b0="u0")
+    world.loss = 1.0
+    world.run(0.45)
+    world.loss = 0.0
     world.now_s += 10.0
+    for node in world.nodes.values():
+        node.delay_s = 0.3
     for _ in range(40):
         world.run(0.05)
         assert not any(world.book.lost(world.leader_s, name) for name in world.nodes)
