Grant nothing before the owners are saved under the new term; fix a stale busy report

Two faults shown by widening the test world (raised terms, late conditional writes of an earlier leader, writes that lose to another leader's). A new leader renewed existing owners before its first save, so a late write of the earlier leader could leave a store that does not name the holder; sets are now sent only after the first save, and begin_term may be repeated with newer owners until then. A leader that raises its own term no longer unpins upstreams.

--- a/fireflyferry/ownership/book.py
+++ b/fireflyferry/ownership/book.py
@@ -46,6 +46,7 @@
         self._pending: dict[str, None] = {}
         self._forwards = ForwardCounter()
         self._saves = SaveQueue()
+        self._first_save = 0
 
     # Events
 
@@ -60,16 +61,18 @@
         """Start a term with the newest saved owners.
 
         `previous_grants_until_s` is when the earlier leader's grants have ended after a
-        resignation, and None when they ended before the takeover. Raises ValueError if the term
-        is not above the last one.
+        resignation, and None when they ended before the takeover. A leader that raises its own
+        term keeps what it knows about holders. May be repeated with newer owners for the same
+        term until its first save is confirmed. Raises ValueError for any other term that is not
+        above the last one.
         """
-        if term <= self._term:
+        if term < self._term or (term == self._term and self._is_rewritten()):
             raise ValueError(f"term {term} is not above {self._term}")
         old_units, old_claims = self._units, self._claims
-        self._term, self._sequence = term, 0
-        self._units, self._claims = UnitTable(), {}
-        self._pending = {}
+        self._term, self._sequence = term, 0 if term > self._term else self._sequence
+        self._units, self._claims, self._pending = UnitTable(), {}, {}
         self._saves.restart()
+        self._first_save = self._saves.last + 1
         for row in self._upstreams.rows.values():
             row.units, row.unacked, row.acked_version = {}, {}, 0
             row.usable_until_s, row.busy, row.sent = float("-inf"), frozenset(), {}
@@ -123,7 +126,8 @@
     def on_earlier_leader_stopped(self, now_s: float) -> None:
         """Let units move again that are on upstreams without checks."""
         for row in self._upstreams.rows.values():
-            row.pinned = False
+            if row.pinned:
+                row.pinned, row.busy_needed_s = False, now_s
 
     def begin_forward(self, now_s: float, unit: str, key: str) -> Owner | Reason:
         """Return the owner as `owner` does, and count a request on its way to it."""
@@ -155,18 +159,10 @@
         """Return the unit that a key belongs to now."""
         return self._units.unit_of(bucket, key)
 
-    def responsive(self, now_s: float, upstream_id: str) -> bool:
-        """Return whether an upstream answers."""
-        return self._upstreams.responsive(now_s, upstream_id)
-
-    def lost(self, now_s: float, upstream_id: str) -> bool:
-        """Return whether an upstream's grant ran out because it did not answer."""
-        return self._upstreams.lost(now_s, upstream_id)
-
-    def draining(self, upstream_id: str) -> bool:
-        """Return whether an upstream said that it is leaving."""
-        row = self._upstreams.rows.get(upstream_id)
-        return row is not None and row.draining
+    @property
+    def upstreams(self) -> UpstreamTable:
+        """Return the upstreams: which answer, are lost, or leave."""
+        return self._upstreams
 
     def released(self, unit: str) -> bool:
         """Return whether no upstream can hold a unit of this group any more."""
@@ -179,7 +175,8 @@
         self._authority_until_s = authority_until_s
         if self._term == 0 or now_s >= authority_until_s:
             return []
-        for unit in list(itertools.islice(self._pending, _MAX_ADVANCES)):
+        rewritten = self._is_rewritten()
+        for unit in list(itertools.islice(self._pending, _MAX_ADVANCES)) if rewritten else ():
             self._advance(now_s, unit)
             if self._pending.pop(unit, _DONE) is None:
                 self._pending[unit] = None
@@ -189,7 +186,9 @@
             actions.append(save)
         group = str(self._group)
         actions.extend(
-            self._upstreams.due(now_s, group, self._term, authority_until_s, self._units)
+            self._upstreams.due(
+                now_s, group, self._term, authority_until_s, self._units if rewritten else None
+            )
         )
         return actions
 
@@ -214,6 +213,13 @@
 
     # Guards
 
+    def _is_rewritten(self) -> bool:
+        """Return whether the owners are saved under this term.
+
+        Until then a late write of an earlier leader may still change them.
+        """
+        return self._saves.confirmed >= self._first_save
+
     def _is_saved(self, row: UnitRow) -> bool:
         return row.target_save is not None and row.target_save <= self._saves.confirmed
 
@@ -255,6 +261,8 @@
             return True
         if upstream.acked_version < claim.version or self._is_pinned(upstream_id):
             return False
+        if upstream.busy_at_s < upstream.busy_needed_s:
+            return False
         return not self._is_busy(upstream, unit)
 
     # Changes
@@ -366,7 +374,7 @@
         for name in sorted(names):
             row = self._upstreams.ensure(name)
             row.checks = row.checks and name not in saved.unchecked
-            row.pinned = not stopped
+            row.pinned = row.pinned or not stopped
             row.until_s = max(row.until_s, float("-inf") if until_s is None else until_s)
         units = {**saved.owners, **saved.releasing}
         for unit in units:
--- a/fireflyferry/ownership/rows.py
+++ b/fireflyferry/ownership/rows.py
@@ -27,7 +27,11 @@
 
 @attrs.frozen
 class SaveOwners:
-    """Save owners in the store or at the standby, then report the save id."""
+    """Save owners in the store or at the standby, then report the save id.
+
+    The write must be conditional, so that it fails after a write of a later save. If another
+    leader's write came first, read the owners again and repeat `begin_term`.
+    """
 
     save_id: int
     owners: OwnerSet
@@ -84,7 +88,8 @@
     `until_s` is the latest end of any grant sent to it, `usable_until_s` the earliest end of the
     acknowledged one. The token's clock reading was taken after `token_after_s` and before
     `token_before_s`. `unanswered_since_s` is when the first message without any later answer was
-    sent.
+    sent. `busy` was reported by the answer to a message sent at `busy_at_s`; a report from before
+    `busy_needed_s`, when the earlier leader had stopped, may miss its last requests.
     """
 
     upstream_id: str
@@ -105,4 +110,6 @@
     units: dict[str, None] = attrs.Factory(dict)
     unacked: dict[str, int] = attrs.Factory(dict)
     busy: frozenset[str] = frozenset()
+    busy_at_s: float = -math.inf
+    busy_needed_s: float = -math.inf
     sent: dict[float, SentGrant] = attrs.Factory(dict)
--- a/fireflyferry/ownership/tests/faults.py
+++ b/fireflyferry/ownership/tests/faults.py
@@ -5,12 +5,12 @@
 from fireflyferry.ownership.tests.world import BUCKETS, KEYS, World
 from fireflyferry.placement import bucket_unit, key_unit
 
-__all__ = ["FAULTS", "REQUEST_FAULTS", "apply", "run_random"]
+__all__ = ["FAULTS", "REQUEST_FAULTS", "TAKEOVER_FAULTS", "apply", "run_random"]
 
 FAULTS = (
     "move", "move", "split", "merge", "freeze", "thaw", "cut", "heal", "slow", "loss", "store",
-    "restart", "replace", "drain", "takeover", "resign", "stopped", "pause", "request", "request",
-    "request", "run", "run", "run",
+    "restart", "replace", "drain", "takeover", "resign", "raise", "stopped", "pause",
+    "request", "request", "request", "run", "run", "run",
 )  # fmt: skip
 
 
@@ -34,6 +34,7 @@
         "drain": lambda: world.drain(name),
         "takeover": lambda: world.takeover(False),
         "resign": lambda: world.takeover(True),
+        "raise": world.raise_term,
         "stopped": world.earlier_leaders_stopped,
         "pause": lambda: world.run(amount, leader_paused=True),
         "request": lambda: [world.request(key) for key in KEYS],
@@ -42,6 +43,8 @@
     changes[fault]()
 
 
+# Upstreams that do not hear of their release when the leader changes.
+TAKEOVER_FAULTS = ("move", "move", "cut", "heal", "run", "takeover")
 REQUEST_FAULTS = ("request", "request", "move", "split", "merge", "takeover", "stopped", "run")
 
 
--- a/fireflyferry/ownership/tests/mutants.py
+++ b/fireflyferry/ownership/tests/mutants.py
@@ -3,10 +3,10 @@
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.ownership import GrantBook
 from fireflyferry.ownership.forwards import ForwardCounter
-from fireflyferry.ownership.tests.faults import FAULTS, REQUEST_FAULTS
+from fireflyferry.ownership.tests.faults import FAULTS, REQUEST_FAULTS, TAKEOVER_FAULTS
 from fireflyferry.ownership.upstreams import UpstreamTable
 
-__all__ = ["MUTANTS"]
+__all__ = ["MUTANTS", "OldBusyReport"]
 
 
 class FenceReused(GrantBook):
@@ -99,6 +99,17 @@
         return merged or super()._has_ended(now_s, unit, upstream_id, claim)
 
 
+class GrantedBeforeRewrite(GrantBook):
+    def _is_rewritten(self):
+        return True
+
+
+class OldBusyReport(GrantBook):
+    def on_earlier_leader_stopped(self, now_s):
+        for row in self._upstreams.rows.values():
+            row.pinned = False
+
+
 class OwnersNotLoaded(GrantBook):
     def begin_term(self, now_s, term, saved, previous_grants_until_s=None, stopped=False):
         super().begin_term(now_s, term, None, previous_grants_until_s, stopped)
@@ -165,27 +176,28 @@
 
 # Class, seed of `run_random`, faults, and what the failure says.
 MUTANTS = (
-    (FenceReused, 0, FAULTS, "fence of"),
+    (FenceReused, 3, FAULTS, "fence of"),
     (FenceWithoutTerm, 2, FAULTS, "fence of"),
-    (SaveSkipped, 0, FAULTS, "not saved"),
-    (ReleasingNotSaved, 2, FAULTS, "not saved"),
-    (ReleasingNotLoaded, 2, FAULTS, "is held by"),
+    (SaveSkipped, 2, FAULTS, "not saved"),
+    (ReleasingNotSaved, 0, FAULTS, "not saved"),
+    (ReleasingNotLoaded, 11, FAULTS, "not saved"),
     (OwnersNotLoaded, 0, FAULTS, "were not kept"),
-    (GrantedBeforeRelease, 2, FAULTS, "is held by"),
-    (OlderSetAcknowledged, 5, FAULTS, "is held by"),
-    (EndedEarly, 9, FAULTS, "is held by"),
-    (UncheckedEndsWithTime, 2, FAULTS, "is held by"),
-    (BusyIgnored, 4, REQUEST_FAULTS, "is held by"),
-    (ForwardsIgnored, 0, REQUEST_FAULTS, "is held by"),
+    (GrantedBeforeRewrite, 252, FAULTS, "not saved"),
+    (GrantedBeforeRelease, 12, FAULTS, "is held by"),
+    (OlderSetAcknowledged, 12, FAULTS, "is held by"),
+    (EndedEarly, 28, FAULTS, "not saved"),
+    (UncheckedEndsWithTime, 3, FAULTS, "is held by"),
+    (BusyIgnored, 1, REQUEST_FAULTS, "is held by"),
+    (ForwardsIgnored, 9, REQUEST_FAULTS, "is held by"),
     (NoForwardUnderBucket, 24, REQUEST_FAULTS, "is held by"),
-    (PinIgnored, 4, REQUEST_FAULTS, "is held by"),
-    (PreviousGrantsIgnored, 79, FAULTS, "is held by"),
-    (SplitWithoutRelease, 4, FAULTS, "is held by"),
-    (MergedTooEarly, 73, FAULTS, "is held by"),
-    (LongerThanAuthority, 293, FAULTS, "is held by"),
-    (GrantEndFromFirstReading, 9, FAULTS, "is held by"),
-    (UsableUntilLatestEnd, 29, FAULTS, "may not be forwarded"),
+    (PinIgnored, 9, REQUEST_FAULTS, "is held by"),
+    (PreviousGrantsIgnored, 30, FAULTS, "is held by"),
+    (SplitWithoutRelease, 2, FAULTS, "is held by"),
+    (MergedTooEarly, 3, FAULTS, "is held by"),
+    (LongerThanAuthority, 256, TAKEOVER_FAULTS, "is held by"),
+    (GrantEndFromFirstReading, 28, FAULTS, "not saved"),
+    (UsableUntilLatestEnd, 22, FAULTS, "may not be forwarded"),
     (UsableFromTokenArrival, 20, FAULTS, "may not be forwarded"),
-    (RenewalAcknowledges, 10, FAULTS, "owners when quiet"),
+    (RenewalAcknowledges, 0, FAULTS, "owners when quiet"),
     (VersionReused, 0, FAULTS, "owners when quiet"),
 )
--- a/fireflyferry/ownership/tests/test_grant_book.py
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -1,14 +1,16 @@
 """Guards against two upstreams holding a key, lost owners, and units that stay unserved."""
 
+import math
+
 import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.messages import GrantReply, OwnerSet
-from fireflyferry.ownership import GrantBook, Owner
+from fireflyferry.ownership import GrantBook, Owner, SaveOwners
 from fireflyferry.ownership.tests.faults import FAULTS, apply, run_random
-from fireflyferry.ownership.tests.mutants import MUTANTS
+from fireflyferry.ownership.tests.mutants import MUTANTS, OldBusyReport
 from fireflyferry.ownership.tests.world import (
     BUCKETS,
     GROUP,
@@ -73,7 +75,7 @@
     world = _quiet_world(b0="u0")
     world.nodes["u0"].cut = True
     start_s = world.now_s
-    while not world.book.lost(world.leader_s, "u0"):
+    while not world.book.upstreams.lost(world.leader_s, "u0"):
         world.run(0.05)
     world.move("b:0", "u1")
     _time_until_owned(world, "b:0", "u1")
@@ -91,7 +93,7 @@
         node.delay_s = 0.3
     for _ in range(40):
         world.run(0.05)
-        assert not any(world.book.lost(world.leader_s, name) for name in world.nodes)
+        assert not any(world.book.upstreams.lost(world.leader_s, name) for name in world.nodes)
 
 
 def test_new_leader_loses_no_upstream_before_it_could_answer():
@@ -100,7 +102,7 @@
     world._hello = lambda node: None
     world.takeover(resign=False)
     for _ in range(40):
-        assert not world.book.lost(world.leader_s, "u0")
+        assert not world.book.upstreams.lost(world.leader_s, "u0")
         world.run(0.05)
     assert world.book.owner(world.leader_s, "b:0").upstream_id == "u0"
 
@@ -110,7 +112,7 @@
     world = _quiet_world(b0="u0", b1="u0", b2="u0")
     world.drain("u0")
     world.run(3.0)
-    assert world.book.draining("u0")
+    assert world.book.upstreams.draining("u0")
     owners = [world.book.owner(world.leader_s, f"b:{bucket}") for bucket in range(BUCKETS)]
     assert all(isinstance(owner, Owner) and owner.upstream_id != "u0" for owner in owners)
 
@@ -122,7 +124,7 @@
     world.move("b:0", "u1")
     world.run(20.0)
     assert world.book.owner(world.leader_s, "b:0") is Reason.OWNER_HELD
-    assert not world.book.lost(world.leader_s, "n0")
+    assert not world.book.upstreams.lost(world.leader_s, "n0")
     world.replace("n0")
     assert _time_until_owned(world, "b:0", "u1") < 1.0
 
@@ -174,10 +176,45 @@
     """Guards against fences that are used again under the same term."""
     book = GrantBook(GROUP, LeaseTiming())
     book.begin_term(0.0, 2, None)
+    with pytest.raises(ValueError, match="term 1 is not above 2"):
+        book.begin_term(0.0, 1, None)
+    # Owners that another leader's late write changed are read again before anything is granted.
+    book.begin_term(0.0, 2, None)
+    save = next(action for action in book.tick(0.0, 1.2) if isinstance(action, SaveOwners))
+    book.on_owners_saved(0.0, save.save_id)
     with pytest.raises(ValueError, match="term 2 is not above 2"):
         book.begin_term(0.0, 2, None)
 
 
+def _run_late_request(book_class):
+    """Run an earlier leader's request that starts just before that leader is known to be gone."""
+    world = World(0, book_class=book_class)
+    world.naive["b:0"] = "n0"
+    world._desire()
+    world.run(2.0)
+    world.request("y0")
+    arrival = world.events[-1]
+    arrival.at_s = math.inf
+    world.move("b:0", "u1")
+    world.run(1.0)
+    world.takeover(resign=False)
+    world.run(1.0)
+    arrival.at_s = world.now_s
+    world._deliver()
+    world.events[-1].at_s = world.now_s + 3.0
+    world.earlier_leaders_stopped()
+    world.run(2.0)
+    assert world.book.owner(world.leader_s, "b:0") is Reason.OWNER_HELD
+    world.settle()
+
+
+def test_busy_report_from_before_the_earlier_leaders_end_is_not_used():
+    """Guards against a unit that moves while the earlier leader's last request runs."""
+    _run_late_request(GrantBook)
+    with pytest.raises(ViolationError, match="is held by"):
+        _run_late_request(OldBusyReport)
+
+
 def test_same_leader_keeps_claims_in_a_new_term():
     """Guards against a raised term that forgets what upstreams hold under the earlier one."""
     world = _quiet_world(b0="u0")
--- a/fireflyferry/ownership/tests/world.py
+++ b/fireflyferry/ownership/tests/world.py
@@ -2,11 +2,10 @@
 
 import random
 
-import attrs
-
-from fireflyferry.leases import CheckResult, GrantHolder, LeaseTiming, RequestTicket
+from fireflyferry.leases import CheckResult, GrantHolder, LeaseTiming
 from fireflyferry.messages import GroupId, Hello, OwnerSet, decode, encode
 from fireflyferry.ownership import GrantBook, Owner, SendGrant
+from fireflyferry.ownership.tests.parts import Node, Request, Timed, ViolationError
 from fireflyferry.placement import bucket_unit, key_unit
 
 GROUP = GroupId("janela", "natal-1", 0)
@@ -20,54 +19,6 @@
 __all__ = ["BUCKETS", "GROUP", "KEYS", "UPSTREAMS", "ViolationError", "World"]
 
 
-class ViolationError(AssertionError):
-    """An invariant does not hold."""
-
-
-@attrs.define
-class Node:
-    """An upstream with its own clock; `holder` is replaced at a restart."""
-
-    name: str
-    holder: GrantHolder
-    rate: float
-    offset_s: float
-    delay_s: float = 0.0
-    cut: bool = False
-    frozen: bool = False
-    runs: int = 0
-
-    def clock_s(self, now_s):
-        return self.offset_s + now_s * self.rate
-
-    def restart(self):
-        self.runs += 1
-        self.holder = GrantHolder(self.name, f"{self.name}-{self.runs}", self.holder.checks)
-
-
-@attrs.define(eq=False)
-class Request:
-    """A forwarded request; it is on its way until `ticket` is set."""
-
-    key: str
-    unit: str
-    fence: int
-    node: Node
-    term: int
-    ticket: RequestTicket | None = None
-    run: int = 0
-    shared: bool = False
-
-
-@attrs.define(eq=False)
-class Timed:
-    """Something that happens at a time, to a node or (None) to the leader."""
-
-    at_s: float
-    node: Node | None
-    call: object
-
-
 class World:
     """Clock rates differ by up to 1%; messages are lost, delayed and reordered."""
 
@@ -83,6 +34,8 @@
         self.requests = []
         self.store = OwnerSet(GROUP, 0, 0, {})
         self.store_up = True
+        self.store_version = 0
+        self.known_version = {}
         self.pending_saves = []
         self.adopted = None
         self.term = 0
@@ -105,11 +58,19 @@
     def _start_leader(self, previous_until_s, stopped):
         self.term += 1
         self.book = self.book_class(GROUP, self.timing)
-        saved = self.store if self.term > 1 else None
-        self.book.begin_term(self.leader_s, self.term, saved, previous_until_s, stopped)
+        self._read_store(previous_until_s, stopped)
         for node in self.nodes.values():
             self._hello(node)
 
+    def _read_store(self, previous_until_s, stopped):
+        """Begin a term with the owners in the store; a late write may still change them."""
+        saved = self.store if self.store.sequence else None
+        self.begin_options = previous_until_s, stopped
+        self.known_version[self.book] = self.store_version
+        self.book.begin_term(self.leader_s, self.term, saved, previous_until_s, stopped)
+        self.naive = dict(self.store.owners) if saved else self.naive
+        self.adopted = dict(self.naive) if saved else None
+
     def _hello(self, node):
         if not (node.cut or node.frozen):
             checks = "grants" if node.holder.checks else "none"
@@ -157,10 +118,18 @@
         at_s = self.now_s + self.random.choice((0.0, 0.0, 0.3))
         self.pending_saves.append((at_s, self.book, action))
 
-    def _store(self, action):
-        newest = (self.store.term, self.store.sequence)
-        if (action.owners.term, action.owners.sequence) > newest:
-            self.store = decode(encode(action.owners), OwnerSet)
+    def _store(self, book, action):
+        """Write conditionally; a leader that lost to an earlier leader's write reads again."""
+        if self.known_version[book] != self.store_version:
+            if book is self.book:
+                self._read_store(*self.begin_options)
+            return False
+        if (action.owners.term, action.owners.sequence) < (self.store.term, self.store.sequence):
+            return False
+        self.store_version += 1
+        self.known_version[book] = self.store_version
+        self.store = decode(encode(action.owners), OwnerSet)
+        return True
 
     # Faults and changes
 
@@ -211,18 +180,30 @@
         if not resign:
             while self.leader_s < self.authority_until_s:
                 self._advance(self.authority_until_s)
-        for _, _, action in self.pending_saves:
-            if self.random.random() < 0.5:
-                self._store(action)
-        self.pending_saves = []
+        self._end_saves(leader_lost=True)
         if resign:
             previous_until_s = self.leader_s + self.timing.lengthened(self.timing.grant_s)
         self._start_leader(previous_until_s, False)
-        self.naive = dict(self.store.owners)
-        self.adopted = dict(self.store.owners)
+
+    def _end_saves(self, leader_lost):
+        """Let each write in flight take effect, fail, or (a lost leader's) come later."""
+        left, self.pending_saves = self.pending_saves, []
+        for at_s, book, action in left:
+            fate = self.random.random()
+            if fate < 0.4:
+                self._store(book, action)
+            elif fate < 0.7 and (leader_lost or book is not self.book):
+                self.pending_saves.append((at_s, book, action))
+
+    def raise_term(self):
+        """Let the leader raise its own term, as it does before it takes another group's bucket."""
+        self._end_saves(leader_lost=False)
+        self.term += 1
+        self._read_store(None, True)
 
     def earlier_leaders_stopped(self):
-        self._drop(lambda r: r.term < self.term and r.ticket is None)
+        self._drop(lambda r: r.book is not self.book and r.ticket is None)
+        self.begin_options = self.begin_options[0], True
         self.book.on_earlier_leader_stopped(self.leader_s)
 
     def request(self, key):
@@ -230,7 +211,7 @@
         owner = self.book.begin_forward(self.leader_s, unit, key)
         if isinstance(owner, Owner):
             node = self.nodes[owner.upstream_id]
-            request = Request(key, unit, owner.fence, node, self.term)
+            request = Request(key, unit, owner.fence, node, self.book)
             self.requests.append(request)
             at_s = self.now_s + self.random.choice((0.0, 0.2, 2.0, 6.0))
             self.events.append(Timed(at_s, node, lambda: self._begin(request)))
@@ -258,7 +239,7 @@
 
     def _end(self, request):
         self.requests.remove(request)
-        if request.term == self.term:
+        if request.book is self.book:
             self.book.end_forward(request.node.name, request.unit, request.key)
 
     # Time
@@ -274,8 +255,8 @@
             save for save in self.pending_saves if self.store_up and save[0] <= self.now_s
         ]:
             self.pending_saves.remove(save)
-            self._store(save[2])
-            if save[1] is self.book and self.random.random() < 0.9:
+            stored = self._store(save[1], save[2])
+            if stored and save[1] is self.book and self.random.random() < 0.9:
                 self.book.on_owners_saved(self.leader_s, save[2].save_id)
         self._deliver()
         if authority_until_s is None:
--- a/fireflyferry/ownership/upstreams.py
+++ b/fireflyferry/ownership/upstreams.py
@@ -59,6 +59,11 @@
         silent = since_s is not None and now_s - since_s >= wait_s
         return row.checks and silent and now_s >= row.until_s
 
+    def draining(self, upstream_id: str) -> bool:
+        """Return whether an upstream said that it is leaving."""
+        row = self.rows.get(upstream_id)
+        return row is not None and row.draining
+
     def on_hello(self, now_s: float, sent_at_s: float, hello: Hello) -> None:
         """Add an upstream, or take its token if it is known."""
         row = self.ensure(hello.upstream_id)
@@ -78,16 +83,19 @@
         group: str,
         term: int,
         authority_until_s: float,
-        units: Mapping[str, UnitRow],
+        units: Mapping[str, UnitRow] | None,
     ) -> Iterator[SendGrant]:
-        """Yield the messages that are due: changed sets at once, renewals every renew_s."""
+        """Yield the messages that are due: changed sets at once, renewals every renew_s.
+
+        No sets are sent while `units` is None.
+        """
         # Whole milliseconds take fewer bytes than a full float.
         length_s = math.floor(self.timing.grant_length_s(now_s, authority_until_s) * 1e3) / 1e3
         if length_s <= 0:
             return
         self._note_pause(now_s)
         for row in self.rows.values():
-            responsive = self.responsive(now_s, row.upstream_id)
+            responsive = units is not None and self.responsive(now_s, row.upstream_id)
             if now_s < row.next_send_s and not (row.changed and responsive):
                 continue
             # An upstream that does not answer gets short messages; a set with new units under
@@ -142,7 +150,7 @@
         if sent.full:
             row.acked_version = sent.version
         if sent.version == row.acked_version:
-            row.busy = frozenset(reply.busy)
+            row.busy, row.busy_at_s = frozenset(reply.busy), sent_at_s
             # Not the latest end of all messages: units that this message added end with it.
             row.usable_until_s = sent.token_after_s + self.timing.shortened(sent.length_s)
         return sent.full
