--- a/fireflyferry/ownership/book.py
+++ b/fireflyferry/ownership/book.py
@@ -48,8 +48,6 @@
         self._saves = SaveQueue()
         self._first_save = 0
 
-    # Events
-
     def begin_term(
         self,
         now_s: float,
@@ -140,8 +138,6 @@
         """End a forwarded request that was answered or whose cancellation was acknowledged."""
         self._forwards.end(upstream_id, unit, key)
 
-    # Queries
-
     def owner(self, now_s: float, unit: str) -> Owner | Reason:
         """Return the owner that requests may be forwarded to now, or the reason for none."""
         row = self._units.get(unit)
@@ -159,17 +155,22 @@
         """Return the unit that a key belongs to now."""
         return self._units.unit_of(bucket, key)
 
-    @property
-    def upstreams(self) -> UpstreamTable:
-        """Return the upstreams: which answer, are lost, or leave."""
-        return self._upstreams
+    def responsive(self, now_s: float, upstream_id: str) -> bool:
+        """Return whether an upstream answers."""
+        return self._upstreams.responsive(now_s, upstream_id)
+
+    def lost(self, now_s: float, upstream_id: str) -> bool:
+        """Return whether an upstream's grant ran out because it did not answer."""
+        return self._upstreams.lost(now_s, upstream_id)
+
+    def draining(self, upstream_id: str) -> bool:
+        """Return whether an upstream said that it is leaving."""
+        return self._upstreams.draining(upstream_id)
 
     def released(self, unit: str) -> bool:
         """Return whether no upstream can hold a unit of this group any more."""
         return unit not in self._units
 
-    # Tick
-
     def tick(self, now_s: float, authority_until_s: float) -> list[GrantAction]:
         """Advance moves and return the messages and saves that are due."""
         self._authority_until_s = authority_until_s
@@ -211,8 +212,6 @@
         if settled and unit not in self._claims:
             self._pending.pop(unit, None)
 
-    # Guards
-
     def _is_rewritten(self) -> bool:
         """Return whether the owners are saved under this term.
 
@@ -265,8 +264,6 @@
             return False
         return not self._is_busy(upstream, unit)
 
-    # Changes
-
     def _next_fence(self) -> int:
         self._sequence += 1
         return self._term << 32 | self._sequence
@@ -344,8 +341,6 @@
     def _new_grant(self, unit: str) -> UnitGrant:
         return UnitGrant(unit, self._next_fence(), self._units.excluded(unit))
 
-    # Saving and loading
-
     def _due_save(self, now_s: float) -> SaveOwners | None:
         save_id = self._saves.start(now_s)
         if save_id is None:
--- a/fireflyferry/ownership/tests/test_differential.py
+++ b/fireflyferry/ownership/tests/test_differential.py
@@ -48,9 +48,7 @@
     def _advance(self, authority_until_s):
         super()._advance(authority_until_s)
         now_s, book = self.leader_s, self.book
-        gone = {
-            n for n in self.nodes if book.upstreams.lost(now_s, n) or book.upstreams.draining(n)
-        }
+        gone = {n for n in self.nodes if book.lost(now_s, n) or book.draining(n)}
         if self.live != self.nodes.keys() - gone:
             self.live = frozenset(self.nodes.keys() - gone)
             self.place()
--- a/fireflyferry/ownership/tests/test_grant_book.py
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -75,7 +75,7 @@
     world = _quiet_world(b0="u0")
     world.nodes["u0"].cut = True
     start_s = world.now_s
-    while not world.book.upstreams.lost(world.leader_s, "u0"):
+    while not world.book.lost(world.leader_s, "u0"):
         world.run(0.05)
     world.move("b:0", "u1")
     _time_until_owned(world, "b:0", "u1")
@@ -93,7 +93,7 @@
         node.delay_s = 0.3
     for _ in range(40):
         world.run(0.05)
-        assert not any(world.book.upstreams.lost(world.leader_s, name) for name in world.nodes)
+        assert not any(world.book.lost(world.leader_s, name) for name in world.nodes)
 
 
 def test_new_leader_loses_no_upstream_before_it_could_answer():
@@ -102,7 +102,7 @@
     world._hello = lambda node: None
     world.takeover(resign=False)
     for _ in range(40):
-        assert not world.book.upstreams.lost(world.leader_s, "u0")
+        assert not world.book.lost(world.leader_s, "u0")
         world.run(0.05)
     assert world.book.owner(world.leader_s, "b:0").upstream_id == "u0"
 
@@ -112,7 +112,7 @@
     world = _quiet_world(b0="u0", b1="u0", b2="u0")
     world.drain("u0")
     world.run(3.0)
-    assert world.book.upstreams.draining("u0")
+    assert world.book.draining("u0")
     owners = [world.book.owner(world.leader_s, f"b:{bucket}") for bucket in range(BUCKETS)]
     assert all(isinstance(owner, Owner) and owner.upstream_id != "u0" for owner in owners)
 
@@ -124,7 +124,7 @@
     world.move("b:0", "u1")
     world.run(20.0)
     assert world.book.owner(world.leader_s, "b:0") is Reason.OWNER_HELD
-    assert not world.book.upstreams.lost(world.leader_s, "n0")
+    assert not world.book.lost(world.leader_s, "n0")
     world.replace("n0")
     assert _time_until_owned(world, "b:0", "u1") < 1.0
 
