--- /dev/null
+++ b/fireflyferry/entry/peer_server.py
@@ -0,0 +1,155 @@
+"""Peer port of an entry VM: heartbeats, feed, status and operators' calls."""
+
+from collections.abc import Callable
+
+import attrs
+from tornado import web
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.routing import PathMatches, Rule, RuleRouter
+
+from fireflyferry.edges.peer_auth import (
+    SIGNATURE_HEADER,
+    TIME_HEADER,
+    PeerSignatureError,
+    PeerSigner,
+)
+from fireflyferry.edges.wire import encode_batch
+from fireflyferry.entry.control import Control
+from fireflyferry.entry.feed import LONG_POLL_S, Feed
+from fireflyferry.errors import FireflyferryError
+from fireflyferry.messages import Heartbeat, decode, encode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.control import AssignRequest, DrainRequest, VmStatus
+
+__all__ = ["PeerServices", "make_peer_router"]
+
+
+@attrs.frozen
+class PeerServices:
+    """What the handlers need; `shut_down` starts the orderly shutdown of this VM."""
+
+    control: Control
+    feed: Feed
+    status: Callable[[], VmStatus]
+    signer: PeerSigner
+    shut_down: Callable[[], None]
+
+
+class _PeerHandler(web.RequestHandler):
+    """Checks that the caller belongs, and answers errors as JSON with a code."""
+
+    def initialize(self, services: PeerServices) -> None:
+        self._services = services
+
+    def prepare(self) -> None:
+        request = self.request
+        self._services.signer.verify(
+            request.method,
+            request.uri,
+            request.body,
+            request.headers.get(TIME_HEADER, ""),
+            request.headers.get(SIGNATURE_HEADER, ""),
+        )
+
+    def write_error(self, status_code: int, **kwargs) -> None:
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        code = "internal_error"
+        if isinstance(error, FireflyferryError):
+            code = error.code
+            self.set_status(_status_of(error))
+        self.finish({"code": code, "message": str(error)})
+
+    def log_exception(self, typ, value, tb) -> None:
+        if not isinstance(value, FireflyferryError):
+            super().log_exception(typ, value, tb)
+
+    def reply(self, message: object) -> None:
+        """Finish with a message as JSON."""
+        self.reply_bytes(encode(message))
+
+    def reply_bytes(self, body: bytes) -> None:
+        """Finish with a JSON body."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(body)
+
+
+def _status_of(error: FireflyferryError) -> int:
+    if isinstance(error, PeerSignatureError):
+        return 401
+    return 400 if isinstance(error, MessageError) else 409
+
+
+class HeartbeatHandler(_PeerHandler):
+    """Answers a leader's heartbeats with pledges."""
+
+    def post(self) -> None:
+        """Handle one message for all groups that the pair shares."""
+        heartbeats = decode(self.request.body, tuple[Heartbeat, ...])
+        self.reply(self._services.control.on_heartbeats(heartbeats))
+
+
+class IdentityHandler(_PeerHandler):
+    """Tells the incarnation of this VM."""
+
+    def get(self) -> None:
+        """Return the VM's id and incarnation."""
+        self.reply(self._services.control.me)
+
+
+class FeedHandler(_PeerHandler):
+    """Serves followers with the changes that they have not seen."""
+
+    async def get(self) -> None:
+        """Wait for changes after `since`."""
+        since = int(self.get_query_argument("since", "0"))
+        timeout_s = min(float(self.get_query_argument("timeout_s", "0")), LONG_POLL_S)
+        batch = await self._services.feed.wait_for_changes(since, timeout_s)
+        self.reply_bytes(encode_batch(batch))
+
+
+class StatusHandler(_PeerHandler):
+    """Reports groups, revision and counters."""
+
+    def get(self) -> None:
+        """Return the status as JSON."""
+        self.reply(self._services.status())
+
+
+class AssignHandler(_PeerHandler):
+    """Places a unit on an upstream; answers when the assignment is in place."""
+
+    async def post(self) -> None:
+        """Handle an operator's assignment."""
+        request = decode(self.request.body, AssignRequest)
+        self.reply(await self._services.control.operator_calls.assign(request))
+
+
+class DrainHandler(_PeerHandler):
+    """Drains an upstream, or starts the orderly shutdown of this VM."""
+
+    def post(self) -> None:
+        """Handle an operator's drain."""
+        request = decode(self.request.body, DrainRequest)
+        control = self._services.control
+        if request.target == control.me.vm_id:
+            self._services.shut_down()
+        self.reply(control.operator_calls.drain(request))
+
+
+def make_peer_router(services: PeerServices, forwards: HTTPServerConnectionDelegate) -> RuleRouter:
+    """Build the router of the peer port."""
+    handlers = {
+        "heartbeat": HeartbeatHandler,
+        "identity": IdentityHandler,
+        "feed": FeedHandler,
+        "status": StatusHandler,
+        "assign": AssignHandler,
+        "drain": DrainHandler,
+    }
+    application = web.Application(
+        [(f"/peer/v1/{name}", each, {"services": services}) for name, each in handlers.items()],
+        log_function=lambda handler: None,
+    )
+    return RuleRouter(
+        [Rule(PathMatches("/peer/v1/forward/.*"), forwards), Rule(PathMatches(".*"), application)]
+    )
--- /dev/null
+++ b/fireflyferry/operators/peers.py
@@ -0,0 +1,98 @@
+"""Operators' calls to the peer ports of entry VMs and to upstreams."""
+
+import abc
+from typing import Any, TypeVar
+
+from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.edges.http_client import HttpCaller, NoAnswerError
+from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.messages import decode, encode
+from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.control import (
+    AssignReply,
+    AssignRequest,
+    DrainReply,
+    DrainRequest,
+    VmStatus,
+)
+
+__all__ = ["HttpPeerControl", "PeerControl"]
+
+T = TypeVar("T")
+
+
+class PeerControl(abc.ABC):
+    """Operators' calls; `address` is `IP:PORT` of a peer port."""
+
+    @abc.abstractmethod
+    async def status(self, address: str) -> VmStatus:
+        """Ask a VM for its status.
+
+        Raises PeerUnavailableError.
+        """
+
+    @abc.abstractmethod
+    async def assign(self, address: str, request: AssignRequest) -> AssignReply:
+        """Ask a VM to place a unit on an upstream.
+
+        Raises PeerUnavailableError when the request may or may not have been carried out.
+        """
+
+    @abc.abstractmethod
+    async def drain(self, address: str, request: DrainRequest) -> DrainReply:
+        """Ask a VM to drain an upstream or itself.
+
+        Raises PeerUnavailableError when the request may or may not have been carried out.
+        """
+
+    @abc.abstractmethod
+    async def drain_upstream(self, address: str) -> None:
+        """Ask an upstream at its own address to drain, so that a later leader learns it too.
+
+        Raises PeerUnavailableError when the request may or may not have been carried out.
+        """
+
+
+class HttpPeerControl(PeerControl):
+    """Signed calls over HTTP with JSON bodies."""
+
+    def __init__(self, caller: HttpCaller, signer: PeerSigner):
+        self._caller = caller
+        self._signer = signer
+
+    async def status(self, address: str) -> VmStatus:
+        """Ask a VM for its status."""
+        return await self._call(address, "GET", "/peer/v1/status", None, VmStatus)
+
+    async def assign(self, address: str, request: AssignRequest) -> AssignReply:
+        """Ask a VM to place a unit on an upstream."""
+        return await self._call(address, "POST", "/peer/v1/assign", request, AssignReply)
+
+    async def drain(self, address: str, request: DrainRequest) -> DrainReply:
+        """Ask a VM to drain an upstream or itself."""
+        return await self._call(address, "POST", "/peer/v1/drain", request, DrainReply)
+
+    async def drain_upstream(self, address: str) -> None:
+        """Ask an upstream at its own address to drain."""
+        await self._send(address, "POST", "/control/v1/drain", b"{}", {})
+
+    async def _call(self, address: str, method: str, path: str, body: Any, kind: type[T]) -> T:
+        data = None if body is None else encode(body)
+        headers = self._signer.headers(method, path, data or b"")
+        answer = await self._send(address, method, path, data, headers)
+        try:
+            return decode(answer, kind)
+        except MessageError as error:
+            raise PeerUnavailableError(f"{address}: {error}") from error
+
+    async def _send(
+        self, address: str, method: str, path: str, data: bytes | None, headers: dict[str, str]
+    ) -> bytes:
+        url, fresh = f"http://{address}{path}", method == "POST"
+        try:
+            answer = await self._caller.call(method, url, data, headers, fresh=fresh)
+        except NoAnswerError as error:
+            raise PeerUnavailableError(f"{address}: {error}") from error
+        if answer.status != 200:
+            raise PeerUnavailableError(f"{address}: {method} {path}: status {answer.status}")
+        return answer.body
