--- a/fireflyferry/entry/transport.py
+++ b/fireflyferry/entry/transport.py
@@ -7,6 +7,7 @@
 import attrs
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.ioloop import IOLoop
 
 from fireflyferry.entry.bodies import RequestBody
 
@@ -125,6 +126,43 @@
         self._idle.clear()
         super().close()
 
+    def _set_timeout(self, msecs: int) -> None:
+        """Schedule libcurl's timer; one that fires too early only asks libcurl again.
+
+        libcurl moves its timer several times per transfer, and a timer of the loop that is
+        replaced each time costs more than one that is early.
+        """
+        if msecs < 0:
+            return
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + msecs / 1000
+        if self._timeout is not None:
+            if self._due_s <= due_s:
+                return
+            self._timeout.cancel()
+        self._due_s = due_s
+        self._timeout = loop.call_at(due_s, self._handle_timeout)
+
+    def _handle_socket(
+        self, event: int, fd: int, multi: pycurl.CurlMulti, data: object = None
+    ) -> None:
+        """Watch a socket for libcurl, without the wrappers of the Tornado loop."""
+        loop = asyncio.get_running_loop()
+        before = self._fds.pop(fd, pycurl.POLL_NONE)
+        # Removed and added again even if unchanged: libcurl may have closed a socket and opened
+        # another with the same number.
+        if before & pycurl.POLL_IN:
+            loop.remove_reader(fd)
+        if before & pycurl.POLL_OUT:
+            loop.remove_writer(fd)
+        if event == pycurl.POLL_REMOVE:
+            return
+        self._fds[fd] = event
+        if event & pycurl.POLL_IN:
+            loop.add_reader(fd, self._handle_events, fd, IOLoop.READ)
+        if event & pycurl.POLL_OUT:
+            loop.add_writer(fd, self._handle_events, fd, IOLoop.WRITE)
+
     def _abandon(self, transfer: "_Transfer") -> None:
         if self._active.pop(transfer.curl, None) is not None:
             self._multi.remove_handle(transfer.curl)
