--- a/fireflyferry/admission/service_times.py
+++ b/fireflyferry/admission/service_times.py
@@ -4,12 +4,17 @@
 
 
 class ServiceTimes:
-    """Exponentially weighted mean and mean deviation, in seconds."""
+    """Weighted mean, and a low estimate that falls at once and rises slowly; in seconds.
 
-    def __init__(self, weight: float = 0.1):
+    The low estimate decides whether work can finish at all. One from mean and deviation refused
+    most work when the process itself was short of processor time.
+    """
+
+    def __init__(self, weight: float = 0.1, rise: float = 0.01):
         self._weight = weight
+        self._rise = rise
         self._mean_s: float | None = None
-        self._deviation_s = 0.0
+        self._low_s = 0.0
 
     @property
     def mean_s(self) -> float:
@@ -18,14 +23,13 @@
 
     @property
     def low_s(self) -> float:
-        """Time in seconds that most requests need at least."""
-        return max(0.0, self.mean_s - 2.0 * self._deviation_s)
+        """Time in seconds that nearly all requests need at least."""
+        return self._low_s
 
     def observe(self, service_s: float) -> None:
         """Add one observation in seconds."""
         if self._mean_s is None:
-            self._mean_s = service_s
+            self._mean_s = self._low_s = service_s
             return
-        error_s = service_s - self._mean_s
-        self._mean_s += self._weight * error_s
-        self._deviation_s += self._weight * (abs(error_s) - self._deviation_s)
+        self._mean_s += self._weight * (service_s - self._mean_s)
+        self._low_s = min(service_s, self._low_s + self._rise * (service_s - self._low_s))
--- a/fireflyferry/admission/upstream_queue.py
+++ b/fireflyferry/admission/upstream_queue.py
@@ -10,6 +10,10 @@
 
 __all__ = ["Admit", "QueueLimits", "Refuse", "UpstreamQueue", "Wait", "Work"]
 
+# Work admitted to finish exactly at its deadline is late half of the time, and a late answer
+# costs a slot: at four times the capacity, goodput was 43% of it with a factor of 1.0.
+WAIT_MARGIN = 1.25
+
 
 @attrs.define(eq=False)
 class Work:
@@ -164,5 +168,9 @@
         if self._busy == 0:
             # An idle upstream always gets work: the estimate is only corrected by new answers.
             return remaining_s > 0
-        wait_s = turns * self._times.mean_s / max(1, self._slots)
-        return remaining_s > wait_s + self._times.low_s
+        times = self._times
+        if turns:
+            wait_s = WAIT_MARGIN * turns * times.mean_s / max(1, self._slots)
+            return remaining_s > wait_s + times.mean_s
+        # While other work waits, a slot is worth more than one attempt that will probably be late.
+        return remaining_s > (times.mean_s if self._waiting else times.low_s)
