--- /dev/null
+++ b/fireflyferry/entry/tests/test_cleanup.py
@@ -0,0 +1,116 @@
+"""Slots and ids when upstreams are gone or frozen, and when groups move."""
+
+import asyncio
+import random
+
+import pytest
+
+from fireflyferry.admission import QueueLimits
+from fireflyferry.edges.base import UpstreamUnavailableError
+from fireflyferry.entry.limits import RequestLimits
+from fireflyferry.entry.seen_ids import SeenIds
+from fireflyferry.entry.slots import SlotGate
+from fireflyferry.entry.tests.support import GROUP, ScriptedUpstream, SystemClock, ask, entry_vms
+from fireflyferry.retries import Fresh, Unknown, new_request_id
+from fireflyferry.telemetry import Reason
+
+
+@pytest.mark.parametrize("end", ["confirmed", "gone", "hold"])
+def test_slot_of_a_frozen_upstream_stays_taken(end):
+    """Guards against more work at a frozen upstream than it has slots once it returns."""
+
+    async def script(seen, writer):
+        await asyncio.sleep(1)
+
+    async def run():
+        hold_s = 0.1 if end == "hold" else 60.0
+        limits = RequestLimits(cancel_wait_s=0.02, cancel_pause_s=0.02, cancel_hold_s=hold_s)
+        async with (
+            ScriptedUpstream(script) as upstream,
+            entry_vms(upstream.port, limits=limits) as cluster,
+        ):
+            path, control = cluster.paths[0], cluster.controls[0]
+            frozen = True
+
+            async def cancel(address, request_id):
+                if frozen:
+                    raise UpstreamUnavailableError("frozen")
+
+            control.cancel = cancel
+            headers = [("Firefly-Deadline-Ms", "30")]
+            reply = await ask(cluster.public_ports[0], "/write/key", headers=headers)
+            assert reply.reason == "timed_out"
+            unit = upstream.seen[0].headers["firefly-unit"]
+            if end != "hold":
+                await asyncio.sleep(0.15)
+                assert path.in_flight("up-0", unit) == 1
+            if end == "gone":
+                path.upstream_gone("up-0")
+            frozen = end != "confirmed"
+            async with asyncio.timeout(2):
+                while path.in_flight("up-0", unit):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_waiting_work_is_refused_when_its_upstream_is_gone():
+    """Guards against callers that wait for an upstream that will not return."""
+
+    async def run():
+        gate = SlotGate(SystemClock())
+        deadline_s = SystemClock().monotonic_s() + 5
+        assert await gate.acquire("up", 1, QueueLimits(), "a", deadline_s) is None
+        waiting = asyncio.ensure_future(gate.acquire("up", 1, QueueLimits(), "a", deadline_s))
+        await asyncio.sleep(0)
+        gate.drop("up")
+        assert await waiting is Reason.OWNER_UNAVAILABLE
+        gate.release("up")
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("moment", ["waiting", "handed"])
+def test_cancelled_waiter_loses_no_slot(moment):
+    """Guards against a slot that is handed to a waiter which is cancelled at that moment."""
+
+    async def run():
+        gate = SlotGate(SystemClock())
+        deadline_s = SystemClock().monotonic_s() + 5
+        limits = QueueLimits()
+        assert await gate.acquire("up", 1, limits, "a", deadline_s) is None
+        waiting = asyncio.ensure_future(gate.acquire("up", 1, limits, "a", deadline_s))
+        await asyncio.sleep(0)
+        if moment == "handed":
+            gate.release("up")
+            waiting.cancel()
+        else:
+            waiting.cancel()
+            gate.release("up")
+        with pytest.raises(asyncio.CancelledError):
+            await waiting
+        (state,) = gate.states()
+        assert (state.busy, state.waiting) == (0, 0)
+
+    asyncio.run(run())
+
+
+def test_ids_after_a_group_or_bucket_came():
+    """Guards against a table that passes for complete after the group was led elsewhere."""
+    clock = SystemClock()
+    seen = SeenIds(clock, RequestLimits())
+    seen.group_gained(GROUP, 1)
+    now_s, wall_s = clock.monotonic_s(), clock.wall_s() + 10
+
+    def begin(term, issued_s, bucket=0):
+        request_id = new_request_id(issued_s, random.Random(issued_s + bucket))
+        return seen.table(GROUP, term).begin(now_s, wall_s, request_id, bucket)
+
+    assert begin(1, wall_s) == Fresh()
+    clock.wall_shift_s = 10.0
+    seen.bucket_gained(GROUP, 2, bucket=7)
+    assert begin(2, wall_s, bucket=7) == Unknown()
+    assert begin(2, wall_s, bucket=8) == Fresh()
+    assert begin(3, wall_s, bucket=9) == Unknown(), "a term that was not announced"
+    seen.group_lost(GROUP)
+    assert len(seen) == 0
