--- a/fireflyferry/entry/tests/test_streaming.py
+++ b/fireflyferry/entry/tests/test_streaming.py
@@ -77,12 +77,14 @@
         reader, writer = await open_request(
             cluster.public_ports[first_hop], method="POST", headers="Transfer-Encoding: chunked\r\n"
         )
-        for _ in range(3):
-            writer.write(b"5\r\nparts\r\n")
-            await asyncio.sleep(0.02)
+        # The first part alone is longer than what is received before sending starts.
+        parts = [b"." * 100_000, b"some", b"more"]
+        for part in parts:
+            writer.write(b"%x\r\n" % len(part) + part + b"\r\n")
+            await asyncio.sleep(0.05)
         writer.write(b"0\r\n\r\n")
         assert (await read_reply(reader)).status == 200
-        assert upstream.seen[0].body == b"parts" * 3
+        assert upstream.seen[0].body == b"".join(parts)
         writer.close()
 
     run_with(None, requests)
