Grant at once when the loaded owners are already saved under the term

The entry program rewrites the owners under its term before begin_term, so the wait for another save cost a write for nothing.

--- a/fireflyferry/ownership/book.py
+++ b/fireflyferry/ownership/book.py
@@ -56,7 +56,7 @@
         previous_grants_until_s: float | None = None,
         earlier_leader_stopped: bool = False,
     ) -> None:
-        """Start a term with the newest saved owners.
+        """Start a term with the newest saved owners, already saved under this term or not.
 
         `previous_grants_until_s` is when the earlier leader's grants have ended after a
         resignation, and None when they ended before the takeover. A leader that raises its own
@@ -70,7 +70,8 @@
         self._term, self._sequence = term, 0 if term > self._term else self._sequence
         self._units, self._claims, self._pending = UnitTable(), {}, {}
         self._saves.restart()
-        self._first_save = self._saves.last + 1
+        rewritten = saved is not None and saved.term == term
+        self._first_save = self._saves.last + (0 if rewritten else 1)
         for row in self._upstreams.rows.values():
             row.units, row.unacked, row.acked_version = {}, {}, 0
             row.usable_until_s, row.busy, row.sent = float("-inf"), frozenset(), {}
--- a/fireflyferry/ownership/tests/test_grant_book.py
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from fireflyferry.leases import LeaseTiming
-from fireflyferry.messages import GrantReply, OwnerSet
-from fireflyferry.ownership import GrantBook, Owner, SaveOwners
+from fireflyferry.leases import GrantHolder, LeaseTiming
+from fireflyferry.messages import GrantReply, Hello, OwnerSet
+from fireflyferry.ownership import GrantBook, Owner, SaveOwners, SendGrant
 from fireflyferry.ownership.tests.faults import FAULTS, apply, run_random
 from fireflyferry.ownership.tests.mutants import MUTANTS, OldBusyReport
 from fireflyferry.ownership.tests.world import (
@@ -215,6 +215,16 @@
         _run_late_request(OldBusyReport)
 
 
+@pytest.mark.parametrize(("saved_term", "granted"), [(2, True), (1, False)])
+def test_sets_wait_for_a_save_under_the_term(saved_term, granted):
+    """Guards against a needless wait, and against grants that a late write can contradict."""
+    book, holder = GrantBook(GROUP, LeaseTiming()), GrantHolder("u0", "run")
+    book.begin_term(0.0, 2, OwnerSet(GROUP, saved_term, 1, {"b:0": "u0"}))
+    book.on_hello(0.0, 0.0, Hello("u0", "janela", 2, 100, "grants", holder.token(0.0)))
+    sent = [action.message for action in book.tick(0.1, 1.2) if isinstance(action, SendGrant)]
+    assert [message.units is not None for message in sent] == [granted]
+
+
 def test_same_leader_keeps_claims_in_a_new_term():
     """Guards against a raised term that forgets what upstreams hold under the earlier one."""
     world = _quiet_world(b0="u0")
