--- a/fireflyferry/experiments/customers.py
+++ b/fireflyferry/experiments/customers.py
@@ -29,6 +29,7 @@
     tenants: dict[str, int]
     imbalance_weight: float
     unavailable_weight: float
+    groups_per_data_centre: int = 1
 
     @property
     def data_centres(self) -> tuple[tuple[str, str], ...]:
@@ -86,6 +87,7 @@
             service.name,
             data_centres,
             buckets=buckets,
+            groups_per_data_centre=customer.groups_per_data_centre,
             tenants=customer.tenants,
             imbalance_weight=customer.imbalance_weight,
             unavailable_weight=customer.unavailable_weight,
