Use one check of ownership logs and one request id maker; start no process in fireflyferry-load

The audit had its own check for two owners, which ignored keys owned apart from their bucket. The installed load program could start senders as processes; that now needs the module form, python -m ...load_main.

--- a/fireflyferry/experiments/audit.py
+++ b/fireflyferry/experiments/audit.py
@@ -1,15 +1,16 @@
 """Checks of an experiment's records against the promises."""
 
 import collections
-import itertools
 from collections.abc import Iterable, Mapping
 
 import attrs
 
 from fireflyferry.experiments.load_check import Verdict
+from fireflyferry.experiments.load_ownership import check_ownership
 from fireflyferry.experiments.load_tally import Sample
+from fireflyferry.standins.upstream_ownership import Holding
 
-__all__ = ["Audit", "audit", "longest_gap_s", "two_owner_moments"]
+__all__ = ["Audit", "audit", "longest_gap_s"]
 
 
 @attrs.frozen
@@ -39,7 +40,7 @@
 
 
 def audit(
-    samples: list[Sample], executions: Mapping[str, int], holdings: Iterable[Mapping]
+    samples: list[Sample], executions: Mapping[str, int], holdings: Iterable[Holding]
 ) -> Audit:
     """Compare what callers saw with what upstreams ran and held.
 
@@ -56,7 +57,7 @@
             for sample in samples
             if not sample.arrival.kind.idempotent and executions.get(sample.request_id, 0) > 1
         ),
-        two_owners=len(two_owner_moments(holdings)),
+        two_owners=check_ownership(holdings).overlaps,
         lost_answers=_count(samples, executions, Verdict.ANSWERED, ran=False),
         false_refusals=_count(samples, executions, Verdict.REFUSED, ran=True),
         wrong_answers=sum(
@@ -88,31 +89,6 @@
     )
 
 
-def two_owner_moments(holdings: Iterable[Mapping]) -> list[tuple[str, str, str, float]]:
-    """Return (unit, upstream, other upstream, seconds) for each time that two held a unit.
-
-    All upstreams of an experiment run on one machine and share its monotonic clock. The pool is
-    the first part of a group's name.
-    """
-    by_unit = collections.defaultdict(list)
-    for holding in holdings:
-        pool = holding["group"].split("/", 1)[0]
-        by_unit[pool, holding["unit"]].append(holding)
-    moments = []
-    for (_, unit), held in by_unit.items():
-        held.sort(key=lambda holding: holding["from_s"])
-        for one, other in itertools.combinations(held, 2):
-            overlap_s = min(_end(one), _end(other)) - other["from_s"]
-            if one["upstream_id"] != other["upstream_id"] and overlap_s > 0:
-                moments.append((unit, one["upstream_id"], other["upstream_id"], overlap_s))
-    return moments
-
-
-def _end(holding: Mapping) -> float:
-    until_s = holding["until_s"]
-    return float("inf") if until_s is None else until_s
-
-
 def longest_gap_s(samples: list[Sample], from_s: float, until_s: float) -> float:
     """Return the longest time in which requests of some key failed between two good answers."""
     by_key = collections.defaultdict(list)
--- a/fireflyferry/experiments/deployment.py
+++ b/fireflyferry/experiments/deployment.py
@@ -7,12 +7,14 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import attrs
+import cattrs
 import orjson
 
 from fireflyferry.experiments.customers import Customer, tables_of
 from fireflyferry.experiments.http import fetch, fetch_json
 from fireflyferry.experiments.processes import Program, start_program
 from fireflyferry.messages import VmEntry, encode
+from fireflyferry.standins.upstream_ownership import Holding
 
 __all__ = ["Deployment"]
 
@@ -155,12 +157,13 @@
         )
         return dict(collections.Counter(line.split()[1] for line in lines))
 
-    def holdings(self) -> list[dict]:
+    def holdings(self) -> list[Holding]:
         """Return what the upstreams that answer held, from when to when."""
         found = []
         for vm_id, address in self.upstream_addresses.items():
             if self.upstreams[vm_id].process.poll() is None:
-                found.extend(fetch_json(f"http://{address}/ownership")["holdings"])
+                listed = fetch_json(f"http://{address}/ownership")["holdings"]
+                found.extend(cattrs.structure(listed, list[Holding]))
         return found
 
     def stop(self) -> None:
--- a/fireflyferry/experiments/load_main.py
+++ b/fireflyferry/experiments/load_main.py
@@ -21,8 +21,17 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run the program and return its exit code."""
-    arguments = _parser().parse_args(argv)
+    """Run the installed program, which starts no process, and return its exit code."""
+    return _main(_parser(), argv)
+
+
+def main_with_senders(argv: list[str] | None = None) -> int:
+    """Run as a module of the experiments, where `run` can share the load among processes."""
+    return _main(_parser(with_senders=True), argv)
+
+
+def _main(parser: argparse.ArgumentParser, argv: list[str] | None) -> int:
+    arguments = parser.parse_args(argv)
     try:
         return arguments.command(arguments)
     except (ProgramError, ScenarioError, PlotsUnavailableError) as error:
@@ -33,7 +42,7 @@
         return 130
 
 
-def _parser() -> argparse.ArgumentParser:
+def _parser(with_senders: bool = False) -> argparse.ArgumentParser:
     parser = make_parser(NAME, "Open-loop load on entry VMs, with reports and comparisons.")
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     run = commands.add_parser("run", help="run a scenario; exit code 1 if a promise was broken")
@@ -56,9 +65,9 @@
     run.add_argument(
         "--direct", action="store_true", help="targets are upstream stand-ins, without a router"
     )
-    run.add_argument(
-        "--senders", type=positive_int, default=1, help="processes that share the load"
-    )
+    run.set_defaults(senders=1)
+    if with_senders:
+        run.add_argument("--senders", type=positive_int, help="processes that share the load")
     run.add_argument("--label", default="", help="name of the run in reports")
     run.add_argument("--out", metavar="FILE", help="write the result as JSON")
     run.add_argument("--png", metavar="FILE", help="write plots; needs matplotlib")
@@ -148,4 +157,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main_with_senders())
--- a/fireflyferry/experiments/load_plan.py
+++ b/fireflyferry/experiments/load_plan.py
@@ -9,7 +9,7 @@
 
 from fireflyferry.experiments.load_scenario import RequestKind, Scenario
 
-__all__ = ["Arrival", "arrivals", "make_request_id"]
+__all__ = ["Arrival", "arrivals"]
 
 # Moves the popular keys to others that were not popular; prime, so that it visits all of them.
 HOT_SHIFT_KEYS = 99_991
@@ -71,10 +71,3 @@
         return rng.randrange(kind.keys)
     shifts = int(at_s / kind.hot_shift_s) if kind.hot_shift_s else 0
     return (chooser.draw(rng) + shifts * HOT_SHIFT_KEYS) % kind.keys
-
-
-def make_request_id(wall_s: float, rng: random.Random) -> str:
-    """Return a UUIDv7 with the time of issue."""
-    value = int(wall_s * 1000) << 80 | 0x7 << 76 | rng.getrandbits(12) << 64
-    text = f"{value | 0b10 << 62 | rng.getrandbits(62):032x}"
-    return "-".join((text[:8], text[8:12], text[12:16], text[16:20], text[20:]))
--- a/fireflyferry/experiments/load_sender.py
+++ b/fireflyferry/experiments/load_sender.py
@@ -18,9 +18,10 @@
     judge,
     judge_error,
 )
-from fireflyferry.experiments.load_plan import Arrival, arrivals, make_request_id
+from fireflyferry.experiments.load_plan import Arrival, arrivals
 from fireflyferry.experiments.load_scenario import Scenario
 from fireflyferry.experiments.load_tally import Sample
+from fireflyferry.retries import new_request_id
 
 __all__ = ["Order", "Sender", "SenderResult"]
 
@@ -99,7 +100,7 @@
         async with self._slots:
             self._in_flight += 1
             self._peak_in_flight = max(self._peak_in_flight, self._in_flight)
-            request_id = make_request_id(time.time(), self._rng)
+            request_id = new_request_id(time.time(), self._rng)
             sent_s = self._now_s()
             judgement = await self._try_targets(arrival, request_id)
             self._in_flight -= 1
--- a/fireflyferry/experiments/tests/test_load.py
+++ b/fireflyferry/experiments/tests/test_load.py
@@ -13,7 +13,7 @@
 from fireflyferry.experiments import load_main
 from fireflyferry.experiments.load_check import Judgement, Received, Verdict, judge
 from fireflyferry.experiments.load_ownership import check_ownership
-from fireflyferry.experiments.load_plan import Arrival, arrivals, make_request_id
+from fireflyferry.experiments.load_plan import Arrival, arrivals
 from fireflyferry.experiments.load_result import Executions, Generator, LoadResult
 from fireflyferry.experiments.load_runner import LoadRunner
 from fireflyferry.experiments.load_scenario import (
@@ -24,6 +24,7 @@
 )
 from fireflyferry.experiments.load_tally import Sample, Tally
 from fireflyferry.messages import decode, encode
+from fireflyferry.retries import new_request_id
 from fireflyferry.standins.faults import Fault
 from fireflyferry.standins.upstream_instance import InstanceSettings, UpstreamInstance
 from fireflyferry.standins.upstream_ownership import Holding
@@ -84,7 +85,7 @@
 
 def test_request_ids_carry_the_time_of_issue():
     """Guards against ids that the router refuses or takes for old ones."""
-    made = uuid.UUID(make_request_id(1_700_000_000.123, random.Random(1)))
+    made = uuid.UUID(new_request_id(1_700_000_000.123, random.Random(1)))
     assert (made.version, made.variant) == (7, uuid.RFC_4122)
     assert made.int >> 80 == 1_700_000_000_123
 
