Sign requests that are forwarded between entry VMs

The peer port handled /peer/v1/forward/... from any sender. The first hop now signs method, path, time, all Firefly-* headers and Request-Id, and the last hop refuses a missing, wrong or stale signature with not_authenticated before the request is handled. The body is not signed, since bodies stream. Both secrets are accepted, as for control calls. make_request_path needs a signer.

The edge test of nan and empty times builds its signature from the digest text that _signature now takes; its assertions are unchanged.

--- a/fireflyferry/edges/peer_auth.py
+++ b/fireflyferry/edges/peer_auth.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import math
+from collections.abc import Iterable
 
 from fireflyferry.edges.base import Clock
 from fireflyferry.errors import FireflyferryError
@@ -12,6 +13,11 @@
 TIME_HEADER = "Firefly-Time"
 SIGNATURE_HEADER = "Firefly-Signature"
 
+_UNSIGNED = frozenset({TIME_HEADER.lower(), SIGNATURE_HEADER.lower()})
+_OWN_PREFIX = "firefly-"
+# Not a header of the router, but the last hop's protection against repeats depends on it.
+_CALLER_ID = "request-id"
+
 
 class PeerSignatureError(FireflyferryError):
     """A peer call whose signature is missing, wrong or too old."""
@@ -35,19 +41,42 @@
 
     def headers(self, method: str, path: str, body: bytes) -> dict[str, str]:
         """Return the headers that sign a call; `path` includes the query."""
-        time = f"{self._clock.wall_s():.3f}"
-        signature = _signature(self._secrets[0], method, path, time, body)
-        return {TIME_HEADER: time, SIGNATURE_HEADER: signature}
+        return self._sign(method, path, _body_text(body))
 
     def verify(self, method: str, path: str, body: bytes, time: str, signature: str) -> None:
         """Check a call's signature and age.
 
         Raises PeerSignatureError.
         """
+        self._check(method, path, _body_text(body), time, signature)
+
+    def head_headers(
+        self, method: str, path: str, headers: Iterable[tuple[str, str]]
+    ) -> dict[str, str]:
+        """Return the headers that sign the head of a forwarded request, without its body."""
+        return self._sign(method, path, _head_text(headers))
+
+    def verify_head(self, method: str, path: str, headers: Iterable[tuple[str, str]]) -> None:
+        """Check the signature and age of a forwarded request's head.
+
+        Raises PeerSignatureError.
+        """
+        pairs = list(headers)
+        found = {name.lower(): value for name, value in pairs if name.lower() in _UNSIGNED}
+        time = found.get(TIME_HEADER.lower(), "")
+        signature = found.get(SIGNATURE_HEADER.lower(), "")
+        self._check(method, path, _head_text(pairs), time, signature)
+
+    def _sign(self, method: str, path: str, content: str) -> dict[str, str]:
+        time = f"{self._clock.wall_s():.3f}"
+        signature = _signature(self._secrets[0], method, path, time, content)
+        return {TIME_HEADER: time, SIGNATURE_HEADER: signature}
+
+    def _check(self, method: str, path: str, content: str, time: str, signature: str) -> None:
         # Every secret is tried, so that the time taken does not tell which one matched.
         matches = [
             hmac.compare_digest(
-                _signature(secret, method, path, time, body).encode(), signature.encode()
+                _signature(secret, method, path, time, content).encode(), signature.encode()
             )
             for secret in self._secrets
         ]
@@ -63,7 +92,20 @@
             )
 
 
-def _signature(secret: bytes, method: str, path: str, time: str, body: bytes) -> str:
-    digest = hashlib.sha256(body).hexdigest()
-    text = "\n".join((method, path, time, digest))
-    return hmac.new(secret, text.encode(), hashlib.sha256).hexdigest()
+def _signature(secret: bytes, method: str, path: str, time: str, content: str) -> str:
+    text = "\n".join((method, path, time, content))
+    return hmac.digest(secret, text.encode(), "sha256").hex()
+
+
+def _body_text(body: bytes) -> str:
+    return hashlib.sha256(body).hexdigest()
+
+
+def _head_text(headers: Iterable[tuple[str, str]]) -> str:
+    # All headers of the router are covered, so that none can be added, doubled or left out.
+    lines = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower == _CALLER_ID or (lower.startswith(_OWN_PREFIX) and lower not in _UNSIGNED):
+            lines.append(f"{lower}:{value}")
+    return "\n".join(sorted(lines))
--- a/fireflyferry/edges/tests/test_http_edges.py
+++ b/fireflyferry/edges/tests/test_http_edges.py
@@ -16,7 +16,7 @@
 from fireflyferry.edges.http_peer import HttpPeerLink
 from fireflyferry.edges.http_store import HttpObjectStore, HttpVmList
 from fireflyferry.edges.http_upstream import HttpUpstreamControl
-from fireflyferry.edges.peer_auth import PeerSignatureError, PeerSigner, _signature
+from fireflyferry.edges.peer_auth import PeerSignatureError, PeerSigner, _body_text, _signature
 from fireflyferry.edges.statsd_metrics import MemoryMetrics, TeeMetrics, Timing
 from fireflyferry.edges.wire import encode_batch
 from fireflyferry.messages import GrantMessage, UnitGrant, VmEntry
@@ -213,7 +213,7 @@
         def signed(time):
             return {
                 "time": time,
-                "signature": _signature(b"new", "GET", "/peer/v1/feed", time, b""),
+                "signature": _signature(b"new", "GET", "/peer/v1/feed", time, _body_text(b"")),
             }
 
         foreign = PeerSigner((b"other",), self.clock)
--- a/fireflyferry/entry/bench_roles.py
+++ b/fireflyferry/entry/bench_roles.py
@@ -13,6 +13,7 @@
 
 from fireflyferry.edges.http_client import HttpCaller
 from fireflyferry.edges.http_upstream import HttpUpstreamControl
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.edges.statsd_metrics import MemoryMetrics
 from fireflyferry.edges.system_clock import SystemClock
 from fireflyferry.entry.interfaces import (
@@ -118,6 +119,7 @@
         owners=view,
         observer=view,
         control=HttpUpstreamControl(HttpCaller("bench")),
+        signer=PeerSigner((b"bench-secret-0000",), SystemClock()),
     )
     delegate = path.peer_delegate if arguments.role == "peer" else path.public_delegate
     _listen(HTTPServer(delegate, **path.server_options()))
--- a/fireflyferry/entry/main.py
+++ b/fireflyferry/entry/main.py
@@ -98,6 +98,7 @@
             owners=view,
             observer=view,
             control=upstream_control,
+            signer=self._signer,
         )
         self._control.attach(self._requests)
         self._stop = asyncio.Event()
--- a/fireflyferry/entry/peer.py
+++ b/fireflyferry/entry/peer.py
@@ -1,7 +1,10 @@
 """Requests that another VM's first hop sends to this VM's peer port."""
 
+import logging
+
 from tornado.http1connection import HTTP1Connection
 
+from fireflyferry.edges.peer_auth import PeerSignatureError
 from fireflyferry.entry import headers as names
 from fireflyferry.entry.calls import Call
 from fireflyferry.entry.exchange import ServerExchange
@@ -12,6 +15,8 @@
 
 __all__ = ["PeerExchange"]
 
+logger = logging.getLogger(__name__)
+
 
 class PeerExchange(ServerExchange):
     """One forwarded request, whose last hop is this VM."""
@@ -20,13 +25,17 @@
         super().__init__(connection, services.limits)
         self._services = services
         self._call: Call | None = None
+        self._authenticated = False
 
     def prepare(self) -> float | None:
-        """Read the router's own headers."""
+        """Check the signature and read the router's own headers."""
         self._services.statistics.peer_in_flight += 1
         now_s = self._services.clock.monotonic_s()
         request_id = self._headers.get(names.REQUEST_ID, "")
         self._sink.add_header(names.REQUEST_ID, request_id)
+        self._authenticated = self._verify()
+        if not self._authenticated:
+            return None
         try:
             self._call = self._parse(now_s, request_id)
         except (KeyError, ValueError):
@@ -35,6 +44,9 @@
 
     async def handle(self) -> None:
         """Serve the request as its last hop."""
+        if not self._authenticated:
+            self.refuse(Verdict(Outcome.NOT_RUN, Reason.NOT_AUTHENTICATED))
+            return
         if self._call is None:
             self._sink.start(400, [("Content-Length", "0")])
             self._sink.finish()
@@ -50,6 +62,21 @@
         statistics.peer_in_flight -= 1
         statistics.last_active_s = self._services.clock.monotonic_s()
 
+    def _verify(self) -> bool:
+        line = self._line
+        try:
+            self._services.signer.verify_head(line.method, line.path, self._headers.get_all())
+        except PeerSignatureError:
+            logger.warning(
+                "forward_not_authenticated",
+                extra={
+                    "vm": self._headers.get(names.VM, ""),
+                    "request_id": self._headers.get(names.REQUEST_ID, ""),
+                },
+            )
+            return False
+        return True
+
     async def _serve(self, call: Call) -> Verdict:
         services = self._services
         if self._body is not None and not self._body.ended and self._body.fits_replay:
--- a/fireflyferry/entry/remote.py
+++ b/fireflyferry/entry/remote.py
@@ -3,6 +3,7 @@
 import attrs
 
 from fireflyferry.edges import Clock
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.entry import headers as names
 from fireflyferry.entry.answers import AnswerReceiver
 from fireflyferry.entry.calls import Call
@@ -22,16 +23,20 @@
     _clock: Clock
     _transport: CurlTransport
     _vm_id: str
+    _signer: PeerSigner
 
     async def run(self, call: Call, location: Location, sink: AnswerSink) -> Verdict:
         """Handle one attempt; on an answer, the sink is finished when this returns."""
         remaining_s = call.deadline_s - self._clock.monotonic_s()
         receiver = AnswerReceiver(sink, call.method, call.attempt_id, from_peer=True)
+        target = names.FORWARD_PREFIX + call.target
+        headers = self._headers(call, location, remaining_s)
+        headers += self._signer.head_headers(call.method, target, headers).items()
         exchange = Exchange(
             location.leader_address,
             call.method,
-            names.FORWARD_PREFIX + call.target,
-            self._headers(call, location, remaining_s),
+            target,
+            headers,
             call.body,
             remaining_s,
             fresh=not call.idempotent,
--- a/fireflyferry/entry/request_path.py
+++ b/fireflyferry/entry/request_path.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
 
 from fireflyferry.edges import Clock, Metrics, UpstreamControl
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.entry.first_hop import FirstHop
 from fireflyferry.entry.interfaces import GroupEvents, LocalOwners, Locator, Observer, TablesSource
 from fireflyferry.entry.last_hop import LastHop
@@ -134,6 +135,7 @@
     owners: LocalOwners,
     observer: Observer,
     control: UpstreamControl,
+    signer: PeerSigner,
     limits: RequestLimits | None = None,
 ) -> EntryRequestPath:
     """Build the request path of one VM; must be called with the event loop running."""
@@ -156,7 +158,9 @@
         SeenIds(clock, limits),
     )
     backoff = Backoff(rng, limits.backoff_base_s, limits.backoff_limit_s)
-    remote = RemoteHop(clock, transport, vm_id)
+    remote = RemoteHop(clock, transport, vm_id, signer)
     first_hop = FirstHop(clock, locator, last_hop, remote, limits, backoff, rng, statistics)
-    services = Services(clock, rng, limits, tables, locator, statistics, last_hop, first_hop)
+    services = Services(
+        clock, rng, limits, tables, locator, statistics, last_hop, first_hop, signer
+    )
     return EntryRequestPath(services, transport)
--- a/fireflyferry/entry/services.py
+++ b/fireflyferry/entry/services.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fireflyferry.edges import Clock
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.entry.first_hop import FirstHop
 from fireflyferry.entry.interfaces import Locator, TablesSource
 from fireflyferry.entry.last_hop import LastHop
@@ -28,6 +29,7 @@
     statistics: Statistics
     last_hop: LastHop
     first_hop: FirstHop
+    signer: PeerSigner
     draining: bool = False
     _routes: tuple[Tables, RouteTable] | None = None
 
--- a/fireflyferry/entry/tests/support.py
+++ b/fireflyferry/entry/tests/support.py
@@ -11,6 +11,7 @@
 from tornado.testing import bind_unused_port
 
 from fireflyferry.edges import Clock, Metrics, UpstreamControl
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.entry.interfaces import (
     LocalOwners,
     Location,
@@ -27,6 +28,7 @@
 from fireflyferry.telemetry import Reason
 
 VMS = 3
+SECRETS = (b"current-secret-00", b"previous-secret-0")
 GROUP = GroupId("janela", "natal-1", 0)
 POOL = Pool("janela", ("natal-1",), buckets=64, tenants={"antenna": 1, "fishing": 1})
 TABLES = Tables(
@@ -153,6 +155,7 @@
             observer=NoObserver(),
             control=control,
             limits=limits or RequestLimits(),
+            signer=PeerSigner(SECRETS, clock),
         )
         # Ids that are issued during the test are then later than the horizon and the skew.
         clock.wall_shift_s = -10.0
