--- /dev/null
+++ b/fireflyferry/operators/tests/test_peers.py
@@ -0,0 +1,77 @@
+"""Guards against calls of the operator program that the real peer port does not accept."""
+
+import types
+
+import pytest
+import tornado.httpserver
+import tornado.testing
+
+from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.edges.http_client import HttpCaller
+from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.edges.system_clock import SystemClock
+from fireflyferry.entry.peer_server import PeerServices, make_peer_router
+from fireflyferry.messages import VmIncarnation
+from fireflyferry.messages.control import (
+    AssignReply,
+    AssignRequest,
+    DrainReply,
+    DrainRequest,
+    VmStatus,
+)
+from fireflyferry.operators.peers import HttpPeerControl
+
+ME = VmIncarnation("vm-1", "1")
+STATUS = VmStatus(ME, "natal-1", 3)
+ASSIGN = AssignRequest("janela", "b:1", "up-1", "ana")
+DRAIN = DrainRequest("up-1", "ana")
+
+
+class PeerControlTest(tornado.testing.AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.requests = []
+        calls = types.SimpleNamespace(assign=self.assign, drain=self.drain)
+        control = types.SimpleNamespace(me=ME, operator_calls=calls)
+        signer = PeerSigner((b"new-secret", b"old-secret"), SystemClock())
+        services = PeerServices(control, None, lambda: STATUS, signer, self.fail)
+        server = tornado.httpserver.HTTPServer(make_peer_router(services, None))
+        sock, port = tornado.testing.bind_unused_port()
+        server.add_socket(sock)
+        self.address = f"127.0.0.1:{port}"
+
+    async def assign(self, request):
+        self.requests.append(request)
+        return AssignReply(True, durability="store")
+
+    def drain(self, request):
+        self.requests.append(request)
+        return DrainReply(True, units=2)
+
+    def peers(self, secret):
+        caller = HttpCaller("ctl", connect_timeout_s=30.0, timeout_s=30.0)
+        self.addCleanup(caller.close)
+        return HttpPeerControl(caller, PeerSigner((secret,), SystemClock()))
+
+    @tornado.testing.gen_test(timeout=60)
+    async def test_calls_with_either_secret_are_carried_out(self):
+        """Guards against a scheme or a signed text that differs from the peer port's."""
+        for secret in (b"new-secret", b"old-secret"):
+            peers = self.peers(secret)
+            assert await peers.status(self.address) == STATUS
+            assert await peers.assign(self.address, ASSIGN) == AssignReply(True, durability="store")
+            assert await peers.drain(self.address, DRAIN) == DrainReply(True, units=2)
+        assert self.requests == [ASSIGN, DRAIN] * 2
+
+    @tornado.testing.gen_test(timeout=60)
+    async def test_calls_with_a_foreign_secret_are_refused(self):
+        """Guards against operators' calls that anyone on the network can make."""
+        peers = self.peers(b"foreign-secret")
+        for call in (
+            peers.status(self.address),
+            peers.assign(self.address, ASSIGN),
+            peers.drain(self.address, DRAIN),
+        ):
+            with pytest.raises(PeerUnavailableError, match="status 401"):
+                await call
+        assert self.requests == []
