Apply [limits] of the settings to the request path

The section was checked and then ignored. max_body_bytes now bounds bodies besides the limit of the route; max_header_bytes is refused with the new reason header_too_large (431); streaming_window_bytes sets the window of streamed bodies; queue_length bounds what waits in all queues of the VM.

Tornado closes the connection without an answer when a head exceeds max_header_size, so the servers read up to 8 times the limit. This also leaves room for the headers that a forward adds, which could make a head that the first hop accepted too long for the last hop. Bodies received whole are bounded by the window, since they would wait for a reader above it.

Also fixes a stated body length above the limit of the route: when the body exceeded the limit in the chunk that came with the head, the connection could be closed before the 413 was sent.

--- a/fireflyferry/entry/headers.py
+++ b/fireflyferry/entry/headers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 __all__ = [
     "ATTEMPT",
@@ -25,6 +25,7 @@
     "answer_headers",
     "end_to_end",
     "find",
+    "head_bytes",
     "request_headers",
 ]
 
@@ -92,6 +93,12 @@
     return end_to_end(headers)
 
 
+def head_bytes(line: RequestStartLine, headers: HTTPHeaders) -> int:
+    """Return the length of a request's head, with line ends and separators."""
+    fields = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+    return len(line.method) + len(line.path) + len(line.version) + 6 + fields
+
+
 def find(headers: HeaderList, name: str) -> str | None:
     """Return the first value of a header."""
     lower = name.lower()
--- a/fireflyferry/entry/limits.py
+++ b/fireflyferry/entry/limits.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-__all__ = ["RequestLimits"]
+from fireflyferry.settings.model import LimitSettings
+
+__all__ = ["RequestLimits", "limits_from_settings"]
 
 
 @attrs.frozen
@@ -13,7 +15,9 @@
     kept for retries; longer bodies are streamed, with at most `body_window_bytes` unsent.
     `cancel_wait_s` is the time limit of one cancellation, and `cancel_hold_s` how long after the
     deadline a slot stays taken for an upstream that confirms none. `drain_quiet_s` is how long no
-    request must have been in flight before a drain ends.
+    request must have been in flight before a drain ends. `max_body_bytes` and `max_header_bytes`
+    bound what callers send, besides the limits of routes, and `queue_length` what waits for slots
+    of all upstreams.
     """
 
     buffered_body_bytes: int = 65_536
@@ -32,3 +36,29 @@
     id_skew_s: float = 2.0
     small_answer_bytes: int = 2_048
     drain_quiet_s: float = 0.3
+    max_body_bytes: int = 1 << 30
+    max_header_bytes: int = 65_536
+    queue_length: int = 4096
+
+    @property
+    def read_header_bytes(self) -> int:
+        """Longest head that the servers read.
+
+        Tornado closes the connection without an answer above it, so it exceeds the limit that is
+        refused with a reason. A forwarded head also repeats the tenant and, percent-encoded in up
+        to three times their length, the key and the unit.
+        """
+        return 8 * self.max_header_bytes + 4096
+
+
+def limits_from_settings(settings: LimitSettings) -> RequestLimits:
+    """Return the limits for the `[limits]` section of the settings."""
+    window_bytes = settings.streaming_window_bytes
+    return RequestLimits(
+        # A body that is received whole must fit the window, or it would wait for a reader.
+        buffered_body_bytes=min(RequestLimits().buffered_body_bytes, window_bytes),
+        body_window_bytes=window_bytes,
+        max_body_bytes=settings.max_body_bytes,
+        max_header_bytes=settings.max_header_bytes,
+        queue_length=settings.queue_length,
+    )
--- a/fireflyferry/entry/main.py
+++ b/fireflyferry/entry/main.py
@@ -24,9 +24,10 @@
 from fireflyferry.edges.system_clock import SystemClock
 from fireflyferry.entry.control import Control
 from fireflyferry.entry.feed import Feed
+from fireflyferry.entry.limits import limits_from_settings
 from fireflyferry.entry.owner_view import OwnerView
 from fireflyferry.entry.peer_server import PeerServices, make_peer_router
-from fireflyferry.entry.request_path import EntryRequestPath, make_request_path
+from fireflyferry.entry.request_path import make_request_path
 from fireflyferry.entry.state import VmState
 from fireflyferry.entry.upstream_table import UpstreamTable
 from fireflyferry.errors import FireflyferryError
@@ -99,6 +100,7 @@
             observer=view,
             control=upstream_control,
             signer=self._signer,
+            limits=limits_from_settings(settings.limits),
         )
         self._control.attach(self._requests)
         self._stop = asyncio.Event()
@@ -156,7 +158,7 @@
     def _serve(
         self, public: socket.socket, peer: socket.socket, services: PeerServices
     ) -> list[tornado.httpserver.HTTPServer]:
-        options = EntryRequestPath.server_options()
+        options = self._requests.server_options()
         public_server = tornado.httpserver.HTTPServer(self._requests.public_delegate, **options)
         public_server.add_socket(public)
         router = make_peer_router(services, self._requests.peer_delegate)
--- a/fireflyferry/entry/public.py
+++ b/fireflyferry/entry/public.py
@@ -91,6 +91,8 @@
             self.refuse(verdict)
 
     def _resolve(self, now_s: float) -> Call:
+        if names.head_bytes(self._line, self._headers) > self._limits.max_header_bytes:
+            raise _Refused(Reason.HEADER_TOO_LARGE)
         routes = self._services.routes()
         if routes is None:
             raise _Refused(Reason.NO_TABLES)
@@ -99,9 +101,11 @@
         route = routes.match(path)
         if route is None:
             raise _Refused(Reason.UNKNOWN_ROUTE)
-        self._max_body_bytes = route.max_body_bytes
-        if int(self._headers.get("Content-Length", "0")) > route.max_body_bytes:
+        max_body_bytes = min(route.max_body_bytes, self._limits.max_body_bytes)
+        if int(self._headers.get("Content-Length", "0")) > max_body_bytes:
+            # The limit is not set, since a body above it would close the connection unanswered.
             raise _Refused(Reason.BODY_TOO_LARGE)
+        self._max_body_bytes = max_body_bytes
         key = extract_key(route, path, query, self._headers)
         if key is None:
             raise _Refused(Reason.MISSING_KEY)
--- a/fireflyferry/entry/request_path.py
+++ b/fireflyferry/entry/request_path.py
@@ -62,10 +62,13 @@
         self.public_delegate = _ConnectionDelegate(PublicExchange, services)
         self.peer_delegate = _ConnectionDelegate(PeerExchange, services)
 
-    @staticmethod
-    def server_options() -> dict[str, Any]:
-        """Return the arguments for both HTTP servers; each route bounds bodies itself."""
-        return {"max_body_size": 1 << 50, "chunk_size": 65_536, "max_header_size": 65_536}
+    def server_options(self) -> dict[str, Any]:
+        """Return the arguments for both HTTP servers; bodies are bounded for each request."""
+        return {
+            "max_body_size": 1 << 50,
+            "chunk_size": 65_536,
+            "max_header_size": self._services.limits.read_header_bytes,
+        }
 
     def group_gained(self, group: GroupId, term: int) -> None:
         """Start an empty request-id table for a group."""
@@ -154,7 +157,7 @@
         transport,
         limits,
         vm_id,
-        SlotGate(clock),
+        SlotGate(clock, limits.queue_length),
         SeenIds(clock, limits),
     )
     backoff = Backoff(rng, limits.backoff_base_s, limits.backoff_limit_s)
--- a/fireflyferry/entry/slots.py
+++ b/fireflyferry/entry/slots.py
@@ -27,10 +27,15 @@
 
 
 class SlotGate:
-    """The queues of all upstreams that this VM forwards to."""
+    """The queues of all upstreams that this VM forwards to.
 
-    def __init__(self, clock: Clock):
+    `max_waiting` bounds what waits in all of them together.
+    """
+
+    def __init__(self, clock: Clock, max_waiting: int):
         self._clock = clock
+        self._max_waiting = max_waiting
+        self._waiting = 0
         self._queues: dict[str, UpstreamQueue] = {}
 
     def states(self) -> tuple[QueueState, ...]:
@@ -54,16 +59,21 @@
             return None
         if isinstance(answer, Refuse):
             return answer.reason
+        if self._waiting >= self._max_waiting:
+            queue.cancel(work)
+            return Reason.QUEUE_FULL
         loop = asyncio.get_running_loop()
         work.outcome = loop.create_future()
         wait_s = min(limits.wait_s, deadline_s - work.queued_s)
         timer = loop.call_later(wait_s + 0.001, self._expire, upstream_id, work)
+        self._waiting += 1
         try:
             return await work.outcome
         except asyncio.CancelledError:
             self._forget(upstream_id, queue, work)
             raise
         finally:
+            self._waiting -= 1
             timer.cancel()
 
     def release(self, upstream_id: str, service_s: float | None = None) -> None:
--- a/fireflyferry/entry/tests/test_cleanup.py
+++ b/fireflyferry/entry/tests/test_cleanup.py
@@ -58,7 +58,7 @@
     """Guards against callers that wait for an upstream that will not return."""
 
     async def run():
-        gate = SlotGate(SystemClock())
+        gate = SlotGate(SystemClock(), 100)
         deadline_s = SystemClock().monotonic_s() + 5
         assert await gate.acquire("up", 1, QueueLimits(), "a", deadline_s) is None
         waiting = asyncio.ensure_future(gate.acquire("up", 1, QueueLimits(), "a", deadline_s))
@@ -75,7 +75,7 @@
     """Guards against a slot that is handed to a waiter which is cancelled at that moment."""
 
     async def run():
-        gate = SlotGate(SystemClock())
+        gate = SlotGate(SystemClock(), 100)
         deadline_s = SystemClock().monotonic_s() + 5
         limits = QueueLimits()
         assert await gate.acquire("up", 1, limits, "a", deadline_s) is None
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -21,6 +21,7 @@
     UNKNOWN_ROUTE = "unknown_route"
     MISSING_KEY = "missing_key"
     BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LARGE = "header_too_large"
     BAD_REQUEST_ID = "bad_request_id"
     BAD_TIMEOUT = "bad_timeout"
     NOT_AUTHENTICATED = "not_authenticated"
@@ -69,6 +70,7 @@
     Reason.UNKNOWN_ROUTE: _refusal(404),
     Reason.MISSING_KEY: _refusal(400),
     Reason.BODY_TOO_LARGE: _refusal(413),
+    Reason.HEADER_TOO_LARGE: _refusal(431),
     Reason.BAD_REQUEST_ID: _refusal(400),
     Reason.BAD_TIMEOUT: _refusal(400),
     Reason.NOT_AUTHENTICATED: _refusal(401),
