--- a/fireflyferry/entry/request_path.py
+++ b/fireflyferry/entry/request_path.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
 
 from fireflyferry.edges import Clock, Metrics, UpstreamControl
+from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.entry.first_hop import FirstHop
 from fireflyferry.entry.interfaces import GroupEvents, LocalOwners, Locator, Observer, TablesSource
 from fireflyferry.entry.last_hop import LastHop
@@ -61,10 +62,13 @@
         self.public_delegate = _ConnectionDelegate(PublicExchange, services)
         self.peer_delegate = _ConnectionDelegate(PeerExchange, services)
 
-    @staticmethod
-    def server_options() -> dict[str, Any]:
-        """Return the arguments for both HTTP servers; each route bounds bodies itself."""
-        return {"max_body_size": 1 << 50, "chunk_size": 65_536, "max_header_size": 65_536}
+    def server_options(self) -> dict[str, Any]:
+        """Return the arguments for both HTTP servers; bodies are bounded for each request."""
+        return {
+            "max_body_size": 1 << 50,
+            "chunk_size": 65_536,
+            "max_header_size": self._services.limits.read_header_bytes,
+        }
 
     def group_gained(self, group: GroupId, term: int) -> None:
         """Start an empty request-id table for a group."""
@@ -134,6 +138,7 @@
     owners: LocalOwners,
     observer: Observer,
     control: UpstreamControl,
+    signer: PeerSigner,
     limits: RequestLimits | None = None,
 ) -> EntryRequestPath:
     """Build the request path of one VM; must be called with the event loop running."""
@@ -152,11 +157,13 @@
         transport,
         limits,
         vm_id,
-        SlotGate(clock),
+        SlotGate(clock, limits.queue_length),
         SeenIds(clock, limits),
     )
     backoff = Backoff(rng, limits.backoff_base_s, limits.backoff_limit_s)
-    remote = RemoteHop(clock, transport, vm_id)
+    remote = RemoteHop(clock, transport, vm_id, signer)
     first_hop = FirstHop(clock, locator, last_hop, remote, limits, backoff, rng, statistics)
-    services = Services(clock, rng, limits, tables, locator, statistics, last_hop, first_hop)
+    services = Services(
+        clock, rng, limits, tables, locator, statistics, last_hop, first_hop, signer
+    )
     return EntryRequestPath(services, transport)
