--- /dev/null
+++ b/fireflyferry/entry/tests/test_feed.py
@@ -0,0 +1,125 @@
+"""Guards against VMs that miss a change, or learn nothing while a relay or the store is away."""
+
+import asyncio
+
+import pytest
+
+from fireflyferry.edges import PeerLink, StoredObject
+from fireflyferry.edges.base import PeerUnavailableError
+from fireflyferry.entry import feed as feed_module
+from fireflyferry.entry.feed import WATCHED_PREFIXES, Feed
+from fireflyferry.entry.state import VmState
+from fireflyferry.entry.tests.fakes import FakeStore, FakeVmList, ManualClock, entry_vm
+from fireflyferry.membership import Mirror, VmTable, relay_order
+from fireflyferry.messages import VmIncarnation, encode
+from fireflyferry.tables import TABLES_NAME, Pool, Tables
+
+LIMIT_S = 5.0
+ENTRIES = tuple(entry_vm(f"e-{n}", "natal-1") for n in range(4))
+TABLES = encode(Tables(3, (), (Pool("janela", ("natal-1",)),)))
+
+
+def listed():
+    table = VmTable()
+    table.update(0.0, ENTRIES)
+    return relay_order(table, "natal-1")
+
+
+class MirrorPeers(PeerLink):
+    """Peers that only pass on a mirror each."""
+
+    def __init__(self, mirrors):
+        self.mirrors = mirrors
+        self.asked = []
+
+    async def identity(self, address):
+        raise PeerUnavailableError(address)
+
+    async def heartbeat(self, address, heartbeats):
+        raise PeerUnavailableError(address)
+
+    async def feed(self, address, since, revision, vm_id, timeout_s):
+        await asyncio.sleep(0.001)
+        self.asked.append((address, since))
+        if address not in self.mirrors:
+            raise PeerUnavailableError(address)
+        return self.mirrors[address].changes_since(since)
+
+
+@pytest.fixture(autouse=True)
+def short_retries(monkeypatch):
+    monkeypatch.setattr(feed_module, "RETRY_S", 0.01)
+
+
+def make_feed(vm_id, store, peers, entries=ENTRIES, seeds=()):
+    clock = ManualClock()
+    state = VmState(VmIncarnation(vm_id, "i1"), "natal", "natal-1", clock, seeds)
+    if entries:
+        state.apply((state.vm_list_object(1, entries),))
+    return state, Feed(state, clock, store, FakeVmList(entries), peers)
+
+
+async def run_until(feed, condition):
+    task = asyncio.ensure_future(feed.run())
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+    finally:
+        task.cancel()
+
+
+@pytest.mark.parametrize("changed", WATCHED_PREFIXES)
+@pytest.mark.parametrize("during", WATCHED_PREFIXES)
+def test_relay_misses_no_change_made_while_it_lists(changed, during):
+    store = FakeStore()
+    name = changed if changed == TABLES_NAME else f"{changed}x"
+
+    def change(prefix):
+        if prefix == during and store.table.get(name) is None:
+            store.table.put(name, TABLES, 0)
+
+    store.on_list = change
+    state, feed = make_feed(listed()[0].vm_id, store, MirrorPeers({}))
+    assert feed.role == "relay"
+    asyncio.run(run_until(feed, lambda: state.mirror.get(name) is not None))
+
+
+def test_follower_passes_to_the_next_relay_and_starts_at_its_first_position():
+    first, second, *_, follower = (vm.vm_id for vm in listed())
+    mirrors = {first: Mirror(), second: Mirror()}
+    for number in range(1, 4):
+        mirrors[first].apply((StoredObject(f"config/lost/{number}", number, None),))
+    mirrors[second].apply((StoredObject(TABLES_NAME, 9, TABLES),))
+    peers = MirrorPeers(mirrors)
+    store = FakeStore()
+    store.away = True
+    state, feed = make_feed(follower, store, peers)
+
+    async def scenario():
+        await run_until(feed, lambda: (first, 3) in peers.asked)
+        del mirrors[first]
+        await run_until(feed, lambda: state.revision == 3)
+
+    asyncio.run(scenario())
+    assert feed.role == "follower"
+    assert feed.source == second
+    assert next(since for address, since in peers.asked if address == second) == 0
+
+
+def test_follower_asks_the_store_when_both_relays_fail():
+    store = FakeStore()
+    store.table.put(TABLES_NAME, TABLES, 0)
+    state, feed = make_feed(listed()[-1].vm_id, store, MirrorPeers({}))
+    asyncio.run(run_until(feed, lambda: state.revision == 3))
+
+
+def test_vm_that_starts_while_the_store_is_away_learns_from_a_seed_peer():
+    store = FakeStore()
+    store.away = True
+    mirror = Mirror()
+    mirror.apply((StoredObject(TABLES_NAME, 9, TABLES),))
+    peers = MirrorPeers({"seed-2": mirror})
+    state, feed = make_feed("e-9", store, peers, entries=(), seeds=("seed-1", "seed-2"))
+    asyncio.run(run_until(feed, lambda: state.revision == 3))
+    assert [address for address, _ in peers.asked[:2]] == ["seed-1", "seed-2"]
