--- a/fireflyferry/membership/tests/test_membership.py
+++ b/fireflyferry/membership/tests/test_membership.py
@@ -3,7 +3,7 @@
 import collections
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from fireflyferry.edges import StoredObject
@@ -56,6 +56,8 @@
     assert {name: mirror.get(name).version for name in newest} == newest
 
 
+# An object that changes again moves behind those that changed since.
+@example([("a", 1), ("b", 1), ("a", 2)], 2)
 @given(VERSIONS, st.integers(0, 20))
 def test_follower_gets_each_object_that_changed_after_its_position_once(arrivals, seen):
     mirror = Mirror()
