Refuse an assignment to an upstream that the group cannot use

Such an assignment stayed as a pin without effect and was answered not_in_place_yet. It is refused with upstream_not_in_group. An upstream of the sibling data centre is accepted while the group is placed there.

--- a/fireflyferry/entry/operator_calls.py
+++ b/fireflyferry/entry/operator_calls.py
@@ -5,8 +5,10 @@
 
 from fireflyferry.edges import Clock
 from fireflyferry.entry.group_runtime import GroupRuntime
+from fireflyferry.entry.placing import Placing
 from fireflyferry.entry.state import VmState
 from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.membership.vm_table import UPSTREAM
 from fireflyferry.messages import GroupId
 from fireflyferry.messages.control import (
     AssignReply,
@@ -40,6 +42,7 @@
         self._clock = clock
         self._upstreams = upstreams
         self._runtimes = runtimes
+        self._placing = Placing(state, upstreams)
 
     def groups(self) -> tuple[GroupStatus, ...]:
         """Describe the groups that this VM leads."""
@@ -53,9 +56,11 @@
         runtime, reply = self._find(request, now_s)
         if runtime is None:
             return reply
-        row = self._upstreams.get(request.upstream_id)
-        if row is None or row.entry.pool != request.pool:
+        entry = self._state.vm_table.get(request.upstream_id)
+        if entry is None or entry.role != UPSTREAM or entry.pool != request.pool:
             return AssignReply(False, "unknown_upstream", group=str(runtime.group))
+        if not self._placing.may_own(now_s, runtime, request.upstream_id):
+            return AssignReply(False, "upstream_not_in_group", group=str(runtime.group))
         runtime.pins[request.unit] = request.upstream_id
         unit = parse_unit(request.unit)
         if unit.key is not None:
--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -51,6 +51,13 @@
         groups = pool.groups_per_data_centre if pool else 1
         return group_upstreams(self._state.vm_table, group, groups, data_centre)
 
+    def may_own(self, now_s: float, runtime: GroupRuntime, upstream_id: str) -> bool:
+        """Tell whether a group may use an upstream: one at home, or a usable one of the sibling."""
+        home = self._listed(runtime.group, runtime.group.data_centre)
+        if any(entry.vm_id == upstream_id for entry in home):
+            return True
+        return any(load.upstream_id == upstream_id for load in self._usable(now_s, runtime))
+
     def run(self, now_s: float, runtime: GroupRuntime) -> None:
         """Update the desired owners of a group if it is time to."""
         if now_s < runtime.next_placement_s:
--- /dev/null
+++ b/fireflyferry/entry/tests/test_group_settings.py
@@ -0,0 +1,90 @@
+"""Guards against assignments that never take effect."""
+
+import asyncio
+
+import attrs
+
+from fireflyferry.entry.tests.fakes import GROUP, World, entry_vm, upstream
+from fireflyferry.messages import GroupId
+from fireflyferry.messages.control import AssignRequest
+from fireflyferry.tables import Pool
+
+ENTRIES = (
+    entry_vm("e-1", "natal-1"),
+    entry_vm("e-2", "natal-2"),
+    *(upstream(f"u-{n}", "natal-1") for n in range(6)),
+    upstream("u-sibling", "natal-2"),
+    upstream("u-other-pool", "natal-1", "reserva"),
+    attrs.evolve(upstream("u-far", "recife-1"), region="recife"),
+)
+TWO_GROUPS = Pool("janela", ("natal-1",), buckets=8, groups_per_data_centre=2)
+
+
+async def settled(pool=TWO_GROUPS):
+    world = World(ENTRIES, pool)
+    await world.run_until(
+        lambda: world.leaders(GROUP)
+        and world.owners(GROUP)
+        and world.runtime(GROUP).authority.record.standby,
+        10,
+    )
+    await world.run(2)
+    return world
+
+
+async def assign(world, upstream_id):
+    leader = world.vms[world.leaders(GROUP)[0]]
+    placement = leader.state.placements["janela"]
+    unit = f"b:{placement.buckets_of(GROUP)[0]}"
+    request = AssignRequest("janela", unit, upstream_id)
+    task = asyncio.ensure_future(leader.control.operator_calls.assign(request))
+    while not task.done():
+        await world.run(0.05)
+        await asyncio.sleep(0.002)
+    return unit, task.result()
+
+
+def ids_of(world, index):
+    rows = world.runtime(GroupId("janela", "natal-1", index)).assigned
+    return sorted(set(rows.values()))
+
+
+def test_assignment_to_an_upstream_that_the_group_cannot_use_is_refused():
+    async def scenario():
+        world = await settled()
+        wrong = {
+            ids_of(world, 1)[0]: "upstream_not_in_group",
+            "u-far": "upstream_not_in_group",
+            "u-sibling": "upstream_not_in_group",
+            "u-other-pool": "unknown_upstream",
+            "u-none": "unknown_upstream",
+        }
+        for upstream_id, reason in wrong.items():
+            _, reply = await assign(world, upstream_id)
+            assert (upstream_id, reply.accepted, reply.reason) == (upstream_id, False, reason)
+            assert world.runtime(GROUP).pins == {}
+
+    asyncio.run(scenario())
+
+
+def test_assignment_to_an_upstream_of_the_group_is_put_in_place():
+    async def scenario():
+        world = await settled()
+        for upstream_id in ids_of(world, 0):
+            unit, reply = await assign(world, upstream_id)
+            assert reply.accepted
+            assert world.owners(GROUP)[unit] == upstream_id
+
+    asyncio.run(scenario())
+
+
+def test_assignment_to_the_sibling_data_centre_is_accepted_while_no_upstream_at_home_answers():
+    async def scenario():
+        world = await settled(attrs.evolve(TWO_GROUPS, groups_per_data_centre=1))
+        world.upstreams.lost.update(f"u-{n}" for n in range(6))
+        await world.run(5)
+        unit, reply = await assign(world, "u-sibling")
+        assert reply.accepted
+        assert world.owners(GROUP)[unit] == "u-sibling"
+
+    asyncio.run(scenario())
