--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -51,6 +51,7 @@
         self._timing = timing
         self._tasks = tasks
         self._next_s = 0.0
+        self._applied_revision = 0
         self._identities: dict[str, tuple[float, VmIncarnation]] = {}
         self._asking: set[str] = set()
         self._placing: set[str] = set()
@@ -58,6 +59,8 @@
     def run(self, now_s: float, runtimes: dict[GroupId, GroupRuntime], leaving: bool) -> None:
         """Update the roles of this VM if it is time to."""
         tables = self._state.current()
+        if self._state.revision != self._applied_revision:
+            self._apply_takeover(runtimes)
         if now_s < self._next_s or tables is None or not self._state.vm_table.entries:
             return
         self._next_s = now_s + ROLES_INTERVAL_S
@@ -82,13 +85,21 @@
         """Return the row of a group, with a new one if this VM did not take part in it."""
         runtime = runtimes.get(group)
         if runtime is None:
-            tables = self._state.current()
-            pool = tables.pool(group.pool) if tables else None
-            hold = pool is not None and pool.takeover == "hold"
-            runtime = make_group_runtime(group, self._state.me, self._timing, hold)
+            runtime = make_group_runtime(group, self._state.me, self._timing, self._holds(group))
             runtimes[group] = runtime
         return runtime
 
+    def _apply_takeover(self, runtimes: dict[GroupId, GroupRuntime]) -> None:
+        """Apply the `takeover` of new tables to the groups of this VM."""
+        self._applied_revision = self._state.revision
+        for group, runtime in runtimes.items():
+            runtime.authority.set_hold(self._holds(group))
+
+    def _holds(self, group: GroupId) -> bool:
+        tables = self._state.current()
+        pool = tables.pool(group.pool) if tables else None
+        return pool is not None and pool.takeover == "hold"
+
     # One group
 
     def _update(
--- a/fireflyferry/entry/tests/test_group_settings.py
+++ b/fireflyferry/entry/tests/test_group_settings.py
@@ -1,8 +1,9 @@
-"""Guards against assignments that never take effect."""
+"""Guards against takeover settings that come too late, and assignments that never take effect."""
 
 import asyncio
 
 import attrs
+import pytest
 
 from fireflyferry.entry.tests.fakes import GROUP, World, entry_vm, upstream
 from fireflyferry.messages import GroupId
@@ -32,6 +33,20 @@
     return world
 
 
+@pytest.mark.parametrize(("before", "after"), [("auto", "hold"), ("hold", "auto")])
+def test_changed_takeover_applies_to_groups_that_a_vm_already_takes_part_in(before, after):
+    async def scenario():
+        pool = attrs.evolve(TWO_GROUPS, takeover=before)
+        world = await settled(pool)
+        world.write_tables(2, attrs.evolve(pool, takeover=after))
+        await world.run(0.05)
+        world.stop(*world.leaders(GROUP))
+        await world.run(6)
+        assert bool(world.leaders(GROUP)) == (after == "auto")
+
+    asyncio.run(scenario())
+
+
 async def assign(world, upstream_id):
     leader = world.vms[world.leaders(GROUP)[0]]
     placement = leader.state.placements["janela"]
--- a/fireflyferry/leases/authority.py
+++ b/fireflyferry/leases/authority.py
@@ -53,6 +53,10 @@
         self._next_read_s = NEVER
         self._read_retry_s = self._first_retry_s
 
+    def set_hold(self, hold: bool) -> None:
+        """Change whether a lost leader is replaced only on an operator's word."""
+        self._hold = hold
+
     @property
     def record(self) -> GroupRecord | None:
         """The newest known record; None if unread or absent."""
