Count forwards to upstreams that check nothing until they have ended

Nothing called GrantBook.begin_forward and end_forward, so a unit could move to another upstream while a request to its earlier owner was still on its way. The last hop now counts a request in the owner check right before it is sent, and ends the count when the request was answered or not run, when the upstream confirmed the cancellation, or when the upstream is gone. After an unknown outcome the slot is still freed after cancel_hold_s, but the cancellation is repeated and the count kept for upstreams that check nothing. A clean-up that fails confirms nothing.

In test_forwards.py, the tests of the count fail with the earlier last hop and with an owner view that only reads the owner; the tests of refused, failed and gone forwards fail without the code that they guard.

--- a/fireflyferry/entry/bench_roles.py
+++ b/fireflyferry/entry/bench_roles.py
@@ -65,6 +65,12 @@
         address = self._upstreams[number]
         return UpstreamTarget(address, address, 1 << 32, 1, self._slots, "none")
 
+    def begin_forward(self, now_s, group, unit, key):
+        return self.owner(now_s, group, unit)
+
+    def end_forward(self, group, upstream_id, unit, key):
+        pass
+
     def may_forward(self, now_s, group):
         return True
 
--- a/fireflyferry/entry/interfaces.py
+++ b/fireflyferry/entry/interfaces.py
@@ -70,6 +70,22 @@
         unit that is not one of the group's, so that the first hop locates the key again.
         """
 
+    @abc.abstractmethod
+    def begin_forward(
+        self, now_s: float, group: GroupId, unit: str, key: str
+    ) -> UpstreamTarget | Reason:
+        """Return the owner as `owner` does, and count a request on its way to it.
+
+        A unit is not released by an upstream that checks nothing while a request is counted.
+        """
+
+    @abc.abstractmethod
+    def end_forward(self, group: GroupId, upstream_id: str, unit: str, key: str) -> None:
+        """End a request that was answered, not run or acknowledged as cancelled.
+
+        Also ends a request to an upstream that is gone.
+        """
+
     @abc.abstractmethod
     def may_forward(self, now_s: float, group: GroupId) -> bool:
         """Tell whether authority over the group holds at `now_s`."""
--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -40,6 +40,17 @@
     return Verdict(Outcome.NOT_RUN, reason)
 
 
+@attrs.define(eq=False)
+class _Cleanup:
+    """A request with an unknown outcome whose cancellation is not confirmed yet."""
+
+    call: Call
+    location: Location
+    target: UpstreamTarget
+    until_s: float
+    slot_taken: bool = True
+
+
 @attrs.define(eq=False)
 class LastHop:
     """Forwards requests for the groups that this VM leads."""
@@ -56,6 +67,7 @@
     _in_flight: dict[tuple[str, str], int] = attrs.field(factory=dict)
     _queue_limits: dict[str, tuple[Pool, QueueLimits]] = attrs.field(factory=dict)
     _cleanups: dict[asyncio.Task[None], str] = attrs.field(factory=dict)
+    _gone: set[str] = attrs.field(factory=set)
 
     def in_flight(self, upstream_id: str, unit: str) -> int:
         """Count requests for a unit that an upstream may be working on."""
@@ -64,6 +76,7 @@
     def upstream_gone(self, upstream_id: str) -> None:
         """Refuse what waits for an upstream that is gone, and stop cancelling there."""
         self.gate.drop(upstream_id)
+        self._gone.add(upstream_id)
         for task, name in list(self._cleanups.items()):
             if name == upstream_id:
                 task.cancel()
@@ -127,17 +140,34 @@
         )
         if refused is not None:
             return _not_run(refused)
-        # The owner or its fence may have changed while the request waited.
-        now_s = self._clock.monotonic_s()
-        current = self._owners.owner(now_s, location.group, location.unit)
-        if isinstance(current, Reason) or current.upstream_id != upstream_id:
-            self.gate.release(upstream_id)
-            return _not_run(current if isinstance(current, Reason) else Reason.NOT_OWNER)
-        if now_s >= call.deadline_s:
+        current = self._begin_forward(call, location, upstream_id)
+        if isinstance(current, Reason):
             self.gate.release(upstream_id)
-            return _not_run(Reason.DEADLINE_PASSED_IN_QUEUE)
+            return _not_run(current)
         return await self._forward(call, location, current, sink)
 
+    def _begin_forward(
+        self, call: Call, location: Location, upstream_id: str
+    ) -> UpstreamTarget | Reason:
+        """Check the owner again, since it or its fence may have changed while waiting."""
+        now_s = self._clock.monotonic_s()
+        current = self._owners.begin_forward(now_s, location.group, location.unit, call.key)
+        if isinstance(current, Reason):
+            return current
+        refused = None
+        if current.upstream_id != upstream_id:
+            refused = Reason.NOT_OWNER
+        elif now_s >= call.deadline_s:
+            refused = Reason.DEADLINE_PASSED_IN_QUEUE
+        if refused is not None:
+            self._end_forward(call, location, current)
+            return refused
+        self._gone.discard(upstream_id)
+        return current
+
+    def _end_forward(self, call: Call, location: Location, target: UpstreamTarget) -> None:
+        self._owners.end_forward(location.group, target.upstream_id, location.unit, call.key)
+
     async def _forward(
         self, call: Call, location: Location, target: UpstreamTarget, sink: AnswerSink
     ) -> Verdict:
@@ -170,30 +200,47 @@
         if verdict.outcome is not Outcome.UNKNOWN or verdict.reason is Reason.OWNERSHIP_LAPSED:
             answered = verdict.outcome is Outcome.ANSWERED
             self._free(target, location, service_s if answered else None)
+            self._end_forward(call, location, target)
             return
-        task = asyncio.ensure_future(self._cancel(call, target))
+        until_s = max(call.deadline_s, self._clock.monotonic_s()) + self._limits.cancel_hold_s
+        cleanup = _Cleanup(call, location, target, until_s)
+        task = asyncio.ensure_future(self._cancel(cleanup))
         self._cleanups[task] = target.upstream_id
         # A callback also runs for a task that is cancelled before its first step.
-        task.add_done_callback(functools.partial(self._cleaned, location, target))
+        task.add_done_callback(functools.partial(self._cleaned, cleanup))
 
-    def _cleaned(
-        self, location: Location, target: UpstreamTarget, task: asyncio.Task[None]
-    ) -> None:
+    def _cleaned(self, cleanup: _Cleanup, task: asyncio.Task[None]) -> None:
         del self._cleanups[task]
-        self._free(target, location, None)
+        self._free_slot(cleanup)
+        # A clean-up that was stopped for another reason has confirmed nothing.
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            fields = {"upstream": cleanup.target.upstream_id, "error": repr(error)}
+            logger.error("cancellation failed", extra=fields)
+        finished = not task.cancelled() and error is None
+        if finished or cleanup.target.upstream_id in self._gone:
+            self._end_forward(cleanup.call, cleanup.location, cleanup.target)
+
+    def _free_slot(self, cleanup: _Cleanup) -> None:
+        if cleanup.slot_taken:
+            cleanup.slot_taken = False
+            self._free(cleanup.target, cleanup.location, None)
 
-    async def _cancel(self, call: Call, target: UpstreamTarget) -> None:
+    async def _cancel(self, cleanup: _Cleanup) -> None:
         """Stop work that nobody waits for, and only then free its slot.
 
         A frozen upstream confirms nothing and still has the work, so the slot stays taken until
-        it answers, is gone, or `cancel_hold_s` has passed after the deadline.
+        it answers, is gone, or `cancel_hold_s` has passed after the deadline. The request to an
+        upstream that checks nothing may still run after that, so it is cancelled until the
+        upstream confirms or is gone.
         """
-        limits = self._limits
-        until_s = max(call.deadline_s, self._clock.monotonic_s()) + limits.cancel_hold_s
-        while not await self._cancelled(call, target):
-            if self._clock.monotonic_s() >= until_s:
-                break
-            await asyncio.sleep(limits.cancel_pause_s)
+        target = cleanup.target
+        while not await self._cancelled(cleanup.call, target):
+            if self._clock.monotonic_s() >= cleanup.until_s:
+                self._free_slot(cleanup)
+                if target.checks != "none" or target.upstream_id in self._gone:
+                    return
+            await asyncio.sleep(self._limits.cancel_pause_s)
 
     async def _cancelled(self, call: Call, target: UpstreamTarget) -> bool:
         cancel = self._control.cancel(target.address, call.attempt_id)
--- a/fireflyferry/entry/owner_view.py
+++ b/fireflyferry/entry/owner_view.py
@@ -53,13 +53,30 @@
 
     def owner(self, now_s: float, group: GroupId, unit: str) -> UpstreamTarget | Reason:
         """Return the owner of a unit, or say why this VM may not forward to one."""
-        runtime = self._runtimes.get(group)
-        if runtime is None or not runtime.authority.is_leader(now_s):
-            return Reason.NOT_LEADER
-        if not runtime.leads(now_s):
-            return Reason.OWNER_UNAVAILABLE
+        runtime = self._led(now_s, group)
+        if isinstance(runtime, Reason):
+            return runtime
         return self._target(runtime, runtime.book.owner(now_s, unit))
 
+    def begin_forward(
+        self, now_s: float, group: GroupId, unit: str, key: str
+    ) -> UpstreamTarget | Reason:
+        """Return the owner of a unit, and count a request on its way to it."""
+        runtime = self._led(now_s, group)
+        if isinstance(runtime, Reason):
+            return runtime
+        owner = runtime.book.begin_forward(now_s, unit, key)
+        target = self._target(runtime, owner)
+        if isinstance(target, Reason) and isinstance(owner, Owner):
+            runtime.book.end_forward(owner.upstream_id, unit, key)
+        return target
+
+    def end_forward(self, group: GroupId, upstream_id: str, unit: str, key: str) -> None:
+        """End a counted request; this VM may have lost the group in the meantime."""
+        runtime = self._runtimes.get(group)
+        if runtime is not None:
+            runtime.book.end_forward(upstream_id, unit, key)
+
     def may_forward(self, now_s: float, group: GroupId) -> bool:
         """Tell whether authority over the group holds."""
         runtime = self._runtimes.get(group)
@@ -80,6 +97,12 @@
         if outcome is Outcome.ANSWERED:
             self._upstreams.on_service_time(upstream_id, service_s)
 
+    def _led(self, now_s: float, group: GroupId) -> GroupRuntime | Reason:
+        runtime = self._runtimes.get(group)
+        if runtime is None or not runtime.authority.is_leader(now_s):
+            return Reason.NOT_LEADER
+        return runtime if runtime.leads(now_s) else Reason.OWNER_UNAVAILABLE
+
     def _target(self, runtime: GroupRuntime, owner: Owner | Reason) -> UpstreamTarget | Reason:
         if isinstance(owner, Reason):
             return owner
--- a/fireflyferry/entry/tests/support.py
+++ b/fireflyferry/entry/tests/support.py
@@ -1,6 +1,7 @@
 """Three entry VMs and a scripted upstream in one process."""
 
 import asyncio
+import collections
 import contextlib
 import random
 import time
@@ -100,6 +101,7 @@
     paths: list = attrs.field(factory=list)
     controls: list = attrs.field(factory=list)
     servers: list = attrs.field(factory=list)
+    forwards: collections.Counter = attrs.field(factory=collections.Counter)
 
     def current(self):
         return self.tables
@@ -127,6 +129,15 @@
             return self.cluster.owner_of(unit)
         return self.cluster.target
 
+    def begin_forward(self, now_s, group, unit, key):
+        target = self.owner(now_s, group, unit)
+        if isinstance(target, UpstreamTarget):
+            self.cluster.forwards[target.upstream_id, unit, key] += 1
+        return target
+
+    def end_forward(self, group, upstream_id, unit, key):
+        self.cluster.forwards[upstream_id, unit, key] -= 1
+
     def may_forward(self, now_s, group):
         return self.cluster.may_forward and self.cluster.leader == self.me
 
--- /dev/null
+++ b/fireflyferry/entry/tests/test_forwards.py
@@ -0,0 +1,217 @@
+"""Requests on their way to upstreams that check nothing hold back releases."""
+
+import asyncio
+from types import SimpleNamespace
+
+import attrs
+import pytest
+
+from fireflyferry.edges.base import UpstreamUnavailableError
+from fireflyferry.entry.group_runtime import GroupRuntime
+from fireflyferry.entry.limits import RequestLimits
+from fireflyferry.entry.owner_view import OwnerView
+from fireflyferry.entry.tests.support import GROUP, ScriptedUpstream, answer, ask, entry_vms
+from fireflyferry.entry.upstream_table import UpstreamTable
+from fireflyferry.leases import LeaseTiming
+from fireflyferry.messages import GrantReply, Hello, VmEntry
+from fireflyferry.ownership import GrantBook, SaveOwners
+from fireflyferry.telemetry import Reason
+
+UNIT = "b:0"
+KEY = "key"
+CLEANUP = RequestLimits(cancel_wait_s=0.02, cancel_pause_s=0.02, cancel_hold_s=0.1)
+
+
+class _Leader:
+    """A view of one group with two upstreams that check nothing and answer at once."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.leads = True
+        self.upstreams = UpstreamTable()
+        self.book = GrantBook(GROUP, LeaseTiming())
+        self.book.begin_term(0.0, 1, None)
+        authority = SimpleNamespace(
+            is_leader=lambda now_s: self.leads, record=SimpleNamespace(term=1)
+        )
+        runtime = GroupRuntime(GROUP, authority, self.book, None, None, book_term=1)
+        self.view = OwnerView(None, self.upstreams, {GROUP: runtime})
+        for name in ("n0", "n1"):
+            hello = Hello(name, GROUP.pool, 2, 0, "none", "token")
+            entry = VmEntry(name, "upstream", "r", "dc", "127.0.0.1:1", pool=GROUP.pool)
+            self.upstreams.track(entry)
+            self.upstreams.on_hello(0.0, name, hello)
+            self.book.on_hello(0.0, 0.0, hello)
+
+    def place(self, name):
+        self.book.set_desired(self.now_s, {UNIT: name})
+        self.run()
+
+    def run(self):
+        for _ in range(40):
+            self.now_s += 0.05
+            for action in self.book.tick(self.now_s, self.now_s + 1.0):
+                if isinstance(action, SaveOwners):
+                    self.book.on_owners_saved(self.now_s, action.save_id)
+                    continue
+                sent = action.message
+                reply = GrantReply(action.upstream_id, "token", True, 1, sent.set_version)
+                self.book.on_grant_reply(self.now_s, action.upstream_id, self.now_s, reply)
+
+    def begin(self):
+        return self.view.begin_forward(self.now_s, GROUP, UNIT, KEY)
+
+    def owner(self):
+        return self.view.owner(self.now_s, GROUP, UNIT)
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_forward_holds_back_a_release(leads):
+    """Guards against a unit that moves while a request to its earlier owner is on its way."""
+    leader = _Leader()
+    leader.place("n0")
+    assert leader.begin().upstream_id == "n0"
+    leader.place("n1")
+    assert leader.owner() is Reason.OWNER_HELD
+    # The count ends even if the group was lost in the meantime; it may be led again.
+    leader.leads = leads
+    leader.view.end_forward(GROUP, "n0", UNIT, KEY)
+    leader.leads = True
+    leader.run()
+    assert leader.owner().upstream_id == "n1"
+
+
+def test_refused_forward_is_not_counted():
+    """Guards against a unit that never moves because of a request that was not sent."""
+    leader = _Leader()
+    leader.place("n0")
+    leader.upstreams.get("n0").hello = None
+    assert leader.begin() is Reason.OWNER_UNAVAILABLE
+    leader.leads = False
+    assert leader.begin() is Reason.NOT_LEADER
+    leader.leads = True
+    leader.place("n1")
+    assert leader.owner().upstream_id == "n1"
+
+
+def test_last_hop_counts_a_forward_until_it_is_answered():
+    """Guards against a release between the authority check and the answer."""
+
+    async def run():
+        counted = []
+
+        async def script(seen, writer):
+            counted.append(+cluster.forwards)
+            writer.write(answer(seen, b"ok"))
+
+        async with ScriptedUpstream(script) as upstream, entry_vms(upstream.port) as cluster:
+            assert (await ask(cluster.public_ports[0], "/write/key")).status == 200
+            unit = upstream.seen[0].headers["firefly-unit"]
+            assert counted == [{("up-0", unit, "key"): 1}]
+            assert not +cluster.forwards
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("end", ["confirmed", "gone", "checks"])
+def test_last_hop_counts_a_forward_with_an_unknown_outcome(end):
+    """Guards against a unit that moves by elapsed time while its upstream is frozen."""
+
+    async def script(seen, writer):
+        await asyncio.sleep(1)
+
+    async def run():
+        async with (
+            ScriptedUpstream(script) as upstream,
+            entry_vms(upstream.port, limits=CLEANUP) as cluster,
+        ):
+            frozen = True
+
+            async def cancel(address, request_id):
+                if frozen:
+                    raise UpstreamUnavailableError("frozen")
+
+            cluster.controls[0].cancel = cancel
+            checks = "grants" if end == "checks" else "none"
+            cluster.target = attrs.evolve(cluster.target, checks=checks)
+            headers = [("Firefly-Deadline-Ms", "30")]
+            reply = await ask(cluster.public_ports[0], "/write/key", headers=headers)
+            assert reply.reason == "timed_out"
+            unit = upstream.seen[0].headers["firefly-unit"]
+            assert cluster.forwards["up-0", unit, "key"] == 1
+            if end != "checks":
+                await asyncio.sleep(0.4)
+                assert cluster.paths[0].in_flight("up-0", unit) == 0, "the slot is free"
+                assert cluster.forwards["up-0", unit, "key"] == 1
+            if end == "gone":
+                cluster.paths[0].upstream_gone("up-0")
+            frozen = end != "confirmed"
+            async with asyncio.timeout(2):
+                while cluster.forwards["up-0", unit, "key"]:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_upstream_gone_while_its_request_runs():
+    """Guards against cancellations to an upstream that never returns."""
+
+    async def script(seen, writer):
+        await asyncio.sleep(1)
+
+    async def run():
+        async with (
+            ScriptedUpstream(script) as upstream,
+            entry_vms(upstream.port, limits=CLEANUP) as cluster,
+        ):
+
+            async def cancel(address, request_id):
+                raise UpstreamUnavailableError("gone")
+
+            cluster.controls[0].cancel = cancel
+            cluster.target = attrs.evolve(cluster.target, checks="none")
+            headers = [("Firefly-Deadline-Ms", "200")]
+            asking = asyncio.ensure_future(
+                ask(cluster.public_ports[0], "/write/key", headers=headers)
+            )
+            async with asyncio.timeout(2):
+                while not upstream.seen:
+                    await asyncio.sleep(0.01)
+                cluster.paths[0].upstream_gone("up-0")
+                assert (await asking).reason == "timed_out"
+                assert sum(cluster.forwards.values()) == 1
+                while sum(cluster.forwards.values()):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_failed_clean_up_confirms_nothing():
+    """Guards against a fault in the cancel call that passes for a confirmation."""
+
+    async def script(seen, writer):
+        await asyncio.sleep(1)
+
+    async def run():
+        async with (
+            ScriptedUpstream(script) as upstream,
+            entry_vms(upstream.port, limits=CLEANUP) as cluster,
+        ):
+            unhandled = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda loop, context: unhandled.append(context))
+
+            async def cancel(address, request_id):
+                raise ValueError("not an answer")
+
+            cluster.controls[0].cancel = cancel
+            headers = [("Firefly-Deadline-Ms", "30")]
+            reply = await ask(cluster.public_ports[0], "/write/key", headers=headers)
+            assert reply.reason == "timed_out"
+            unit = upstream.seen[0].headers["firefly-unit"]
+            await asyncio.sleep(0.1)
+            assert cluster.paths[0].in_flight("up-0", unit) == 0
+            assert cluster.forwards["up-0", unit, "key"] == 1
+            assert not unhandled
+
+    asyncio.run(run())
