Let units on upstreams without checks move once the earlier leaders have stopped

Nothing called GrantBook.on_earlier_leader_stopped, so after a change of leader these units stayed where they were for ever. Each leader now saves its incarnation with the owners before it forwards anything, next to the earlier leaders that are not known to have stopped. The units move again once each of them has confirmed in a heartbeat reply that it stopped, or has ended by the platform's or an operator's word, or because a later run of its VM answered after the term began. Owners saved without leaders count as saved by an unknown one, which nothing confirms.

--- a/fireflyferry/entry/control.py
+++ b/fireflyferry/entry/control.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import attrs
+
 from fireflyferry.edges import Clock, ObjectStore, PeerLink, StoredObject, UpstreamControl
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.interfaces import GroupEvents
@@ -132,7 +134,10 @@
         now_s = self._clock.monotonic_s()
         if self._leaving:
             runtime.authority.leave(now_s)
-        return runtime.authority.on_heartbeat(now_s, heartbeat)
+        reply = runtime.authority.on_heartbeat(now_s, heartbeat)
+        # An older record would not show that this run's own term is over.
+        known = runtime.term >= heartbeat.term and not runtime.authority.is_leader(now_s)
+        return attrs.evolve(reply, stopped=known and not runtime.book.has_forwards())
 
     def _term_begun(self, runtime: GroupRuntime) -> None:
         if self._events is not None:
@@ -168,6 +173,7 @@
             return
         now_s = self._clock.monotonic_s()
         for incarnation in lost.incarnations:
+            self._roles.declared_lost.add(VmIncarnation(lost.vm_id, incarnation))
             for runtime in self._runtimes.values():
                 runtime.authority.declare_lost(
                     now_s, VmIncarnation(lost.vm_id, incarnation), by_operator=True
--- a/fireflyferry/entry/group_runtime.py
+++ b/fireflyferry/entry/group_runtime.py
@@ -44,6 +44,7 @@
     used: set[str] = attrs.Factory(set)
     assigned: dict[str, str] = attrs.Factory(dict)
     saved: OwnerSet | None = None
+    earlier_leaders: set[VmIncarnation] = attrs.Factory(set)
 
     @property
     def term(self) -> int:
--- a/fireflyferry/entry/lease_system.py
+++ b/fireflyferry/entry/lease_system.py
@@ -11,6 +11,7 @@
     VersionConflictError,
 )
 from fireflyferry.edges.base import EdgeError
+from fireflyferry.entry.earlier_leaders import note_stopped
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.state import GROUPS_PREFIX, VmState
 from fireflyferry.entry.tasks import TaskGroup
@@ -71,6 +72,8 @@
             runtime = runtimes.get(reply.group)
             if runtime is not None:
                 runtime.authority.on_heartbeat_reply(now_s, asked_at_s, reply)
+                if reply.stopped and reply.term == runtime.term:
+                    note_stopped(now_s, runtime, reply.standby)
                 runtime.heard_at_s = now_s if reply.pledge_s > 0 else runtime.heard_at_s
 
     def _start_read(self, runtime: GroupRuntime) -> None:
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -4,14 +4,17 @@
 import logging
 from collections.abc import Callable
 
+import attrs
+
 from fireflyferry.edges import Clock, ObjectStore, UpstreamControl, VersionConflictError
 from fireflyferry.edges.base import EdgeError
+from fireflyferry.entry.earlier_leaders import earlier_leaders, leaders_to_save
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.placing import Placing
 from fireflyferry.entry.state import VmState
 from fireflyferry.entry.tasks import TaskGroup
 from fireflyferry.entry.upstream_table import UpstreamRow, UpstreamTable
-from fireflyferry.messages import OwnerSet, decode, encode
+from fireflyferry.messages import OwnerSet, VmIncarnation, decode, encode
 from fireflyferry.ownership import SaveOwners, SendGrant
 
 __all__ = ["ASSIGNMENTS_PREFIX", "OwnerSystem"]
@@ -63,7 +66,9 @@
                 if isinstance(action, SendGrant):
                     self._tasks.start(self._send_grant(runtime, action, now_s))
                 else:
-                    self._start_saving(runtime, action)
+                    leaders = leaders_to_save(runtime, self._state.me)
+                    owners = attrs.evolve(action.owners, leaders=leaders)
+                    self._start_saving(runtime, attrs.evolve(action, owners=owners))
         self._greet(now_s, led)
 
     def on_upstream_gone(self, upstream_id: str, runtimes: list[GroupRuntime]) -> None:
@@ -91,7 +96,9 @@
             try:
                 stored = await self._store.get(name)
                 known = decode(stored.data, OwnerSet) if stored and stored.data else None
-                owners = self._newest(runtime, known, term)
+                newest = self._newest(runtime, known)
+                earlier = earlier_leaders(newest, self._state.me)
+                owners = self._rewritten(runtime, newest, term, earlier)
                 version = stored.version if stored else 0
                 runtime.assignments_version = await self._store.put(name, encode(owners), version)
             except EdgeError as error:
@@ -100,22 +107,36 @@
                 )
                 await asyncio.sleep(LOAD_RETRY_S)
                 continue
-            self._begin_term(runtime, term, owners)
+            self._begin_term(runtime, term, owners, earlier)
             return
 
     @staticmethod
-    def _newest(runtime: GroupRuntime, stored: OwnerSet | None, term: int) -> OwnerSet:
+    def _newest(runtime: GroupRuntime, stored: OwnerSet | None) -> OwnerSet | None:
         copies = [copy for copy in (stored, runtime.authority.replica) if copy is not None]
-        newest = max(copies, key=lambda copy: (copy.term, copy.sequence), default=None)
-        if newest is None:
-            return OwnerSet(runtime.group, term, 0, {})
-        return OwnerSet(runtime.group, term, 0, newest.owners, newest.releasing, newest.unchecked)
+        return max(copies, key=lambda copy: (copy.term, copy.sequence), default=None)
+
+    def _rewritten(
+        self,
+        runtime: GroupRuntime,
+        newest: OwnerSet | None,
+        term: int,
+        earlier: set[VmIncarnation],
+    ) -> OwnerSet:
+        leaders = tuple(sorted({self._state.me, *earlier}))
+        known = newest or OwnerSet(runtime.group, term, 0, {})
+        return attrs.evolve(known, term=term, sequence=0, leaders=leaders)
 
-    def _begin_term(self, runtime: GroupRuntime, term: int, owners: OwnerSet) -> None:
+    def _begin_term(
+        self, runtime: GroupRuntime, term: int, owners: OwnerSet, earlier: set[VmIncarnation]
+    ) -> None:
         if runtime.term != term:
             return
         now_s = self._clock.monotonic_s()
-        runtime.book.begin_term(now_s, term, owners, runtime.authority.previous_grants_until_s)
+        until_s = runtime.authority.previous_grants_until_s
+        runtime.book.begin_term(now_s, term, owners, until_s, earlier_leader_stopped=not earlier)
+        runtime.earlier_leaders = earlier
+        if not earlier:
+            runtime.book.on_earlier_leader_stopped(now_s)
         runtime.book_term = term
         runtime.led_since_s = now_s
         runtime.assigned = dict(owners.owners)
--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -4,6 +4,7 @@
 
 from fireflyferry.edges import Clock, ObjectStore, PeerLink
 from fireflyferry.edges.base import EdgeError
+from fireflyferry.entry.earlier_leaders import note_stopped
 from fireflyferry.entry.group_runtime import GroupRuntime, make_group_runtime
 from fireflyferry.entry.state import PLACEMENTS_PREFIX, RecordView, VmState
 from fireflyferry.entry.tasks import TaskGroup
@@ -54,6 +55,7 @@
         self._identities: dict[str, tuple[float, VmIncarnation]] = {}
         self._asking: set[str] = set()
         self._placing: set[str] = set()
+        self.declared_lost: set[VmIncarnation] = set()
 
     def run(self, now_s: float, runtimes: dict[GroupId, GroupRuntime], leaving: bool) -> None:
         """Update the roles of this VM if it is time to."""
@@ -117,6 +119,9 @@
         self, now_s: float, runtime: GroupRuntime, preferred: VmEntry | None, leaving: bool
     ) -> None:
         """Keep a standby that answers, and hand the group to its preferred leader."""
+        for named in list(runtime.earlier_leaders):
+            if self._has_ended(now_s, named, runtime.led_since_s):
+                note_stopped(now_s, runtime, named)
         wanted = self._wanted_standby(now_s, runtime, preferred)
         current = runtime.authority.record.standby
         if wanted is not None and (current is None or wanted.vm_id != current.vm_id):
@@ -185,6 +190,21 @@
             if found is not None and found != named:
                 runtime.authority.declare_lost(now_s, named)
 
+    def _has_ended(self, now_s: float, named: VmIncarnation, since_s: float) -> bool:
+        """Tell whether a run has ended, by a word about it or by a later run of its VM.
+
+        An identity that was asked for before `since_s` may be that of an earlier run.
+        """
+        if named in self.declared_lost or self._state.vm_table.is_gone(named.vm_id):
+            return True
+        if named.vm_id == self._state.vm_id:
+            return named != self._state.me
+        entry = self._state.vm_table.get(named.vm_id)
+        found = self._identity(now_s, entry) if entry else None
+        if found is None or found == named:
+            return False
+        return self._identities[named.vm_id][0] >= since_s
+
     # Identities of other VMs
 
     def _identity(self, now_s: float, entry: VmEntry) -> VmIncarnation | None:
--- a/fireflyferry/entry/tests/test_forwards.py
+++ b/fireflyferry/entry/tests/test_forwards.py
@@ -22,20 +22,21 @@
 CLEANUP = RequestLimits(cancel_wait_s=0.02, cancel_pause_s=0.02, cancel_hold_s=0.1)
 
 
-class _Leader:
+class Leader:
     """A view of one group with two upstreams that check nothing and answer at once."""
 
     def __init__(self):
         self.now_s = 0.0
         self.leads = True
+        self.term = 1
         self.upstreams = UpstreamTable()
         self.book = GrantBook(GROUP, LeaseTiming())
         self.book.begin_term(0.0, 1, None)
         authority = SimpleNamespace(
             is_leader=lambda now_s: self.leads, record=SimpleNamespace(term=1)
         )
-        runtime = GroupRuntime(GROUP, authority, self.book, None, None, book_term=1)
-        self.view = OwnerView(None, self.upstreams, {GROUP: runtime})
+        self.runtime = GroupRuntime(GROUP, authority, self.book, None, None, book_term=1)
+        self.view = OwnerView(None, self.upstreams, {GROUP: self.runtime})
         for name in ("n0", "n1"):
             hello = Hello(name, GROUP.pool, 2, 0, "none", "token")
             entry = VmEntry(name, "upstream", "r", "dc", "127.0.0.1:1", pool=GROUP.pool)
@@ -55,7 +56,7 @@
                     self.book.on_owners_saved(self.now_s, action.save_id)
                     continue
                 sent = action.message
-                reply = GrantReply(action.upstream_id, "token", True, 1, sent.set_version)
+                reply = GrantReply(action.upstream_id, "token", True, self.term, sent.set_version)
                 self.book.on_grant_reply(self.now_s, action.upstream_id, self.now_s, reply)
 
     def begin(self):
@@ -68,7 +69,7 @@
 @pytest.mark.parametrize("leads", [True, False])
 def test_forward_holds_back_a_release(leads):
     """Guards against a unit that moves while a request to its earlier owner is on its way."""
-    leader = _Leader()
+    leader = Leader()
     leader.place("n0")
     assert leader.begin().upstream_id == "n0"
     leader.place("n1")
@@ -83,7 +84,7 @@
 
 def test_refused_forward_is_not_counted():
     """Guards against a unit that never moves because of a request that was not sent."""
-    leader = _Leader()
+    leader = Leader()
     leader.place("n0")
     leader.upstreams.get("n0").hello = None
     assert leader.begin() is Reason.OWNER_UNAVAILABLE
--- a/fireflyferry/messages/groups.py
+++ b/fireflyferry/messages/groups.py
@@ -65,7 +65,8 @@
 
     `releasing` lists upstreams besides the owner that may still hold a unit. `unchecked` lists
     upstreams that check neither grants nor fences. A new leader needs both, because an owner is
-    saved before the earlier one has released the unit.
+    saved before the earlier one has released the unit. `leaders` lists the run that saved the
+    owners and earlier leaders that are not known to have stopped.
     """
 
     group: GroupId
@@ -74,6 +75,7 @@
     owners: dict[str, str]
     releasing: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     unchecked: tuple[str, ...] = ()
+    leaders: tuple[VmIncarnation, ...] = ()
 
 
 @attrs.frozen
@@ -89,7 +91,11 @@
 
 @attrs.frozen
 class HeartbeatReply:
-    """The standby's answer; `pledge_s` is 0 when it gives none."""
+    """The standby's answer; `pledge_s` is 0 when it gives none.
+
+    `stopped` says that the standby knows the term's record, does not lead the group and has no
+    forwards of it under way to upstreams that check nothing.
+    """
 
     group: GroupId
     term: int
@@ -98,3 +104,4 @@
     unlimited: bool = False
     owners_term: int = 0
     owners_sequence: int = 0
+    stopped: bool = False
--- a/fireflyferry/ownership/book.py
+++ b/fireflyferry/ownership/book.py
@@ -139,6 +139,10 @@
         """End a forwarded request that was answered or whose cancellation was acknowledged."""
         self._forwards.end(upstream_id, unit, key)
 
+    def has_forwards(self) -> bool:
+        """Return whether forwards to upstreams without checks are under way."""
+        return self._forwards.any_running()
+
     def owner(self, now_s: float, unit: str) -> Owner | Reason:
         """Return the owner that requests may be forwarded to now, or the reason for none."""
         row = self._units.get(unit)
--- a/fireflyferry/ownership/forwards.py
+++ b/fireflyferry/ownership/forwards.py
@@ -25,6 +25,10 @@
             _decrement(self._by_unit, (upstream_id, unit))
             _decrement(self._by_key, (upstream_id, unit, key))
 
+    def any_running(self) -> bool:
+        """Return whether any counted request has not ended."""
+        return bool(self._by_unit)
+
     def is_running(self, upstream_id: str, unit: str, row: UnitRow) -> bool:
         """Return whether requests of a unit may still reach an upstream.
 
