--- a/fireflyferry/entry/tests/test_group_settings.py
+++ b/fireflyferry/entry/tests/test_group_settings.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from fireflyferry.entry.tests.fakes import GROUP, World, entry_vm, upstream
+from fireflyferry.entry.tests.fakes import GROUP, TICK_S, World, entry_vm, upstream
 from fireflyferry.messages import GroupId
 from fireflyferry.messages.control import AssignRequest
 from fireflyferry.tables import Pool
@@ -39,7 +39,7 @@
         pool = attrs.evolve(TWO_GROUPS, takeover=before)
         world = await settled(pool)
         world.write_tables(2, attrs.evolve(pool, takeover=after))
-        await world.run(0.05)
+        await world.run(TICK_S)
         world.stop(*world.leaders(GROUP))
         await world.run(6)
         assert bool(world.leaders(GROUP)) == (after == "auto")
@@ -54,7 +54,7 @@
     request = AssignRequest("janela", unit, upstream_id)
     task = asyncio.ensure_future(leader.control.operator_calls.assign(request))
     while not task.done():
-        await world.run(0.05)
+        await world.run(TICK_S)
         await asyncio.sleep(0.002)
     return unit, task.result()
 
