Replace a silent standby while the preferred one does not answer

Cause: a leader whose preferred standby was unreachable returned before it looked at the standby it had, so a group without pledges stayed on sessions in the store for as long as the cut lasted. The test failed before with 'not reached in 15 s'.

--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -137,12 +137,11 @@
         current = runtime.authority.record.standby
         if wanted is not None and (current is None or wanted.vm_id != current.vm_id):
             found = self._identity(now_s, wanted)
-            if found is not None and found != current:
-                runtime.authority.replace_standby(now_s, found)
-                runtime.heard_at_s = now_s
-            return
-        if current is not None and now_s - runtime.heard_at_s > STANDBY_SILENT_S:
-            self._replace_silent(now_s, runtime, wanted, current)
+            if found is not None:
+                self._name_standby(now_s, runtime, found)
+                return
+        if now_s - runtime.heard_at_s > STANDBY_SILENT_S:
+            self._replace_silent(now_s, runtime, wanted)
             return
         home = preferred is not None and current is not None and preferred.vm_id == current.vm_id
         pledged = now_s - runtime.heard_at_s < self._timing.pledge_s
@@ -164,29 +163,26 @@
         stable = table.listed_for_s(now_s, wanted.vm_id) >= STABLE_LISTED_S
         return wanted if stable or kept is None else kept
 
-    def _replace_silent(
-        self,
-        now_s: float,
-        runtime: GroupRuntime,
-        wanted: VmEntry | None,
-        current: VmIncarnation,
-    ) -> None:
-        """Name another standby, or the new incarnation of the same VM."""
-        table = self._state.vm_table
-        others = sorted(table.entry_vms(), key=lambda vm: vm.region != self._state.region)
-        fallback = [
+    def _replace_silent(self, now_s: float, runtime: GroupRuntime, wanted: VmEntry | None) -> None:
+        """Name another standby of the region, or the new incarnation of the same VM."""
+        current = runtime.authority.record.standby
+        in_region = [
             vm
-            for vm in others
-            if vm.region == self._state.region
-            and vm.vm_id not in (self._state.vm_id, current.vm_id)
+            for vm in self._state.vm_table.entry_vms()
+            if vm.region == self._state.region and vm.vm_id != self._state.vm_id
         ]
-        for entry in [*([wanted] if wanted else []), *fallback]:
+        for entry in [*([wanted] if wanted else []), *in_region]:
             found = self._identity(now_s, entry)
             if found is not None and found != current:
-                runtime.authority.replace_standby(now_s, found)
-                runtime.heard_at_s = now_s
+                self._name_standby(now_s, runtime, found)
                 return
 
+    @staticmethod
+    def _name_standby(now_s: float, runtime: GroupRuntime, found: VmIncarnation) -> None:
+        if found != runtime.authority.record.standby:
+            runtime.authority.replace_standby(now_s, found)
+            runtime.heard_at_s = now_s
+
     def _watch_for_loss(self, now_s: float, runtime: GroupRuntime) -> None:
         """Tell the authority which of the record's VMs are gone by the platform's word."""
         record = runtime.authority.record
--- a/fireflyferry/entry/tests/test_control.py
+++ b/fireflyferry/entry/tests/test_control.py
@@ -141,3 +141,23 @@
         assert world.runtime(GROUP).unsaved is None
 
     run(scenario)
+
+
+def test_silent_standby_is_replaced_while_the_sibling_data_centre_does_not_answer():
+    """Guards against a leader that waits for the preferred standby and keeps none."""
+
+    async def scenario(world):
+        for vm_id in ("e-3", "e-4"):
+            world.stop(vm_id)
+        await world.run_until(
+            lambda: world.leaders(GROUP) and record_of(world).standby.vm_id in {"e-1", "e-2"}, 15
+        )
+        standby = record_of(world).standby
+        await world.run(2)
+        world.stop(standby.vm_id)
+        world.start(standby.vm_id, "i2")
+        await world.run_until(
+            lambda: world.leaders(GROUP) and record_of(world).standby.incarnation == "i2", 15
+        )
+
+    run(scenario)
--- a/fireflyferry/entry/tests/test_earlier_leaders.py
+++ b/fireflyferry/entry/tests/test_earlier_leaders.py
@@ -37,6 +37,7 @@
     leader.book.begin_term(leader.now_s, 2, saved)
     leader.runtime.authority.record = SimpleNamespace(term=2, standby=None)
     leader.runtime.authority.on_heartbeat_reply = lambda *args: None
+    leader.runtime.authority.replace_standby = lambda *args: None
     leader.runtime.book_term = leader.term = 2
     leader.runtime.earlier_leaders = set(earlier)
     leader.place("n1")
