Bound control bodies, hold takeovers until tables are known, and locate waiting requests again

Causes: the peer port read control bodies of any size before it checked the signature; a VM that joined a group by a heartbeat before it had the tables took takeover for auto; a request that waited in the queue while its key was split from its bucket went on under the bucket. Each test failed before (the one about bodies by waiting without an end).

--- a/fireflyferry/entry/owner_view.py
+++ b/fireflyferry/entry/owner_view.py
@@ -12,7 +12,7 @@
 from fireflyferry.entry.upstream_table import UpstreamTable
 from fireflyferry.messages import GroupId
 from fireflyferry.ownership import Owner
-from fireflyferry.placement import bucket_of, bucket_unit
+from fireflyferry.placement import bucket_of, bucket_unit, parse_unit
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = ["OwnerView"]
@@ -65,6 +65,9 @@
         runtime = self._led(now_s, group)
         if isinstance(runtime, Reason):
             return runtime
+        if runtime.book.unit_of(parse_unit(unit).bucket, key) != unit:
+            # The key was split from its bucket, or merged back, while the request waited.
+            return Reason.NOT_OWNER
         owner = runtime.book.begin_forward(now_s, unit, key)
         target = self._target(runtime, owner)
         if isinstance(target, Reason) and isinstance(owner, Owner):
--- a/fireflyferry/entry/peer_server.py
+++ b/fireflyferry/entry/peer_server.py
@@ -35,6 +35,11 @@
     shut_down: Callable[[], None]
 
 
+# A heartbeat that replicates the owners of a whole group is the largest control call; saved
+# owners are bounded by the store's 1 MB a value.
+MAX_CONTROL_BODY_BYTES = 2_000_000
+
+
 class _PeerHandler(web.RequestHandler):
     """Checks that the caller belongs, and answers errors as JSON with a code."""
 
@@ -144,6 +149,15 @@
         self.reply(control.operator_calls.drain(request))
 
 
+class _ControlApplication(web.Application):
+    """Bounds the bodies of control calls, which are read before their signature is checked."""
+
+    def find_handler(self, request, **kwargs):
+        """Set the bound of this request's body, then look for its handler."""
+        request.connection.set_max_body_size(MAX_CONTROL_BODY_BYTES)
+        return super().find_handler(request, **kwargs)
+
+
 def make_peer_router(services: PeerServices, forwards: HTTPServerConnectionDelegate) -> RuleRouter:
     """Build the router of the peer port."""
     handlers = {
@@ -154,7 +168,7 @@
         "assign": AssignHandler,
         "drain": DrainHandler,
     }
-    application = web.Application(
+    application = _ControlApplication(
         [(f"/peer/v1/{name}", each, {"services": services}) for name, each in handlers.items()],
         log_function=lambda handler: None,
     )
--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -98,9 +98,10 @@
             runtime.authority.set_hold(self._holds(group))
 
     def _holds(self, group: GroupId) -> bool:
+        """Tell whether takeovers are held; they are until the pool's setting is known."""
         tables = self._state.current()
         pool = tables.pool(group.pool) if tables else None
-        return pool is not None and pool.takeover == "hold"
+        return pool is None or pool.takeover == "hold"
 
     # One group
 
--- a/fireflyferry/entry/tests/test_forwards.py
+++ b/fireflyferry/entry/tests/test_forwards.py
@@ -216,3 +216,15 @@
             assert not unhandled
 
     asyncio.run(run())
+
+
+def test_request_that_waited_while_its_key_was_split_is_not_forwarded_under_the_bucket():
+    leader = Leader()
+    leader.place("n0")
+    assert leader.view.begin_forward(leader.now_s, GROUP, UNIT, KEY).upstream_id == "n0"
+    leader.view.end_forward(GROUP, "n0", UNIT, KEY)
+    leader.book.set_desired(leader.now_s, {UNIT: "n0", f"k:0:{KEY}": "n1"})
+    leader.run()
+    found = leader.view.begin_forward(leader.now_s, GROUP, UNIT, KEY)
+    assert found is Reason.NOT_OWNER
+    assert leader.view.begin_forward(leader.now_s, GROUP, UNIT, "other").upstream_id == "n0"
--- a/fireflyferry/entry/tests/test_group_settings.py
+++ b/fireflyferry/entry/tests/test_group_settings.py
@@ -103,3 +103,16 @@
         assert world.owners(GROUP)[unit] == "u-sibling"
 
     asyncio.run(scenario())
+
+
+def test_takeover_is_held_while_the_tables_are_unknown():
+    """Guards against a VM that joins a group by a heartbeat before it knows the pool's setting."""
+
+    async def scenario():
+        world = await settled(attrs.evolve(TWO_GROUPS, takeover="hold"))
+        vm = world.vms[next(iter(world.vms))]
+        vm.state._tables = None
+        roles = vm.control._roles
+        assert roles.join(GroupId("janela", "natal-1", 7), {}).authority._hold
+
+    asyncio.run(scenario())
--- a/fireflyferry/operators/tests/test_peers.py
+++ b/fireflyferry/operators/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Guards against calls of the operator program that the real peer port does not accept."""
 
+import asyncio
 import types
 
 import pytest
@@ -35,7 +36,9 @@
         control = types.SimpleNamespace(me=ME, operator_calls=calls)
         signer = PeerSigner((b"new-secret", b"old-secret"), SystemClock())
         services = PeerServices(control, None, lambda: STATUS, signer, self.fail)
-        server = tornado.httpserver.HTTPServer(make_peer_router(services, None))
+        server = tornado.httpserver.HTTPServer(
+            make_peer_router(services, None), max_body_size=1 << 30
+        )
         sock, port = tornado.testing.bind_unused_port()
         server.add_socket(sock)
         self.address = f"127.0.0.1:{port}"
@@ -63,6 +66,16 @@
             assert await peers.drain(self.address, DRAIN) == DrainReply(True, units=2)
         assert self.requests == [ASSIGN, DRAIN] * 2
 
+    @tornado.testing.gen_test(timeout=60)
+    async def test_control_call_with_a_huge_body_is_refused_before_its_body(self):
+        """Guards against callers without a secret who fill the memory of a VM."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = "POST /peer/v1/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n\r\n"
+        writer.write(head.encode())
+        assert (await reader.read()).startswith(b"HTTP/1.1 400")
+        writer.close()
+
     @tornado.testing.gen_test(timeout=60)
     async def test_calls_with_a_foreign_secret_are_refused(self):
         """Guards against operators' calls that anyone on the network can make."""
