Save operators' assignments and take over split keys with a term

Cause: pins were kept in the leader's memory, and a new leader's planner knew none of the split keys, so it merged them back and could move a pinned unit. The test failed before with 'not reached in 5 s'.

--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -16,6 +16,7 @@
 from fireflyferry.entry.upstream_table import UpstreamRow, UpstreamTable
 from fireflyferry.messages import OwnerSet, VmIncarnation, decode, encode
 from fireflyferry.ownership import SaveOwners, SendGrant
+from fireflyferry.placement import parse_unit
 
 __all__ = ["ASSIGNMENTS_PREFIX", "OwnerSystem"]
 
@@ -67,7 +68,7 @@
                     self._tasks.start(self._send_grant(runtime, action, now_s))
                 else:
                     leaders = leaders_to_save(runtime, self._state.me)
-                    owners = attrs.evolve(action.owners, leaders=leaders)
+                    owners = attrs.evolve(action.owners, leaders=leaders, pins=dict(runtime.pins))
                     self._start_saving(runtime, attrs.evolve(action, owners=owners))
         self._greet(now_s, led)
 
@@ -140,6 +141,9 @@
         runtime.book_term = term
         runtime.led_since_s = now_s
         runtime.assigned = dict(owners.owners)
+        runtime.pins = dict(owners.pins)
+        keys = (parse_unit(unit).key for unit in owners.owners)
+        runtime.planner.adopt(key for key in keys if key is not None)
         runtime.saved = owners
         runtime.next_placement_s = 0.0
         runtime.used = set()
--- a/fireflyferry/entry/tests/test_control.py
+++ b/fireflyferry/entry/tests/test_control.py
@@ -7,6 +7,7 @@
 from fireflyferry.entry.tests.fakes import GROUP, World, entry_vm, upstream
 from fireflyferry.membership import preferred_leader
 from fireflyferry.messages import OwnerSet, decode
+from fireflyferry.placement import bucket_of, key_unit, parse_unit
 
 ENTRIES = (
     entry_vm("e-1", "natal-1"),
@@ -161,3 +162,26 @@
         )
 
     run(scenario)
+
+
+def test_operators_assignments_and_split_keys_survive_the_loss_of_their_leader():
+    """Guards against a new leader that merges split keys back or moves pinned units."""
+
+    async def scenario(world):
+        runtime = world.runtime(GROUP)
+        unit, owner = next(iter(world.owners(GROUP).items()))
+        bucket = parse_unit(unit).bucket
+        key = next(str(n) for n in range(1000) if bucket_of(str(n), BUCKETS) == bucket)
+        pinned = {unit: OTHER[owner], key_unit(bucket, key): owner}
+        runtime.pins.update(pinned)
+        runtime.planner.adopt([key])
+        runtime.next_placement_s = 0.0
+        await world.run_until(lambda: pinned.items() <= world.owners(GROUP).items(), 5)
+        await world.run(2)
+        world.stop(record_of(world).leader.vm_id)
+        await world.run_until(lambda: pinned.items() <= world.owners(GROUP).items(), 5)
+        await world.run(5)
+        assert world.runtime(GROUP).pins == pinned
+        assert pinned.items() <= world.owners(GROUP).items()
+
+    run(scenario)
--- a/fireflyferry/messages/groups.py
+++ b/fireflyferry/messages/groups.py
@@ -66,7 +66,8 @@
     `releasing` lists upstreams besides the owner that may still hold a unit. `unchecked` lists
     upstreams that check neither grants nor fences. A new leader needs both, because an owner is
     saved before the earlier one has released the unit. `leaders` lists the run that saved the
-    owners and earlier leaders that are not known to have stopped.
+    owners and earlier leaders that are not known to have stopped. `pins` holds the assignments that
+    operators made.
     """
 
     group: GroupId
@@ -76,6 +77,7 @@
     releasing: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     unchecked: tuple[str, ...] = ()
     leaders: tuple[VmIncarnation, ...] = ()
+    pins: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
