--- a/fireflyferry/entry/tests/test_forwards.py
+++ b/fireflyferry/entry/tests/test_forwards.py
@@ -15,6 +15,7 @@
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.messages import GrantReply, Hello, VmEntry
 from fireflyferry.ownership import GrantBook, SaveOwners
+from fireflyferry.placement import HotKeyPlanner, HotKeySketch
 from fireflyferry.telemetry import Reason
 
 UNIT = "b:0"
@@ -35,7 +36,9 @@
         authority = SimpleNamespace(
             is_leader=lambda now_s: self.leads, record=SimpleNamespace(term=1)
         )
-        self.runtime = GroupRuntime(GROUP, authority, self.book, None, None, book_term=1)
+        self.runtime = GroupRuntime(
+            GROUP, authority, self.book, HotKeySketch(16), HotKeyPlanner(), book_term=1
+        )
         self.view = OwnerView(None, self.upstreams, {GROUP: self.runtime})
         for name in ("n0", "n1"):
             hello = Hello(name, GROUP.pool, 2, 0, "none", "token")
