Go on with a move when a save or a reply allows it, and not at the next tick

Cause: a planned move waited for the 100 ms tick at each of its steps, and a save that became due during another one waited for up to 2 s. The new test failed before: the unit had no owner after two ticks.

--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -62,16 +62,28 @@
             self._placing.run(now_s, runtime)
             self._confirm_by_standby(runtime)
             self._retry_store(now_s, runtime)
-            actions = runtime.book.tick(now_s, runtime.authority.authority_until_s())
-            for action in actions:
-                if isinstance(action, SendGrant):
-                    self._tasks.start(self._send_grant(runtime, action, now_s))
-                else:
-                    leaders = leaders_to_save(runtime, self._state.me)
-                    owners = attrs.evolve(action.owners, leaders=leaders, pins=dict(runtime.pins))
-                    self._start_saving(runtime, attrs.evolve(action, owners=owners))
+            self._tick_book(now_s, runtime)
         self._greet(now_s, led)
 
+    def _tick_book(self, now_s: float, runtime: GroupRuntime) -> None:
+        """Advance the moves of a group, and send and save what is due."""
+        for action in runtime.book.tick(now_s, runtime.authority.authority_until_s()):
+            if isinstance(action, SendGrant):
+                self._tasks.start(self._send_grant(runtime, action, now_s))
+            else:
+                leaders = leaders_to_save(runtime, self._state.me)
+                owners = attrs.evolve(action.owners, leaders=leaders, pins=dict(runtime.pins))
+                self._start_saving(runtime, attrs.evolve(action, owners=owners))
+
+    def _advance(self, runtime: GroupRuntime) -> None:
+        """Go on with a move at once when a save or a reply allows it.
+
+        Waiting for the next tick at each step made a unit unavailable for two to three ticks.
+        """
+        now_s = self._clock.monotonic_s()
+        if runtime.leads(now_s):
+            self._tick_book(now_s, runtime)
+
     def on_upstream_gone(self, upstream_id: str, runtimes: list[GroupRuntime]) -> None:
         """Free the units of an upstream that the platform or an operator says is gone."""
         now_s = self._clock.monotonic_s()
@@ -178,6 +190,11 @@
             self._saved(runtime, action, "store")
         finally:
             runtime.saving = False
+        if not runtime.leads(self._clock.monotonic_s()):
+            return
+        if runtime.unsaved not in (None, action) and not runtime.store_away:
+            self._start_saving(runtime, runtime.unsaved)
+        self._advance(runtime)
 
     async def _read_back(self, runtime: GroupRuntime, action: SaveOwners, name: str) -> None:
         """Find out whether a write with an unknown result took effect."""
@@ -237,6 +254,7 @@
         now_s = self._clock.monotonic_s()
         runtime.book.on_grant_reply(now_s, action.upstream_id, sent_at_s, reply)
         self._upstreams.on_answer(now_s, action.upstream_id, reply.draining)
+        self._advance(runtime)
         if not reply.accepted:
             _LOG.warning(
                 "grant_refused",
--- a/fireflyferry/entry/tests/test_control.py
+++ b/fireflyferry/entry/tests/test_control.py
@@ -185,3 +185,17 @@
         assert pinned.items() <= world.owners(GROUP).items()
 
     run(scenario)
+
+
+def test_planned_move_takes_at_most_two_ticks():
+    """Guards against a move whose steps each wait for a tick while the unit is unavailable."""
+
+    async def scenario(world):
+        unit, owner = next(iter(world.owners(GROUP).items()))
+        runtime = world.runtime(GROUP)
+        runtime.pins[unit] = OTHER[owner]
+        runtime.next_placement_s = 0.0
+        await world.run(2 * TICK_S)
+        assert world.owners(GROUP)[unit] == OTHER[owner]
+
+    run(scenario)
