--- a/fireflyferry/entry/main.py
+++ b/fireflyferry/entry/main.py
@@ -24,6 +24,7 @@
 from fireflyferry.edges.system_clock import SystemClock
 from fireflyferry.entry.control import Control
 from fireflyferry.entry.feed import Feed
+from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.limits import limits_from_settings
 from fireflyferry.entry.owner_view import OwnerView
 from fireflyferry.entry.peer_server import PeerServices, make_peer_router
@@ -57,6 +58,28 @@
     code = "control_failed"
 
 
+@attrs.frozen
+class _Edges:
+    """Clients of the platform, upstreams and peers."""
+
+    store: HttpObjectStore
+    vm_list: HttpVmList
+    peers: HttpPeerLink
+    upstream_control: HttpUpstreamControl
+
+
+def _make_edges(settings: EntrySettings, signer: PeerSigner) -> _Edges:
+    vm_id = settings.vm.vm_id
+    caller = HttpCaller(vm_id, timeout_s=CONTROL_TIMEOUT_S)
+    store_caller = HttpCaller(vm_id, timeout_s=settings.store.timeout_ms / 1000)
+    return _Edges(
+        HttpObjectStore(settings.store.address, store_caller),
+        HttpVmList(settings.store.address, store_caller),
+        HttpPeerLink(caller, signer),
+        HttpUpstreamControl(caller),
+    )
+
+
 class EntryProgram:
     """Wires the parts of one entry VM together."""
 
@@ -69,25 +92,20 @@
         self._clock = clock
         self._memory_metrics = MemoryMetrics()
         self._signer = _make_signer(settings, clock)
-        caller = HttpCaller(vm.vm_id, timeout_s=CONTROL_TIMEOUT_S)
-        store_caller = HttpCaller(vm.vm_id, timeout_s=settings.store.timeout_ms / 1000)
-        store = HttpObjectStore(settings.store.address, store_caller)
-        peers = HttpPeerLink(caller, self._signer)
-        upstream_control = HttpUpstreamControl(caller)
+        edges = _make_edges(settings, self._signer)
         upstreams = UpstreamTable()
-        runtimes: dict[GroupId, object] = {}
+        runtimes: dict[GroupId, GroupRuntime] = {}
         self._control = Control(
             self._state,
             clock,
-            store,
-            peers,
-            upstream_control,
+            edges.store,
+            edges.peers,
+            edges.upstream_control,
             LeaseTiming(**attrs.asdict(settings.leases)),
             upstreams,
             runtimes,
         )
-        vm_list = HttpVmList(settings.store.address, store_caller)
-        self._feed = Feed(self._state, clock, store, vm_list, peers)
+        self._feed = Feed(self._state, clock, edges.store, edges.vm_list, edges.peers)
         view = OwnerView(self._state, upstreams, runtimes)
         self._requests = make_request_path(
             vm_id=vm.vm_id,
@@ -98,7 +116,7 @@
             locator=view,
             owners=view,
             observer=view,
-            control=upstream_control,
+            control=edges.upstream_control,
             signer=self._signer,
             limits=limits_from_settings(settings.limits),
         )
@@ -224,7 +242,9 @@
         "4 an internal fault.",
     )
     parser.add_argument("--settings", required=True, metavar="FILE", help="INI file")
-    parser.add_argument("--version", action="version", version=fireflyferry.__version__)
+    parser.add_argument(
+        "--version", action="version", version=f"%(prog)s {fireflyferry.__version__}"
+    )
     options = parser.parse_args(argv)
     try:
         settings = read_settings(options.settings, EntrySettings)
--- a/fireflyferry/operators/arguments.py
+++ b/fireflyferry/operators/arguments.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fireflyferry import __version__
 from fireflyferry.operators import fleet_commands, status, table_commands
 from fireflyferry.settings.values import Endpoint, Text, Value, value_of
 from fireflyferry.tables.rows import ROW_KINDS
@@ -168,6 +169,7 @@
         epilog=EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
     parser.add_argument("--settings", metavar="FILE", help="settings file in INI form")
     parser.add_argument("--author", help="recorded with edits (default: from the settings)")
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
--- a/fireflyferry/settings/check.py
+++ b/fireflyferry/settings/check.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Sequence
 
+from fireflyferry import __version__
 from fireflyferry.settings.model import PROGRAMS
 from fireflyferry.settings.reader import SettingsError, read_settings
 
@@ -25,6 +26,7 @@
         epilog=EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
     parser.add_argument("files", nargs="+", metavar="FILE", help="settings file in INI form")
     parser.add_argument(
         "--program",
