--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -10,6 +10,7 @@
 from fireflyferry.membership.roles import RELAYS_PER_DATA_CENTRE, relay_order
 from fireflyferry.messages import VmEntry
 from fireflyferry.messages.control import LOST_PREFIX
+from fireflyferry.placement import bucket_of
 
 __all__ = ["Feed"]
 
@@ -115,7 +116,9 @@
 
     async def _follow_relay(self) -> None:
         relays = self._relays()
-        relay = relays[self._failed_relays % len(relays)]
+        # Followers divide evenly between the relays.
+        first = bucket_of(self._state.vm_id, RELAYS_PER_DATA_CENTRE)
+        relay = relays[(first + self._failed_relays) % len(relays)]
         if relay.vm_id != self._followed:
             self._followed, self._position = relay.vm_id, 0
         try:
