Shorten the clock skew for ids that callers choose to 1 s

Cause: of about 4 s without an answer after a leader was killed, 2 s were the skew in which ids issued before the change are refused. Ids further in the future than the skew are refused at once, so a shorter skew lets nothing run twice. The test of ids from before the change uses an age inside the new skew (9.5 s against a horizon 10 s ago), which it did not reach before.

--- a/fireflyferry/entry/limits.py
+++ b/fireflyferry/entry/limits.py
@@ -33,7 +33,7 @@
     idle_connections: int = 512
     id_keep_s: float = 120.0
     id_max_entries: int = 100_000
-    id_skew_s: float = 2.0
+    id_skew_s: float = 1.0
     small_answer_bytes: int = 2_048
     drain_quiet_s: float = 0.3
     max_body_bytes: int = 1 << 30
--- a/fireflyferry/entry/tests/test_outcomes.py
+++ b/fireflyferry/entry/tests/test_outcomes.py
@@ -219,7 +219,7 @@
     """Guards against a repeat across a change of leader that runs again."""
 
     async def requests(cluster, upstream):
-        sent = [request_id(age_s=9.0)]
+        sent = [request_id(age_s=9.5)]
         reply = await ask(cluster.public_ports[0], "/write/key", "POST", sent)
         assert (reply.status, reply.reason) == (409, "outcome_not_recorded")
         assert upstream.seen == []
