--- a/fireflyferry/experiments/faults.py
+++ b/fireflyferry/experiments/faults.py
@@ -7,7 +7,7 @@
 from fireflyferry.experiments.customers import Customer
 from fireflyferry.experiments.deployment import Deployment
 from fireflyferry.experiments.fault_run import TimedFault
-from fireflyferry.experiments.http import fetch_json
+from fireflyferry.experiments.http import fetch, fetch_json
 from fireflyferry.experiments.processes import Program
 from fireflyferry.messages import GroupRecord, decode
 
@@ -60,6 +60,16 @@
         vm_id = _leader_of(deployment, self.write_pool, self.data_centre)
         deployment.kill_entry(vm_id)
 
+    def drain_leader(self, deployment: Deployment) -> None:
+        """Ask a group's leader to shut down in good order."""
+        vm_id = _leader_of(deployment, self.write_pool, self.data_centre)
+        deployment.entries.pop(vm_id).send(signal.SIGTERM)
+
+    def drain_owner(self, deployment: Deployment) -> None:
+        """Tell an owner to drain."""
+        address = deployment.upstream_addresses[f"{self.pool}-0"]
+        fetch(f"http://{address}/control/v1/drain", "POST", b"{}")
+
     def freeze_leader(self, deployment: Deployment) -> None:
         """Stop the process of a group's leader and let it go on later."""
         vm_id = _leader_of(deployment, self.write_pool, self.data_centre)
@@ -90,6 +100,8 @@
     "owner-frozen": (("owner frozen", "freeze_owner", WINDOW_S),),
     "leader-killed": (("leader killed", "kill_leader", WINDOW_S),),
     "leader-frozen": (("leader frozen", "freeze_leader", WINDOW_S),),
+    "leader-drained": (("leader drained", "drain_leader", WINDOW_S),),
+    "owner-drained": (("owner drained", "drain_owner", WINDOW_S),),
     "store-away": (("store away", "store_away", STORE_OUTAGE_S + WINDOW_S),),
     "data-centre-lost": (("data centre lost", "lose_data_centre", WINDOW_S),),
     "data-centre-cut": (("data centre cut", "cut_data_centre", WINDOW_S),),
