--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -269,7 +269,7 @@
         """Ask the upstreams that do not answer a led group's grants for a token."""
         waiting: dict[str, list[GroupRuntime]] = {}
         for runtime in led:
-            for entry in self._placing.candidates(runtime.group):
+            for entry in self._placing.candidates(now_s, runtime):
                 row = self._upstreams.track(entry)
                 if not runtime.book.responsive(now_s, row.upstream_id):
                     waiting.setdefault(row.upstream_id, []).append(runtime)
--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -39,10 +39,20 @@
         self._state = state
         self._upstreams = upstreams
 
-    def candidates(self, group: GroupId) -> list[VmEntry]:
-        """Return the listed upstreams that a group may use, in its home data centre first."""
-        sibling = self._state.vm_table.sibling_of(group.data_centre)
+    def candidates(self, now_s: float, runtime: GroupRuntime) -> list[VmEntry]:
+        """Return the listed upstreams that a group needs to know.
+
+        Those of the sibling data centre only while none at home answers, or while the group is
+        led from there; renewing grants without units to them was a third of a VM's control.
+        """
+        group = runtime.group
         home = self._listed(group, group.data_centre)
+        away = self._state.data_centre != group.data_centre
+        starting = not runtime.leads(now_s) or now_s - runtime.led_since_s < SETTLE_S
+        answers = any(runtime.book.responsive(now_s, entry.vm_id) for entry in home)
+        if not away and (starting or answers):
+            return home
+        sibling = self._state.vm_table.sibling_of(group.data_centre)
         return home + (self._listed(group, sibling) if sibling else [])
 
     def _listed(self, group: GroupId, data_centre: str) -> list[VmEntry]:
--- a/fireflyferry/experiments/faults.py
+++ b/fireflyferry/experiments/faults.py
@@ -30,11 +30,14 @@
     _continue_later(program, FREEZE_S)
 
 
-def _leader_of(deployment: Deployment, pool: str, data_centre: str) -> str:
-    """Ask the store which VM leads the first group of a pool in a data centre."""
+def _record_of(deployment: Deployment, pool: str, data_centre: str) -> GroupRecord:
+    """Ask the store for the record of the first group of a pool in a data centre."""
     url = f"http://{deployment.store_address}/v1/objects/groups/{pool}/{data_centre}/0"
-    record = decode(base64.b64decode(fetch_json(url)["data"]), GroupRecord)
-    return record.leader.vm_id
+    return decode(base64.b64decode(fetch_json(url)["data"]), GroupRecord)
+
+
+def _leader_of(deployment: Deployment, pool: str, data_centre: str) -> str:
+    return _record_of(deployment, pool, data_centre).leader.vm_id
 
 
 class _Targets:
@@ -60,6 +63,14 @@
         vm_id = _leader_of(deployment, self.write_pool, self.data_centre)
         deployment.kill_entry(vm_id)
 
+    def kill_pair(self, deployment: Deployment) -> None:
+        """End leader and standby of a group, and let the platform list neither."""
+        record = _record_of(deployment, self.write_pool, self.data_centre)
+        for vm_id in (record.leader.vm_id, record.standby.vm_id):
+            deployment.kill_entry(vm_id)
+            deployment.remove_vm(vm_id)
+        deployment.publish_vms()
+
     def drain_leader(self, deployment: Deployment) -> None:
         """Ask a group's leader to shut down in good order."""
         vm_id = _leader_of(deployment, self.write_pool, self.data_centre)
@@ -100,6 +111,7 @@
     "owner-frozen": (("owner frozen", "freeze_owner", WINDOW_S),),
     "leader-killed": (("leader killed", "kill_leader", WINDOW_S),),
     "leader-frozen": (("leader frozen", "freeze_leader", WINDOW_S),),
+    "pair-lost": (("leader and standby lost", "kill_pair", 2 * WINDOW_S),),
     "leader-drained": (("leader drained", "drain_leader", WINDOW_S),),
     "owner-drained": (("owner drained", "drain_owner", WINDOW_S),),
     "store-away": (("store away", "store_away", STORE_OUTAGE_S + WINDOW_S),),
