--- a/fireflyferry/entry/group_runtime.py
+++ b/fireflyferry/entry/group_runtime.py
@@ -16,8 +16,12 @@
 class GroupRuntime:
     """One row of the group table.
 
-    `book_term` is the term that the book serves. `assignments_version` is the version of the
-    group's object of saved owners, known after it was read in this term.
+    `book_term` is the term that the book serves, `loading_term` the one whose owners are being
+    read. `assignments_version` is the version of the group's object of saved owners, known after
+    it was read in this term; `unsaved` is the newest save that the store has not confirmed, and
+    `durability` says where the newest confirmed one is kept. `assigned` holds the desired owners,
+    `pins` the operators' part of them, `used` the upstreams that answered in this term.
+    `heard_at_s` is the time of the standby's last pledge.
     """
 
     group: GroupId
