--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -30,6 +30,9 @@
 # Upstreams answer one after the other when a term begins; placing buckets on the first one that
 # answers would move them again at once.
 SETTLE_S = 0.6
+# Loads in buckets; units without measured traffic still have a place in the balance.
+MIN_BUCKET_LOAD = 0.05
+MIN_KEY_LOAD = 0.1
 
 
 class Placing:
@@ -154,11 +157,24 @@
     def _unit_loads(
         self, runtime: GroupRuntime, pool: Pool, buckets: list[int]
     ) -> dict[str, float]:
-        """Return the load of each unit as a share of the group's traffic times its buckets."""
-        loads = {bucket_unit(bucket): 1.0 for bucket in buckets}
-        total = runtime.sketch.total
-        for key in sorted(runtime.planner.keys):
-            count = runtime.sketch.count(key).at_least
+        """Return the load of each unit; the loads of a group add up to its number of buckets.
+
+        What the single-key units take is taken from the buckets. Counted on top, it made buckets
+        move for balance whenever a key was split.
+        """
+        shares = self._hot_shares(runtime)
+        rest = max(MIN_BUCKET_LOAD, 1.0 - sum(shares.values()))
+        loads = {bucket_unit(bucket): rest for bucket in buckets}
+        for key, share in shares.items():
             unit = key_unit(bucket_of(key, pool.buckets), key)
-            loads[unit] = max(0.1, len(buckets) * count / total) if total > 0 else 0.1
+            loads[unit] = max(MIN_KEY_LOAD, len(buckets) * share)
         return loads
+
+    @staticmethod
+    def _hot_shares(runtime: GroupRuntime) -> dict[str, float]:
+        """Return the share of the group's traffic of each key that is owned apart."""
+        total = runtime.sketch.total
+        keys = sorted(runtime.planner.keys)
+        if total <= 0:
+            return dict.fromkeys(keys, 0.0)
+        return {key: runtime.sketch.count(key).at_least / total for key in keys}
--- a/fireflyferry/entry/tests/test_group_settings.py
+++ b/fireflyferry/entry/tests/test_group_settings.py
@@ -116,3 +116,20 @@
         assert roles.join(GroupId("janela", "natal-1", 7), {}).authority._hold
 
     asyncio.run(scenario())
+
+
+def test_loads_of_a_group_add_up_to_its_buckets_when_a_key_is_split():
+    """Guards against buckets that move for balance because a hot key is counted twice."""
+
+    async def scenario():
+        world = await settled()
+        runtime = world.runtime(GROUP)
+        for number in range(100):
+            runtime.sketch.observe("hot" if number % 4 == 0 else f"cold-{number}")
+        runtime.planner.adopt(["hot"])
+        leader = world.vms[world.leaders(GROUP)[0]]
+        buckets = leader.state.placements["janela"].buckets_of(GROUP)
+        loads = leader.control._owners._placing._unit_loads(runtime, TWO_GROUPS, buckets)
+        assert sum(loads.values()) == pytest.approx(len(buckets))
+
+    asyncio.run(scenario())
