Compute choices from the VM list once for each list

Cause: each tick sorted and ranked the whole list for every group. At rest with 48 VMs a VM took 5.7% of a core against 2.8% with 12 (control_cost), and at 530 VMs the ranking of 795 groups alone would take more than the budget.

--- a/fireflyferry/membership/roles.py
+++ b/fireflyferry/membership/roles.py
@@ -27,10 +27,15 @@
 
     Each upstream belongs to one group of its data centre, so that one leader counts its slots.
     """
-    listed = table.upstreams(group.pool, data_centre or group.data_centre)
-    if groups_per_data_centre == 1:
-        return list(listed)
-    return [vm for vm in listed if _index_of(vm, groups_per_data_centre) == group.index]
+    place = data_centre or group.data_centre
+    return table.derived(
+        ("group", group, groups_per_data_centre, place),
+        lambda: [
+            vm
+            for vm in table.upstreams(group.pool, place)
+            if _index_of(vm, groups_per_data_centre) == group.index
+        ],
+    )
 
 
 def _index_of(upstream: VmEntry, groups: int) -> int:
@@ -39,12 +44,18 @@
 
 def relay_order(table: VmTable, data_centre: str) -> list[VmEntry]:
     """Order the entry VMs of a data centre by their weight as relay."""
-    return _ranked(f"relay/{data_centre}", table.entry_vms(data_centre))
+    return table.derived(
+        ("relays", data_centre),
+        lambda: _ranked(f"relay/{data_centre}", table.entry_vms(data_centre)),
+    )
 
 
 def preferred_leader(table: VmTable, group: GroupId) -> VmEntry | None:
     """Return the entry VM in the home data centre that should lead a group."""
-    return _first(_rank_key(table, group), table.entry_vms(group.data_centre))
+    return table.derived(
+        ("leader", group),
+        lambda: _first(_rank_key(table, group), table.entry_vms(group.data_centre)),
+    )
 
 
 def preferred_standby(table: VmTable, group: GroupId, leader_vm_id: str) -> VmEntry | None:
@@ -53,6 +64,12 @@
     The standby is in the other data centre of the region than the leader; when that has no entry
     VM, it is another one of the leader's own.
     """
+    return table.derived(
+        ("standby", group, leader_vm_id), lambda: _standby(table, group, leader_vm_id)
+    )
+
+
+def _standby(table: VmTable, group: GroupId, leader_vm_id: str) -> VmEntry | None:
     leader = table.get(leader_vm_id)
     leader_data_centre = leader.data_centre if leader else group.data_centre
     sibling = table.sibling_of(leader_data_centre)
--- a/fireflyferry/membership/vm_table.py
+++ b/fireflyferry/membership/vm_table.py
@@ -1,6 +1,7 @@
 """Table of VMs, filled from the platform's lagging list."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 import attrs
 
@@ -8,6 +9,8 @@
 
 __all__ = ["VmTable"]
 
+T = TypeVar("T")
+
 ENTRY = "entry"
 UPSTREAM = "upstream"
 LIVE = "live"
@@ -25,11 +28,23 @@
     def __init__(self) -> None:
         self._rows: dict[str, _Row] = {}
         self._gone: dict[str, VmEntry] = {}
+        self._entries: tuple[VmEntry, ...] = ()
+        self._derived: dict[tuple, object] = {}
 
     @property
     def entries(self) -> tuple[VmEntry, ...]:
         """All listed VMs, ordered by id."""
-        return tuple(self._rows[vm_id].entry for vm_id in sorted(self._rows))
+        return self._entries
+
+    def derived(self, key: tuple, compute: Callable[[], T]) -> T:
+        """Return what was computed from the present list under a key, or compute it.
+
+        Systems ask for the same choices on each tick; ranking the whole list each time took
+        twice the processor time at 48 VMs that it took at 12.
+        """
+        if key not in self._derived:
+            self._derived[key] = compute()
+        return self._derived[key]
 
     def update(self, now_s: float, entries: tuple[VmEntry, ...]) -> tuple[VmEntry, ...]:
         """Apply a new list and return the VMs that were listed before and are gone."""
@@ -43,6 +58,8 @@
         }
         for vm_id in listed:
             self._gone.pop(vm_id, None)
+        self._entries = tuple(listed[vm_id] for vm_id in sorted(listed))
+        self._derived.clear()
         return gone
 
     def _listed_since_s(self, vm_id: str, now_s: float) -> float:
@@ -69,26 +86,38 @@
 
     def upstreams(self, pool: str, data_centre: str) -> Iterator[VmEntry]:
         """Yield the listed upstreams of a pool in a data centre, leaving ones included."""
+        found = self.derived(
+            ("upstreams", pool, data_centre), lambda: tuple(self._upstreams(pool, data_centre))
+        )
+        return iter(found)
+
+    def _upstreams(self, pool: str, data_centre: str) -> Iterator[VmEntry]:
         return (
             entry
-            for entry in self.entries
+            for entry in self._entries
             if entry.role == UPSTREAM and entry.pool == pool and entry.data_centre == data_centre
         )
 
     def region_of(self, data_centre: str) -> str | None:
         """Return the region of a data centre."""
-        return next((e.region for e in self.entries if e.data_centre == data_centre), None)
+        return self.derived(
+            ("region", data_centre),
+            lambda: next((e.region for e in self._entries if e.data_centre == data_centre), None),
+        )
 
     def sibling_of(self, data_centre: str) -> str | None:
         """Return the other data centre of the same region."""
+        return self.derived(("sibling", data_centre), lambda: self._sibling_of(data_centre))
+
+    def _sibling_of(self, data_centre: str) -> str | None:
         region = self.region_of(data_centre)
-        others = {e.data_centre for e in self.entries if e.region == region} - {data_centre}
+        others = {e.data_centre for e in self._entries if e.region == region} - {data_centre}
         return min(others, default=None)
 
     def _live(self, role: str, data_centre: str | None) -> Iterator[VmEntry]:
         return (
             entry
-            for entry in self.entries
+            for entry in self._entries
             if entry.role == role
             and entry.state == LIVE
             and data_centre in (None, entry.data_centre)
