Remove state that nothing reads; say what an older VM list can hide

The row of an upstream kept a time of its last answer, the row of a group a count of moves and the saved owners, and nothing read them. The comment in the feed called the order of two relays' lists harmless, but a listed VM that a staler list lacks counts as gone. No behaviour changes.

--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -160,8 +160,8 @@
     def _apply_vm_list(self, entries: tuple[VmEntry, ...]) -> None:
         """Store a changed list under the time of its arrival.
 
-        The platform's list has no version. Wall time orders the lists of two relays well enough,
-        because a list only names candidates for roles.
+        The platform's list has no version, so wall time orders the lists of two relays. A staler
+        list of the other relay can then hide a newly listed VM, which would count as gone.
         """
         version = int(self._clock.wall_s() * 1000)
         stored = self._state.vm_list_object(version, entries)
--- a/fireflyferry/entry/group_runtime.py
+++ b/fireflyferry/entry/group_runtime.py
@@ -3,7 +3,7 @@
 import attrs
 
 from fireflyferry.leases import GroupAuthority, LeaseTiming
-from fireflyferry.messages import GroupId, OwnerSet, VmIncarnation
+from fireflyferry.messages import GroupId, VmIncarnation
 from fireflyferry.ownership import GrantBook, SaveOwners
 from fireflyferry.placement import HotKeyPlanner, HotKeySketch, UpstreamLoad
 
@@ -43,12 +43,10 @@
     placed_upstreams: tuple[UpstreamLoad, ...] = ()
     next_hot_keys_s: float = 0.0
     heard_at_s: float = float("-inf")
-    units_moved: int = 0
     confirmed_save: int = 0
     next_store_try_s: float = 0.0
     used: set[str] = attrs.Factory(set)
     assigned: dict[str, str] = attrs.Factory(dict)
-    saved: OwnerSet | None = None
     earlier_leaders: set[VmIncarnation] = attrs.Factory(set)
 
     @property
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -156,7 +156,6 @@
         runtime.pins = dict(owners.pins)
         keys = (parse_unit(unit).key for unit in owners.owners)
         runtime.planner.adopt(key for key in keys if key is not None)
-        runtime.saved = owners
         runtime.next_placement_s = 0.0
         runtime.used = set()
         runtime.unsaved = None
@@ -234,7 +233,6 @@
     def _saved(self, runtime: GroupRuntime, action: SaveOwners, durability: str) -> None:
         runtime.durability = durability
         runtime.confirmed_save = max(runtime.confirmed_save, action.save_id)
-        runtime.saved = action.owners
         runtime.book.on_owners_saved(self._clock.monotonic_s(), action.save_id)
         if durability == "store":
             runtime.store_away = False
@@ -253,7 +251,7 @@
             return
         now_s = self._clock.monotonic_s()
         runtime.book.on_grant_reply(now_s, action.upstream_id, sent_at_s, reply)
-        self._upstreams.on_answer(now_s, action.upstream_id, reply.draining)
+        self._upstreams.on_answer(action.upstream_id, reply.draining)
         self._advance(runtime)
         if not reply.accepted:
             _LOG.warning(
--- a/fireflyferry/entry/placing.py
+++ b/fireflyferry/entry/placing.py
@@ -101,7 +101,6 @@
             return
         moved = sum(1 for unit, name in wanted.items() if runtime.assigned.get(unit, name) != name)
         if moved:
-            runtime.units_moved += moved
             _LOG.info("units_moved", extra={"group": str(runtime.group), "units": moved})
         runtime.assigned = wanted
         runtime.book.set_desired(now_s, wanted)
--- a/fireflyferry/entry/upstream_table.py
+++ b/fireflyferry/entry/upstream_table.py
@@ -8,7 +8,6 @@
 __all__ = ["UpstreamRow", "UpstreamTable"]
 
 HELLO_INTERVAL_S = 0.5
-FRESH_S = 3.0
 # Weight of one service time in the moving average.
 SERVICE_TIME_GAIN = 0.1
 
@@ -20,7 +19,6 @@
     entry: VmEntry
     hello: Hello | None = None
     asked_at_s: float = float("-inf")
-    answered_at_s: float = float("-inf")
     draining: bool = False
     drain_ordered: bool = False
     service_s: float = 0.0
@@ -31,10 +29,6 @@
         """Id of the upstream's VM."""
         return self.entry.vm_id
 
-    def is_reachable(self, now_s: float) -> bool:
-        """Tell whether the upstream answered a control call lately."""
-        return self.hello is not None and now_s - self.answered_at_s < FRESH_S
-
     def is_leaving(self) -> bool:
         """Tell whether the upstream must get no new work."""
         return self.draining or self.drain_ordered or self.entry.state != "live"
@@ -81,14 +75,12 @@
         if hello.cold and (row.hello is None or not row.hello.cold):
             self._ramp.start(now_s, upstream_id)
         row.hello = hello
-        row.answered_at_s = now_s
         row.draining = hello.draining
 
-    def on_answer(self, now_s: float, upstream_id: str, draining: bool) -> None:
+    def on_answer(self, upstream_id: str, draining: bool) -> None:
         """Record that an upstream answered a grant message."""
         row = self._rows.get(upstream_id)
         if row is not None:
-            row.answered_at_s = now_s
             row.draining = draining
 
     def on_service_time(self, upstream_id: str, service_s: float) -> None:
--- a/fireflyferry/experiments/faults.py
+++ b/fireflyferry/experiments/faults.py
@@ -48,7 +48,6 @@
         self.write_pool = next(each.name for each in customer.services if not each.idempotent)
         region = list(customer.regions)[1]
         self.data_centre = customer.regions[region][0]
-        self.other_data_centre = customer.regions[region][1]
 
     def kill_owner(self, deployment: Deployment) -> None:
         """End an owner's process."""
