--- /dev/null
+++ b/fireflyferry/balancing/vms.py
@@ -0,0 +1,107 @@
+"""Entry VMs, which of them do not answer, and which is the last hop of an upstream."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import attrs
+import xxhash
+
+__all__ = ["EntryVm", "VmDirectory"]
+
+
+@attrs.frozen
+class EntryVm:
+    """An entry VM and the address for other VMs; `leaving` once it shuts down."""
+
+    vm_id: str
+    incarnation: str
+    address: str
+    data_centre: str
+    leaving: bool = False
+
+
+class VmDirectory:
+    """Chooses last hops by rendezvous hashing: the upstream's data centre first, then its region.
+
+    A VM that did not answer is passed over until it answers a check.
+    """
+
+    def __init__(self, me: EntryVm, regions: Mapping[str, str]):
+        self._me = me
+        self._regions = dict(regions)
+        self._vms: dict[str, EntryVm] = {me.vm_id: me}
+        self._suspected: dict[str, str] = {}
+        self._chosen: dict[tuple[str, str], tuple[EntryVm, ...]] = {}
+
+    @property
+    def me(self) -> EntryVm:
+        """This VM."""
+        return self._me
+
+    def __iter__(self) -> Iterator[EntryVm]:
+        return iter(self._vms.values())
+
+    def __len__(self) -> int:
+        return len(self._vms)
+
+    def get(self, vm_id: str) -> EntryVm | None:
+        """Return a VM by id."""
+        return self._vms.get(vm_id)
+
+    def region(self, data_centre: str) -> str:
+        """Return the region of a data centre; an unknown one is a region of its own."""
+        return self._regions.get(data_centre, data_centre)
+
+    def apply(self, listed: Iterable[EntryVm]) -> None:
+        """Replace what the store lists; this VM is always part of it."""
+        self._vms = {each.vm_id: each for each in listed}
+        self._vms[self._me.vm_id] = self._me
+        self._suspected = {
+            vm_id: incarnation
+            for vm_id, incarnation in self._suspected.items()
+            if vm_id in self._vms and self._vms[vm_id].incarnation == incarnation
+        }
+        self._chosen.clear()
+
+    def suspect(self, vm: EntryVm) -> bool:
+        """Pass a VM over; returns whether it was not suspected before."""
+        if vm.vm_id == self._me.vm_id or self._suspected.get(vm.vm_id) == vm.incarnation:
+            return False
+        self._suspected[vm.vm_id] = vm.incarnation
+        return True
+
+    def trust(self, vm: EntryVm) -> bool:
+        """Use a VM again; returns whether it was suspected."""
+        return self._suspected.pop(vm.vm_id, None) is not None
+
+    @property
+    def suspected(self) -> list[EntryVm]:
+        """VMs that are passed over."""
+        return [self._vms[vm_id] for vm_id in self._suspected if vm_id in self._vms]
+
+    def last_hop(self, upstream_id: str, data_centre: str) -> EntryVm:
+        """Return the VM that counts the slots of an upstream, this one if no other answers."""
+        key = (upstream_id, data_centre)
+        order = self._chosen.get(key)
+        if order is None:
+            order = self._chosen[key] = self._order(upstream_id, data_centre)
+        for vm in order:
+            if vm.vm_id not in self._suspected:
+                return vm
+        return self._me
+
+    def _order(self, upstream_id: str, data_centre: str) -> tuple[EntryVm, ...]:
+        region = self.region(data_centre)
+        near = [
+            vm
+            for vm in self._vms.values()
+            if not vm.leaving and self.region(vm.data_centre) == region
+        ]
+        return tuple(
+            sorted(
+                near,
+                key=lambda vm: (
+                    vm.data_centre != data_centre,
+                    xxhash.xxh3_64_intdigest(f"{vm.vm_id}/{upstream_id}"),
+                ),
+            )
+        )
--- a/fireflyferry/edges/system_clock.py
+++ b/fireflyferry/edges/system_clock.py
@@ -4,7 +4,7 @@
 
 from fireflyferry.edges.base import Clock
 
-__all__ = ["SystemClock"]
+__all__ = ["BootClock", "SystemClock"]
 
 
 class SystemClock(Clock):
@@ -17,3 +17,11 @@
     def wall_s(self) -> float:
         """Return seconds since the epoch."""
         return time.time()
+
+
+class BootClock(SystemClock):
+    """Monotonic time that also counts the time for which the VM was suspended."""
+
+    def monotonic_s(self) -> float:
+        """Return seconds since the VM started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/fireflyferry/entry/answers.py
+++ b/fireflyferry/entry/answers.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from fireflyferry.entry import headers as names
-from fireflyferry.entry.sinks import AnswerSink
-from fireflyferry.entry.transport import Receiver, TransferResult
 from fireflyferry.retries import Failure, Verdict, classify
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.telemetry.reasons import REASONS
+from fireflyferry.transport.curl import Receiver, TransferResult
+from fireflyferry.transport.sinks import AnswerSink
 
 __all__ = ["AnswerReceiver"]
 
--- a/fireflyferry/entry/calls.py
+++ b/fireflyferry/entry/calls.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fireflyferry.entry.bodies import RequestBody
+from fireflyferry.transport.bodies import RequestBody
 
 __all__ = ["Call"]
 
--- a/fireflyferry/entry/control.py
+++ b/fireflyferry/entry/control.py
@@ -13,7 +13,6 @@
 from fireflyferry.entry.owner_system import OwnerSystem
 from fireflyferry.entry.role_system import RoleSystem
 from fireflyferry.entry.state import RecordView, VmState
-from fireflyferry.entry.tasks import TaskGroup
 from fireflyferry.entry.upstream_table import UpstreamTable
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.messages import (
@@ -25,6 +24,7 @@
     decode,
 )
 from fireflyferry.messages.control import LOST_PREFIX, LostVm
+from fireflyferry.tasks import TaskGroup
 
 __all__ = ["Control"]
 
--- a/fireflyferry/entry/exchange.py
+++ b/fireflyferry/entry/exchange.py
@@ -9,11 +9,11 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 
 from fireflyferry.entry import headers as names
-from fireflyferry.entry.bodies import RequestBody
 from fireflyferry.entry.limits import RequestLimits
-from fireflyferry.entry.sinks import ConnectionSink
 from fireflyferry.retries import Verdict
 from fireflyferry.telemetry.reasons import REASONS
+from fireflyferry.transport.bodies import RequestBody
+from fireflyferry.transport.sinks import ConnectionSink
 
 __all__ = ["ServerExchange"]
 
--- a/fireflyferry/entry/first_hop.py
+++ b/fireflyferry/entry/first_hop.py
@@ -11,11 +11,11 @@
 from fireflyferry.entry.last_hop import LastHop
 from fireflyferry.entry.limits import RequestLimits
 from fireflyferry.entry.remote import RemoteHop
-from fireflyferry.entry.sinks import AnswerSink
 from fireflyferry.entry.statistics import Statistics
 from fireflyferry.retries import Attempts, Backoff, RetryBudget, Step, Verdict, new_request_id
 from fireflyferry.tables import Pool
 from fireflyferry.telemetry import Outcome, Reason
+from fireflyferry.transport.sinks import AnswerSink
 
 __all__ = ["FirstHop"]
 
--- a/fireflyferry/entry/headers.py
+++ b/fireflyferry/entry/headers.py
@@ -4,6 +4,8 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from fireflyferry.transport.headers import end_to_end
+
 __all__ = [
     "ATTEMPT",
     "DEADLINE_MS",
@@ -23,7 +25,6 @@
     "UNIT",
     "VM",
     "answer_headers",
-    "end_to_end",
     "find",
     "head_bytes",
     "request_headers",
@@ -50,37 +51,6 @@
 
 FORWARD_PREFIX = "/peer/v1/forward"
 
-_OWN_PREFIX = "firefly-"
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
-
-def end_to_end(headers: Iterable[tuple[str, str]]) -> HeaderList:
-    """Drop headers that concern one connection, and the router's own."""
-    kept: HeaderList = []
-    named: set[str] = set()
-    for name, value in headers:
-        lower = name.lower()
-        if lower == "connection":
-            named.update(part.strip().lower() for part in value.split(","))
-        elif lower not in _HOP_BY_HOP and not lower.startswith(_OWN_PREFIX):
-            kept.append((name, value))
-    if named - {"close", "keep-alive", ""}:
-        kept = [pair for pair in kept if pair[0].lower() not in named]
-    return kept
-
 
 def request_headers(headers: HTTPHeaders) -> HeaderList:
     """Return the headers of a request to send on; the body's length is set by the sender."""
--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -16,9 +16,7 @@
 from fireflyferry.entry.interfaces import LocalOwners, Location, Observer, UpstreamTarget
 from fireflyferry.entry.limits import RequestLimits
 from fireflyferry.entry.seen_ids import SeenIds
-from fireflyferry.entry.sinks import AnswerSink, RecordingSink
 from fireflyferry.entry.slots import SlotGate
-from fireflyferry.entry.transport import CurlTransport, Exchange
 from fireflyferry.retries import (
     BadRequestIdError,
     Done,
@@ -30,6 +28,8 @@
 from fireflyferry.routing import encode_header_text
 from fireflyferry.tables import Pool
 from fireflyferry.telemetry import Outcome, Reason
+from fireflyferry.transport.curl import CurlTransport, Exchange
+from fireflyferry.transport.sinks import AnswerSink, RecordingSink
 
 __all__ = ["LastHop"]
 
--- a/fireflyferry/entry/lease_system.py
+++ b/fireflyferry/entry/lease_system.py
@@ -14,9 +14,9 @@
 from fireflyferry.entry.earlier_leaders import note_stopped
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.state import GROUPS_PREFIX, VmState
-from fireflyferry.entry.tasks import TaskGroup
 from fireflyferry.leases import ReadRecord, SendHeartbeat, WriteOutcome, WriteRecord
 from fireflyferry.messages import GroupId, GroupRecord, Heartbeat, decode, encode
+from fireflyferry.tasks import TaskGroup
 
 __all__ = ["LeaseSystem"]
 
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -12,11 +12,11 @@
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.placing import Placing
 from fireflyferry.entry.state import VmState
-from fireflyferry.entry.tasks import TaskGroup
 from fireflyferry.entry.upstream_table import UpstreamRow, UpstreamTable
 from fireflyferry.messages import OwnerSet, VmIncarnation, decode, encode
 from fireflyferry.ownership import SaveOwners, SendGrant
 from fireflyferry.placement import parse_unit
+from fireflyferry.tasks import TaskGroup
 
 __all__ = ["ASSIGNMENTS_PREFIX", "OwnerSystem"]
 
--- a/fireflyferry/entry/remote.py
+++ b/fireflyferry/entry/remote.py
@@ -8,10 +8,10 @@
 from fireflyferry.entry.answers import AnswerReceiver
 from fireflyferry.entry.calls import Call
 from fireflyferry.entry.interfaces import Location
-from fireflyferry.entry.sinks import AnswerSink
-from fireflyferry.entry.transport import CurlTransport, Exchange
 from fireflyferry.retries import Verdict
 from fireflyferry.routing import encode_header_text
+from fireflyferry.transport.curl import CurlTransport, Exchange
+from fireflyferry.transport.sinks import AnswerSink
 
 __all__ = ["RemoteHop"]
 
--- a/fireflyferry/entry/request_path.py
+++ b/fireflyferry/entry/request_path.py
@@ -20,9 +20,9 @@
 from fireflyferry.entry.services import Services
 from fireflyferry.entry.slots import QueueState, SlotGate
 from fireflyferry.entry.statistics import Statistics
-from fireflyferry.entry.transport import CurlTransport
 from fireflyferry.messages import GroupId
 from fireflyferry.retries import Backoff
+from fireflyferry.transport.curl import CurlTransport
 
 __all__ = ["EntryRequestPath", "RequestSnapshot", "make_request_path"]
 
--- a/fireflyferry/entry/role_system.py
+++ b/fireflyferry/entry/role_system.py
@@ -7,7 +7,6 @@
 from fireflyferry.entry.earlier_leaders import note_stopped
 from fireflyferry.entry.group_runtime import GroupRuntime, make_group_runtime
 from fireflyferry.entry.state import PLACEMENTS_PREFIX, RecordView, VmState
-from fireflyferry.entry.tasks import TaskGroup
 from fireflyferry.leases import LeaseTiming
 from fireflyferry.membership import (
     bootstrap_placement,
@@ -18,6 +17,7 @@
 )
 from fireflyferry.messages import GroupId, VmEntry, VmIncarnation, encode
 from fireflyferry.tables import Pool, Tables
+from fireflyferry.tasks import TaskGroup
 
 __all__ = ["RoleSystem"]
 
--- a/fireflyferry/entry/tests/test_curl_hazards.py
+++ b/fireflyferry/entry/tests/test_curl_hazards.py
@@ -10,9 +10,11 @@
 import pycurl
 import pytest
 
-from fireflyferry.entry import answers, sinks, transport
+from fireflyferry.entry import answers
 from fireflyferry.entry.limits import RequestLimits
 from fireflyferry.entry.tests.support import TABLES, ScriptedUpstream, answer, ask, entry_vms
+from fireflyferry.transport import curl as transport
+from fireflyferry.transport import sinks
 
 GUARDED = pytest.mark.parametrize("guarded", [True, False])
 LARGE = attrs.evolve(
--- a/fireflyferry/entry/tests/test_streaming.py
+++ b/fireflyferry/entry/tests/test_streaming.py
@@ -5,7 +5,6 @@
 import attrs
 import pytest
 
-from fireflyferry.entry import transport
 from fireflyferry.entry.limits import RequestLimits
 from fireflyferry.entry.tests.support import (
     TABLES,
@@ -15,6 +14,7 @@
     entry_vms,
     read_reply,
 )
+from fireflyferry.transport import curl as transport
 
 LARGE = attrs.evolve(
     TABLES, routes=tuple(attrs.evolve(r, max_body_bytes=1 << 30) for r in TABLES.routes)
--- /dev/null
+++ b/fireflyferry/gateway/callers.py
@@ -0,0 +1,221 @@
+"""Requests of callers: route, deadline, answer or refusal."""
+
+import logging
+
+import attrs
+from tornado.http1connection import HTTP1Connection
+
+from fireflyferry.balancing import ShareSplitter
+from fireflyferry.edges import Clock
+from fireflyferry.gateway.calls import Attempt, Call, not_run
+from fireflyferry.gateway.edges import HeaderNames
+from fireflyferry.gateway.exchange import ClosingConnections, WholeExchange
+from fireflyferry.gateway.first_hop import FirstHop
+from fireflyferry.gateway.headers import answer_headers, host_of, request_headers
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.sampling import KeySampler
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.keyranges import LAST_KEY
+from fireflyferry.routing.hosts import HostRoute
+from fireflyferry.telemetry import Outcome, Reason
+from fireflyferry.telemetry.reasons import REASONS
+
+__all__ = ["CallerExchange", "CallerServices", "FullDeadlines"]
+
+_LOG = logging.getLogger(__name__)
+
+# A caller counts its deadline from its own first byte; the answer has to travel back as well.
+TRAVEL_S = 0.02
+# Below it, a shorter deadline than the longest seen says nothing about an earlier attempt.
+RETURNED_AFTER_S = 0.05
+MAX_DEADLINE_MS = 86_400_000
+START_RETRY_S = 0.5  # Retry-After before the first configuration is known
+
+
+class FullDeadlines:
+    """Longest deadline seen on each route, which is that of first attempts."""
+
+    def __init__(self) -> None:
+        self._longest_ms: dict[str, int] = {}
+
+    def age_s(self, route: str, deadline_ms: int) -> float:
+        """Return how long ago the caller of a request first asked."""
+        longest_ms = max(self._longest_ms.get(route, 0), deadline_ms)
+        self._longest_ms[route] = longest_ms
+        return (longest_ms - deadline_ms) / 1000
+
+
+@attrs.define(eq=False)
+class CallerServices:
+    """What requests of callers share."""
+
+    clock: Clock
+    state: GatewayState
+    names: HeaderNames
+    first_hop: FirstHop
+    sampler: KeySampler
+    metrics: GatewayMetrics
+    splitter: ShareSplitter
+    closing: ClosingConnections
+    deadlines: FullDeadlines = attrs.field(factory=FullDeadlines)
+    in_flight: int = 0
+    last_active_s: float = 0.0
+
+
+class CallerExchange(WholeExchange):
+    """One request of a caller."""
+
+    def __init__(self, connection: HTTP1Connection, services: CallerServices):
+        super().__init__(connection)
+        self._services = services
+        self._began_s = services.clock.monotonic_s()
+        self._call: Call | None = None
+
+    def on_head(self) -> None:
+        """Refuse a body above the limit before it is read."""
+        config = self._services.state.config
+        if config is None:
+            return
+        limits = config.limits
+        length = self._headers.get("Content-Length", "0")
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers.get_all())
+        if size + len(self._line.path) > limits.max_header_bytes:
+            self._refuse(not_run(Reason.HEADER_TOO_LARGE))
+        elif length.isdigit() and int(length) > limits.max_body_bytes:
+            self._refuse(not_run(Reason.BODY_TOO_LARGE))
+
+    def outlives_sender(self) -> bool:
+        """Let a request that must not be half done go on without its caller."""
+        return self._call is not None and not self._call.idempotent
+
+    async def handle(self) -> None:
+        """Have the request answered."""
+        services = self._services
+        services.in_flight += 1
+        attempt: Attempt | None = None
+        try:
+            call = self._resolve()
+            if isinstance(call, Attempt):
+                attempt = call
+            else:
+                self._call = call
+                attempt = await services.first_hop.run(call)
+            self._reply(attempt)
+        finally:
+            services.in_flight -= 1
+            services.last_active_s = services.clock.monotonic_s()
+            self._count(attempt)
+
+    def _resolve(self) -> Call | Attempt:
+        """Return the call, or why there is none."""
+        services, names = self._services, self._services.names
+        state = services.state
+        if state.config is None:
+            return not_run(Reason.NO_TABLES, START_RETRY_S)
+        target = self._line.path
+        route = state.routes.match(host_of(self._headers), target.partition("?")[0])
+        if route is None:
+            return not_run(Reason.UNKNOWN_ROUTE)
+        request_id = self._headers.get(names.request_id)
+        if not request_id:
+            return not_run(Reason.BAD_REQUEST_ID)
+        deadline_ms = self._deadline_ms(route)
+        if deadline_ms is None:
+            return not_run(Reason.BAD_TIMEOUT)
+        pool = services.splitter.choose(route.shares)
+        spec = state.config.pools.get(pool)
+        key = self._key() if spec is not None and spec.keyed else None
+        if spec is not None and spec.keyed:
+            if key is None:
+                return not_run(Reason.MISSING_KEY)
+            services.sampler.on_key(pool, key)
+        return self._make_call(route, request_id, deadline_ms, pool, key)
+
+    def _make_call(
+        self, route: HostRoute, request_id: str, deadline_ms: int, pool: str, key: int | None
+    ) -> Call:
+        services, names = self._services, self._services.names
+        age_s = services.deadlines.age_s(route.name, deadline_ms)
+        now_s = self._began_s
+        return Call(
+            request_id=request_id,
+            method=self._line.method,
+            target=self._line.path,
+            headers=request_headers(self._headers, (names.deadline_ms, names.expected_upstream)),
+            body=self.body,
+            pool=pool,
+            key=key,
+            idempotent=route.idempotent,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            started_s=now_s - age_s,
+            objective_s=now_s - age_s + route.objective_s - TRAVEL_S,
+            deadline_s=now_s + min(deadline_ms / 1000 - TRAVEL_S, route.timeout_s),
+            returned=age_s > RETURNED_AFTER_S,
+        )
+
+    def _deadline_ms(self, route: HostRoute) -> int | None:
+        given = self._headers.get(self._services.names.deadline_ms)
+        if given is None:
+            return int(route.timeout_s * 1000)
+        if not (given.isascii() and given.isdigit() and 0 < int(given) <= MAX_DEADLINE_MS):
+            return None
+        return int(given)
+
+    def _key(self) -> int | None:
+        given = self._headers.get(self._services.names.key, "")
+        if not (given.isascii() and given.isdigit() and len(given) <= 5):
+            return None
+        key = int(given)
+        return key if key <= LAST_KEY else None
+
+    def _reply(self, attempt: Attempt) -> None:
+        if attempt.answer is not None:
+            headers = answer_headers(attempt.answer.headers)
+            self._send(attempt.answer.status, headers, attempt.answer.body)
+        else:
+            self._refuse(attempt)
+
+    def _refuse(self, attempt: Attempt) -> None:
+        """Answer with a refusal, or with an outcome that is not known."""
+        assert attempt.reason is not None
+        status = REASONS[attempt.reason].status
+        headers = [("Content-Type", "text/plain")]
+        request_id = self._headers.get(self._services.names.request_id)
+        if request_id:
+            headers.append((self._services.names.request_id, request_id))
+        if status in (429, 503):
+            headers.append(("Retry-After", f"{max(attempt.retry_after_s, 0.05):.3f}"))
+        self._send(status, headers, f"{attempt.reason}\n".encode())
+
+    def _send(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        closing = self._services.closing
+        if closing.active and not self._closed:
+            headers = [*headers, ("Connection", "close")]
+            closing.tell(self._connection)
+        self.answer(status, headers, body)
+
+    def _count(self, attempt: Attempt | None) -> None:
+        services, call = self._services, self._call
+        took_s = services.clock.monotonic_s() - self._began_s
+        outcome = str(attempt.outcome) if attempt is not None else "caller_left"
+        reason = str(attempt.reason or "") if attempt is not None else ""
+        services.metrics.request(call.pool if call else "", outcome, reason, took_s)
+        if attempt is not None and attempt.outcome is Outcome.ANSWERED and not self._closed:
+            return
+        config = services.state.config
+        _LOG.info(
+            "request_not_answered",
+            extra={
+                "request_id": self._headers.get(services.names.request_id, ""),
+                "outcome": outcome,
+                "reason": reason,
+                "caller_left": self._closed,
+                "pool": call.pool if call else "",
+                "key": call.key if call else None,
+                "returned": call.returned if call else False,
+                "retry_after_s": round(attempt.retry_after_s, 3) if attempt is not None else 0.0,
+                "took_s": round(took_s, 3),
+                "config_version": config.version if config is not None else 0,
+            },
+        )
--- /dev/null
+++ b/fireflyferry/gateway/control.py
@@ -0,0 +1,407 @@
+"""Control loop: the lease, and the grants of all keyed pools while this VM holds it."""
+
+import asyncio
+import logging
+import random
+import statistics
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+
+from fireflyferry.balancing import EntryVm
+from fireflyferry.edges import Clock
+from fireflyferry.gateway import documents
+from fireflyferry.gateway.edges import (
+    Conflict,
+    Document,
+    KeyOrders,
+    MetadataStore,
+    StoreCallError,
+    UnreadableError,
+)
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.watching import StoreHealth
+from fireflyferry.keyranges import (
+    DivisionRules,
+    GrantAnswer,
+    GrantCall,
+    GrantTiming,
+    KeyDemand,
+    KeySample,
+    LeaseRecord,
+    LeaseRules,
+    ListedRun,
+    RangeGranter,
+    ReadLease,
+    ReleaseCall,
+    RunLoad,
+    SaveTable,
+    StoreLease,
+    WriteLease,
+    first_division,
+    plan_moves,
+    plan_replacements,
+)
+from fireflyferry.tasks import TaskGroup
+
+__all__ = ["Control", "ControlRules"]
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class ControlRules:
+    """Times in seconds.
+
+    The first division waits until no upstream has registered for `settle_s`, at most for
+    `most_settle_s`, since upstreams register one after the other. `plan_s` is the time between
+    two plans by load. A warming upstream counts with `warmup_capacity` of its capacity.
+    """
+
+    tick_s: float = 0.05
+    settle_s: float = 0.8
+    most_settle_s: float = 3.0
+    plan_s: float = 0.4
+    sample_s: float = 3.0
+    warmup_capacity: float = 0.5
+    first_service_s: float = 0.2
+    service_memory_s: float = 20.0
+    takeover_spread_s: float = 0.4
+
+
+@attrs.define
+class _PoolControl:
+    """Grants of one pool in the current term."""
+
+    granter: RangeGranter
+    read: bool = False
+    busy: bool = False
+    settled_since_s: float = 0.0
+    first_seen_s: float | None = None
+    seen: frozenset[Any] = frozenset()
+    planned_s: float = 0.0
+
+
+class Control:
+    """Runs the lease, and grants keys while it is held."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: GatewayState,
+        store: MetadataStore,
+        health: StoreHealth,
+        orders: KeyOrders,
+        metrics: GatewayMetrics,
+        rng: random.Random,
+        rules: ControlRules | None = None,
+        lease_rules: LeaseRules | None = None,
+        timing: GrantTiming | None = None,
+        division: DivisionRules | None = None,
+    ):
+        self._clock = clock
+        self._state = state
+        self._store = store
+        self._health = health
+        self._orders = orders
+        self._metrics = metrics
+        self._rules = rules or ControlRules()
+        self._timing = timing or GrantTiming()
+        self._division = division or DivisionRules()
+        me = state.vms.me
+        spread_s = rng.uniform(0.0, self._rules.takeover_spread_s)
+        self._lease = StoreLease(me.vm_id, me.incarnation, lease_rules or LeaseRules(), spread_s)
+        self._held = False
+        self._pools: dict[str, _PoolControl] = {}
+        self._demand: dict[str, KeyDemand] = {}
+        self._service_s: dict[str, tuple[float, float]] = {}
+        self._tasks = TaskGroup()
+
+    @property
+    def holds_lease(self) -> bool:
+        """Whether this VM may grant keys now."""
+        return self._lease.holds(self._clock.monotonic_s())
+
+    def granting_vm(self) -> EntryVm | None:
+        """Return the VM that holds the lease as far as is known."""
+        record = self._lease.record
+        return self._state.vms.get(record.vm_id) if record is not None else None
+
+    def take_loads(
+        self, keys: Mapping[str, tuple[Sequence[int], float]], service_s: Mapping[str, float]
+    ) -> None:
+        """Take the key samples of one VM and the service times of upstreams that it measured."""
+        now_s = self._clock.monotonic_s()
+        for pool, (sample, weight) in keys.items():
+            demand = self._demand.get(pool)
+            if demand is None:
+                demand = self._demand[pool] = KeyDemand(self._rules.sample_s)
+            demand.add(KeySample(now_s, tuple(sample), weight))
+        for upstream_id, value in service_s.items():
+            self._service_s[upstream_id] = (now_s, value)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(self._rules.tick_s)
+
+    async def resign(self) -> None:
+        """Give the lease up, so that another VM can take over at once."""
+        write = self._lease.resign()
+        self._note_authority()
+        if write is None:
+            return
+        content = documents.lease_content(write.record)
+        try:
+            await self._store.write(
+                documents.LEASE_KIND, documents.LEASE_NAME, content, write.revision
+            )
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            _LOG.warning("lease_not_resigned", extra={"error": str(error)})
+        else:
+            _LOG.info("lease_resigned", extra={"counter": write.record.counter})
+
+    def tick(self) -> None:
+        """Start the calls that are due."""
+        now_s = self._clock.monotonic_s()
+        action = self._lease.tick(now_s)
+        if action is not None:
+            self._tasks.start(self._lease_call(action))
+        self._note_authority()
+        if not self._held or self._state.config is None:
+            return
+        for name, spec in self._state.config.pools.items():
+            if spec.keyed:
+                self._tick_pool(now_s, name)
+
+    # Lease
+
+    async def _lease_call(self, action: ReadLease | WriteLease) -> None:
+        try:
+            if isinstance(action, ReadLease):
+                document = await self._store.read(
+                    documents.LEASE_KIND, documents.LEASE_NAME, action.stale
+                )
+                self._on_lease(document)
+            else:
+                await self._write_lease(action)
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            self._lease.on_failed(self._clock.monotonic_s())
+        except UnreadableError as error:
+            # Without a readable record nobody can grant; the next read may find a whole one.
+            _LOG.error("lease_unreadable", extra={"error": str(error)})
+            self._lease.on_failed(self._clock.monotonic_s())
+        self._note_authority()
+
+    async def _write_lease(self, action: WriteLease) -> None:
+        result = await self._store.write(
+            documents.LEASE_KIND,
+            documents.LEASE_NAME,
+            documents.lease_content(action.record),
+            action.revision,
+        )
+        if isinstance(result, Conflict):
+            self._on_lease(result.found)
+        else:
+            self._lease.on_written(self._clock.monotonic_s(), result)
+
+    def _on_lease(self, document: Document | None) -> None:
+        record: LeaseRecord | None = None
+        if document is not None:
+            record = documents.lease_from(document)
+        revision = document.revision if document is not None else 0
+        before = self._lease.record
+        self._lease.on_read(self._clock.monotonic_s(), record, revision)
+        if record is not None and (before is None or before.incarnation != record.incarnation):
+            _LOG.info(
+                "lease_holder_seen",
+                extra={"vm": record.vm_id, "counter": record.counter, "revision": revision},
+            )
+
+    def _note_authority(self) -> None:
+        """Begin or end a term."""
+        now_s = self._clock.monotonic_s()
+        held = self._lease.holds(now_s)
+        if held == self._held:
+            return
+        self._held = held
+        self._pools.clear()
+        until_s = self._lease.authority_until_s
+        if held:
+            _LOG.info("lease_gained", extra={"left_s": round(until_s - now_s, 3)})
+        else:
+            _LOG.warning("lease_lost", extra={"since_s": round(min(now_s - until_s, 1e6), 3)})
+
+    # Grants
+
+    def _tick_pool(self, now_s: float, name: str) -> None:
+        control = self._pools.get(name)
+        if control is None:
+            granter = RangeGranter(name, self._timing, now_s)
+            control = self._pools[name] = _PoolControl(granter)
+        if not control.read:
+            if not control.busy:
+                control.busy = True
+                self._tasks.start(self._read_table(name, control))
+            return
+        listed = [
+            ListedRun(upstream.run, upstream.address, ready)
+            for upstream, ready in self._state.upstreams.listed(now_s, name)
+        ]
+        control.granter.set_listed(listed, self._state.upstreams.superseded)
+        self._plan(now_s, name, control)
+        for action in control.granter.tick(now_s):
+            self._start(name, control, action)
+
+    def _start(
+        self, name: str, control: _PoolControl, action: SaveTable | GrantCall | ReleaseCall
+    ) -> None:
+        if isinstance(action, SaveTable):
+            self._tasks.start(self._save(name, control, action))
+        elif isinstance(action, GrantCall):
+            self._tasks.start(self._grant(control, action))
+        else:
+            self._tasks.start(self._release(control, action))
+
+    def _is_current(self, control: _PoolControl) -> bool:
+        """Tell whether a term still runs; asked again right before a call is sent."""
+        return self.holds_lease and control in self._pools.values()
+
+    async def _read_table(self, name: str, control: _PoolControl) -> None:
+        try:
+            document = await self._store.read(documents.OWNER_KIND, name)
+            table = documents.table_from(document) if document is not None else None
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            await asyncio.sleep(self._timing.retry_s)
+        except UnreadableError as error:
+            # Owners and fences are not known, so nothing may be granted.
+            _LOG.error("owner_table_unreadable", extra={"pool": name, "error": str(error)})
+            await asyncio.sleep(self._timing.retry_s)
+        else:
+            revision = document.revision if document is not None else 0
+            control.granter.on_stored(table, revision)
+            control.read = True
+        finally:
+            control.busy = False
+
+    async def _save(self, name: str, control: _PoolControl, save: SaveTable) -> None:
+        content = documents.table_content(save.table)
+        before = control.granter.table
+        try:
+            if not self._is_current(control):
+                raise StoreCallError("the lease has ended")
+            result = await self._store.write(documents.OWNER_KIND, name, content, save.revision)
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            _LOG.warning("owners_not_saved", extra={"pool": name, "error": str(error)})
+            control.read = False
+            return
+        if isinstance(result, Conflict):
+            _LOG.info("owners_conflict", extra={"pool": name, "expected": save.revision})
+            control.read = False
+            return
+        control.granter.on_saved(result)
+        self._state.take_owners(result, save.table)
+        self._log_moves(name, before.ranges if before is not None else (), save.table.ranges)
+
+    def _log_moves(self, name: str, before: Sequence[Any], after: Sequence[Any]) -> None:
+        moved = [each for each in set(after) - set(before) if not each.serving]
+        self._metrics.owners_moved(name, len(moved))
+        for each in sorted(moved, key=lambda r: r.first):
+            _LOG.info(
+                "range_moves",
+                extra={
+                    "pool": name,
+                    "first": each.first,
+                    "last": each.last,
+                    "to": each.owner.upstream_id,
+                    "fence": each.fence,
+                    "earlier": ",".join(run.upstream_id for run in each.earlier),
+                },
+            )
+
+    async def _grant(self, control: _PoolControl, call: GrantCall) -> None:
+        answer = await self._orders.grant(call, lambda: self._is_current(control))
+        self._metrics.order("grant", answer.name.lower())
+        if answer is not GrantAnswer.ACCEPTED:
+            self._log_order("grant_not_accepted", call, answer)
+        control.granter.on_grant(self._clock.monotonic_s(), call, answer)
+
+    async def _release(self, control: _PoolControl, call: ReleaseCall) -> None:
+        answer, handover = await self._orders.release(call, lambda: self._is_current(control))
+        self._metrics.order("release", answer.name.lower())
+        self._log_order("release_answered", call, answer)
+        control.granter.on_release(self._clock.monotonic_s(), call, answer, handover)
+
+    def _log_order(self, event: str, call: GrantCall | ReleaseCall, answer: GrantAnswer) -> None:
+        _LOG.info(
+            event,
+            extra={
+                "upstream": call.run.upstream_id,
+                "born": call.run.born,
+                "first": call.first,
+                "last": call.last,
+                "fence": call.fence,
+                "answer": answer.name.lower(),
+            },
+        )
+
+    # Plans
+
+    def _plan(self, now_s: float, name: str, control: _PoolControl) -> None:
+        """Ask for new owners of lost keys at once, and for moves by load now and then."""
+        runs = self._run_loads(now_s, name)
+        table = control.granter.table
+        if table is None:
+            if self._is_settled(now_s, control, runs):
+                control.granter.move(first_division(runs))
+            return
+        demand = self._demand.get(name)
+        if demand is None:
+            demand = self._demand[name] = KeyDemand(self._rules.sample_s)
+        demand.expire(now_s)
+        moves = plan_replacements(table, runs, demand)
+        if not moves and now_s >= control.planned_s and control.granter.idle:
+            control.planned_s = now_s + self._rules.plan_s
+            moves = plan_moves(table, runs, demand, self._division)
+        control.granter.move(moves)
+
+    def _is_settled(self, now_s: float, control: _PoolControl, runs: Sequence[RunLoad]) -> bool:
+        seen = frozenset(each.run for each in runs)
+        if not seen:
+            return False
+        if control.first_seen_s is None:
+            control.first_seen_s = now_s
+        if seen != control.seen:
+            control.seen, control.settled_since_s = seen, now_s
+        rules = self._rules
+        return (
+            now_s - control.settled_since_s >= rules.settle_s
+            or now_s - control.first_seen_s >= rules.most_settle_s
+        )
+
+    def _run_loads(self, now_s: float, name: str) -> list[RunLoad]:
+        """Return the capacity of each upstream that may be given keys."""
+        rules = self._rules
+        known = {
+            upstream_id: service_s
+            for upstream_id, (at_s, service_s) in self._service_s.items()
+            if now_s - at_s < rules.service_memory_s
+        }
+        ready = self._state.upstreams.ready(now_s, name)
+        measured = [known[u.run.upstream_id] for u in ready if u.run.upstream_id in known]
+        usual_s = statistics.median(measured) if measured else rules.first_service_s
+        loads = []
+        for upstream in ready:
+            service_s = known.get(upstream.run.upstream_id, usual_s)
+            capacity = upstream.slots / max(service_s, 0.001)
+            if upstream.warmup_left_s > 0:
+                capacity *= rules.warmup_capacity
+            loads.append(RunLoad(upstream.run, capacity))
+        return loads
--- /dev/null
+++ b/fireflyferry/gateway/exchange.py
@@ -0,0 +1,157 @@
+"""Server side of requests that are received whole before they are handled."""
+
+import abc
+import asyncio
+import logging
+import weakref
+from collections.abc import Callable
+from http.client import responses
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream
+
+__all__ = ["ClosingConnections", "ServerDelegate", "WholeExchange"]
+
+_LOG = logging.getLogger(__name__)
+
+HeaderList = list[tuple[str, str]]
+
+# How long a caller may take to close a connection after it was told to; then it is closed here.
+LINGER_S = 1.0
+
+
+class WholeExchange(HTTPMessageDelegate, abc.ABC):
+    """Receives one request, handles it in a task and answers it.
+
+    A sender that disconnects cancels the task unless `outlives_sender` says otherwise.
+    """
+
+    def __init__(self, connection: HTTP1Connection):
+        self._connection = connection
+        self._line: RequestStartLine = None  # type: ignore[assignment]
+        self._headers: HTTPHeaders = None  # type: ignore[assignment]
+        self._chunks: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+        self._closed = False
+        self._answered = False
+
+    @abc.abstractmethod
+    async def handle(self) -> None:
+        """Answer the request."""
+
+    @abc.abstractmethod
+    def on_head(self) -> None:
+        """Look at the head before the body is read."""
+
+    def outlives_sender(self) -> bool:
+        """Tell whether the work goes on after the sender has left."""
+        return False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b"".join(self._chunks)
+
+    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
+        """Take the head."""
+        self._line, self._headers = start_line, headers
+        self.on_head()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Take the end of the request."""
+        if self._answered:
+            return
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.ensure_future(self._run())
+
+    def on_connection_close(self) -> None:
+        """Stop the work for a sender that has left."""
+        self._closed = True
+        if self._task is not None and not self.outlives_sender():
+            self._task.cancel()
+
+    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Send the whole answer."""
+        if self._closed or self._answered:
+            return
+        self._answered = True
+        fields = HTTPHeaders()
+        for name, value in headers:
+            if name.lower() != "content-length":
+                fields.add(name, value)
+        bodiless = self._line.method == "HEAD" or status in (204, 304) or status < 200
+        if not bodiless:
+            fields["Content-Length"] = str(len(body))
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        written = self._connection.write_headers(line, fields, None if bodiless else body)
+        # A sender that leaves meanwhile ends the write; its connection is already closed.
+        written.add_done_callback(lambda future: future.cancelled() or future.exception())
+        self._connection.finish()
+
+    async def _run(self) -> None:
+        try:
+            await self.handle()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            _LOG.exception("request_failed", extra={"target": self._line.path})
+            self.answer(500, [], b"")
+
+
+class ClosingConnections:
+    """Ends kept connections politely while the VM shuts down.
+
+    Requests that were sent behind the last answer of a connection are not handled; their senders
+    were told that the connection closes and send them again.
+    """
+
+    def __init__(self) -> None:
+        self.active = False
+        self._told: weakref.WeakSet[IOStream] = weakref.WeakSet()
+
+    def was_told(self, connection: HTTP1Connection) -> bool:
+        """Tell whether the last answer of a connection said that it closes."""
+        return connection.stream in self._told
+
+    def tell(self, connection: HTTP1Connection) -> None:
+        """Note that the answer being sent says that the connection closes."""
+        stream = connection.stream
+        self._told.add(stream)
+        asyncio.get_running_loop().call_later(LINGER_S, stream.close)
+
+
+class _Ignored(HTTPMessageDelegate):
+    """A request that is not read as one."""
+
+
+class ServerDelegate(HTTPServerConnectionDelegate):
+    """Makes an exchange for each request."""
+
+    def __init__(
+        self,
+        make: Callable[[HTTP1Connection], WholeExchange],
+        closing: ClosingConnections | None = None,
+    ):
+        self._make = make
+        self._closing = closing
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Begin a request."""
+        assert isinstance(request_conn, HTTP1Connection)
+        if self._closing is not None and self._closing.was_told(request_conn):
+            return _Ignored()
+        return self._make(request_conn)
--- /dev/null
+++ b/fireflyferry/gateway/first_hop.py
@@ -0,0 +1,282 @@
+"""First hop: locates the upstream of a request, and repeats attempts where that is allowed."""
+
+import logging
+import random
+
+import attrs
+
+from fireflyferry.balancing import (
+    EntryVm,
+    LoadBoard,
+    RetryWindow,
+    Standing,
+    Upstream,
+)
+from fireflyferry.edges import Clock
+from fireflyferry.gateway.calls import Attempt, Call, not_run
+from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.telemetry import Outcome, Reason
+
+__all__ = ["FirstHop", "FirstHopRules"]
+
+_LOG = logging.getLogger(__name__)
+
+# Results after which another attempt may go elsewhere or, for a key, to its next owner.
+_REPEATABLE = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE_TOO_SHORT,
+        Reason.CONNECT_FAILED,
+        Reason.UPSTREAM_SHED,
+        Reason.UPSTREAM_DRAINING,
+        Reason.NOT_OWNER,
+        Reason.SHUTTING_DOWN,
+    }
+)
+
+
+@attrs.frozen
+class FirstHopRules:
+    """Limits of the search for an upstream; times in seconds.
+
+    `most_hops` bounds the last hops that are asked. `move_wait_s` is how long a request waits for
+    a key that is changing its owner; moves take the time of one request.
+    """
+
+    most_hops: int = 4
+    move_wait_s: float = 0.7
+    owner_retry_s: float = 0.4  # Retry-After while a key has no owner
+    upstream_retry_s: float = 0.3  # Retry-After while a pool has no upstream
+    retry_share: float = 0.2
+    retry_reserve: float = 2.0
+    retry_window_s: float = 10.0
+
+
+@attrs.frozen
+class _Target:
+    upstream: Upstream
+    vm: EntryVm
+    forecast_age_s: float = 0.0
+
+
+@attrs.define
+class _Search:
+    """Progress of one request."""
+
+    tried: set[str] = attrs.field(factory=set)
+    hops: int = 0
+    reached: int = 0
+    last: Attempt | None = None
+
+
+class FirstHop:
+    """Has requests of this VM's callers answered."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: GatewayState,
+        last_hop: LastHop,
+        peers: PeerClient,
+        board: LoadBoard,
+        metrics: GatewayMetrics,
+        rules: FirstHopRules | None = None,
+        rng: random.Random | None = None,
+    ):
+        self._clock = clock
+        self._state = state
+        self._last_hop = last_hop
+        self._peers = peers
+        self._board = board
+        self._metrics = metrics
+        self._rules = rules or FirstHopRules()
+        self._rng = rng or random.Random()
+        self._budgets: dict[str, RetryWindow] = {}
+
+    def retries_left(self) -> dict[str, float]:
+        """Return the second sends that are allowed now, by pool."""
+        now_s = self._clock.monotonic_s()
+        return {pool: budget.left(now_s) for pool, budget in self._budgets.items()}
+
+    async def run(self, call: Call) -> Attempt:
+        """Return the answer, or the refusal or unknown outcome that the caller is told."""
+        self._budget(call.pool).on_request(self._clock.monotonic_s())
+        search = _Search()
+        while True:
+            target = await self._locate(call, search)
+            if isinstance(target, Attempt):
+                return self._final(search, target)
+            if search.reached and not self._may_repeat(call):
+                return self._final(search, search.last)
+            search.hops += 1
+            attempt = await self._attempt(call, target)
+            search.last = attempt
+            search.reached += attempt.reached
+            if not self._goes_on(call, search, target, attempt):
+                return attempt
+
+    def _final(self, search: _Search, attempt: Attempt | None) -> Attempt:
+        """Prefer what an upstream said over a failed search for another."""
+        assert attempt is not None
+        last = search.last
+        if last is not None and last.outcome is not Outcome.NOT_RUN:
+            return last
+        if last is not None and last.retry_after_s > attempt.retry_after_s:
+            return last
+        return attempt
+
+    async def _attempt(self, call: Call, target: _Target) -> Attempt:
+        upstream_id = target.upstream.run.upstream_id
+        self._board.on_sent(upstream_id)
+        try:
+            if target.vm.vm_id == self._state.vms.me.vm_id:
+                attempt = await self._last_hop.run(call, target.upstream)
+            else:
+                attempt = await self._peers.forward(call, target.upstream, target.vm)
+        finally:
+            self._board.on_ended(upstream_id)
+        self._learn(call, target, attempt)
+        return attempt
+
+    def _learn(self, call: Call, target: _Target, attempt: Attempt) -> None:
+        now_s = self._clock.monotonic_s()
+        upstream_id = target.upstream.run.upstream_id
+        if attempt.wait_s is not None:
+            self._board.on_forecast(now_s, upstream_id, attempt.wait_s, attempt.service_s)
+        avoided_s = 0.0
+        if attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
+            self._board.on_answer(upstream_id, attempt.answer.status >= 500)
+        elif attempt.reason in (Reason.CONNECT_FAILED, Reason.UPSTREAM_SHED) or (
+            attempt.outcome is Outcome.UNKNOWN
+        ):
+            avoided_s = self._board.on_lost(now_s, upstream_id)
+        if attempt.outcome is not Outcome.ANSWERED:
+            _LOG.info(
+                "attempt_failed",
+                extra={
+                    "request_id": call.request_id,
+                    "pool": call.pool,
+                    "key": call.key,
+                    "upstream": upstream_id,
+                    "last_hop": target.vm.vm_id,
+                    "outcome": str(attempt.outcome),
+                    "reason": str(attempt.reason),
+                    "reached": attempt.reached,
+                    "wait_s": attempt.wait_s,
+                    "forecast_age_s": round(min(target.forecast_age_s, 1e6), 3),
+                    "avoided_s": avoided_s,
+                    "left_s": round(call.deadline_s - now_s, 3),
+                },
+            )
+
+    def _goes_on(self, call: Call, search: _Search, target: _Target, attempt: Attempt) -> bool:
+        """Decide whether another attempt is made."""
+        if search.hops >= self._rules.most_hops or search.reached >= call.max_attempts:
+            return False
+        left_s = call.deadline_s - self._clock.monotonic_s()
+        if left_s <= attempt.service_s / 2:
+            return False
+        if attempt.outcome is Outcome.NOT_RUN:
+            repeat = attempt.reason in _REPEATABLE
+            if call.key is not None and attempt.reason in (
+                Reason.QUEUE_FULL,
+                Reason.DEADLINE_TOO_SHORT,
+                Reason.UPSTREAM_SHED,
+            ):
+                return False  # no other upstream may run it
+        elif attempt.outcome is Outcome.UNKNOWN:
+            repeat = call.idempotent
+        else:
+            failed = attempt.answer is not None and attempt.answer.status >= 500
+            repeat = failed and call.idempotent
+        if repeat:
+            search.tried.add(target.upstream.run.upstream_id)
+        return repeat
+
+    def _may_repeat(self, call: Call) -> bool:
+        """Take a second send at an upstream from the budget."""
+        now_s = self._clock.monotonic_s()
+        allowed = self._budget(call.pool).try_spend(now_s)
+        self._metrics.retry(call.pool, allowed)
+        if not allowed:
+            _LOG.info("retry_denied", extra={"request_id": call.request_id, "pool": call.pool})
+        return allowed
+
+    def _budget(self, pool: str) -> RetryWindow:
+        budget = self._budgets.get(pool)
+        if budget is None:
+            rules = self._rules
+            budget = RetryWindow(rules.retry_share, rules.retry_reserve, rules.retry_window_s)
+            self._budgets[pool] = budget
+        return budget
+
+    async def _locate(self, call: Call, search: _Search) -> _Target | Attempt:
+        if call.key is not None:
+            return await self._locate_owner(call, search)
+        return self._locate_any(call, search)
+
+    def _locate_any(self, call: Call, search: _Search) -> _Target | Attempt:
+        state = self._state
+        now_s = self._clock.monotonic_s()
+        choice = self._board.choose(
+            now_s,
+            state.upstreams.ready(now_s, call.pool),
+            self._distance,
+            call.objective_s - call.started_s,
+            self._exact_wait,
+            search.tried,
+        )
+        if choice is None:
+            return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_s)
+        upstream = choice.upstream
+        vm = state.vms.last_hop(upstream.run.upstream_id, upstream.data_centre)
+        return _Target(upstream, vm, choice.age_s)
+
+    def _distance(self, upstream: Upstream) -> int:
+        vms = self._state.vms
+        if upstream.data_centre == vms.me.data_centre:
+            return 0
+        return 1 if vms.region(upstream.data_centre) == vms.region(vms.me.data_centre) else 2
+
+    def _exact_wait(self, upstream: Upstream) -> tuple[float, float] | None:
+        vms = self._state.vms
+        vm = vms.last_hop(upstream.run.upstream_id, upstream.data_centre)
+        return self._last_hop.forecast(upstream) if vm.vm_id == vms.me.vm_id else None
+
+    async def _locate_owner(self, call: Call, search: _Search) -> _Target | Attempt:
+        """Return the owner of the key; waits a little while the key changes its owner."""
+        now_s = self._clock.monotonic_s()
+        until_s = min(now_s + self._rules.move_wait_s, call.deadline_s)
+        # An owner that did not hold the key is asked again only under a newer table.
+        outdated = search.last is not None and search.last.reason is Reason.NOT_OWNER
+        while True:
+            target, moving = self._owner(call)
+            if target is not None and not outdated:
+                return target
+            left_s = until_s - self._clock.monotonic_s()
+            if not (moving or outdated) or left_s <= 0:
+                return not_run(Reason.OWNER_UNAVAILABLE, self._retry_after_s())
+            outdated = not await self._state.owners.wait(left_s)
+
+    def _retry_after_s(self) -> float:
+        return self._rules.owner_retry_s * self._rng.uniform(0.75, 1.5)
+
+    def _owner(self, call: Call) -> tuple[_Target | None, bool]:
+        """Return the owner of the key, or None and whether a wait may help."""
+        state = self._state
+        table = state.owners.get(call.pool)
+        part = table.find(call.key) if table is not None and call.key is not None else None
+        if part is None:
+            return None, False
+        if not part.serving:
+            return None, True
+        run = part.owner
+        standing = state.upstreams.standing(self._clock.monotonic_s(), run.upstream_id, run.born)
+        upstream = state.upstreams.get(run.upstream_id)
+        if standing is Standing.GONE or upstream is None:
+            return None, False
+        vm = state.vms.last_hop(run.upstream_id, upstream.data_centre)
+        return _Target(upstream, vm), False
--- /dev/null
+++ b/fireflyferry/gateway/headers.py
@@ -0,0 +1,28 @@
+"""Headers that are passed on between callers and upstreams."""
+
+from collections.abc import Iterable
+
+from tornado.httputil import HTTPHeaders
+
+from fireflyferry.transport.headers import end_to_end
+
+__all__ = ["answer_headers", "host_of", "request_headers"]
+
+HeaderList = list[tuple[str, str]]
+
+
+def request_headers(headers: HTTPHeaders, replaced: Iterable[str]) -> HeaderList:
+    """Return the headers of a request to pass on, without those that the sender sets."""
+    dropped = {"content-length", *(name.lower() for name in replaced)}
+    return [pair for pair in end_to_end(headers.get_all()) if pair[0].lower() not in dropped]
+
+
+def answer_headers(headers: Iterable[tuple[str, str]]) -> HeaderList:
+    """Return the headers of an answer to pass on."""
+    return end_to_end(headers)
+
+
+def host_of(headers: HTTPHeaders) -> str:
+    """Return the requested host without its port."""
+    host = headers.get("Host", "")
+    return host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
--- /dev/null
+++ b/fireflyferry/gateway/metrics.py
@@ -0,0 +1,79 @@
+"""Counters and latency histograms of one entry VM, served as text."""
+
+from collections.abc import Callable, Mapping
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from fireflyferry.gateway.calls import Attempt
+
+__all__ = ["GatewayMetrics"]
+
+# Seconds; from the fastest answer seen to the longest time that callers wait.
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0)
+
+
+class GatewayMetrics:
+    """All metrics; labels take values from the configuration or from fixed sets only."""
+
+    def __init__(self) -> None:
+        self._registry = registry = CollectorRegistry()
+
+        def counter(name: str, text: str, *labels: str) -> Counter:
+            return Counter(f"fireflyferry_{name}", text, labels, registry=registry)
+
+        def histogram(name: str, text: str, *labels: str) -> Histogram:
+            return Histogram(
+                f"fireflyferry_{name}", text, labels, registry=registry, buckets=LATENCY_BUCKETS
+            )
+
+        self._requests = counter(
+            "requests", "Requests of callers by outcome.", "pool", "outcome", "reason"
+        )
+        self._attempts = counter(
+            "attempts", "Requests sent to upstreams by outcome.", "pool", "outcome", "reason"
+        )
+        self._retries = counter(
+            "retries", "Second sends that the budget allowed or denied.", "pool", "allowed"
+        )
+        self._latency = histogram("request_seconds", "Time until the answer was given.", "pool")
+        self._upstream_latency = histogram(
+            "upstream_seconds", "Time that an upstream took.", "pool"
+        )
+        self._store_calls = counter("store_calls", "Calls to the store.", "call", "result")
+        self._orders = counter("key_orders", "Grants and releases sent.", "order", "result")
+        self._owner_changes = counter("owner_changes", "Ranges that changed their owner.", "pool")
+
+    def request(self, pool: str, outcome: str, reason: str, took_s: float) -> None:
+        """Count a request of a caller."""
+        self._requests.labels(pool, outcome, reason).inc()
+        self._latency.labels(pool).observe(took_s)
+
+    def upstream(self, pool: str, attempt: Attempt, took_s: float) -> None:
+        """Count a request that was sent to an upstream."""
+        self._attempts.labels(pool, str(attempt.outcome), str(attempt.reason or "")).inc()
+        self._upstream_latency.labels(pool).observe(took_s)
+
+    def retry(self, pool: str, allowed: bool) -> None:
+        """Count a second send that was asked for."""
+        self._retries.labels(pool, str(allowed).lower()).inc()
+
+    def store_call(self, call: str, result: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(call, result).inc()
+
+    def order(self, order: str, result: str) -> None:
+        """Count a grant or release."""
+        self._orders.labels(order, result).inc()
+
+    def owners_moved(self, pool: str, ranges: int) -> None:
+        """Count ranges whose owner changes."""
+        self._owner_changes.labels(pool).inc(ranges)
+
+    def gauges(self, gauges: Mapping[str, tuple[str, Callable[[], float]]]) -> None:
+        """Serve values that are computed when they are read, by name, with a description."""
+        for name, (text, read) in gauges.items():
+            Gauge(f"fireflyferry_{name}", text, registry=self._registry).set_function(read)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/fireflyferry/gateway/peer_client.py
@@ -0,0 +1,152 @@
+"""Calls to other entry VMs."""
+
+import asyncio
+import logging
+
+import attrs
+import orjson
+
+from fireflyferry.balancing import EntryVm, Upstream, VmDirectory
+from fireflyferry.edges import Clock
+from fireflyferry.gateway import peer_messages
+from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run, unknown
+from fireflyferry.tasks import TaskGroup
+from fireflyferry.telemetry import Reason
+from fireflyferry.transport import CurlTransport, Exchange, Fetched, fetch
+from fireflyferry.transport.fetch import whole_body
+
+__all__ = ["LOADS_PATH", "PING_PATH", "PeerClient", "PeerRules"]
+
+_LOG = logging.getLogger(__name__)
+
+PING_PATH = "/peer/ping"
+LOADS_PATH = "/peer/loads"
+
+
+@attrs.frozen
+class PeerRules:
+    """Times in seconds.
+
+    A VM whose answer takes longer than `check_after_s` is asked whether it lives; most answers
+    come earlier. `answer_margin_s` lets its own refusal at the deadline arrive.
+    """
+
+    check_after_s: float = 0.5
+    ping_s: float = 0.35
+    recheck_s: float = 0.5
+    answer_margin_s: float = 0.1
+    report_s: float = 0.5
+
+
+class PeerClient:
+    """Forwards requests to last hops, and notes which entry VMs do not answer."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        transport: CurlTransport,
+        vms: VmDirectory,
+        rules: PeerRules | None = None,
+    ):
+        self._clock = clock
+        self._transport = transport
+        self._vms = vms
+        self._rules = rules or PeerRules()
+        self._checks: dict[str, asyncio.Task[bool]] = {}
+        self._tasks = TaskGroup()
+
+    async def forward(self, call: Call, upstream: Upstream, vm: EntryVm) -> Attempt:
+        """Have another VM send a request to an upstream; cancelling closes the connection."""
+        now_s = self._clock.monotonic_s()
+        described = peer_messages.write_call(
+            call, upstream.run.upstream_id, upstream.run.born, now_s
+        )
+        exchange = Exchange(
+            vm.address,
+            call.method,
+            call.target,
+            [*call.headers, (peer_messages.CALL, described)],
+            whole_body(call.body) if call.body or call.method in ("POST", "PUT") else None,
+            max(0.001, call.deadline_s - now_s) + self._rules.answer_margin_s,
+        )
+        sending = asyncio.ensure_future(fetch(self._transport, exchange))
+        try:
+            result = await self._supervise(sending, call, vm)
+        finally:
+            sending.cancel()
+        return self._attempt(result, vm)
+
+    async def report_loads(self, vm: EntryVm, loads: object) -> bool:
+        """Send load samples to the granting VM; False if it did not take them."""
+        exchange = Exchange(
+            vm.address,
+            "POST",
+            LOADS_PATH,
+            [],
+            whole_body(orjson.dumps(loads)),
+            self._rules.report_s,
+        )
+        return (await fetch(self._transport, exchange)).status == 204
+
+    async def _supervise(
+        self, sending: "asyncio.Future[Fetched]", call: Call, vm: EntryVm
+    ) -> Fetched | None:
+        """Wait for the answer; None if the VM turns out not to answer at all.
+
+        A non-idempotent request stays where it is, since nothing tells whether it was passed on.
+        """
+        await asyncio.wait([sending], timeout=self._rules.check_after_s)
+        while not sending.done():
+            alive = await self._check(vm)
+            if not alive and call.idempotent and not sending.done():
+                return None
+            await asyncio.wait([sending], timeout=self._rules.recheck_s)
+        return sending.result()
+
+    def _attempt(self, result: Fetched | None, vm: EntryVm) -> Attempt:
+        if result is None:
+            return unknown(Reason.CONNECTION_LOST)
+        if not result.complete:
+            self._suspect(vm, f"curl {result.error} {result.message}")
+            if not result.sent:
+                return not_run(Reason.CONNECT_FAILED)
+            return unknown(Reason.TIMED_OUT if result.timed_out else Reason.CONNECTION_LOST)
+        described = result.header(peer_messages.RESULT)
+        try:
+            if described is None:
+                raise peer_messages.PeerMessageError("answer without result")
+            headers = [pair for pair in result.headers if pair[0] != peer_messages.RESULT]
+            return peer_messages.read_result(described, Answer(result.status, headers, result.body))
+        except peer_messages.PeerMessageError as error:
+            _LOG.warning("peer_answer_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
+            return unknown(Reason.WRONG_ANSWER)
+
+    def _suspect(self, vm: EntryVm, detail: str) -> None:
+        if self._vms.suspect(vm):
+            _LOG.warning("peer_lost", extra={"vm": vm.vm_id, "detail": detail})
+            self._tasks.start(self._wait_for(vm))
+
+    async def _wait_for(self, vm: EntryVm) -> None:
+        """Check a VM that did not answer until it does or is replaced."""
+        while self._vms.get(vm.vm_id) == vm and vm in self._vms.suspected:
+            if await self._check(vm):
+                self._vms.trust(vm)
+                _LOG.info("peer_regained", extra={"vm": vm.vm_id})
+                return
+            await asyncio.sleep(self._rules.recheck_s)
+
+    async def _check(self, vm: EntryVm) -> bool:
+        """Ask whether a VM answers; several requests share one question."""
+        check = self._checks.get(vm.vm_id)
+        if check is None:
+            check = asyncio.ensure_future(self._ping(vm))
+            self._checks[vm.vm_id] = check
+            check.add_done_callback(lambda _: self._checks.pop(vm.vm_id, None))
+        return await asyncio.shield(check)
+
+    async def _ping(self, vm: EntryVm) -> bool:
+        exchange = Exchange(vm.address, "GET", PING_PATH, [], None, self._rules.ping_s)
+        alive = (await fetch(self._transport, exchange)).status == 204
+        if not alive:
+            self._suspect(vm, "no answer to a check")
+        return alive
--- /dev/null
+++ b/fireflyferry/gateway/peer_server.py
@@ -0,0 +1,122 @@
+"""Requests of other entry VMs: forwards, checks, load samples, metrics."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+import orjson
+from tornado.http1connection import HTTP1Connection
+
+from fireflyferry.balancing import Standing, UpstreamDirectory
+from fireflyferry.edges import Clock
+from fireflyferry.gateway import peer_messages
+from fireflyferry.gateway.calls import Attempt, Call, not_run
+from fireflyferry.gateway.exchange import WholeExchange
+from fireflyferry.gateway.headers import answer_headers, request_headers
+from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.peer_client import LOADS_PATH, PING_PATH
+from fireflyferry.telemetry import Outcome, Reason
+
+__all__ = ["PeerExchange", "PeerServices"]
+
+_LOG = logging.getLogger(__name__)
+
+REFUSAL_STATUS = 503
+
+
+@attrs.define(eq=False)
+class PeerServices:
+    """What requests of other VMs share."""
+
+    clock: Clock
+    upstreams: UpstreamDirectory
+    last_hop: LastHop
+    request_id_header: str
+    on_loads: Callable[[object], None]
+    in_flight: int = 0
+    last_active_s: float = 0.0
+
+
+class PeerExchange(WholeExchange):
+    """One request of another entry VM."""
+
+    def __init__(self, connection: HTTP1Connection, services: PeerServices):
+        super().__init__(connection)
+        self._services = services
+        self._described: peer_messages.PeerCall | None = None
+
+    def on_head(self) -> None:
+        """Wait for the body."""
+
+    def outlives_sender(self) -> bool:
+        """Let a request that must not be half done go on without its sender."""
+        return self._described is not None and not self._described.idempotent
+
+    async def handle(self) -> None:
+        """Answer by path, or forward."""
+        described = self._headers.get(peer_messages.CALL)
+        if described is not None:
+            await self._forward(described)
+        elif self._line.path == PING_PATH:
+            self.answer(204, [], b"")
+        elif self._line.path == LOADS_PATH:
+            self._take_loads()
+        else:
+            self.answer(404, [], b"")
+
+    def _take_loads(self) -> None:
+        try:
+            self._services.on_loads(orjson.loads(self.body))
+        except (orjson.JSONDecodeError, ValueError, TypeError, KeyError) as error:
+            _LOG.warning("load_report_unreadable", extra={"error": str(error)})
+            self.answer(400, [], b"")
+        else:
+            self.answer(204, [], b"")
+
+    async def _forward(self, value: str) -> None:
+        services = self._services
+        try:
+            self._described = peer_messages.read_call(value)
+        except peer_messages.PeerMessageError as error:
+            _LOG.warning("peer_call_unreadable", extra={"error": str(error)})
+            self.answer(400, [], b"")
+            return
+        services.in_flight += 1
+        try:
+            attempt = await self._attempt(self._described)
+        finally:
+            services.in_flight -= 1
+            services.last_active_s = services.clock.monotonic_s()
+        result = (peer_messages.RESULT, peer_messages.write_result(attempt))
+        if attempt.answer is not None and attempt.outcome is Outcome.ANSWERED:
+            answer = attempt.answer
+            self.answer(answer.status, [*answer_headers(answer.headers), result], answer.body)
+        else:
+            self.answer(REFUSAL_STATUS, [result], b"")
+
+    async def _attempt(self, described: peer_messages.PeerCall) -> Attempt:
+        services = self._services
+        now_s = services.clock.monotonic_s()
+        upstream = services.upstreams.get(described.upstream_id)
+        standing = services.upstreams.standing(now_s, described.upstream_id, described.born)
+        if upstream is None or standing is Standing.GONE:
+            return not_run(Reason.UPSTREAM_DRAINING)
+        return await services.last_hop.run(self._call(described, now_s), upstream)
+
+    def _call(self, described: peer_messages.PeerCall, now_s: float) -> Call:
+        return Call(
+            request_id=self._headers.get(self._services.request_id_header, ""),
+            method=self._line.method,
+            target=self._line.path,
+            headers=request_headers(self._headers, (peer_messages.CALL,)),
+            body=self.body,
+            pool=described.pool,
+            key=None if described.key < 0 else described.key,
+            idempotent=bool(described.idempotent),
+            priority=described.priority,
+            max_attempts=described.max_attempts,
+            started_s=now_s - described.age_ms / 1000,
+            objective_s=now_s + described.objective_ms / 1000,
+            deadline_s=now_s + described.left_ms / 1000,
+            returned=bool(described.returned),
+        )
--- /dev/null
+++ b/fireflyferry/gateway/program.py
@@ -0,0 +1,398 @@
+"""The entry VM's program: wires the parts, serves until told to stop, stops in good order."""
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from fireflyferry.balancing import (
+    EntryVm,
+    LoadBoard,
+    SelectionRules,
+    ShareSplitter,
+    UpstreamDirectory,
+    VmDirectory,
+)
+from fireflyferry.edges.system_clock import BootClock
+from fireflyferry.gateway import documents
+from fireflyferry.gateway.callers import CallerExchange, CallerServices
+from fireflyferry.gateway.control import Control
+from fireflyferry.gateway.edges import (
+    Conflict,
+    KeyOrders,
+    MetadataStore,
+    PlatformCodec,
+    StoreCallError,
+)
+from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
+from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
+from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
+from fireflyferry.gateway.sampling import KeySampler
+from fireflyferry.gateway.settings import GatewaySettings
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.watching import KindWatcher, StoreHealth, WatchRules
+from fireflyferry.keyranges import GrantTiming
+from fireflyferry.routing.hosts import RoutingConfig
+from fireflyferry.tasks import TaskGroup
+from fireflyferry.transport import CurlTransport
+
+__all__ = ["GatewayProgram", "PlatformEdges", "ProgramRules"]
+
+_LOG = logging.getLogger(__name__)
+
+METRICS_PATH = "/metrics"
+
+# Waits bound how long a silent watch is believed: shorter where the platform bounds the delay.
+CONFIG_WATCH = WatchRules(wait_s=2.0, gap_s=0.05)
+UPSTREAM_WATCH = WatchRules(wait_s=3.0, gap_s=0.25)
+OWNER_WATCH = WatchRules(wait_s=4.0, gap_s=0.0)
+VM_WATCH = WatchRules(wait_s=8.0, gap_s=0.5)
+
+
+@attrs.frozen
+class ProgramRules:
+    """Times in seconds.
+
+    `linger_s` is how long a VM that was told to stop goes on taking connections, since the
+    balancer needs two missed checks, a second apart, to turn away. `exit_margin_s` is left of the
+    grace period when it exits at the latest.
+    """
+
+    connect_s: float = 0.4
+    disturbed_s: float = 5.0  # entries that lapsed in an outage are back within 2 s
+    leaving_margin_s: float = 0.4  # of the time in which a leaving upstream may get requests
+    report_s: float = 0.5
+    housekeeping_s: float = 1.0
+    linger_s: float = 3.0
+    exit_margin_s: float = 0.6
+    register_retry_s: float = 0.5
+
+
+@attrs.frozen
+class PlatformEdges:
+    """Adapters to the platform."""
+
+    store: MetadataStore
+    orders: KeyOrders
+    codec: PlatformCodec
+
+
+class GatewayProgram:
+    """One entry VM; must be made with the event loop running."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        make_edges: Callable[[CurlTransport, GatewayMetrics], PlatformEdges],
+        on_reload: Callable[[], None],
+        rules: ProgramRules | None = None,
+    ):
+        self._settings = settings
+        self._rules = rules or ProgramRules()
+        self._on_reload = on_reload
+        self._clock = BootClock()
+        self._rng = random.Random()
+        self._tasks = TaskGroup()
+        self._stop = asyncio.Event()
+        self._began_s = self._clock.monotonic_s()
+        self._metrics = GatewayMetrics()
+        self._transport = CurlTransport(
+            force_instance=True, connect_timeout_s=self._rules.connect_s
+        )
+        self._edges = make_edges(self._transport, self._metrics)
+        self._health = StoreHealth(self._clock, self._rules.disturbed_s)
+        self._me = self._make_me()
+        bounds = settings.bounds
+        leaving_s = max(0.0, bounds.drain_timeout_s - self._rules.leaving_margin_s)
+        self._state = GatewayState(
+            self._clock,
+            self._edges.codec,
+            UpstreamDirectory(leaving_s, lapse_s=max(0.0, leaving_s - 0.2)),
+            VmDirectory(self._me, settings.regions.by_data_centre()),
+            self._health.disturbed,
+        )
+        self._state.on_config.append(self._on_config)
+        self._make_request_path()
+        self._control = Control(
+            self._clock,
+            self._state,
+            self._edges.store,
+            self._health,
+            self._edges.orders,
+            self._metrics,
+            self._rng,
+            timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
+        )
+        self._watchers = self._make_watchers()
+        self._registered = False
+        self._idle_limit_s = 0.0
+        self._add_gauges()
+
+    async def run(self) -> None:
+        """Serve until a termination signal."""
+        vm = self._settings.vm
+        servers = [
+            self._serve(ServerDelegate(self._caller_exchange, self._closing), vm.callers),
+            self._serve(ServerDelegate(self._peer_exchange), self._me.address),
+        ]
+        self._callers_server = servers[0]
+        self._serve_web(vm.readiness, r"/ready", self._readiness)
+        self._serve_web(f"{vm.address}:{vm.metrics_port}", METRICS_PATH, self._metrics_text)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        _LOG.info(
+            "started",
+            extra={
+                "vm": vm.vm_id,
+                "incarnation": self._me.incarnation,
+                "callers": vm.callers,
+                "peers": self._me.address,
+            },
+        )
+        for watcher in self._watchers.values():
+            self._tasks.start(watcher.run())
+        for work in (self._control.run(), self._register(), self._report(), self._keep_house()):
+            self._tasks.start(work)
+        await self._stop.wait()
+        await self._shut_down(servers)
+
+    # Parts
+
+    def _make_me(self) -> EntryVm:
+        vm = self._settings.vm
+        return EntryVm(
+            vm.vm_id, secrets.token_hex(6), f"{vm.address}:{vm.peer_port}", vm.data_centre
+        )
+
+    def _make_request_path(self) -> None:
+        state, codec, clock = self._state, self._edges.codec, self._clock
+        bounds = self._settings.bounds
+        self._last_hop = LastHop(
+            clock, self._transport, state.upstreams, codec.headers, self._metrics
+        )
+        self._peers = PeerClient(clock, self._transport, state.vms)
+        self._board = LoadBoard(SelectionRules(), self._rng)
+        self._first_hop = FirstHop(
+            clock,
+            state,
+            self._last_hop,
+            self._peers,
+            self._board,
+            self._metrics,
+            FirstHopRules(retry_share=bounds.retry_share, retry_window_s=bounds.retry_window_s),
+            self._rng,
+        )
+        self._sampler = KeySampler(self._rng)
+        self._closing = ClosingConnections()
+        self._splitter = ShareSplitter()
+        self._callers = CallerServices(
+            clock,
+            state,
+            codec.headers,
+            self._first_hop,
+            self._sampler,
+            self._metrics,
+            self._splitter,
+            self._closing,
+        )
+        self._peer_services = PeerServices(
+            clock, state.upstreams, self._last_hop, codec.headers.request_id, self._take_report
+        )
+
+    def _make_watchers(self) -> dict[str, KindWatcher]:
+        state, codec = self._state, self._edges.codec
+        watched = {
+            codec.config_kind: (CONFIG_WATCH, state.apply_config),
+            codec.upstream_kind: (UPSTREAM_WATCH, state.apply_upstreams),
+            documents.OWNER_KIND: (OWNER_WATCH, state.apply_owners),
+            documents.VM_KIND: (VM_WATCH, state.apply_vms),
+        }
+        return {
+            kind: KindWatcher(self._edges.store, self._health, self._clock, kind, watch, on_change)
+            for kind, (watch, on_change) in watched.items()
+        }
+
+    def _add_gauges(self) -> None:
+        codec = self._edges.codec
+        self._metrics.gauges(
+            {
+                "config_version": (
+                    "Version of the configuration in force.",
+                    lambda: self._state.config.version if self._state.config else 0,
+                ),
+                "config_age_seconds": (
+                    "Time since the store confirmed the configuration.",
+                    lambda: self._watchers[codec.config_kind].age_s,
+                ),
+                "upstreams_age_seconds": (
+                    "Time since the store confirmed the list of upstreams.",
+                    lambda: self._watchers[codec.upstream_kind].age_s,
+                ),
+                "owners_age_seconds": (
+                    "Time since the store confirmed the owners of keys.",
+                    lambda: self._watchers[documents.OWNER_KIND].age_s,
+                ),
+                "upstream_busy": (
+                    "Requests that upstreams of this last hop work on.",
+                    lambda: self._last_hop.busy,
+                ),
+                "upstream_waiting": (
+                    "Requests that wait for a slot at this last hop.",
+                    lambda: self._last_hop.waiting,
+                ),
+                "holds_lease": (
+                    "Whether this VM may grant keys.",
+                    lambda: float(self._control.holds_lease),
+                ),
+                "retries_left": (
+                    "Second sends allowed now, over all pools.",
+                    lambda: sum(self._first_hop.retries_left().values()),
+                ),
+            }
+        )
+
+    # Servers
+
+    def _serve(self, delegate: ServerDelegate, endpoint: str) -> tornado.httpserver.HTTPServer:
+        server = tornado.httpserver.HTTPServer(
+            delegate, max_body_size=1 << 30, max_header_size=1 << 18
+        )
+        server.add_socket(_listen(endpoint))
+        return server
+
+    def _serve_web(self, endpoint: str, path: str, read: Callable[[], tuple[int, bytes]]) -> None:
+        class Page(tornado.web.RequestHandler):
+            def get(self) -> None:
+                status, body = read()
+                self.set_status(status)
+                self.finish(body)
+
+        application = tornado.web.Application([(path, Page)], log_function=lambda _: None)
+        tornado.httpserver.HTTPServer(application).add_socket(_listen(endpoint))
+
+    def _caller_exchange(self, connection: Any) -> CallerExchange:
+        return CallerExchange(connection, self._callers)
+
+    def _peer_exchange(self, connection: Any) -> PeerExchange:
+        return PeerExchange(connection, self._peer_services)
+
+    def _readiness(self) -> tuple[int, bytes]:
+        ready = self._state.complete and self._registered and not self._stop.is_set()
+        return (200, b"ready\n") if ready else (503, b"not ready\n")
+
+    def _metrics_text(self) -> tuple[int, bytes]:
+        return 200, self._metrics.text()
+
+    def _on_config(self, config: RoutingConfig) -> None:
+        """Apply what the servers take from the configuration."""
+        self._splitter.forget_others([route.shares for route in config.routes])
+        # A caller may still count on the longer limit of the version before.
+        self._idle_limit_s = max(self._idle_limit_s, config.limits.idle_timeout_s)
+        self._callers_server.conn_params.header_timeout = self._idle_limit_s
+
+    # Background work
+
+    async def _register(self) -> None:
+        """Write this VM's entry until the store has it."""
+        while not await self._write_entry(self._me):
+            await asyncio.sleep(self._rules.register_retry_s)
+        self._registered = True
+
+    async def _write_entry(self, vm: EntryVm) -> bool:
+        """Write this VM's entry over whatever an earlier run left; False without an answer."""
+        store, content = self._edges.store, documents.vm_content(vm)
+        try:
+            result = await store.write(documents.VM_KIND, vm.vm_id, content, 0)
+            while isinstance(result, Conflict):
+                revision = result.found.revision if result.found is not None else 0
+                result = await store.write(documents.VM_KIND, vm.vm_id, content, revision)
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            _LOG.warning("vm_entry_not_written", extra={"error": str(error)})
+            return False
+        return True
+
+    async def _report(self) -> None:
+        """Send samples of this VM's load to the granting VM."""
+        while True:
+            await asyncio.sleep(self._rules.report_s)
+            keys = self._sampler.take()
+            vm = self._control.granting_vm()
+            if not keys or vm is None:
+                continue
+            service_s = self._last_hop.service_times()
+            if vm.vm_id == self._me.vm_id:
+                self._control.take_loads(keys, service_s)
+                continue
+            rounded = {upstream_id: round(value, 3) for upstream_id, value in service_s.items()}
+            if not await self._peers.report_loads(vm, {"keys": keys, "service_s": rounded}):
+                _LOG.info("load_report_not_taken", extra={"vm": vm.vm_id, "pools": len(keys)})
+
+    def _take_report(self, report: Any) -> None:
+        keys = {
+            str(pool): ([int(key) for key in sample], float(weight))
+            for pool, (sample, weight) in report["keys"].items()
+        }
+        service_s = {str(name): float(value) for name, value in report["service_s"].items()}
+        self._control.take_loads(keys, service_s)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(self._rules.housekeeping_s)
+            self._last_hop.forget_gone()
+            self._board.forget_others({each.run.upstream_id for each in self._state.upstreams})
+
+    # Shutdown
+
+    async def _shut_down(self, servers: list[tornado.httpserver.HTTPServer]) -> None:
+        """Turn callers and peers away first, then wait for what is in flight."""
+        rules, clock = self._rules, self._clock
+        told_s = clock.monotonic_s()
+        latest_s = told_s + self._settings.bounds.grace_period_s - rules.exit_margin_s
+        _LOG.info("stopping", extra={"in_flight": self._in_flight()})
+        self._closing.active = True
+        farewell: list[Coroutine[Any, Any, Any]] = [
+            self._control.resign(),
+            self._write_entry(attrs.evolve(self._me, leaving=True)),
+        ]
+        for work in farewell:
+            self._tasks.start(work)
+        while clock.monotonic_s() < latest_s:
+            settled = clock.monotonic_s() >= told_s + rules.linger_s
+            if settled and not self._in_flight():
+                break
+            await asyncio.sleep(0.05)
+        _LOG.info(
+            "stopped",
+            extra={
+                "in_flight": self._in_flight(),
+                "took_s": round(clock.monotonic_s() - told_s, 3),
+            },
+        )
+        self._tasks.cancel()
+        for server in servers:
+            server.stop()
+            await server.close_all_connections()
+        self._transport.close()
+
+    def _in_flight(self) -> int:
+        return self._callers.in_flight + self._peer_services.in_flight
+
+
+def _listen(endpoint: str) -> socket.socket:
+    host, _, port = endpoint.rpartition(":")
+    return tornado.netutil.bind_sockets(int(port), host, backlog=1024)[0]
--- /dev/null
+++ b/fireflyferry/gateway/settings.py
@@ -0,0 +1,70 @@
+"""Settings of the entry VM on a platform."""
+
+import attrs
+
+from fireflyferry.settings.model import LogSettings
+from fireflyferry.settings.values import Endpoint, IpAddress, Number, Text, TextList, Whole, field
+
+__all__ = ["GatewaySettings"]
+
+NAME = Text(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "1 to 64 letters, digits and ._-")
+PAIR = Text(
+    r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}:[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "DATA_CENTRE:REGION"
+)
+SECONDS = Number(0.0, 3600.0)
+
+
+@attrs.frozen
+class GatewayVmSettings:
+    """The VM and where it listens."""
+
+    vm_id: str = field(NAME)
+    data_centre: str = field(NAME)
+    address: str = field(IpAddress())
+    callers: str = field(Endpoint())
+    readiness: str = field(Endpoint())
+    peer_port: int = field(Whole(1, 65535))
+    metrics_port: int = field(Whole(1, 65535))
+
+
+@attrs.frozen
+class RegionSettings:
+    """Region of each data centre."""
+
+    data_centres: tuple[str, ...] = field(TextList(PAIR, 1, 1000))
+
+    def by_data_centre(self) -> dict[str, str]:
+        """Return the region of each data centre."""
+        return dict(pair.split(":") for pair in self.data_centres)
+
+
+@attrs.frozen
+class GatewayStoreSettings:
+    """The platform's store."""
+
+    address: str = field(Endpoint())
+
+
+@attrs.frozen
+class BoundSettings:
+    """Bounds that the platform states; times in seconds.
+
+    Second sends are bounded by `retry_share` of the requests in `retry_window_s`.
+    """
+
+    drain_timeout_s: float = field(SECONDS)
+    grace_period_s: float = field(SECONDS)
+    max_hold_s: float = field(SECONDS)
+    retry_share: float = field(Number(0.0, 1.0))
+    retry_window_s: float = field(SECONDS)
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of `python3 -m fireflyferry.platform`."""
+
+    vm: GatewayVmSettings
+    regions: RegionSettings
+    store: GatewayStoreSettings
+    bounds: BoundSettings
+    log: LogSettings
--- /dev/null
+++ b/fireflyferry/gateway/state.py
@@ -0,0 +1,182 @@
+"""What one entry VM knows: configuration, upstreams, owners of keys, other entry VMs."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+from fireflyferry.balancing import EntryVm, UpstreamDirectory, VmDirectory
+from fireflyferry.edges import Clock
+from fireflyferry.gateway import documents
+from fireflyferry.gateway.edges import Document, PlatformCodec, UnreadableError
+from fireflyferry.keyranges import OwnerTable
+from fireflyferry.routing.hosts import HostRoutes, RoutingConfig
+
+__all__ = ["GatewayState", "OwnerViews"]
+
+_LOG = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+class OwnerViews:
+    """Owner tables of all pools, newest first come; requests can wait for a change."""
+
+    def __init__(self) -> None:
+        self._tables: dict[str, tuple[int, OwnerTable]] = {}
+        self._changed: asyncio.Future[None] | None = None
+
+    def get(self, pool: str) -> OwnerTable | None:
+        """Return the owners of a pool's keys."""
+        entry = self._tables.get(pool)
+        return entry[1] if entry is not None else None
+
+    def put(self, pool: str, revision: int, table: OwnerTable) -> bool:
+        """Take a table unless a newer one is known."""
+        known = self._tables.get(pool)
+        if known is not None and revision <= known[0]:
+            return False
+        self._tables[pool] = (revision, table)
+        changed, self._changed = self._changed, None
+        if changed is not None and not changed.done():
+            changed.set_result(None)
+        return True
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for a change; False if none came in time."""
+        if self._changed is None:
+            self._changed = asyncio.get_running_loop().create_future()
+        done, _ = await asyncio.wait([self._changed], timeout=timeout_s)
+        return bool(done)
+
+
+class GatewayState:
+    """Beliefs of one VM; each change is logged with the version that caused it."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        codec: PlatformCodec,
+        upstreams: UpstreamDirectory,
+        vms: VmDirectory,
+        disturbed: Callable[[], bool],
+    ):
+        self._clock = clock
+        self._codec = codec
+        self._disturbed = disturbed
+        self.upstreams = upstreams
+        self.vms = vms
+        self.owners = OwnerViews()
+        self.config: RoutingConfig | None = None
+        self.routes = HostRoutes(())
+        self.on_config: list[Callable[[RoutingConfig], None]] = []
+        self._unreadable: dict[tuple[str, str], int] = {}
+        self._upstreams: Mapping[str, Document] | None = None
+        self._standings: dict[str, str] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether this VM knows enough to serve."""
+        return self.config is not None and self._upstreams is not None
+
+    def apply_config(self, mirror: Mapping[str, Document]) -> None:
+        """Take the configuration if it is readable and newer."""
+        document = mirror.get(self._codec.config_name)
+        if document is None:
+            return
+        config = self._read(self._codec.config_kind, document, self._codec.config)
+        if config is None or (self.config is not None and config.version <= self.config.version):
+            return
+        earlier = self.config.version if self.config is not None else 0
+        self.config = config
+        self.routes = HostRoutes(config.routes)
+        _LOG.info(
+            "configuration_applied",
+            extra={
+                "version": config.version,
+                "earlier_version": earlier,
+                "revision": document.revision,
+                "routes": len(config.routes),
+            },
+        )
+        if self._upstreams is not None:
+            self.apply_upstreams(self._upstreams)
+        for callback in self.on_config:
+            callback(config)
+
+    def apply_upstreams(self, mirror: Mapping[str, Document]) -> None:
+        """Take the list of upstreams; those of unknown pools are left out."""
+        self._upstreams = mirror
+        pools = self.config.pools if self.config is not None else {}
+        kind = self._codec.upstream_kind
+        read = (self._read(kind, each, self._codec.upstream) for each in mirror.values())
+        now_s = self._clock.monotonic_s()
+        disturbed = self._disturbed()
+        listed = (each for each in read if each is not None and each.pool in pools)
+        self.upstreams.apply(now_s, listed, disturbed)
+        self._log_standings(now_s, disturbed)
+
+    def apply_vms(self, mirror: Mapping[str, Document]) -> None:
+        """Take the list of entry VMs."""
+        listed = [
+            self._read(documents.VM_KIND, each, documents.vm_from) for each in mirror.values()
+        ]
+        known: list[EntryVm] = [each for each in listed if each is not None]
+        self.vms.apply(known)
+        _LOG.info("vms_listed", extra={"vms": len(known), "leaving": sum(v.leaving for v in known)})
+
+    def apply_owners(self, mirror: Mapping[str, Document]) -> None:
+        """Take the owner tables."""
+        for document in mirror.values():
+            table = self._read(documents.OWNER_KIND, document, documents.table_from)
+            if table is not None:
+                self.take_owners(document.revision, table)
+
+    def take_owners(self, revision: int, table: OwnerTable) -> None:
+        """Take one owner table."""
+        if self.owners.put(table.pool, revision, table):
+            _LOG.info(
+                "owners_changed",
+                extra={
+                    "pool": table.pool,
+                    "revision": revision,
+                    "term": table.term,
+                    "fence": table.last_fence,
+                    "ranges": len(table.ranges),
+                    "moving": sum(not each.serving for each in table.ranges),
+                },
+            )
+
+    def _read(self, kind: str, document: Document, read: Callable[[Document], T]) -> T | None:
+        """Read a document; one that cannot be read is logged once for each of its revisions."""
+        try:
+            return read(document)
+        except UnreadableError as error:
+            key = (kind, document.name)
+            if self._unreadable.get(key) != document.revision:
+                self._unreadable[key] = document.revision
+                _LOG.warning(
+                    "document_unreadable",
+                    extra={"kind": kind, "document": document.name, "error": str(error)},
+                )
+            return None
+
+    def _log_standings(self, now_s: float, disturbed: bool) -> None:
+        standings: dict[str, str] = {}
+        for upstream in self.upstreams:
+            upstream_id = upstream.run.upstream_id
+            standing = self.upstreams.standing(now_s, upstream_id).name.lower()
+            standings[upstream_id] = standing
+            if self._standings.get(upstream_id) != standing:
+                fields: dict[str, Any] = {
+                    "upstream": upstream_id,
+                    "pool": upstream.pool,
+                    "born": upstream.run.born,
+                    "standing": standing,
+                    "draining": upstream.draining,
+                    "store_disturbed": disturbed,
+                }
+                _LOG.info("upstream_standing", extra=fields)
+        for upstream_id in self._standings.keys() - standings.keys():
+            _LOG.info("upstream_forgotten", extra={"upstream": upstream_id})
+        self._standings = standings
--- a/fireflyferry/messages/codec.py
+++ b/fireflyferry/messages/codec.py
@@ -7,7 +7,7 @@
 
 from fireflyferry.errors import FireflyferryError
 
-__all__ = ["MessageError", "decode", "encode"]
+__all__ = ["MessageError", "decode", "encode", "structure", "unstructure"]
 
 T = TypeVar("T")
 
@@ -20,9 +20,25 @@
     code = "bad_message"
 
 
+def unstructure(message: Any) -> Any:
+    """Turn an attrs message into values that JSON has."""
+    return _CONVERTER.unstructure(message)
+
+
+def structure(value: Any, kind: type[T]) -> T:
+    """Turn decoded JSON into an attrs message of the given type.
+
+    Raises MessageError when the value does not fit the type.
+    """
+    try:
+        return _CONVERTER.structure(value, kind)
+    except (cattrs.BaseValidationError, TypeError, ValueError, KeyError) as error:
+        raise MessageError(f"value is not a valid {kind}: {error}") from error
+
+
 def encode(message: Any) -> bytes:
     """Encode an attrs message as JSON."""
-    return orjson.dumps(_CONVERTER.unstructure(message))
+    return orjson.dumps(unstructure(message))
 
 
 def decode(data: bytes, kind: type[T]) -> T:
@@ -31,6 +47,6 @@
     Raises MessageError when the body does not fit the type.
     """
     try:
-        return _CONVERTER.structure(orjson.loads(data), kind)
-    except (orjson.JSONDecodeError, cattrs.BaseValidationError, TypeError, ValueError) as error:
-        raise MessageError(f"body is not a valid {kind}: {error}") from error
+        return structure(orjson.loads(data), kind)
+    except orjson.JSONDecodeError as error:
+        raise MessageError(f"body is not valid JSON: {error}") from error
--- /dev/null
+++ b/fireflyferry/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls, without decisions."""
--- /dev/null
+++ b/fireflyferry/platform/__main__.py
@@ -0,0 +1,93 @@
+"""Program of an entry VM on the users' platform."""
+
+import argparse
+import asyncio
+import logging
+import os
+import sys
+
+import fireflyferry
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.program import GatewayProgram, PlatformEdges
+from fireflyferry.gateway.settings import GatewaySettings
+from fireflyferry.keyranges import GrantTiming
+from fireflyferry.platform import names
+from fireflyferry.platform.decoding import Codec
+from fireflyferry.platform.orders import HttpKeyOrders
+from fireflyferry.platform.store import HttpMetadataStore
+from fireflyferry.settings import SettingsError, read_settings
+from fireflyferry.telemetry.logs import configure_logging
+from fireflyferry.transport import CurlTransport
+
+__all__ = ["main"]
+
+_LOG = logging.getLogger(__name__)
+
+EXIT_DONE = 0
+EXIT_BAD_SETTINGS = 2
+EXIT_NO_PORT = 3
+EXIT_FAILED = 4
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program and return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="fireflyferry-platform-entry",
+        description="Entry VM on the platform: routes requests to the owners of their keys.",
+        epilog="Exit codes: 0 stopped in good order, 2 bad settings, 3 a port is not free, "
+        "4 an internal fault.",
+    )
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(names.SETTINGS_VARIABLE),
+        metavar="FILE",
+        help=f"INI file (default: the file that {names.SETTINGS_VARIABLE} names)",
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"%(prog)s {fireflyferry.__version__}"
+    )
+    options = parser.parse_args(argv)
+    if options.settings is None:
+        parser.error(f"--settings is missing and {names.SETTINGS_VARIABLE} is not set")
+    try:
+        settings = read_settings(options.settings, GatewaySettings)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logging(settings.log.format, settings.log.level, stream=sys.stdout)
+    try:
+        asyncio.run(_run(options.settings, settings))
+    except OSError as error:
+        _LOG.error("port_not_free", extra={"error": str(error)})
+        return EXIT_NO_PORT
+    except Exception:
+        _LOG.exception("program_failed")
+        return EXIT_FAILED
+    return EXIT_DONE
+
+
+async def _run(path: str, settings: GatewaySettings) -> None:
+    stores: list[HttpMetadataStore] = []
+
+    def make_edges(transport: CurlTransport, metrics: GatewayMetrics) -> PlatformEdges:
+        store = HttpMetadataStore(settings.store.address, transport, metrics)
+        stores.append(store)
+        return PlatformEdges(store, HttpKeyOrders(transport, GrantTiming()), Codec())
+
+    def reload() -> None:
+        try:
+            changed = read_settings(path, GatewaySettings)
+        except SettingsError as error:
+            _LOG.error("settings_not_reloaded", extra={"error": str(error)})
+            return
+        logging.getLogger().setLevel(changed.log.level.upper())
+        for store in stores:
+            store.move_to(changed.store.address)
+        _LOG.info("settings_reloaded", extra={"changed": changed != settings})
+
+    await GatewayProgram(settings, make_edges, reload).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fireflyferry/platform/names.py
@@ -0,0 +1,33 @@
+"""Names that the platform uses on the wire."""
+
+from fireflyferry.gateway.edges import HeaderNames
+
+__all__ = [
+    "CONFIG_KIND",
+    "CONFIG_NAME",
+    "GRANT_PATH",
+    "HANDOVER",
+    "HEADERS",
+    "RELEASE_PATH",
+    "SETTINGS_VARIABLE",
+    "UPSTREAM_KIND",
+]
+
+SETTINGS_VARIABLE = "FIREFLYFERRY_BOOT"
+
+HEADERS = HeaderNames(
+    request_id="Fireflyferry-Request-Id",
+    deadline_ms="Fireflyferry-Deadline-Ms",
+    signature="Fireflyferry-Response-Signature",
+    expected_upstream="Fireflyferry-Expected-Instance",
+    not_run="Fireflyferry-Not-Executed",
+    key="Fireflyferry-Shard-Key",
+)
+HANDOVER = "Fireflyferry-Handover"
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+UPSTREAM_KIND = "servers"
+
+GRANT_PATH = "/grant"
+RELEASE_PATH = "/release"
--- /dev/null
+++ b/fireflyferry/platform/orders.py
@@ -0,0 +1,71 @@
+"""Grants and releases of keys as the platform's instances take them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from fireflyferry.gateway.edges import KeyOrders
+from fireflyferry.keyranges import GrantAnswer, GrantCall, GrantTiming, ReleaseCall
+from fireflyferry.platform import names
+from fireflyferry.transport import CurlTransport, Exchange, Fetched, fetch
+from fireflyferry.transport.fetch import whole_body
+
+__all__ = ["HttpKeyOrders"]
+
+
+class HttpKeyOrders(KeyOrders):
+    """Orders over HTTP."""
+
+    def __init__(self, transport: CurlTransport, timing: GrantTiming):
+        self._transport = transport
+        self._timing = timing
+
+    async def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> GrantAnswer:
+        """Grant or renew keys; `may_send` is asked right before the first byte."""
+        body: dict[str, Any] = {
+            "from": call.first,
+            "target": call.last,  # the last key, not an address
+            "fence": call.fence,
+            "holdS": call.hold_s,
+        }
+        if call.handover:
+            body["handover"] = call.handover
+        result = await self._send(
+            call.address, names.GRANT_PATH, body, self._timing.call_s, may_send
+        )
+        return _answer(result)
+
+    async def release(
+        self, call: ReleaseCall, may_send: Callable[[], bool]
+    ) -> tuple[GrantAnswer, str]:
+        """Take keys back; returns the handover for the next owner with the answer."""
+        body = {"from": call.first, "target": call.last, "fence": call.fence}
+        result = await self._send(
+            call.address, names.RELEASE_PATH, body, self._timing.release_s, may_send
+        )
+        return _answer(result), result.header(names.HANDOVER) or ""
+
+    async def _send(
+        self,
+        address: str,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        may_send: Callable[[], bool],
+    ) -> Fetched:
+        headers = [("Content-Type", "application/json")]
+        exchange = Exchange(
+            address, "POST", path, headers, whole_body(orjson.dumps(body)), timeout_s
+        )
+        return await fetch(self._transport, exchange, may_send)
+
+
+def _answer(result: Fetched) -> GrantAnswer:
+    if result.refused:
+        return GrantAnswer.NO_LISTENER
+    if not result.complete:
+        return GrantAnswer.UNKNOWN
+    return {200: GrantAnswer.ACCEPTED, 409: GrantAnswer.HIGHER_FENCE}.get(
+        result.status, GrantAnswer.UNKNOWN
+    )
--- /dev/null
+++ b/fireflyferry/platform/store.py
@@ -0,0 +1,148 @@
+"""Client of the platform's store."""
+
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import orjson
+
+from fireflyferry.gateway.edges import (
+    Conflict,
+    Document,
+    Documents,
+    HistoryLostError,
+    MetadataStore,
+    StoreCallError,
+)
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.transport import CurlTransport, Exchange, Fetched, fetch
+from fireflyferry.transport.fetch import whole_body
+
+__all__ = ["HttpMetadataStore"]
+
+CALL_TIMEOUT_S = 1.5  # the store answers in 4 ms, 60 times as slow on bad days
+WATCH_MARGIN_S = 1.0  # for the answer of a watch that nothing ended
+JSON_HEADERS = [("Content-Type", "application/json")]
+
+
+class HttpMetadataStore(MetadataStore):
+    """Objects of the platform's store over HTTP."""
+
+    def __init__(self, address: str, transport: CurlTransport, metrics: GatewayMetrics):
+        self._address = address
+        self._transport = transport
+        self._metrics = metrics
+
+    def move_to(self, address: str) -> None:
+        """Use another address from now on."""
+        self._address = address
+
+    async def read(self, kind: str, name: str, stale: bool = False) -> Document | None:
+        """Read an object; a `stale` answer may be seconds old and costs less."""
+        query = {"serializable": "1"} if stale else {}
+        result = await self._call(
+            "read_stale" if stale else "read", "GET", _path(kind, name), query
+        )
+        if result.status == 404:
+            return None
+        return _document(self._content(result))
+
+    async def list(self, kind: str) -> Documents:
+        """List all objects of a kind, page by page."""
+        documents: list[Document] = []
+        position: int | None = None
+        after = ""
+        while True:
+            query = {"after": after} if after else {}
+            page = self._content(await self._call("list", "GET", _path(kind), query))
+            documents.extend(map(_document, page["items"]))
+            if position is None:
+                # Changes while the pages are read come again with the first watch.
+                position = page["asOf"]
+            if not page.get("hasMore") or not page["items"]:
+                return Documents(position, tuple(documents))
+            after = documents[-1].name
+
+    async def watch(self, kind: str, position: int, wait_s: float) -> Documents:
+        """Wait for changes after a position."""
+        query = {"watch": str(position), "waitMs": str(int(wait_s * 1000))}
+        result = await self._call(
+            "watch", "GET", _path(kind), query, timeout_s=wait_s + WATCH_MARGIN_S
+        )
+        if result.status == 410:
+            raise HistoryLostError(f"changes of {kind} after {position}")
+        content = self._content(result)
+        changed: dict[str, Document] = {}
+        removed: dict[str, None] = {}
+        for event in content["events"]:
+            document = _document(event["object"])
+            if event.get("removed"):
+                changed.pop(document.name, None)
+                removed[document.name] = None
+            else:
+                changed[document.name] = document
+                removed.pop(document.name, None)
+        return Documents(content["asOf"], tuple(changed.values()), tuple(removed))
+
+    async def write(self, kind: str, name: str, content: Any, revision: int) -> int | Conflict:
+        """Write an object if its revision is the given one (0: it does not exist)."""
+        if revision == 0:
+            body = {"metadata": {"name": name}, "spec": content}
+            result = await self._call("create", "POST", _path(kind), {}, body)
+        else:
+            body = {"metadata": {"name": name, "revision": revision}, "spec": content}
+            result = await self._call("replace", "PUT", _path(kind, name), {}, body)
+        if result.status == 404:
+            return Conflict(None)
+        if result.status == 409:
+            return Conflict(await self.read(kind, name))
+        return _document(self._content(result)).revision
+
+    async def _call(
+        self,
+        label: str,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Fetched:
+        """Make a call; answers that say that nothing was done are errors as well."""
+        target = f"{path}?{urlencode(query)}" if query else path
+        exchange = Exchange(
+            self._address,
+            method,
+            target,
+            JSON_HEADERS if body is not None else [],
+            whole_body(orjson.dumps(body)) if body is not None else None,
+            timeout_s,
+        )
+        result = await fetch(self._transport, exchange)
+        if not result.complete:
+            self._metrics.store_call(label, "no_answer")
+            raise StoreCallError(f"{method} {target}: curl {result.error} {result.message}")
+        self._metrics.store_call(label, str(result.status))
+        if result.status not in (200, 201, 404, 409, 410):
+            raise StoreCallError(f"{method} {target}: status {result.status}")
+        return result
+
+    def _content(self, result: Fetched) -> Any:
+        if result.status not in (200, 201):
+            raise StoreCallError(f"status {result.status}")
+        try:
+            return orjson.loads(result.body)
+        except orjson.JSONDecodeError as error:
+            raise StoreCallError(f"answer is not JSON: {error}") from error
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"/objects/{quote(kind, safe='')}"
+    return f"{path}/{quote(name, safe='')}" if name else path
+
+
+def _document(value: Any) -> Document:
+    """Read an object's frame; its content is read by whoever knows the kind."""
+    try:
+        metadata = value["metadata"]
+        return Document(metadata["name"], metadata["revision"], value.get("spec"))
+    except (KeyError, TypeError, AttributeError) as error:
+        raise StoreCallError(f"answer without an object: {error!r}") from error
--- /dev/null
+++ b/fireflyferry/routing/hosts.py
@@ -0,0 +1,85 @@
+"""Routes by host and path prefix that lead to one pool or to weighted shares of several."""
+
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["CallerLimits", "HostRoute", "HostRoutes", "PoolShare", "PoolSpec", "RoutingConfig"]
+
+
+@attrs.frozen
+class PoolShare:
+    """A pool and its weight among the shares of a route."""
+
+    pool: str
+    weight: float
+
+
+@attrs.frozen
+class HostRoute:
+    """A route; `objective_s` is the time within which an answer is worth most.
+
+    `priority` 0 is the most urgent. `max_attempts` bounds the upstreams that one request reaches.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    priority: int
+    max_attempts: int
+    shares: tuple[PoolShare, ...]
+
+
+@attrs.frozen
+class PoolSpec:
+    """What all upstreams of a pool have in common; `keyed` if each key has one owner."""
+
+    name: str
+    keyed: bool
+    health_path: str
+    max_connections: int
+
+
+@attrs.frozen
+class CallerLimits:
+    """Limits on what a caller may send, and on how long it may take or stay idle."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@attrs.frozen
+class RoutingConfig:
+    """One version of the routes, pools and limits."""
+
+    version: int
+    routes: tuple[HostRoute, ...]
+    pools: dict[str, PoolSpec]
+    limits: CallerLimits
+
+
+class HostRoutes:
+    """Finds the route of a request: the longest prefix among the routes of its host."""
+
+    def __init__(self, routes: Iterable[HostRoute]):
+        self._by_host: dict[str, dict[str, HostRoute]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+
+    def match(self, host: str, path: str) -> HostRoute | None:
+        """Return the route of a host (without port) and a path (without query)."""
+        prefixes = self._by_host.get(host.lower())
+        if not prefixes:
+            return None
+        # Prefixes end with a slash, so each candidate ends at one; the longest is tried first.
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -26,6 +26,7 @@
     BAD_TIMEOUT = "bad_timeout"
     NOT_AUTHENTICATED = "not_authenticated"
     NO_TABLES = "no_tables"
+    NO_UPSTREAM = "no_upstream"
     NO_LEADER = "no_leader"
     NOT_LEADER = "not_leader"
     OWNER_UNAVAILABLE = "owner_unavailable"
@@ -75,6 +76,7 @@
     Reason.BAD_TIMEOUT: _refusal(400),
     Reason.NOT_AUTHENTICATED: _refusal(401),
     Reason.NO_TABLES: _refusal(503, retryable=True),
+    Reason.NO_UPSTREAM: _refusal(503, retryable=True),
     Reason.NO_LEADER: _refusal(503, retryable=True),
     Reason.NOT_LEADER: _refusal(503, retryable=True),
     Reason.OWNER_UNAVAILABLE: _refusal(503, retryable=True),
--- /dev/null
+++ b/fireflyferry/transport/__init__.py
@@ -0,0 +1,6 @@
+"""HTTP exchanges: bodies, curl transfers, and whole answers."""
+
+from fireflyferry.transport.curl import CurlTransport, Exchange, Receiver, TransferResult
+from fireflyferry.transport.fetch import Fetched, fetch
+
+__all__ = ["CurlTransport", "Exchange", "Fetched", "Receiver", "TransferResult", "fetch"]
--- a/fireflyferry/entry/transport.py
+++ b/fireflyferry/transport/curl.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import errno
 from collections.abc import Callable
 
 import attrs
@@ -9,7 +10,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.ioloop import IOLoop
 
-from fireflyferry.entry.bodies import RequestBody
+from fireflyferry.transport.bodies import RequestBody
 
 __all__ = ["CurlTransport", "Exchange", "Receiver", "TransferResult"]
 
@@ -38,7 +39,8 @@
 class Exchange:
     """A request to send; `address` is `IP:PORT`, `body` None sends none.
 
-    With `fresh`, the request uses a new connection that is not used again.
+    With `fresh`, the request uses a new connection that is not used again. Otherwise it may use
+    one that has been idle for at most `max_idle_s`.
     """
 
     address: str
@@ -47,7 +49,8 @@
     headers: HeaderList
     body: RequestBody | None
     timeout_s: float
-    fresh: bool
+    fresh: bool = False
+    max_idle_s: int = 118  # curl's default
 
 
 class Receiver(abc.ABC):
@@ -73,11 +76,15 @@
 
 @attrs.frozen
 class TransferResult:
-    """How a transfer ended; `error` is a curl code, 0 for a complete answer."""
+    """How a transfer ended; `error` is a curl code, 0 for a complete answer.
+
+    `refused` tells that no process listens on the port.
+    """
 
     error: int
     sent: bool
     message: str = ""
+    refused: bool = False
 
     @property
     def timed_out(self) -> bool:
@@ -178,13 +185,17 @@
         transfer = self._active.pop(curl)
         self._multi.remove_handle(curl)
         done, sent = transfer.done, transfer.sent
+        refused = (
+            curl_error == pycurl.E_COULDNT_CONNECT
+            and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
+        )
         transfer.clear()
         if curl_error:
             curl.close()
         else:
             self._idle.append(transfer)
         if not done.done():
-            done.set_result(TransferResult(curl_error or 0, sent, curl_message or ""))
+            done.set_result(TransferResult(curl_error or 0, sent, curl_message or "", refused))
 
 
 class _Transfer:
@@ -229,6 +240,7 @@
         # curl sends a request again when a reused connection closes before the first byte.
         curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh))
         curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh))
+        curl.setopt(pycurl.MAXAGE_CONN, exchange.max_idle_s)
         curl.setopt(pycurl.HTTPGET, 1)
         if exchange.body is not None:
             curl.setopt(pycurl.UPLOAD, 1)
--- /dev/null
+++ b/fireflyferry/transport/fetch.py
@@ -0,0 +1,92 @@
+"""Exchanges whose answer is taken whole."""
+
+from collections.abc import Callable
+
+import attrs
+
+from fireflyferry.transport.bodies import RequestBody
+from fireflyferry.transport.curl import CurlTransport, Exchange, Receiver
+
+__all__ = ["Fetched", "HeaderList", "fetch", "whole_body"]
+
+HeaderList = list[tuple[str, str]]
+
+MAX_ANSWER_BYTES = 64 << 20  # a quarter of the memory of a small VM
+
+
+@attrs.frozen
+class Fetched:
+    """A complete answer, or how the exchange failed; `error` is a curl code, 0 if complete.
+
+    `sent` tells that the request was handed to a connection, `refused` that no process listens on
+    the port.
+    """
+
+    error: int
+    sent: bool
+    timed_out: bool = False
+    refused: bool = False
+    message: str = ""
+    status: int = 0
+    headers: HeaderList = attrs.field(factory=list)
+    body: bytes = b""
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self.error == 0
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header."""
+        lower = name.lower()
+        return next((value for found, value in self.headers if found.lower() == lower), None)
+
+
+class _WholeAnswer(Receiver):
+    """Collects one answer."""
+
+    def __init__(self, may_send: Callable[[], bool] | None):
+        self._may_send = may_send
+        self._size = 0
+        self.status = 0
+        self.headers: HeaderList = []
+        self.chunks: list[bytes] = []
+
+    def may_send(self) -> bool:
+        """Ask the check that was given, right before the first byte."""
+        return self._may_send is None or self._may_send()
+
+    def on_head(self, status: int, headers: HeaderList) -> bool:
+        """Keep the head."""
+        self.status, self.headers = status, headers
+        return True
+
+    def on_data(self, chunk: bytes) -> bool:
+        """Keep a chunk; a body above the limit is left unread until the exchange times out."""
+        self._size += len(chunk)
+        if self._size > MAX_ANSWER_BYTES:
+            return False
+        self.chunks.append(chunk)
+        return True
+
+
+def whole_body(data: bytes) -> RequestBody:
+    """Return a request body that is already complete."""
+    body = RequestBody(len(data), len(data), len(data))
+    if data:
+        body.feed(data)
+    body.end()
+    return body
+
+
+async def fetch(
+    transport: CurlTransport, exchange: Exchange, may_send: Callable[[], bool] | None = None
+) -> Fetched:
+    """Run an exchange and return its whole answer; cancelling closes the connection."""
+    answer = _WholeAnswer(may_send)
+    result = await transport.run(exchange, answer)
+    if result.error:
+        return Fetched(result.error, result.sent, result.timed_out, result.refused, result.message)
+    return Fetched(
+        0, True, status=answer.status, headers=answer.headers, body=b"".join(answer.chunks)
+    )
--- /dev/null
+++ b/fireflyferry/transport/headers.py
@@ -0,0 +1,38 @@
+"""Headers that end at one connection, and those that are passed on."""
+
+from collections.abc import Iterable
+
+__all__ = ["end_to_end"]
+
+HeaderList = list[tuple[str, str]]
+
+_OWN_PREFIX = "firefly-"
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> HeaderList:
+    """Drop headers that concern one connection, and the router's own."""
+    kept: HeaderList = []
+    named: set[str] = set()
+    for name, value in headers:
+        lower = name.lower()
+        if lower == "connection":
+            named.update(part.strip().lower() for part in value.split(","))
+        elif lower not in _HOP_BY_HOP and not lower.startswith(_OWN_PREFIX):
+            kept.append((name, value))
+    if named - {"close", "keep-alive", ""}:
+        kept = [pair for pair in kept if pair[0].lower() not in named]
+    return kept
