Count a caller's time from the head of its request

Cause: Tornado makes the exchange when a kept connection begins to wait for its next request, so idle time counted as held time. Ruled out: queue forecasts, which were right for the time given.

--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -101,7 +101,7 @@
                 near,
                 key=lambda vm: (
                     vm.data_centre != data_centre,
-                    xxhash.xxh3_64_intdigest(f"{vm.vm_id}/{upstream_id}"),
+                    xxhash.xxh3_64_intdigest(f"{vm.vm_id}/{upstream_id}".encode()),
                 ),
             )
         )
--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -68,11 +68,13 @@
     def __init__(self, connection: HTTP1Connection, services: CallerServices):
         super().__init__(connection)
         self._services = services
-        self._began_s = services.clock.monotonic_s()
+        self._began_s = 0.0
         self._call: Call | None = None
 
     def on_head(self) -> None:
         """Refuse a body above the limit before it is read."""
+        # An exchange is made when the connection begins to wait for it, long before it arrives.
+        self._began_s = self._services.clock.monotonic_s()
         config = self._services.state.config
         if config is None:
             return
