--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -9,7 +9,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.edges import HeaderNames
-from fireflyferry.gateway.exchange import ClosingConnections, WholeExchange
+from fireflyferry.gateway.exchange import ClosingConnections, Progress, WholeExchange
 from fireflyferry.gateway.first_hop import FirstHop
 from fireflyferry.gateway.headers import answer_headers, host_of, request_headers
 from fireflyferry.gateway.metrics import GatewayMetrics
@@ -58,15 +58,14 @@
     splitter: ShareSplitter
     closing: ClosingConnections
     deadlines: FullDeadlines = attrs.field(factory=FullDeadlines)
-    in_flight: int = 0
-    last_active_s: float = 0.0
+    progress: Progress = attrs.field(factory=Progress)
 
 
 class CallerExchange(WholeExchange):
     """One request of a caller."""
 
     def __init__(self, connection: HTTP1Connection, services: CallerServices):
-        super().__init__(connection)
+        super().__init__(connection, services.progress)
         self._services = services
         self._began_s = 0.0
         self._call: Call | None = None
@@ -93,7 +92,6 @@
     async def handle(self) -> None:
         """Have the request answered."""
         services = self._services
-        services.in_flight += 1
         attempt: Attempt | None = None
         try:
             call = self._resolve()
@@ -104,8 +102,6 @@
                 attempt = await services.first_hop.run(call)
             self._reply(attempt)
         finally:
-            services.in_flight -= 1
-            services.last_active_s = services.clock.monotonic_s()
             self._count(attempt)
 
     def _resolve(self) -> Call | Attempt:
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import IOStream
 
-__all__ = ["ClosingConnections", "ServerDelegate", "WholeExchange"]
+__all__ = ["ClosingConnections", "Progress", "ServerDelegate", "WholeExchange"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -31,11 +31,14 @@
 class WholeExchange(HTTPMessageDelegate, abc.ABC):
     """Receives one request, handles it in a task and answers it.
 
-    A sender that disconnects cancels the task unless `outlives_sender` says otherwise.
+    A sender that disconnects cancels the task unless `outlives_sender` says otherwise. A request
+    is in progress from its head until its answer is written, or its sender and its task are gone.
     """
 
-    def __init__(self, connection: HTTP1Connection):
+    def __init__(self, connection: HTTP1Connection, progress: "Progress"):
         self._connection = connection
+        self._progress = progress
+        self._in_progress = False
         self._line: RequestStartLine = None  # type: ignore[assignment]
         self._headers: HTTPHeaders = None  # type: ignore[assignment]
         self._chunks: list[bytes] = []
@@ -63,6 +66,13 @@
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Take the head."""
         self._line, self._headers = start_line, headers
+        if self._progress.closed:
+            # The sender has not been read and asks another VM.
+            self._connection.close()
+            self._closed = True
+            return
+        self._in_progress = True
+        self._progress.began()
         self.on_head()
 
     def data_received(self, chunk: bytes) -> None:
@@ -71,15 +81,18 @@
 
     def finish(self) -> None:
         """Take the end of the request."""
-        if self._answered:
+        if self._answered or self._closed:
             return
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._run())
+        self._task.add_done_callback(self._on_done)
 
     def on_connection_close(self) -> None:
         """Stop the work for a sender that has left."""
         self._closed = True
-        if self._task is not None and not self.outlives_sender():
+        if self._task is None:
+            self._end()
+        elif not self.outlives_sender():
             self._task.cancel()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -96,10 +109,23 @@
             fields["Content-Length"] = str(len(body))
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         written = self._connection.write_headers(line, fields, None if bodiless else body)
-        # A sender that leaves meanwhile ends the write; its connection is already closed.
-        written.add_done_callback(lambda future: future.cancelled() or future.exception())
+        written.add_done_callback(self._on_written)
         self._connection.finish()
 
+    def _on_written(self, written: "asyncio.Future[None]") -> None:
+        if not written.cancelled() and written.exception() is not None:
+            _LOG.debug("sender_left_during_answer", extra={"target": self._line.path})
+        self._end()
+
+    def _on_done(self, _task: "asyncio.Task[None]") -> None:
+        if not self._answered:
+            self._end()
+
+    def _end(self) -> None:
+        if self._in_progress:
+            self._in_progress = False
+            self._progress.ended()
+
     async def _run(self) -> None:
         try:
             await self.handle()
@@ -110,6 +136,22 @@
             self.answer(500, [], b"")
 
 
+class Progress:
+    """Counts the requests in progress on one server; once closed, no other is taken."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.closed = False
+
+    def began(self) -> None:
+        """Count a request."""
+        self.count += 1
+
+    def ended(self) -> None:
+        """Count the end of a request."""
+        self.count -= 1
+
+
 class ClosingConnections:
     """Ends kept connections politely while the VM shuts down.
 
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -11,7 +11,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Attempt, Call, not_run
-from fireflyferry.gateway.exchange import WholeExchange
+from fireflyferry.gateway.exchange import Progress, WholeExchange
 from fireflyferry.gateway.headers import answer_headers, request_headers
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.peer_client import LOADS_PATH, PING_PATH
@@ -33,15 +33,14 @@
     last_hop: LastHop
     request_id_header: str
     on_loads: Callable[[object], None]
-    in_flight: int = 0
-    last_active_s: float = 0.0
+    progress: Progress = attrs.field(factory=Progress)
 
 
 class PeerExchange(WholeExchange):
     """One request of another entry VM."""
 
     def __init__(self, connection: HTTP1Connection, services: PeerServices):
-        super().__init__(connection)
+        super().__init__(connection, services.progress)
         self._services = services
         self._described: peer_messages.PeerCall | None = None
 
@@ -81,12 +80,7 @@
             _LOG.warning("peer_call_unreadable", extra={"error": str(error)})
             self.answer(400, [], b"")
             return
-        services.in_flight += 1
-        try:
-            attempt = await self._attempt(self._described)
-        finally:
-            services.in_flight -= 1
-            services.last_active_s = services.clock.monotonic_s()
+        attempt = await self._attempt(self._described)
         result = (peer_messages.RESULT, peer_messages.write_result(attempt))
         if attempt.answer is not None and attempt.outcome is Outcome.ANSWERED:
             answer = attempt.answer
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -379,11 +379,14 @@
         ]
         for work in farewell:
             self._tasks.start(work)
-        while clock.monotonic_s() < latest_s:
-            settled = clock.monotonic_s() >= told_s + rules.linger_s
-            if settled and not self._in_flight():
-                break
+        while clock.monotonic_s() < min(told_s + rules.linger_s, latest_s):
             await asyncio.sleep(0.05)
+        # From now on nothing is taken; what was taken is answered, also for other VMs.
+        for server in servers:
+            server.stop()
+        self._callers.progress.closed = self._peer_services.progress.closed = True
+        while self._in_flight() and clock.monotonic_s() < latest_s:
+            await asyncio.sleep(0.02)
         _LOG.info(
             "stopped",
             extra={
@@ -393,12 +396,11 @@
         )
         self._tasks.cancel()
         for server in servers:
-            server.stop()
             await server.close_all_connections()
         self._transport.close()
 
     def _in_flight(self) -> int:
-        return self._callers.in_flight + self._peer_services.in_flight
+        return self._callers.progress.count + self._peer_services.progress.count
 
 
 def _listen(endpoint: str) -> socket.socket:
