--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -4,7 +4,7 @@
 import logging
 import random
 import statistics
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -33,6 +33,7 @@
     LeaseRecord,
     LeaseRules,
     ListedRun,
+    OwnerTable,
     RangeGranter,
     ReadLease,
     ReleaseCall,
@@ -96,6 +97,7 @@
         orders: KeyOrders,
         metrics: GatewayMetrics,
         rng: random.Random,
+        announce: Callable[[int, OwnerTable], Coroutine[Any, Any, None]],
         rules: ControlRules | None = None,
         lease_rules: LeaseRules | None = None,
         timing: GrantTiming | None = None,
@@ -107,6 +109,7 @@
         self._health = health
         self._orders = orders
         self._metrics = metrics
+        self._announce = announce
         self._rules = rules or ControlRules()
         self._timing = timing or GrantTiming()
         self._division = division or DivisionRules()
@@ -308,6 +311,7 @@
             return
         control.granter.on_saved(result)
         self._state.take_owners(result, save.table)
+        self._tasks.start(self._announce(result, save.table))
         self._log_moves(name, before.ranges if before is not None else (), save.table.ranges)
 
     def _log_moves(self, name: str, before: Sequence[Any], after: Sequence[Any]) -> None:
--- a/fireflyferry/gateway/edges.py
+++ b/fireflyferry/gateway/edges.py
@@ -79,8 +79,8 @@
         """Read an object; a `stale` answer may be seconds old and costs less."""
 
     @abc.abstractmethod
-    async def list(self, kind: str) -> Documents:
-        """List all objects of a kind."""
+    async def list(self, kind: str, stale: bool = False) -> Documents:
+        """List all objects of a kind; a `stale` answer may be seconds old and costs less."""
 
     @abc.abstractmethod
     async def watch(self, kind: str, position: int, wait_s: float) -> Documents:
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -54,6 +54,11 @@
     def on_head(self) -> None:
         """Look at the head before the body is read."""
 
+    def on_closed(self) -> None:
+        """Turn away a request that comes after the server takes none; it asks another VM."""
+        self._closed = True
+        self._connection.close()
+
     def outlives_sender(self) -> bool:
         """Tell whether the work goes on after the sender has left."""
         return False
@@ -67,9 +72,7 @@
         """Take the head."""
         self._line, self._headers = start_line, headers
         if self._progress.closed:
-            # The sender has not been read and asks another VM.
-            self._connection.close()
-            self._closed = True
+            self.on_closed()
             return
         self._in_progress = True
         self._progress.began()
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -252,12 +252,15 @@
         until_s = min(now_s + self._rules.move_wait_s, call.deadline_s)
         # An owner that did not hold the key is asked again only under a newer table.
         outdated = search.last is not None and search.last.reason is Reason.NOT_OWNER
+        if outdated:
+            self._state.on_outdated_owners()
         while True:
             target, moving = self._owner(call)
             if target is not None and not outdated:
                 return target
             left_s = until_s - self._clock.monotonic_s()
             if not (moving or outdated) or left_s <= 0:
+                self._state.on_outdated_owners()
                 return not_run(Reason.OWNER_UNAVAILABLE, self._retry_after_s())
             outdated = not await self._state.owners.wait(left_s)
 
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -15,12 +15,13 @@
 from fireflyferry.transport import CurlTransport, Exchange, Fetched, fetch
 from fireflyferry.transport.fetch import whole_body
 
-__all__ = ["LOADS_PATH", "PING_PATH", "PeerClient", "PeerRules"]
+__all__ = ["LOADS_PATH", "OWNERS_PATH", "PING_PATH", "PeerClient", "PeerRules"]
 
 _LOG = logging.getLogger(__name__)
 
 PING_PATH = "/peer/ping"
 LOADS_PATH = "/peer/loads"
+OWNERS_PATH = "/peer/owners"
 
 
 @attrs.frozen
@@ -78,14 +79,14 @@
 
     async def report_loads(self, vm: EntryVm, loads: object) -> bool:
         """Send load samples to the granting VM; False if it did not take them."""
-        exchange = Exchange(
-            vm.address,
-            "POST",
-            LOADS_PATH,
-            [],
-            whole_body(orjson.dumps(loads)),
-            self._rules.report_s,
-        )
+        return await self._post(vm, LOADS_PATH, orjson.dumps(loads))
+
+    async def send_owners(self, vm: EntryVm, body: bytes) -> bool:
+        """Send an owner table to another VM; False if it did not take it."""
+        return await self._post(vm, OWNERS_PATH, body)
+
+    async def _post(self, vm: EntryVm, path: str, body: bytes) -> bool:
+        exchange = Exchange(vm.address, "POST", path, [], whole_body(body), self._rules.report_s)
         return (await fetch(self._transport, exchange)).status == 204
 
     async def _supervise(
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -1,11 +1,28 @@
 """Headers of requests that one entry VM passes to another, and of the results."""
 
+import zlib
+
 import attrs
+import orjson
 
+from fireflyferry.gateway import documents
 from fireflyferry.gateway.calls import Answer, Attempt, Call
+from fireflyferry.gateway.edges import Document, UnreadableError
+from fireflyferry.keyranges import OwnerTable
 from fireflyferry.telemetry import Outcome, Reason
 
-__all__ = ["CALL", "RESULT", "PeerCall", "PeerMessageError", "read_call", "read_result"]
+__all__ = [
+    "CALL",
+    "RESULT",
+    "PeerCall",
+    "PeerMessageError",
+    "owner_message",
+    "read_call",
+    "read_owners",
+    "read_result",
+    "write_call",
+    "write_result",
+]
 
 CALL = "Firefly-Call"
 RESULT = "Firefly-Result"
@@ -114,3 +131,21 @@
         )
     except (KeyError, ValueError) as error:
         raise PeerMessageError(f"{value!r}: {error}") from error
+
+
+def owner_message(revision: int, table: OwnerTable) -> bytes:
+    """Return the body that tells another VM of a stored owner table."""
+    message = [table.pool, revision, documents.table_content(table)]
+    return zlib.compress(orjson.dumps(message))
+
+
+def read_owners(body: bytes) -> tuple[int, OwnerTable]:
+    """Read the body that tells of an owner table; returns its revision as well.
+
+    Raises PeerMessageError.
+    """
+    try:
+        pool, revision, content = orjson.loads(zlib.decompress(body))
+        return int(revision), documents.table_from(Document(pool, revision, content))
+    except (zlib.error, orjson.JSONDecodeError, UnreadableError, TypeError, ValueError) as error:
+        raise PeerMessageError(f"owner table: {error}") from error
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -14,7 +14,8 @@
 from fireflyferry.gateway.exchange import Progress, WholeExchange
 from fireflyferry.gateway.headers import answer_headers, request_headers
 from fireflyferry.gateway.last_hop import LastHop
-from fireflyferry.gateway.peer_client import LOADS_PATH, PING_PATH
+from fireflyferry.gateway.peer_client import LOADS_PATH, OWNERS_PATH, PING_PATH
+from fireflyferry.keyranges import OwnerTable
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = ["PeerExchange", "PeerServices"]
@@ -33,6 +34,7 @@
     last_hop: LastHop
     request_id_header: str
     on_loads: Callable[[object], None]
+    on_owners: Callable[[int, OwnerTable], None]
     progress: Progress = attrs.field(factory=Progress)
 
 
@@ -47,6 +49,11 @@
     def on_head(self) -> None:
         """Wait for the body."""
 
+    def on_closed(self) -> None:
+        """Tell the first hop that a request was not run, so that it asks another."""
+        refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
+        self.answer(REFUSAL_STATUS, [(peer_messages.RESULT, refusal)], b"")
+
     def outlives_sender(self) -> bool:
         """Let a request that must not be half done go on without its sender."""
         return self._described is not None and not self._described.idempotent
@@ -60,6 +67,8 @@
             self.answer(204, [], b"")
         elif self._line.path == LOADS_PATH:
             self._take_loads()
+        elif self._line.path == OWNERS_PATH:
+            self._take_owners()
         else:
             self.answer(404, [], b"")
 
@@ -72,8 +81,17 @@
         else:
             self.answer(204, [], b"")
 
+    def _take_owners(self) -> None:
+        try:
+            revision, table = peer_messages.read_owners(self.body)
+        except peer_messages.PeerMessageError as error:
+            _LOG.warning("owner_message_unreadable", extra={"error": str(error)})
+            self.answer(400, [], b"")
+        else:
+            self._services.on_owners(revision, table)
+            self.answer(204, [], b"")
+
     async def _forward(self, value: str) -> None:
-        services = self._services
         try:
             self._described = peer_messages.read_call(value)
         except peer_messages.PeerMessageError as error:
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -38,12 +38,13 @@
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.peer_messages import owner_message
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
 from fireflyferry.gateway.sampling import KeySampler
 from fireflyferry.gateway.settings import GatewaySettings
 from fireflyferry.gateway.state import GatewayState
-from fireflyferry.gateway.watching import KindWatcher, StoreHealth, WatchRules
-from fireflyferry.keyranges import GrantTiming
+from fireflyferry.gateway.watching import KindPoller, KindWatcher, StoreHealth, WatchRules
+from fireflyferry.keyranges import GrantTiming, OwnerTable
 from fireflyferry.routing.hosts import RoutingConfig
 from fireflyferry.tasks import TaskGroup
 from fireflyferry.transport import CurlTransport
@@ -55,10 +56,11 @@
 METRICS_PATH = "/metrics"
 
 # Waits bound how long a silent watch is believed: shorter where the platform bounds the delay.
-CONFIG_WATCH = WatchRules(wait_s=2.0, gap_s=0.05)
-UPSTREAM_WATCH = WatchRules(wait_s=3.0, gap_s=0.25)
-OWNER_WATCH = WatchRules(wait_s=4.0, gap_s=0.0)
-VM_WATCH = WatchRules(wait_s=8.0, gap_s=0.5)
+CONFIG_WATCH = WatchRules(wait_s=4.0, gap_s=0.05)
+UPSTREAM_WATCH = WatchRules(wait_s=4.0, gap_s=0.5)
+# Owner tables are also sent by the granting VM, and a wrong owner asks for an exact list.
+OWNER_POLL_S = 2.5
+VM_POLL_S = 2.0
 
 
 @attrs.frozen
@@ -133,6 +135,7 @@
             self._edges.orders,
             self._metrics,
             self._rng,
+            self._announce_owners,
             timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
         )
         self._watchers = self._make_watchers()
@@ -172,8 +175,8 @@
                 "peers": self._me.address,
             },
         )
-        for watcher in self._watchers.values():
-            self._tasks.start(watcher.run())
+        for mirror in (*self._watchers.values(), *self._pollers.values()):
+            self._tasks.start(mirror.run())
         for work in (self._control.run(), self._register(), self._report(), self._keep_house()):
             self._tasks.start(work)
         await self._stop.wait()
@@ -219,7 +222,12 @@
             self._closing,
         )
         self._peer_services = PeerServices(
-            clock, state.upstreams, self._last_hop, codec.headers.request_id, self._take_report
+            clock,
+            state.upstreams,
+            self._last_hop,
+            codec.headers.request_id,
+            self._take_report,
+            state.take_owners,
         )
 
     def _make_watchers(self) -> dict[str, KindWatcher]:
@@ -227,11 +235,19 @@
         watched = {
             codec.config_kind: (CONFIG_WATCH, state.apply_config),
             codec.upstream_kind: (UPSTREAM_WATCH, state.apply_upstreams),
-            documents.OWNER_KIND: (OWNER_WATCH, state.apply_owners),
-            documents.VM_KIND: (VM_WATCH, state.apply_vms),
         }
+        polled = {
+            documents.OWNER_KIND: (OWNER_POLL_S, state.apply_owners),
+            documents.VM_KIND: (VM_POLL_S, state.apply_vms),
+        }
+        store, health, clock = self._edges.store, self._health, self._clock
+        self._pollers = {
+            kind: KindPoller(store, health, clock, kind, interval_s, on_list)
+            for kind, (interval_s, on_list) in polled.items()
+        }
+        state.on_outdated_owners = self._pollers[documents.OWNER_KIND].ask
         return {
-            kind: KindWatcher(self._edges.store, self._health, self._clock, kind, watch, on_change)
+            kind: KindWatcher(store, health, clock, kind, watch, on_change)
             for kind, (watch, on_change) in watched.items()
         }
 
@@ -253,7 +269,7 @@
                 ),
                 "owners_age_seconds": (
                     "Time since the store confirmed the owners of keys.",
-                    lambda: self._watchers[documents.OWNER_KIND].age_s,
+                    lambda: self._pollers[documents.OWNER_KIND].age_s,
                 ),
                 "upstream_busy": (
                     "Requests that upstreams of this last hop work on.",
@@ -334,6 +350,18 @@
             return False
         return True
 
+    async def _announce_owners(self, revision: int, table: OwnerTable) -> None:
+        """Send a stored owner table to all other VMs at once."""
+        body = owner_message(revision, table)
+        others = [vm for vm in self._state.vms if vm.vm_id != self._me.vm_id]
+        taken = await asyncio.gather(*(self._peers.send_owners(vm, body) for vm in others))
+        missed = [vm.vm_id for vm, took in zip(others, taken, strict=True) if not took]
+        if missed:
+            _LOG.info(
+                "owners_not_taken",
+                extra={"pool": table.pool, "revision": revision, "vms": ",".join(missed)},
+            )
+
     async def _report(self) -> None:
         """Send samples of this VM's load to the granting VM."""
         while True:
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -69,6 +69,7 @@
         self.owners = OwnerViews()
         self.config: RoutingConfig | None = None
         self.routes = HostRoutes(())
+        self.on_outdated_owners: Callable[[], None] = lambda: None
         self.on_config: list[Callable[[RoutingConfig], None]] = []
         self._unreadable: dict[tuple[str, str], int] = {}
         self._upstreams: Mapping[str, Document] | None = None
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -152,7 +152,8 @@
     "answer",
     [
         b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Length: 9\r\n\r\nshort",
-        b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsh",
+        b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nsh",
         b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
         b"Content-Length: 2\r\n\r\nok",
--- a/fireflyferry/gateway/watching.py
+++ b/fireflyferry/gateway/watching.py
@@ -1,6 +1,7 @@
 """Mirrors of kinds of objects in the store, kept current by watches."""
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Callable, Mapping
@@ -10,7 +11,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.edges import Document, HistoryLostError, MetadataStore, StoreCallError
 
-__all__ = ["KindWatcher", "StoreHealth", "WatchRules"]
+__all__ = ["KindPoller", "KindWatcher", "StoreHealth", "WatchRules"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -131,3 +132,62 @@
         for name in removed:
             self._mirror.pop(name, None)
         return bool(documents or removed)
+
+
+class KindPoller:
+    """Lists all objects of one kind now and then with cheap, stale reads, and exactly when asked.
+
+    For kinds whose changes also arrive in another way, or matter only after seconds: each watch
+    is a priced call for each change, a stale list costs a tenth of one.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        health: StoreHealth,
+        clock: Clock,
+        kind: str,
+        interval_s: float,
+        on_list: Callable[[Mapping[str, Document]], None],
+        least_gap_s: float = 0.5,
+    ):
+        self._store = store
+        self._health = health
+        self._clock = clock
+        self._kind = kind
+        self._interval_s = interval_s
+        self._least_gap_s = least_gap_s
+        self._on_list = on_list
+        self._asked = asyncio.Event()
+        self._confirmed_s = float("-inf")
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store last answered; infinite before the first list."""
+        return self._clock.monotonic_s() - self._confirmed_s
+
+    def ask(self) -> None:
+        """Have the kind listed exactly soon."""
+        self._asked.set()
+
+    async def run(self) -> None:
+        """List until cancelled."""
+        exact = True
+        while True:
+            try:
+                listed = await self._store.list(self._kind, stale=not exact)
+            except StoreCallError as error:
+                self._health.on_failure(error)
+            else:
+                self._health.on_success()
+                self._confirmed_s = self._clock.monotonic_s()
+                self._on_list({each.name: each for each in listed.documents})
+                exact = False
+            await asyncio.sleep(self._least_gap_s)
+            with contextlib.suppress(TimeoutError):
+                pause_s = self._interval_s * random.uniform(0.9, 1.1) - self._least_gap_s
+                async with asyncio.timeout(pause_s):
+                    await self._asked.wait()
+            if self._asked.is_set():
+                self._asked.clear()
+                exact = True
--- a/fireflyferry/platform/store.py
+++ b/fireflyferry/platform/store.py
@@ -46,14 +46,15 @@
             return None
         return _document(self._content(result))
 
-    async def list(self, kind: str) -> Documents:
+    async def list(self, kind: str, stale: bool = False) -> Documents:
         """List all objects of a kind, page by page."""
+        label, fixed = ("list_stale", {"serializable": "1"}) if stale else ("list", {})
         documents: list[Document] = []
         position: int | None = None
         after = ""
         while True:
-            query = {"after": after} if after else {}
-            page = self._content(await self._call("list", "GET", _path(kind), query))
+            query = {**fixed, "after": after} if after else fixed
+            page = self._content(await self._call(label, "GET", _path(kind), query))
             documents.extend(map(_document, page["items"]))
             if position is None:
                 # Changes while the pages are read come again with the first watch.
