--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -184,9 +184,9 @@
             if call.key is not None and attempt.reason in (
                 Reason.QUEUE_FULL,
                 Reason.DEADLINE_TOO_SHORT,
-                Reason.UPSTREAM_SHED,
             ):
                 return False  # no other upstream may run it
+            # An owner that sheds while its slots are free may take the same request again.
         elif attempt.outcome is Outcome.UNKNOWN:
             repeat = call.idempotent
         else:
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -352,3 +352,26 @@
         writer.close()
 
     run_with(slow, work)
+
+
+def test_owner_that_sheds_with_free_slots_is_asked_again():
+    """Load pattern: upstreams of a keyed pool reject every second request while they are idle."""
+    shed = []
+
+    async def every_second(seen, writer):
+        if seen.request_id not in shed:
+            shed.append(seen.request_id)
+            writer.write(reply(seen, b"", "503 Service Unavailable", f"{NAMES.not_run}: 1\r\n"))
+        else:
+            writer.write(reply(seen))
+
+    async def work(running, upstream, store):
+        owners = running.program._state.owners
+        await running.until(
+            lambda: (table := owners.get("keyed")) is not None
+            and all(each.serving for each in table.ranges)
+        )
+        got = await request(running.port, "/keyed/", "POST", {NAMES.key: "7"}, b"1")
+        assert got.status == 200 and len(upstream.seen) == 2
+
+    run_with(every_second, work, pool="keyed")
