--- a/fireflyferry/platform/__main__.py
+++ b/fireflyferry/platform/__main__.py
@@ -16,7 +16,7 @@
 from fireflyferry.platform.orders import HttpKeyOrders
 from fireflyferry.platform.store import HttpMetadataStore
 from fireflyferry.settings import SettingsError, read_settings
-from fireflyferry.telemetry.logs import configure_logging
+from fireflyferry.telemetry.logs import configure_bounded_logging
 from fireflyferry.transport import CurlTransport
 
 __all__ = ["main"]
@@ -55,7 +55,7 @@
         for fault in error.faults:
             print(fault, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    configure_logging(settings.log.format, settings.log.level, stream=sys.stdout)
+    output = configure_bounded_logging(settings.log.format, settings.log.level)
     try:
         asyncio.run(_run(options.settings, settings))
     except OSError as error:
@@ -64,6 +64,8 @@
     except Exception:
         _LOG.exception("program_failed")
         return EXIT_FAILED
+    finally:
+        output.close()
     return EXIT_DONE
 
 
--- a/fireflyferry/telemetry/logs.py
+++ b/fireflyferry/telemetry/logs.py
@@ -10,7 +10,16 @@
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
-__all__ = ["FORMATS", "JsonFormatter", "KeyValueFormatter", "configure_logging", "make_formatter"]
+from fireflyferry.telemetry.bounded import BoundedOutput, OutputRules
+
+__all__ = [
+    "FORMATS",
+    "JsonFormatter",
+    "KeyValueFormatter",
+    "configure_bounded_logging",
+    "configure_logging",
+    "make_formatter",
+]
 
 MAX_VALUE_CHARACTERS = 4096
 REMOVED = "[removed]"
@@ -123,6 +132,19 @@
     """Send all events of the process to a stream, standard error by default."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(make_formatter(log_format, secrets))
+    _install(handler, level)
+
+
+def configure_bounded_logging(
+    log_format: str, level: str, stream: TextIO | None = None, rules: OutputRules | None = None
+) -> BoundedOutput:
+    """Send all events to a stream, standard output by default, without ever waiting for it."""
+    handler = BoundedOutput(stream or sys.stdout, make_formatter(log_format), rules)
+    _install(handler, level)
+    return handler
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
