--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -65,7 +65,7 @@
     settle_s: float = 0.8
     most_settle_s: float = 3.0
     plan_s: float = 0.4
-    sample_s: float = 3.0
+    sample_s: float = 2.0
     warmup_capacity: float = 0.5
     first_service_s: float = 0.2
     service_memory_s: float = 20.0
@@ -371,7 +371,7 @@
             demand = self._demand[name] = KeyDemand(self._rules.sample_s)
         demand.expire(now_s)
         moves = plan_replacements(table, runs, demand)
-        if not moves and now_s >= control.planned_s and control.granter.idle:
+        if not moves and now_s >= control.planned_s and control.granter.settled:
             control.planned_s = now_s + self._rules.plan_s
             moves = plan_moves(table, runs, demand, self._division)
         control.granter.move(moves)
--- a/fireflyferry/keyranges/division.py
+++ b/fireflyferry/keyranges/division.py
@@ -1,6 +1,7 @@
 """Division of the keys of a pool between its upstreams by measured load."""
 
 import itertools
+import math
 from collections.abc import Mapping, Sequence
 
 import attrs
@@ -35,7 +36,7 @@
 class DivisionRules:
     """Thresholds on utilisation, which is load divided by capacity.
 
-    Keys move away from an upstream above `busy` that also lies `ratio` above the mean. They stop
+    Keys move away from an upstream that is surely above `busy` and `ratio` above the mean. They stop
     moving once either side reaches the mean, so that noise does not move them back.
     """
 
@@ -81,6 +82,11 @@
     def utilisation(self) -> float:
         return self.load / self.capacity
 
+    @property
+    def sure_utilisation(self) -> float:
+        """Utilisation less the error of a count of so few samples."""
+        return self.utilisation * (1 - 1 / math.sqrt(max(1, self.seen)))
+
     @property
     def keys(self) -> int:
         return sum(last - first + 1 for first, last in self.ranges)
@@ -159,7 +165,8 @@
         if newcomer:
             wanted = rules.newcomer_share * mean * receiver.capacity
         elif (
-            donor.utilisation < max(rules.busy, rules.ratio * mean) or donor.seen < rules.least_seen
+            donor.sure_utilisation < max(rules.busy, rules.ratio * mean)
+            or donor.seen < rules.least_seen
         ):
             return None
         else:
@@ -271,6 +278,7 @@
 
 def _parts(each: OwnedRange, receivers: int) -> list[tuple[int, int]]:
     """Cut a wide range, so that the keys of a lost upstream do not overload one other."""
-    count = min(receivers, MOST_PARTS, max(1, each.keys * MOST_PARTS * receivers // KEY_COUNT))
+    fair = MOST_PARTS * each.keys * receivers / KEY_COUNT
+    count = min(receivers, MOST_PARTS, max(1, round(fair)))
     cuts = [each.first + each.keys * i // count for i in range(count)] + [each.last + 1]
     return [(low, high - 1) for low, high in itertools.pairwise(cuts)]
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -155,6 +155,11 @@
             return False
         return all(each.serving for each in table.ranges)
 
+    @property
+    def settled(self) -> bool:
+        """Whether nothing waits to be written, so that a plan builds on the stored table."""
+        return self.table is not None and self._saving is None
+
     def on_stored(self, table: OwnerTable | None, revision: int) -> None:
         """Take the stored table, read at the start of a term, after a conflict or a lost answer."""
         self._saving = None
