--- a/fireflyferry/entry/headers.py
+++ b/fireflyferry/entry/headers.py
@@ -25,7 +25,6 @@
     "UNIT",
     "VM",
     "answer_headers",
-    "find",
     "head_bytes",
     "request_headers",
 ]
@@ -67,9 +66,3 @@
     """Return the length of a request's head, with line ends and separators."""
     fields = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
     return len(line.method) + len(line.path) + len(line.version) + 6 + fields
-
-
-def find(headers: HeaderList, name: str) -> str | None:
-    """Return the first value of a header."""
-    lower = name.lower()
-    return next((value for found, value in headers if found.lower() == lower), None)
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -13,7 +13,8 @@
 class Call:
     """A caller's request; times in seconds on this VM's clock.
 
-    `started_s` is when the caller first asked, `returned` that it was refused before.
+    `started_s` is when the caller first asked, `returned` that it was refused before, `repeated`
+    that an upstream may have received the request already.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     objective_s: float
     deadline_s: float
     returned: bool = False
+    repeated: bool = False
 
 
 @attrs.frozen
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -112,6 +112,7 @@
             if search.reached and not self._may_repeat(call):
                 return self._final(search, search.last)
             search.hops += 1
+            call.repeated = search.reached > 0
             attempt = await self._attempt(call, target)
             search.last = attempt
             search.reached += attempt.reached
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -24,6 +24,7 @@
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport import CurlTransport, Exchange, Fetched, fetch
 from fireflyferry.transport.fetch import whole_body
+from fireflyferry.transport.headers import find
 
 __all__ = ["LastHop", "LastHopRules"]
 
@@ -194,9 +195,16 @@
             headers,
             whole_body(call.body) if call.body or call.method in ("POST", "PUT") else None,
             self._patience_s(call, queue, left_s),
+            # An answer to the first send that comes late on its connection has the same id.
+            fresh=call.repeated,
             max_idle_s=rules.safe_idle_s if call.idempotent else rules.unsafe_idle_s,
         )
-        result = await fetch(self._transport, exchange, lambda: self._may_send(call, upstream))
+        result = await fetch(
+            self._transport,
+            exchange,
+            lambda: self._may_send(call, upstream),
+            lambda _, headers: find(headers, names.request_id) == call.request_id,
+        )
         return self._judge(call, upstream, result)
 
     def _patience_s(self, call: Call, queue: SlotQueue, left_s: float) -> float:
@@ -216,6 +224,10 @@
     def _judge(self, call: Call, upstream: Upstream, result: Fetched) -> Attempt:
         """Tell what an exchange says about the request."""
         names = self._names
+        if result.rejected:
+            problem = f"answer names request {result.header(names.request_id)}"
+            self._log_loss(call, upstream, Reason.WRONG_ANSWER, problem)
+            return unknown(Reason.WRONG_ANSWER)
         if not result.complete:
             if not result.sent:
                 reason = Reason.CONNECT_FAILED
@@ -225,7 +237,7 @@
             reason = Reason.TIMED_OUT if result.timed_out else Reason.CONNECTION_LOST
             self._log_loss(call, upstream, reason, f"curl {result.error} {result.message}")
             return unknown(reason)
-        problem = self._problem(call, result)
+        problem = self._problem(result)
         if problem:
             self._log_loss(call, upstream, Reason.WRONG_ANSWER, problem)
             return unknown(Reason.WRONG_ANSWER)
@@ -236,11 +248,8 @@
         answer = Answer(result.status, result.headers, result.body)
         return Attempt(Outcome.ANSWERED, None, answer, reached=True)
 
-    def _problem(self, call: Call, result: Fetched) -> str:
-        """Return why a complete answer is not the upstream's answer to this request."""
-        echoed = result.header(self._names.request_id)
-        if echoed != call.request_id:
-            return f"answer names request {echoed}"
+    def _problem(self, result: Fetched) -> str:
+        """Return why a complete answer is not the upstream's whole answer."""
         if result.header("Content-Encoding") is not None:
             return "answer has a content encoding that was not asked for"
         if 200 <= result.status < 300 and result.header(self._names.signature) is None:
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -52,6 +52,7 @@
     priority: int
     max_attempts: int
     returned: int
+    repeated: int
     age_ms: int
     objective_ms: int
     left_ms: int
@@ -72,6 +73,7 @@
         call.priority,
         call.max_attempts,
         int(call.returned),
+        int(call.repeated),
         round((now_s - call.started_s) * 1000),
         round((call.objective_s - now_s) * 1000),
         round((call.deadline_s - now_s) * 1000),
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -131,4 +131,5 @@
             objective_s=now_s + described.objective_ms / 1000,
             deadline_s=now_s + described.left_ms / 1000,
             returned=bool(described.returned),
+            repeated=bool(described.repeated),
         )
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -375,3 +375,30 @@
         assert got.status == 200 and len(upstream.seen) == 2
 
     run_with(every_second, work, pool="keyed")
+
+
+def test_repeat_does_not_use_the_connection_of_the_first_send():
+    """Guards against a late answer to the first send, which has the id of the repeat as well.
+
+    Found on caatinga-gw, scale-1 --seed 334957912817: a caller got a wrong body.
+    """
+
+    async def other_answer_first(seen, writer):
+        other = attrs.evolve(seen, headers={NAMES.request_id.lower(): "other"})
+        if seen.connection == 1:
+            writer.write(reply(other, b"stale"))
+            writer.write(reply(seen, b"late answer to the first send"))
+        else:
+            writer.write(reply(seen, b"right"))
+
+    async def work(running, upstream, store):
+        owners = running.program._state.owners
+        await running.until(
+            lambda: (table := owners.get("keyed")) is not None
+            and all(each.serving for each in table.ranges)
+        )
+        got = await request(running.port, "/keyed/", headers={NAMES.key: "7"})
+        assert (got.status, got.body) == (200, b"right")
+        assert [seen.connection for seen in upstream.seen] == [1, 2]
+
+    run_with(other_answer_first, work, pool="keyed")
--- a/fireflyferry/keyranges/division.py
+++ b/fireflyferry/keyranges/division.py
@@ -36,8 +36,8 @@
 class DivisionRules:
     """Thresholds on utilisation, which is load divided by capacity.
 
-    Keys move away from an upstream that is surely above `busy` and `ratio` above the mean. They stop
-    moving once either side reaches the mean, so that noise does not move them back.
+    Keys move away from an upstream that is surely above `busy` and `ratio` above the mean. They
+    stop moving once either side reaches the mean, so that noise does not move them back.
     """
 
     busy: float = 0.6
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -10,6 +10,7 @@
 __all__ = ["Fetched", "HeaderList", "fetch", "whole_body"]
 
 HeaderList = list[tuple[str, str]]
+Accept = Callable[[int, HeaderList], bool]
 
 MAX_ANSWER_BYTES = 64 << 20  # a quarter of the memory of a small VM
 
@@ -19,13 +20,14 @@
     """A complete answer, or how the exchange failed; `error` is a curl code, 0 if complete.
 
     `sent` tells that the request was handed to a connection, `refused` that no process listens on
-    the port.
+    the port, `rejected` that the head was not accepted.
     """
 
     error: int
     sent: bool
     timed_out: bool = False
     refused: bool = False
+    rejected: bool = False
     message: str = ""
     status: int = 0
     headers: HeaderList = attrs.field(factory=list)
@@ -45,8 +47,10 @@
 class _WholeAnswer(Receiver):
     """Collects one answer."""
 
-    def __init__(self, may_send: Callable[[], bool] | None):
+    def __init__(self, may_send: Callable[[], bool] | None, accept: Accept | None):
         self._may_send = may_send
+        self._accept = accept
+        self.rejected = False
         self._size = 0
         self.status = 0
         self.headers: HeaderList = []
@@ -57,9 +61,10 @@
         return self._may_send is None or self._may_send()
 
     def on_head(self, status: int, headers: HeaderList) -> bool:
-        """Keep the head."""
+        """Keep the head; one that is not accepted ends the transfer and its connection."""
         self.status, self.headers = status, headers
-        return True
+        self.rejected = self._accept is not None and not self._accept(status, headers)
+        return not self.rejected
 
     def on_data(self, chunk: bytes) -> bool:
         """Keep a chunk; a body above the limit is left unread until the exchange times out."""
@@ -80,13 +85,29 @@
 
 
 async def fetch(
-    transport: CurlTransport, exchange: Exchange, may_send: Callable[[], bool] | None = None
+    transport: CurlTransport,
+    exchange: Exchange,
+    may_send: Callable[[], bool] | None = None,
+    accept: Accept | None = None,
 ) -> Fetched:
-    """Run an exchange and return its whole answer; cancelling closes the connection."""
-    answer = _WholeAnswer(may_send)
+    """Run an exchange and return its whole answer; cancelling closes the connection.
+
+    A connection whose answer has a head that `accept` refuses is closed: the bytes that follow
+    on it may belong to another request.
+    """
+    answer = _WholeAnswer(may_send, accept)
     result = await transport.run(exchange, answer)
     if result.error:
-        return Fetched(result.error, result.sent, result.timed_out, result.refused, result.message)
+        return Fetched(
+            result.error,
+            result.sent,
+            result.timed_out,
+            result.refused,
+            answer.rejected,
+            result.message,
+            answer.status,
+            answer.headers,
+        )
     return Fetched(
         0, True, status=answer.status, headers=answer.headers, body=b"".join(answer.chunks)
     )
--- a/fireflyferry/transport/headers.py
+++ b/fireflyferry/transport/headers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-__all__ = ["end_to_end"]
+__all__ = ["end_to_end", "find"]
 
 HeaderList = list[tuple[str, str]]
 
@@ -36,3 +36,9 @@
     if named - {"close", "keep-alive", ""}:
         kept = [pair for pair in kept if pair[0].lower() not in named]
     return kept
+
+
+def find(headers: HeaderList, name: str) -> str | None:
+    """Return the first value of a header."""
+    lower = name.lower()
+    return next((value for found, value in headers if found.lower() == lower), None)
