--- a/fireflyferry/operators/arguments.py
+++ b/fireflyferry/operators/arguments.py
@@ -5,7 +5,7 @@
 import attrs
 
 from fireflyferry import __version__
-from fireflyferry.operators import fleet_commands, status, table_commands
+from fireflyferry.operators import explain, fleet_commands, status, table_commands
 from fireflyferry.settings.values import Endpoint, Text, Value, value_of
 from fireflyferry.tables.rows import ROW_KINDS
 
@@ -161,6 +161,13 @@
     )
 
 
+def _add_log_commands(commands) -> None:
+    text = "tell the story of a request from log lines on standard input"
+    made = commands.add_parser("explain", help=text, description=f"{text[0].upper()}{text[1:]}.")
+    made.set_defaults(run=explain.explain)
+    made.add_argument("request_id", metavar="REQUEST_ID")
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Build the parser; the chosen command's function is in `run`."""
     parser = argparse.ArgumentParser(
@@ -178,4 +185,5 @@
         _add_table_commands(commands, kind, edit)
     _add_file_commands(commands, edit)
     _add_fleet_commands(commands)
+    _add_log_commands(commands)
     return parser
--- /dev/null
+++ b/fireflyferry/operators/explain.py
@@ -0,0 +1,117 @@
+"""`fireflyferryctl explain`: the story of one request from the log lines of several VMs."""
+
+import argparse
+import json
+import re
+import sys
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from fireflyferry.operators.errors import ExitCode
+
+__all__ = ["Event", "explain", "parse_line", "story"]
+
+# How long before the first line of a request a change of belief can matter to it, in seconds.
+CONTEXT_S = 3.0
+
+_PAIR = re.compile(r'([A-Za-z_]\w*)=("(?:[^"\\]|\\.)*"|\S*)')
+_FRAME = ("time", "level", "logger", "event")
+# Fields of a request's lines that name something whose changes are part of the story.
+_SUBJECTS = {"upstream": "upstream", "last_hop": "vm", "pool": "pool"}
+
+
+@attrs.frozen
+class Event:
+    """One log line; `source` is what stood before it, usually the VM."""
+
+    time: str
+    name: str
+    source: str
+    fields: dict[str, str]
+
+    @property
+    def seconds(self) -> float:
+        """Seconds of the day, for distances between lines."""
+        hours, minutes, seconds = self.time.partition("T")[2].rstrip("Z").split(":")
+        return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+
+
+def parse_line(line: str) -> Event | None:
+    """Read a log line in either format; None if it is none."""
+    start = line.find("time=")
+    if start < 0:
+        return _parse_json(line)
+    fields = {name: _value(text) for name, text in _PAIR.findall(line[start:])}
+    return _event(fields, line[:start])
+
+
+def _parse_json(line: str) -> Event | None:
+    start = line.find("{")
+    try:
+        fields = json.loads(line[start:]) if start >= 0 else None
+    except json.JSONDecodeError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    return _event({name: str(value) for name, value in fields.items()}, line[:start])
+
+
+def _value(text: str) -> str:
+    return str(json.loads(text)) if text.startswith('"') else text
+
+
+def _event(fields: dict[str, str], before: str) -> Event | None:
+    if not {"time", "event"} <= fields.keys() or not re.search(r"T\d\d:\d\d:\d\d", fields["time"]):
+        return None
+    source = before.split()[-1] if before.split() else ""
+    rest = {name: value for name, value in fields.items() if name not in _FRAME}
+    return Event(fields["time"], fields["event"], source, rest)
+
+
+def story(events: Iterable[Event], request_id: str) -> Iterator[Event]:
+    """Return the lines of a request and the changes that concern it, in order of time."""
+    ordered = sorted(events, key=lambda event: event.time)
+    own = [event for event in ordered if event.fields.get("request_id") == request_id]
+    if not own:
+        return
+    first_s, last_s = own[0].seconds - CONTEXT_S, own[-1].seconds
+    took_s = max(float(event.fields.get("took_s", 0.0)) for event in own)
+    subjects = {
+        (kind, event.fields[name])
+        for event in own
+        for name, kind in _SUBJECTS.items()
+        if event.fields.get(name)
+    }
+    for event in ordered:
+        if event in own or (
+            first_s - took_s <= event.seconds <= last_s and _concerns(event, subjects, own)
+        ):
+            yield event
+
+
+def _concerns(event: Event, subjects: set[tuple[str, str]], own: list[Event]) -> bool:
+    """Tell whether a line of no request is about something that the request met."""
+    if "request_id" in event.fields:
+        return False
+    if event.name in ("store_lost", "store_regained", "lease_gained", "lease_lost"):
+        return True
+    if "first" in event.fields and "last" in event.fields:
+        keys = [int(e.fields["key"]) for e in own if e.fields.get("key", "").isdigit()]
+        low, high = int(event.fields["first"]), int(event.fields["last"])
+        return any(low <= key <= high for key in keys)
+    return any(event.fields.get(kind) == name for kind, name in subjects if kind != "pool")
+
+
+def explain(options: argparse.Namespace) -> ExitCode:
+    """Print the story of a request from log lines on standard input."""
+    events = (event for event in map(parse_line, sys.stdin) if event is not None)
+    found = False
+    for event in story(events, options.request_id):
+        found = True
+        pairs = " ".join(f"{name}={value}" for name, value in event.fields.items())
+        print(f"{event.time} {event.source or '-'} {event.name} {pairs}")
+    if not found:
+        print(f"no line names request {options.request_id}", file=sys.stderr)
+        return ExitCode.REFUSED
+    return ExitCode.DONE
--- a/fireflyferry/operators/main.py
+++ b/fireflyferry/operators/main.py
@@ -15,6 +15,7 @@
 from fireflyferry.operators.arguments import SETTINGS_VARIABLE, make_parser
 from fireflyferry.operators.context import Context
 from fireflyferry.operators.errors import ExitCode, OperatorError
+from fireflyferry.operators.explain import explain
 from fireflyferry.operators.peers import HttpPeerControl
 from fireflyferry.operators.table_commands import validate_file
 from fireflyferry.settings import CtlSettings, SettingsError, read_settings
@@ -82,8 +83,8 @@
     """Run the program and return its exit code."""
     options = make_parser().parse_args(arguments)
     try:
-        if options.run is validate_file:
-            return int(validate_file(options))
+        if options.run in (validate_file, explain):
+            return int(options.run(options))  # needs no store
         return asyncio.run(_connect_and_run(options))
     except OperatorError as error:
         print(f"fireflyferryctl: {error.code}", file=sys.stderr)
--- a/fireflyferry/operators/tests/test_pages.py
+++ b/fireflyferry/operators/tests/test_pages.py
@@ -40,7 +40,7 @@
 
 
 def test_every_reason_code_has_a_row_that_says_what_it_does():
-    found = {row[0].strip("`"): row for row in rows(section(page("operations.md"), "Reason codes"))}
+    found = {row[0].strip("`"): row for row in rows(section(page("OPERATIONS.md"), "Reason codes"))}
     found.pop("---")
     assert list(found) == [str(reason) for reason in REASONS]
     for reason, info in REASONS.items():
@@ -84,7 +84,7 @@
     assert [int(code) for code, _ in helped] == list(ExitCode)
 
 
-@pytest.mark.parametrize("name", ["configuration.md", "operations.md"])
+@pytest.mark.parametrize("name", ["configuration.md", "OPERATIONS.md"])
 def test_commands_on_the_pages_are_accepted(name):
     commands = re.findall(r"^fireflyferryctl (.+)$", page(name), re.MULTILINE)
     assert commands
