--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -249,38 +249,42 @@
 
     async def _locate_owner(self, call: Call, search: _Search) -> _Target | Attempt:
         """Return the owner of the key; waits a little while the key changes its owner."""
-        now_s = self._clock.monotonic_s()
-        until_s = min(now_s + self._rules.move_wait_s, call.deadline_s)
+        started_s = self._clock.monotonic_s()
         # An owner that did not hold the key is asked again only under a newer table.
         outdated = search.last is not None and search.last.reason is Reason.NOT_OWNER
         if outdated:
             self._state.on_outdated_owners()
         while True:
-            target, moving = self._owner(call)
+            target, moving_since_s = self._owner(call)
             if target is not None and not outdated:
                 return target
+            since_s = started_s if outdated else moving_since_s
+            until_s = min(since_s + self._rules.move_wait_s, call.deadline_s)
             left_s = until_s - self._clock.monotonic_s()
-            if not (moving or outdated) or left_s <= 0:
+            if left_s <= 0:
                 self._state.on_outdated_owners()
                 return not_run(Reason.OWNER_UNAVAILABLE, self._retry_after_s())
-            outdated = not await self._state.owners.wait(left_s)
+            outdated = not await self._state.owners.wait(left_s) and outdated
 
     def _retry_after_s(self) -> float:
         return self._rules.owner_retry_s * self._rng.uniform(0.75, 1.5)
 
-    def _owner(self, call: Call) -> tuple[_Target | None, bool]:
-        """Return the owner of the key, or None and whether a wait may help."""
+    def _owner(self, call: Call) -> tuple[_Target | None, float]:
+        """Return the owner of the key, or None and since when the key changes its owner.
+
+        A key that nobody can be waited for counts as changing since ever.
+        """
         state = self._state
         table = state.owners.get(call.pool)
         part = table.find(call.key) if table is not None and call.key is not None else None
         if part is None:
-            return None, False
+            return None, float("-inf")
         if not part.serving:
-            return None, True
+            return None, state.owners.moving_since_s(call.pool, part)
         run = part.owner
         standing = state.upstreams.standing(self._clock.monotonic_s(), run.upstream_id, run.born)
         upstream = state.upstreams.get(run.upstream_id)
         if standing is Standing.GONE or upstream is None:
-            return None, False
+            return None, float("-inf")
         vm = state.vms.last_hop(run.upstream_id, upstream.data_centre)
-        return _Target(upstream, vm), False
+        return _Target(upstream, vm), float("-inf")
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -9,7 +9,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, PlatformCodec, UnreadableError
-from fireflyferry.keyranges import OwnerTable
+from fireflyferry.keyranges import OwnedRange, OwnerTable
 from fireflyferry.routing.hosts import HostRoutes, RoutingConfig
 
 __all__ = ["GatewayState", "OwnerViews"]
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._tables: dict[str, tuple[int, OwnerTable]] = {}
+        self._moving_since_s: dict[str, dict[OwnedRange, float]] = {}
         self._changed: asyncio.Future[None] | None = None
 
     def get(self, pool: str) -> OwnerTable | None:
@@ -31,12 +32,20 @@
         entry = self._tables.get(pool)
         return entry[1] if entry is not None else None
 
-    def put(self, pool: str, revision: int, table: OwnerTable) -> bool:
+    def moving_since_s(self, pool: str, part: OwnedRange) -> float:
+        """Return when this VM learned that a range changes its owner."""
+        return self._moving_since_s[pool][part]
+
+    def put(self, now_s: float, pool: str, revision: int, table: OwnerTable) -> bool:
         """Take a table unless a newer one is known."""
         known = self._tables.get(pool)
         if known is not None and revision <= known[0]:
             return False
         self._tables[pool] = (revision, table)
+        known_since = self._moving_since_s.get(pool, {})
+        self._moving_since_s[pool] = {
+            part: known_since.get(part, now_s) for part in table.ranges if not part.serving
+        }
         changed, self._changed = self._changed, None
         if changed is not None and not changed.done():
             changed.set_result(None)
@@ -135,7 +144,7 @@
 
     def take_owners(self, revision: int, table: OwnerTable) -> None:
         """Take one owner table."""
-        if self.owners.put(table.pool, revision, table):
+        if self.owners.put(self._clock.monotonic_s(), table.pool, revision, table):
             _LOG.info(
                 "owners_changed",
                 extra={
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -27,10 +27,10 @@
 class GrantTiming:
     """Times in seconds; `drift` bounds how much slower an upstream's clock may run."""
 
-    hold_s: float = 7.0  # a store outage of 6 s leaves every grant running
-    renew_s: float = 1.5
+    hold_s: float = 5.0  # a store outage of 5 s leaves every grant running
+    renew_s: float = 1.2
     retry_s: float = 0.3
-    call_s: float = 1.0
+    call_s: float = 0.6  # upstreams answer within milliseconds, also from other regions
     release_s: float = 4.0  # the work on released keys ends before the answer
     drift: float = 0.03  # clocks of upstreams may run 2% slow
     margin_s: float = 0.5  # bytes that were on their way when a call was given up
@@ -47,6 +47,7 @@
     ACCEPTED = auto()
     HIGHER_FENCE = auto()
     UNKNOWN = auto()  # no answer, or one that says nothing
+    NOT_SENT = auto()  # no byte of the call left this VM
     NO_LISTENER = auto()  # the port refused the connection
 
 
--- a/fireflyferry/keyranges/tests/range_world.py
+++ b/fireflyferry/keyranges/tests/range_world.py
@@ -197,6 +197,11 @@
         if not process.alive:
             self._at(arrives_s, lambda: granter.on_grant(self.now_s, call, GrantAnswer.NO_LISTENER))
             return
+        if not process.reachable and self.rng.random() < 0.5:
+            self._at(
+                self.now_s + 0.4, lambda: granter.on_grant(self.now_s, call, GrantAnswer.NOT_SENT)
+            )
+            return
         late = self.rng.random() < 0.08
         silent = not process.reachable or late
         if late and process.reachable:
--- a/fireflyferry/platform/orders.py
+++ b/fireflyferry/platform/orders.py
@@ -65,7 +65,7 @@
     if result.refused:
         return GrantAnswer.NO_LISTENER
     if not result.complete:
-        return GrantAnswer.UNKNOWN
+        return GrantAnswer.UNKNOWN if result.sent else GrantAnswer.NOT_SENT
     return {200: GrantAnswer.ACCEPTED, 409: GrantAnswer.HIGHER_FENCE}.get(
         result.status, GrantAnswer.UNKNOWN
     )
