--- a/fireflyferry/balancing/selection.py
+++ b/fireflyferry/balancing/selection.py
@@ -116,6 +116,8 @@
         returns wait and service time for upstreams whose last hop is this VM.
         """
         rules = self._rules
+        upstreams = list(upstreams)
+        usual_s = self._usual_service_s(upstreams)
         best: tuple[tuple[bool, float], Choice] | None = None
         for upstream in upstreams:
             upstream_id = upstream.run.upstream_id
@@ -123,7 +125,10 @@
                 continue
             board = self._board(upstream_id)
             exact = exact_wait(upstream)
-            wait_s, service_s = exact or (self.wait_s(now_s, upstream), board.service_s)
+            wait_s, service_s = exact or (
+                self.wait_s(now_s, upstream),
+                board.service_s or usual_s,
+            )
             far = distance(upstream)
             cost = wait_s + service_s + self._rng.uniform(0.0, rules.jitter_s)
             cost += board.failed_share * rules.grey_cost_s
@@ -137,6 +142,12 @@
                 best = (rank, Choice(upstream, wait_s, age_s))
         return best[1] if best is not None else None
 
+    def _usual_service_s(self, upstreams: Iterable[Upstream]) -> float:
+        """Return the mean service time of those upstreams that are known."""
+        boards = (self._board(each.run.upstream_id) for each in upstreams)
+        known = [board.service_s for board in boards if board.service_s]
+        return sum(known) / len(known) if known else 0.0
+
     def forget_others(self, known: Container[str]) -> None:
         """Drop upstreams that are no longer known and have nothing on its way."""
         self._boards = {
--- a/fireflyferry/balancing/slot_queue.py
+++ b/fireflyferry/balancing/slot_queue.py
@@ -22,6 +22,7 @@
     """
 
     ahead: int = 1
+    margin: float = 1.25  # on forecasts; without it 30% of what was admitted came late
     first_service_s: float = 0.2
     late_wait: float = 0.35  # part of the time left that a request past its objective may wait
     stall_s: float = 1.0
@@ -177,13 +178,13 @@
     def _refusal(self, now_s: float, ticket: Ticket, wait_s: float) -> Refused | None:
         service_s = self.service_s
         left_s = ticket.deadline_s - now_s
-        if wait_s + service_s > left_s:
+        if self._rules.margin * wait_s + service_s > left_s:
             return self._refused(now_s, Reason.DEADLINE_TOO_SHORT, wait_s)
         if ticket.returned or now_s + service_s > ticket.objective_s:
             # Its full worth is lost already, so it only waits as long as that harms no other.
             if wait_s > max(self._rules.late_wait * left_s, service_s / self._slots):
                 return self._refused(now_s, Reason.QUEUE_FULL, wait_s)
-        elif now_s + wait_s + service_s > ticket.objective_s:
+        elif now_s + self._rules.margin * (wait_s + service_s) > ticket.objective_s:
             return self._refused(now_s, Reason.QUEUE_FULL, wait_s)
         return None
 
--- /dev/null
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -0,0 +1,350 @@
+"""Guards against wrong readings of the platform's documents, calls and settings."""
+
+import asyncio
+import json
+import pathlib
+import re
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from fireflyferry.gateway.edges import (
+    Conflict,
+    Document,
+    HistoryLostError,
+    StoreCallError,
+    UnreadableError,
+)
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.settings import GatewaySettings
+from fireflyferry.keyranges import GrantAnswer, GrantCall, GrantTiming, ReleaseCall, UpstreamRun
+from fireflyferry.platform.__main__ import main
+from fireflyferry.platform.decoding import Codec
+from fireflyferry.platform.orders import HttpKeyOrders
+from fireflyferry.platform.store import HttpMetadataStore
+from fireflyferry.settings import parse_settings
+from fireflyferry.transport import CurlTransport
+
+ROOT = pathlib.Path(__file__).parents[3]
+ENTRY = {
+    "address": "10.1.0.2:80",
+    "born": 1700000000000,
+    "info": {"service": "s", "version": "v1", "zone": "z-a", "slots": 2},
+    "status": {"state": "ready", "sequence": 1, "warmupLeftS": 0.5},
+}
+ROUTE = {
+    "host": "H.example",
+    "pathPrefix": "/a/",
+    "kind": "safe",
+    "timeoutS": 1,
+    "targetLatencyS": 0.5,
+    "priority": 2,
+    "service": "s",
+    "maxAttempts": 2,
+}
+SERVICE = {"healthPath": "/health", "maxConnections": 130, "sharded": True}
+LIMITS = {"maxHeaderBytes": 1, "maxBodyBytes": 2, "headerTimeoutS": 3, "idleTimeoutS": 15}
+
+
+def row(kind, name, spec):
+    return {"resourceKind": kind, "metadata": {"name": name} if name else {}, "spec": spec}
+
+
+def config(**routes):
+    rows = [row("routes", name, spec) for name, spec in (routes or {"r": ROUTE}).items()]
+    rows += [row("services", "s", SERVICE), row("limits", "", LIMITS)]
+    return {"version": "0000001f", "resources": rows}
+
+
+def read_config(content):
+    return Codec().config(Document("main", 1, content))
+
+
+def read_upstream(content):
+    return Codec().upstream(Document("i-1", 1, content))
+
+
+def test_upstream_entry():
+    upstream = read_upstream(ENTRY)
+    assert upstream.run == UpstreamRun("i-1", 1700000000000)
+    assert (upstream.pool, upstream.data_centre, upstream.slots) == ("s", "z-a", 2)
+    assert (upstream.draining, upstream.warmup_left_s) == (False, 0.5)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("address",), None),
+        (("address",), "nowhere"),
+        (("born",), "1700"),
+        (("born",), True),
+        (("born",), 1.5),
+        (("info",), []),
+        (("info", "slots"), 0),
+        (("info", "slots"), "2"),
+        (("info", "service"), 7),
+        (("status", "state"), "asleep"),
+        (("status", "warmupLeftS"), "soon"),
+        (("status", "warmupLeftS"), -1),
+    ],
+)
+def test_odd_entry_names_no_upstream(path, value):
+    """Guards against entries of another writer."""
+    content = json.loads(json.dumps(ENTRY))
+    place = content
+    for name in path[:-1]:
+        place = place[name]
+    for change in ("other", "missing"):
+        if change == "other":
+            place[path[-1]] = value
+        else:
+            del place[path[-1]]
+        with pytest.raises(UnreadableError):
+            read_upstream(content)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+
+
+@given(JSON)
+def test_any_document_is_read_or_unreadable(content):
+    for read in (read_upstream, read_config):
+        with pytest.raises(UnreadableError):
+            read(content)
+
+
+def test_config():
+    split = {**ROUTE, "pathPrefix": "/b/"}
+    del split["service"]
+    split["trafficSplit"] = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    unsafe = {**ROUTE, "kind": "unsafe", "pathPrefix": "/c/"}
+    found = read_config(config(r=ROUTE, q=split, u=unsafe))
+    assert found.version == 31
+    single, several, writes = found.routes
+    assert single.host == "h.example" and single.idempotent
+    assert [(each.pool, each.weight) for each in single.shares] == [("s", 1.0)]
+    assert [(each.pool, each.weight) for each in several.shares] == [("s", 90.0), ("t", 10.0)]
+    assert not writes.idempotent
+    assert found.pools["s"].keyed and found.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "soon"},
+        {"version": 31},
+        {"resources": None},
+        {"resources": config()["resources"][:1]},
+        {"resources": [*config()["resources"], row("routes", "x", {**ROUTE, "host": None})]},
+        {"resources": [*config()["resources"], row("routes", "x", {**ROUTE, "timeoutS": "1"})]},
+        {"resources": [*config()["resources"], row("routes", "x", {**ROUTE, "trafficSplit": []})]},
+    ],
+)
+def test_faulty_config_is_unreadable(change):
+    with pytest.raises(UnreadableError):
+        read_config({**config(), **change})
+
+
+# Calls, against a server on loopback
+
+
+class Recorder:
+    """Answers each call with the next of the given answers and keeps the calls."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def __aenter__(self):
+        recorder = self
+
+        class Handler(RequestHandler):
+            def prepare(self):
+                body = self.request.body
+                recorder.calls.append(
+                    (self.request.method, self.request.uri, json.loads(body) if body else None)
+                )
+                status, content, headers = (*recorder.answers.pop(0), {}, {})[:3]
+                self.set_status(status)
+                for name, value in headers.items():
+                    self.set_header(name, value)
+                self.finish(json.dumps(content))
+
+        self._server = HTTPServer(Application([(".*", Handler)], log_function=lambda _: None))
+        sock, port = bind_unused_port()
+        self._server.add_socket(sock)
+        self.address = f"127.0.0.1:{port}"
+        self.transport = CurlTransport(force_instance=True)
+        self.store = HttpMetadataStore(self.address, self.transport, GatewayMetrics())
+        self.orders = HttpKeyOrders(self.transport, GrantTiming())
+        return self
+
+    async def __aexit__(self, *_):
+        self.transport.close()
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+def thing(name, revision=1, content="c"):
+    return {"metadata": {"name": name, "revision": revision}, "spec": content, "status": None}
+
+
+def run(work):
+    asyncio.run(work())
+
+
+def test_list_goes_on_page_by_page_from_the_position_of_the_first():
+    async def work():
+        first = {"items": [thing("a")], "hasMore": True, "asOf": 5}
+        second = {"items": [thing("b")], "hasMore": False, "asOf": 9}
+        async with Recorder((200, first), (200, second)) as server:
+            listed = await server.store.list("k", stale=True)
+            assert [each.name for each in listed.documents] == ["a", "b"]
+            assert listed.position == 5
+            assert [call[1] for call in server.calls] == [
+                "/objects/k?serializable=1",
+                "/objects/k?serializable=1&after=a",
+            ]
+
+    run(work)
+
+
+def test_watch_keeps_the_last_event_of_each_object():
+    async def work():
+        events = [
+            {"removed": False, "object": thing("a", 6)},
+            {"removed": True, "object": thing("a", 7)},
+            {"removed": True, "object": thing("b", 8)},
+            {"removed": False, "object": thing("b", 9)},
+        ]
+        async with Recorder((200, {"events": events, "asOf": 9})) as server:
+            changes = await server.store.watch("k", 5, 2.5)
+            assert server.calls[0][1] == "/objects/k?watch=5&waitMs=2500"
+            assert changes.removed == ("a",) and [d.name for d in changes.documents] == ["b"]
+
+    run(work)
+
+
+@pytest.mark.parametrize("status", [429, 503, 500])
+def test_refused_call_is_an_error(status):
+    async def work():
+        async with Recorder((status, {})) as server:
+            with pytest.raises(StoreCallError):
+                await server.store.read("k", "n")
+
+    run(work)
+
+
+def test_lost_history_is_told_apart():
+    async def work():
+        async with Recorder((410, {})) as server:
+            with pytest.raises(HistoryLostError):
+                await server.store.watch("k", 5, 1.0)
+
+    run(work)
+
+
+def test_writes_create_or_replace_under_a_condition():
+    async def work():
+        answers = [(201, thing("n", 3)), (200, thing("n", 4)), (409, {}), (200, thing("n", 8, "x"))]
+        async with Recorder(*answers) as server:
+            assert await server.store.write("k", "n", "c", 0) == 3
+            assert await server.store.write("k", "n", "d", 3) == 4
+            assert await server.store.write("k", "n", "e", 4) == Conflict(Document("n", 8, "x"))
+            create, replace, _, _ = server.calls
+            assert create == ("POST", "/objects/k", {"metadata": {"name": "n"}, "spec": "c"})
+            metadata = {"name": "n", "revision": 3}
+            assert replace == ("PUT", "/objects/k/n", {"metadata": metadata, "spec": "d"})
+
+    run(work)
+
+
+def test_orders():
+    async def work():
+        async with Recorder(
+            (200, {}), (409, {}), (200, {}, {"Fireflyferry-Handover": "t"}), (400, {})
+        ) as server:
+            owner = UpstreamRun("i-1", 1)
+            grant = GrantCall(owner, server.address, 1, 9, 12, 4.0, "h")
+            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.ACCEPTED
+            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.HIGHER_FENCE
+            release = ReleaseCall(owner, server.address, 1, 9, 13)
+            assert await server.orders.release(release, lambda: True) == (GrantAnswer.ACCEPTED, "t")
+            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.UNKNOWN
+            body = {"from": 1, "target": 9, "fence": 12, "holdS": 4.0, "handover": "h"}
+            assert server.calls[0] == ("POST", "/grant", body)
+
+    run(work)
+
+
+def test_order_is_not_sent_without_authority():
+    """Guards against a grant that a thawed VM sends after its lease has ended."""
+
+    async def work():
+        async with Recorder() as server:
+            grant = GrantCall(UpstreamRun("i-1", 1), server.address, 1, 9, 12, 4.0, "")
+            assert await server.orders.grant(grant, lambda: False) is GrantAnswer.NOT_SENT
+            assert not server.calls
+
+    run(work)
+
+
+def test_refused_connection_is_told_apart():
+    async def work():
+        async with Recorder() as server:
+            sock, port = bind_unused_port()
+            sock.close()
+            grant = GrantCall(UpstreamRun("i-1", 1), f"127.0.0.1:{port}", 1, 9, 12, 4.0, "")
+            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.NO_LISTENER
+
+    run(work)
+
+
+# Settings
+
+
+def filled_template():
+    text = (ROOT / "deploy" / "entry.ini").read_text()
+    text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "z-a:r,z-b:r", text)
+    values = {
+        "nodeName": "edge-z-a-1",
+        "zone": "z-a",
+        "ip": "10.1.0.2",
+        "listen.front": "10.1.0.2:8000",
+        "listen.readyAddress": "10.1.0.2:8001",
+        "internalPortRange.0": "7000",
+        "platform.address": "10.2.0.1:80",
+        "bounds.drainTimeoutS": "2",
+        "bounds.gracePeriodS": "6",
+        "bounds.maxHoldS": "10",
+        "bounds.retryBudgetRatio": "0.2",
+        "bounds.retryWindowS": "10",
+    }
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: values[match[1]], text)
+
+
+def test_template_gives_valid_settings():
+    settings = parse_settings(filled_template(), GatewaySettings)
+    assert settings.vm.vm_id == "edge-z-a-1"
+    assert settings.regions.by_data_centre() == {"z-a": "r", "z-b": "r"}
+
+
+def test_missing_field_is_named_and_ends_with_its_code(tmp_path, capsys):
+    path = tmp_path / "entry.ini"
+    path.write_text(filled_template().replace("data_centre = z-a", "data_centre ="))
+    assert main(["--settings", str(path)]) == 2
+    assert "[vm] data_centre: found ''" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("option", ["--help", "--version"])
+def test_options_exit_in_good_order(option, capsys):
+    with pytest.raises(SystemExit) as ended:
+        main([option])
+    assert ended.value.code == 0 and capsys.readouterr().out
