--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -113,6 +113,7 @@
                 return self._final(search, search.last)
             search.hops += 1
             call.repeated = search.reached > 0
+            call.expendable = self._is_expendable(call, search)
             attempt = await self._attempt(call, target)
             search.last = attempt
             search.reached += attempt.reached
@@ -206,6 +207,16 @@
             _LOG.info("retry_denied", extra={"request_id": call.request_id, "pool": call.pool})
         return allowed
 
+    def _is_expendable(self, call: Call, search: _Search) -> bool:
+        """Tell whether another attempt could follow if the next one gets no answer for long."""
+        if not call.idempotent or call.key is not None:
+            return False
+        if search.reached + 2 > call.max_attempts:
+            return False
+        now_s = self._clock.monotonic_s()
+        others = len(self._state.upstreams.ready(now_s, call.pool)) - len(search.tried)
+        return others > 1 and self._budget(call.pool).left(now_s) >= 1.0
+
     def _budget(self, pool: str) -> RetryWindow:
         budget = self._budgets.get(pool)
         if budget is None:
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -35,14 +35,15 @@
 class LastHopRules:
     """Times in seconds.
 
-    An idempotent request that can be sent elsewhere is given up after `patience_services` mean
-    service times, since a full upstream may never answer; 99% of answers take less than 4.
+    An attempt that another can follow is given up after `patience_services` mean service times
+    and `patience_share` of the time left, since a full upstream may never answer; 99% of answers
+    take less than 4 service times, but the first estimates of them are rough.
     A non-idempotent request uses only connections that were idle for less than `unsafe_idle_s`,
     since one that the upstream closes meanwhile makes the outcome unknown.
     """
 
     patience_services: float = 6.0
-    least_patience_s: float = 0.5
+    patience_share: float = 0.5
     safe_idle_s: int = 8  # upstreams close connections that were idle for 10 s
     unsafe_idle_s: int = 4
     least_left_s: float = 0.005
@@ -208,10 +209,10 @@
         return self._judge(call, upstream, result)
 
     def _patience_s(self, call: Call, queue: SlotQueue, left_s: float) -> float:
-        if not call.idempotent or call.key is not None or call.max_attempts < 2:
+        if not call.expendable:
             return left_s
         limit_s = self._rules.patience_services * queue.service_s
-        return min(left_s, max(limit_s, self._rules.least_patience_s))
+        return min(left_s, max(limit_s, self._rules.patience_share * left_s))
 
     def _may_send(self, call: Call, upstream: Upstream) -> bool:
         now_s = self._clock.monotonic_s()
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -53,6 +53,7 @@
     max_attempts: int
     returned: int
     repeated: int
+    expendable: int
     age_ms: int
     objective_ms: int
     left_ms: int
@@ -74,6 +75,7 @@
         call.max_attempts,
         int(call.returned),
         int(call.repeated),
+        int(call.expendable),
         round((now_s - call.started_s) * 1000),
         round((call.objective_s - now_s) * 1000),
         round((call.deadline_s - now_s) * 1000),
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -402,3 +402,40 @@
         assert [seen.connection for seen in upstream.seen] == [1, 2]
 
     run_with(other_answer_first, work, pool="keyed")
+
+
+def test_last_attempt_is_not_given_up_early():
+    """Guards against breaking off a request at which its only or last upstream is at work.
+
+    Found on parbrett, trouble-2 --seed 108314259784: a repeat was cut after 1.6 s of 6 s.
+    """
+
+    async def quick_then_slow(seen, writer):
+        if not seen.request_id.startswith("quick"):
+            await asyncio.sleep(1.3)
+        writer.write(reply(seen))
+
+    async def work(running, upstream, store):
+        for number in range(4):
+            await request(running.port, "/read/", request_id=f"quick{number}")
+        got = await request(running.port, "/read/", request_id="slow")
+        assert got.status == 200 and len(upstream.seen) == 5
+
+    run_with(quick_then_slow, work)
+
+
+def test_silent_upstream_is_given_up_for_another():
+    """Load pattern: an upstream that is full answers nothing, ever."""
+
+    async def silent(seen, writer):
+        await asyncio.sleep(30)
+
+    async def work(running, upstream, store):
+        async with ScriptedUpstream() as other:
+            content = upstream_content("u2", other.port, data_centre="dc-3")
+            await store.put("upstreams", "u2", content)
+            await running.until(lambda: len(list(running.program._state.upstreams)) == 2)
+            got = await request(running.port, "/read/")
+            assert got.status == 200 and len(upstream.seen) == len(other.seen) == 1
+
+    run_with(silent, work)
