--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -199,11 +199,13 @@
         outcome = str(attempt.outcome) if attempt is not None else "caller_left"
         reason = str(attempt.reason or "") if attempt is not None else ""
         services.metrics.request(call.pool if call else "", outcome, reason, took_s)
-        if attempt is not None and attempt.outcome is Outcome.ANSWERED and not self._closed:
+        delivered = attempt is not None and attempt.outcome is Outcome.ANSWERED and not self._closed
+        in_time = call is None or services.clock.monotonic_s() <= call.objective_s
+        if delivered and in_time:
             return
         config = services.state.config
         _LOG.info(
-            "request_not_answered",
+            "request_late" if delivered else "request_not_answered",
             extra={
                 "request_id": self._headers.get(services.names.request_id, ""),
                 "outcome": outcome,
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -50,6 +50,7 @@
     move_wait_s: float = 0.7
     owner_retry_s: float = 0.4  # Retry-After while a key has no owner
     upstream_retry_s: float = 0.3  # Retry-After while a pool has no upstream
+    logged_wait_s: float = 0.05  # a shorter wait makes no request late
     retry_share: float = 0.2
     retry_reserve: float = 2.0
     retry_window_s: float = 10.0
@@ -268,6 +269,7 @@
         while True:
             target, moving_since_s = self._owner(call)
             if target is not None and not outdated:
+                self._log_wait(call, target, started_s)
                 return target
             since_s = started_s if outdated else moving_since_s
             until_s = min(since_s + self._rules.move_wait_s, call.deadline_s)
@@ -277,6 +279,20 @@
                 return not_run(Reason.OWNER_UNAVAILABLE, self._retry_after_s())
             outdated = not await self._state.owners.wait(left_s) and outdated
 
+    def _log_wait(self, call: Call, target: _Target, started_s: float) -> None:
+        waited_s = self._clock.monotonic_s() - started_s
+        if waited_s > self._rules.logged_wait_s:
+            _LOG.info(
+                "waited_for_owner",
+                extra={
+                    "request_id": call.request_id,
+                    "pool": call.pool,
+                    "key": call.key,
+                    "upstream": target.upstream.run.upstream_id,
+                    "waited_s": round(waited_s, 3),
+                },
+            )
+
     def _retry_after_s(self) -> float:
         return self._rules.owner_retry_s * self._rng.uniform(0.75, 1.5)
 
