--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -236,9 +236,12 @@
         """
         target = cleanup.target
         while not await self._cancelled(cleanup.call, target):
-            if self._clock.monotonic_s() >= cleanup.until_s:
+            # wait_for drops a cancellation of this task that comes as its call ends, so the news
+            # that the upstream is gone is also looked up here.
+            gone = target.upstream_id in self._gone
+            if gone or self._clock.monotonic_s() >= cleanup.until_s:
                 self._free_slot(cleanup)
-                if target.checks != "none" or target.upstream_id in self._gone:
+                if gone or target.checks != "none":
                     return
             await asyncio.sleep(self._limits.cancel_pause_s)
 
--- a/fireflyferry/entry/tests/test_cleanup.py
+++ b/fireflyferry/entry/tests/test_cleanup.py
@@ -54,6 +54,36 @@
     asyncio.run(run())
 
 
+def test_news_of_a_gone_upstream_survives_a_dropped_cancellation():
+    """Guards against a slot that stays taken when its cleanup misses a cancellation."""
+
+    async def script(seen, writer):
+        await asyncio.sleep(1)
+
+    async def run():
+        limits = RequestLimits(cancel_wait_s=0.02, cancel_pause_s=0.02, cancel_hold_s=60.0)
+        async with (
+            ScriptedUpstream(script) as upstream,
+            entry_vms(upstream.port, limits=limits) as cluster,
+        ):
+            path, control = cluster.paths[0], cluster.controls[0]
+
+            async def cancel(address, request_id):
+                raise UpstreamUnavailableError("frozen")
+
+            control.cancel = cancel
+            last_hop = path._services.last_hop
+            headers = [("Firefly-Deadline-Ms", "30")]
+            await ask(cluster.public_ports[0], "/write/key", headers=headers)
+            unit = upstream.seen[0].headers["firefly-unit"]
+            last_hop._gone.add("up-0")
+            async with asyncio.timeout(20):
+                while path.in_flight("up-0", unit):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
 def test_waiting_work_is_refused_when_its_upstream_is_gone():
     """Guards against callers that wait for an upstream that will not return."""
 
--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -3,8 +3,7 @@
 import asyncio
 import logging
 import random
-import statistics
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import attrs
@@ -21,15 +20,13 @@
     UnreadableError,
 )
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.planning import PlanProgress, RangePlanner
 from fireflyferry.gateway.state import GatewayState
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import (
-    DivisionRules,
     GrantAnswer,
     GrantCall,
     GrantTiming,
-    KeyDemand,
-    KeySample,
     LeaseRecord,
     LeaseRules,
     ListedRun,
@@ -37,13 +34,9 @@
     RangeGranter,
     ReadLease,
     ReleaseCall,
-    RunLoad,
     SaveTable,
     StoreLease,
     WriteLease,
-    first_division,
-    plan_moves,
-    plan_replacements,
 )
 from fireflyferry.tasks import TaskGroup
 
@@ -54,21 +47,9 @@
 
 @attrs.frozen
 class ControlRules:
-    """Times in seconds.
-
-    The first division waits until no upstream has registered for `settle_s`, at most for
-    `most_settle_s`, since upstreams register one after the other. `plan_s` is the time between
-    two plans by load. A warming upstream counts with `warmup_capacity` of its capacity.
-    """
+    """Times in seconds; takeovers of several VMs are spread over `takeover_spread_s`."""
 
     tick_s: float = 0.05
-    settle_s: float = 0.8
-    most_settle_s: float = 3.0
-    plan_s: float = 0.4
-    sample_s: float = 2.0
-    warmup_capacity: float = 0.5
-    first_service_s: float = 0.2
-    service_memory_s: float = 20.0
     takeover_spread_s: float = 0.4
 
 
@@ -77,12 +58,9 @@
     """Grants of one pool in the current term."""
 
     granter: RangeGranter
+    progress: PlanProgress
     read: bool = False
     busy: bool = False
-    settled_since_s: float = 0.0
-    first_seen_s: float | None = None
-    seen: frozenset[Any] = frozenset()
-    planned_s: float = 0.0
 
 
 class Control:
@@ -95,31 +73,29 @@
         store: MetadataStore,
         health: StoreHealth,
         orders: KeyOrders,
+        planner: RangePlanner,
         metrics: GatewayMetrics,
         rng: random.Random,
         announce: Callable[[int, OwnerTable], Coroutine[Any, Any, None]],
         rules: ControlRules | None = None,
         lease_rules: LeaseRules | None = None,
         timing: GrantTiming | None = None,
-        division: DivisionRules | None = None,
     ):
         self._clock = clock
         self._state = state
         self._store = store
         self._health = health
         self._orders = orders
+        self._planner = planner
         self._metrics = metrics
         self._announce = announce
         self._rules = rules or ControlRules()
         self._timing = timing or GrantTiming()
-        self._division = division or DivisionRules()
         me = state.vms.me
         spread_s = rng.uniform(0.0, self._rules.takeover_spread_s)
         self._lease = StoreLease(me.vm_id, me.incarnation, lease_rules or LeaseRules(), spread_s)
         self._held = False
         self._pools: dict[str, _PoolControl] = {}
-        self._demand: dict[str, KeyDemand] = {}
-        self._service_s: dict[str, tuple[float, float]] = {}
         self._tasks = TaskGroup()
 
     @property
@@ -132,19 +108,6 @@
         record = self._lease.record
         return self._state.vms.get(record.vm_id) if record is not None else None
 
-    def take_loads(
-        self, keys: Mapping[str, tuple[Sequence[int], float]], service_s: Mapping[str, float]
-    ) -> None:
-        """Take the key samples of one VM and the service times of upstreams that it measured."""
-        now_s = self._clock.monotonic_s()
-        for pool, (sample, weight) in keys.items():
-            demand = self._demand.get(pool)
-            if demand is None:
-                demand = self._demand[pool] = KeyDemand(self._rules.sample_s)
-            demand.add(KeySample(now_s, tuple(sample), weight))
-        for upstream_id, value in service_s.items():
-            self._service_s[upstream_id] = (now_s, value)
-
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
@@ -246,7 +209,7 @@
         control = self._pools.get(name)
         if control is None:
             granter = RangeGranter(name, self._timing, now_s)
-            control = self._pools[name] = _PoolControl(granter)
+            control = self._pools[name] = _PoolControl(granter, PlanProgress())
         if not control.read:
             if not control.busy:
                 control.busy = True
@@ -257,7 +220,7 @@
             for upstream, ready in self._state.upstreams.listed(now_s, name)
         ]
         control.granter.set_listed(listed, self._state.upstreams.superseded)
-        self._plan(now_s, name, control)
+        self._planner.plan(now_s, name, control.granter, control.progress)
         for action in control.granter.tick(now_s):
             self._start(name, control, action)
 
@@ -355,57 +318,3 @@
                 "answer": answer.name.lower(),
             },
         )
-
-    # Plans
-
-    def _plan(self, now_s: float, name: str, control: _PoolControl) -> None:
-        """Ask for new owners of lost keys at once, and for moves by load now and then."""
-        runs = self._run_loads(now_s, name)
-        table = control.granter.table
-        if table is None:
-            if self._is_settled(now_s, control, runs):
-                control.granter.move(first_division(runs))
-            return
-        demand = self._demand.get(name)
-        if demand is None:
-            demand = self._demand[name] = KeyDemand(self._rules.sample_s)
-        demand.expire(now_s)
-        moves = plan_replacements(table, runs, demand)
-        if not moves and now_s >= control.planned_s and control.granter.settled:
-            control.planned_s = now_s + self._rules.plan_s
-            moves = plan_moves(table, runs, demand, self._division)
-        control.granter.move(moves)
-
-    def _is_settled(self, now_s: float, control: _PoolControl, runs: Sequence[RunLoad]) -> bool:
-        seen = frozenset(each.run for each in runs)
-        if not seen:
-            return False
-        if control.first_seen_s is None:
-            control.first_seen_s = now_s
-        if seen != control.seen:
-            control.seen, control.settled_since_s = seen, now_s
-        rules = self._rules
-        return (
-            now_s - control.settled_since_s >= rules.settle_s
-            or now_s - control.first_seen_s >= rules.most_settle_s
-        )
-
-    def _run_loads(self, now_s: float, name: str) -> list[RunLoad]:
-        """Return the capacity of each upstream that may be given keys."""
-        rules = self._rules
-        known = {
-            upstream_id: service_s
-            for upstream_id, (at_s, service_s) in self._service_s.items()
-            if now_s - at_s < rules.service_memory_s
-        }
-        ready = self._state.upstreams.ready(now_s, name)
-        measured = [known[u.run.upstream_id] for u in ready if u.run.upstream_id in known]
-        usual_s = statistics.median(measured) if measured else rules.first_service_s
-        loads = []
-        for upstream in ready:
-            service_s = known.get(upstream.run.upstream_id, usual_s)
-            capacity = upstream.slots / max(service_s, 0.001)
-            if upstream.warmup_left_s > 0:
-                capacity *= rules.warmup_capacity
-            loads.append(RunLoad(upstream.run, capacity))
-        return loads
--- /dev/null
+++ b/fireflyferry/gateway/planning.py
@@ -0,0 +1,135 @@
+"""Plans which keys should move, from what all VMs report of load and speed."""
+
+import statistics
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from fireflyferry.balancing import UpstreamDirectory
+from fireflyferry.edges import Clock
+from fireflyferry.keyranges import (
+    DivisionRules,
+    KeyDemand,
+    KeySample,
+    RangeGranter,
+    RunLoad,
+    UpstreamRun,
+    first_division,
+    plan_moves,
+    plan_replacements,
+)
+
+__all__ = ["PlanProgress", "PlanRules", "RangePlanner"]
+
+
+@attrs.frozen
+class PlanRules:
+    """Times in seconds.
+
+    The first division waits until no upstream has registered for `settle_s`, at most for
+    `most_settle_s`, since upstreams register one after the other. `plan_s` is the time between
+    two plans by load. A warming upstream counts with `warmup_capacity` of its capacity.
+    `first_service_s` is taken while no service time is known.
+    """
+
+    settle_s: float = 0.8
+    most_settle_s: float = 3.0
+    plan_s: float = 0.4
+    sample_s: float = 2.0
+    warmup_capacity: float = 0.5
+    first_service_s: float = 0.2
+    service_memory_s: float = 20.0
+
+
+@attrs.define
+class PlanProgress:
+    """Plans of one pool in the current term."""
+
+    settled_since_s: float = 0.0
+    first_seen_s: float | None = None
+    seen: frozenset[UpstreamRun] = frozenset()
+    planned_s: float = 0.0
+
+
+class RangePlanner:
+    """Keeps the reports of load and asks granters for moves."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        upstreams: UpstreamDirectory,
+        rules: PlanRules | None = None,
+        division: DivisionRules | None = None,
+    ):
+        self._clock = clock
+        self._upstreams = upstreams
+        self._rules = rules or PlanRules()
+        self._division = division or DivisionRules()
+        self._demand: dict[str, KeyDemand] = {}
+        self._service_s: dict[str, tuple[float, float]] = {}
+
+    def take_loads(
+        self, keys: Mapping[str, tuple[Sequence[int], float]], service_s: Mapping[str, float]
+    ) -> None:
+        """Take the key samples of one VM and the service times of upstreams that it measured."""
+        now_s = self._clock.monotonic_s()
+        for pool, (sample, weight) in keys.items():
+            self._demand_of(pool).add(KeySample(now_s, tuple(sample), weight))
+        for upstream_id, value in service_s.items():
+            self._service_s[upstream_id] = (now_s, value)
+
+    def plan(self, now_s: float, name: str, granter: RangeGranter, progress: PlanProgress) -> None:
+        """Ask for new owners of lost keys at once, and for moves by load now and then."""
+        runs = self._run_loads(now_s, name)
+        table = granter.table
+        if table is None:
+            if self._is_settled(now_s, progress, runs):
+                granter.move(first_division(runs))
+            return
+        demand = self._demand_of(name)
+        demand.expire(now_s)
+        moves = plan_replacements(table, runs, demand)
+        if not moves and now_s >= progress.planned_s and granter.settled:
+            progress.planned_s = now_s + self._rules.plan_s
+            moves = plan_moves(table, runs, demand, self._division)
+        granter.move(moves)
+
+    def _is_settled(self, now_s: float, progress: PlanProgress, runs: Sequence[RunLoad]) -> bool:
+        seen = frozenset(each.run for each in runs)
+        if not seen:
+            return False
+        if progress.first_seen_s is None:
+            progress.first_seen_s = now_s
+        if seen != progress.seen:
+            progress.seen, progress.settled_since_s = seen, now_s
+        rules = self._rules
+        return (
+            now_s - progress.settled_since_s >= rules.settle_s
+            or now_s - progress.first_seen_s >= rules.most_settle_s
+        )
+
+    def _run_loads(self, now_s: float, name: str) -> list[RunLoad]:
+        """Return the capacity of each upstream that may be given keys."""
+        rules = self._rules
+        known = {
+            upstream_id: service_s
+            for upstream_id, (at_s, service_s) in self._service_s.items()
+            if now_s - at_s < rules.service_memory_s
+        }
+        ready = self._upstreams.ready(now_s, name)
+        measured = [known[u.run.upstream_id] for u in ready if u.run.upstream_id in known]
+        usual_s = statistics.median(measured) if measured else rules.first_service_s
+        loads = []
+        for upstream in ready:
+            service_s = known.get(upstream.run.upstream_id, usual_s)
+            capacity = upstream.slots / max(service_s, 0.001)
+            if upstream.warmup_left_s > 0:
+                capacity *= rules.warmup_capacity
+            loads.append(RunLoad(upstream.run, capacity))
+        return loads
+
+    def _demand_of(self, pool: str) -> KeyDemand:
+        demand = self._demand.get(pool)
+        if demand is None:
+            demand = self._demand[pool] = KeyDemand(self._rules.sample_s)
+        return demand
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -5,14 +5,11 @@
 import random
 import secrets
 import signal
-import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import attrs
 import tornado.httpserver
-import tornado.netutil
-import tornado.web
 
 from fireflyferry.balancing import (
     EntryVm,
@@ -26,20 +23,17 @@
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.callers import CallerExchange, CallerServices
 from fireflyferry.gateway.control import Control
-from fireflyferry.gateway.edges import (
-    Conflict,
-    KeyOrders,
-    MetadataStore,
-    PlatformCodec,
-    StoreCallError,
-)
+from fireflyferry.gateway.edges import KeyOrders, MetadataStore, PlatformCodec
 from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.pages import listen, serve_page
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.peer_messages import owner_message
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
+from fireflyferry.gateway.planning import RangePlanner
+from fireflyferry.gateway.registration import Registration
 from fireflyferry.gateway.sampling import KeySampler
 from fireflyferry.gateway.settings import GatewaySettings
 from fireflyferry.gateway.state import GatewayState
@@ -79,7 +73,6 @@
     housekeeping_s: float = 1.0
     linger_s: float = 3.0
     exit_margin_s: float = 0.6
-    register_retry_s: float = 0.5
 
 
 @attrs.frozen
@@ -127,26 +120,28 @@
         )
         self._state.on_config.append(self._on_config)
         self._make_request_path()
+        self._planner = RangePlanner(self._clock, self._state.upstreams)
         self._control = Control(
             self._clock,
             self._state,
             self._edges.store,
             self._health,
             self._edges.orders,
+            self._planner,
             self._metrics,
             self._rng,
             self._announce_owners,
             timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
         )
         self._watchers = self._make_watchers()
-        self._registered = False
+        self._registration = Registration(self._edges.store, self._health, self._me)
         self._idle_limit_s = 0.0
         self._add_gauges()
 
     @property
     def ready(self) -> bool:
         """Whether new connections are welcome."""
-        return self._state.complete and self._registered and not self._stop.is_set()
+        return self._state.complete and self._registration.done and not self._stop.is_set()
 
     def stop(self) -> None:
         """Begin the shutdown."""
@@ -160,8 +155,8 @@
             self._serve(ServerDelegate(self._peer_exchange), self._me.address),
         ]
         self._callers_server = servers[0]
-        self._serve_web(vm.readiness, r"/ready", self._readiness)
-        self._serve_web(f"{vm.address}:{vm.metrics_port}", METRICS_PATH, self._metrics_text)
+        serve_page(vm.readiness, r"/ready", self._readiness)
+        serve_page(f"{vm.address}:{vm.metrics_port}", METRICS_PATH, self._metrics_text)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
@@ -177,7 +172,12 @@
         )
         for mirror in (*self._watchers.values(), *self._pollers.values()):
             self._tasks.start(mirror.run())
-        for work in (self._control.run(), self._register(), self._report(), self._keep_house()):
+        for work in (
+            self._control.run(),
+            self._registration.run(),
+            self._report(),
+            self._keep_house(),
+        ):
             self._tasks.start(work)
         await self._stop.wait()
         await self._shut_down(servers)
@@ -296,19 +296,9 @@
         server = tornado.httpserver.HTTPServer(
             delegate, max_body_size=1 << 30, max_header_size=1 << 18
         )
-        server.add_socket(_listen(endpoint))
+        server.add_socket(listen(endpoint))
         return server
 
-    def _serve_web(self, endpoint: str, path: str, read: Callable[[], tuple[int, bytes]]) -> None:
-        class Page(tornado.web.RequestHandler):
-            def get(self) -> None:
-                status, body = read()
-                self.set_status(status)
-                self.finish(body)
-
-        application = tornado.web.Application([(path, Page)], log_function=lambda _: None)
-        tornado.httpserver.HTTPServer(application).add_socket(_listen(endpoint))
-
     def _caller_exchange(self, connection: Any) -> CallerExchange:
         return CallerExchange(connection, self._callers)
 
@@ -330,26 +320,6 @@
 
     # Background work
 
-    async def _register(self) -> None:
-        """Write this VM's entry until the store has it."""
-        while not await self._write_entry(self._me):
-            await asyncio.sleep(self._rules.register_retry_s)
-        self._registered = True
-
-    async def _write_entry(self, vm: EntryVm) -> bool:
-        """Write this VM's entry over whatever an earlier run left; False without an answer."""
-        store, content = self._edges.store, documents.vm_content(vm)
-        try:
-            result = await store.write(documents.VM_KIND, vm.vm_id, content, 0)
-            while isinstance(result, Conflict):
-                revision = result.found.revision if result.found is not None else 0
-                result = await store.write(documents.VM_KIND, vm.vm_id, content, revision)
-        except StoreCallError as error:
-            self._health.on_failure(error)
-            _LOG.warning("vm_entry_not_written", extra={"error": str(error)})
-            return False
-        return True
-
     async def _announce_owners(self, revision: int, table: OwnerTable) -> None:
         """Send a stored owner table to all other VMs at once."""
         body = owner_message(revision, table)
@@ -372,7 +342,7 @@
                 continue
             service_s = self._last_hop.service_times()
             if vm.vm_id == self._me.vm_id:
-                self._control.take_loads(keys, service_s)
+                self._planner.take_loads(keys, service_s)
                 continue
             rounded = {upstream_id: round(value, 3) for upstream_id, value in service_s.items()}
             if not await self._peers.report_loads(vm, {"keys": keys, "service_s": rounded}):
@@ -384,7 +354,7 @@
             for pool, (sample, weight) in report["keys"].items()
         }
         service_s = {str(name): float(value) for name, value in report["service_s"].items()}
-        self._control.take_loads(keys, service_s)
+        self._planner.take_loads(keys, service_s)
 
     async def _keep_house(self) -> None:
         while True:
@@ -403,7 +373,7 @@
         self._closing.active = True
         farewell: list[Coroutine[Any, Any, Any]] = [
             self._control.resign(),
-            self._write_entry(attrs.evolve(self._me, leaving=True)),
+            self._registration.leave(),
         ]
         for work in farewell:
             self._tasks.start(work)
@@ -429,8 +399,3 @@
 
     def _in_flight(self) -> int:
         return self._callers.progress.count + self._peer_services.progress.count
-
-
-def _listen(endpoint: str) -> socket.socket:
-    host, _, port = endpoint.rpartition(":")
-    return tornado.netutil.bind_sockets(int(port), host, backlog=1024)[0]
--- /dev/null
+++ b/fireflyferry/gateway/registration.py
@@ -0,0 +1,56 @@
+"""This VM's entry among the entry VMs in the store."""
+
+import asyncio
+import logging
+
+import attrs
+
+from fireflyferry.balancing import EntryVm
+from fireflyferry.gateway import documents
+from fireflyferry.gateway.edges import Conflict, MetadataStore, StoreCallError
+from fireflyferry.gateway.watching import StoreHealth
+
+__all__ = ["Registration"]
+
+_LOG = logging.getLogger(__name__)
+
+RETRY_S = 0.5
+
+
+class Registration:
+    """Writes the entry at the start, and marks it as leaving at the end."""
+
+    def __init__(self, store: MetadataStore, health: StoreHealth, me: EntryVm):
+        self._store = store
+        self._health = health
+        self._me = me
+        self._done = False
+
+    @property
+    def done(self) -> bool:
+        """Whether the store has the entry."""
+        return self._done
+
+    async def run(self) -> None:
+        """Write the entry until the store has it."""
+        while not await self._write(self._me):
+            await asyncio.sleep(RETRY_S)
+        self._done = True
+
+    async def leave(self) -> None:
+        """Tell the other VMs that this one shuts down."""
+        await self._write(attrs.evolve(self._me, leaving=True))
+
+    async def _write(self, vm: EntryVm) -> bool:
+        """Write the entry over whatever an earlier run left; False without an answer."""
+        store, content = self._store, documents.vm_content(vm)
+        try:
+            result = await store.write(documents.VM_KIND, vm.vm_id, content, 0)
+            while isinstance(result, Conflict):
+                revision = result.found.revision if result.found is not None else 0
+                result = await store.write(documents.VM_KIND, vm.vm_id, content, revision)
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            _LOG.warning("vm_entry_not_written", extra={"error": str(error)})
+            return False
+        return True
--- a/fireflyferry/keyranges/__init__.py
+++ b/fireflyferry/keyranges/__init__.py
@@ -9,16 +9,16 @@
     plan_moves,
     plan_replacements,
 )
-from fireflyferry.keyranges.granter import (
+from fireflyferry.keyranges.granter import RangeGranter
+from fireflyferry.keyranges.lease import LeaseRecord, LeaseRules, ReadLease, StoreLease, WriteLease
+from fireflyferry.keyranges.orders import (
     GrantAnswer,
     GrantCall,
     GrantTiming,
     ListedRun,
-    RangeGranter,
     ReleaseCall,
     SaveTable,
 )
-from fireflyferry.keyranges.lease import LeaseRecord, LeaseRules, ReadLease, StoreLease, WriteLease
 from fireflyferry.keyranges.table import (
     KEY_COUNT,
     LAST_KEY,
--- a/fireflyferry/messages/codec.py
+++ b/fireflyferry/messages/codec.py
@@ -49,4 +49,4 @@
     try:
         return structure(orjson.loads(data), kind)
     except orjson.JSONDecodeError as error:
-        raise MessageError(f"body is not valid JSON: {error}") from error
+        raise MessageError(f"body is not a valid {kind}: {error}") from error
