--- a/fireflyferry/balancing/selection.py
+++ b/fireflyferry/balancing/selection.py
@@ -87,10 +87,6 @@
         board.avoid_until_s = now_s + avoid_s * self._rng.uniform(0.8, 1.2)
         return avoid_s
 
-    def is_avoided(self, now_s: float, upstream_id: str) -> bool:
-        """Tell whether an upstream failed lately."""
-        return now_s < self._board(upstream_id).avoid_until_s
-
     def wait_s(self, now_s: float, upstream: Upstream) -> float:
         """Estimate how long a request waits at an upstream of another last hop."""
         board = self._board(upstream.run.upstream_id)
--- a/fireflyferry/balancing/slot_queue.py
+++ b/fireflyferry/balancing/slot_queue.py
@@ -95,10 +95,6 @@
         """Mean time that the upstream works on a request."""
         return self._times.mean_s or self._rules.first_service_s
 
-    def set_slots(self, slots: int) -> None:
-        """Apply the number of slots that the upstream states."""
-        self._slots = max(1, slots)
-
     def wait_s(self, now_s: float, ahead: int | None = None) -> float:
         """Forecast how long a new ticket waits behind `ahead` others, by default all."""
         if self.is_stalled(now_s):
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -78,14 +78,6 @@
         """The table as last stored; None before the first."""
         return self._table if self._adopted else None
 
-    @property
-    def idle(self) -> bool:
-        """Whether every range is served and nothing waits to be written."""
-        table = self.table
-        if table is None or self._saving is not None or self._moves:
-            return False
-        return all(each.serving for each in table.ranges)
-
     @property
     def settled(self) -> bool:
         """Whether nothing waits to be written, so that a plan builds on the stored table."""
--- a/fireflyferry/keyranges/table.py
+++ b/fireflyferry/keyranges/table.py
@@ -62,10 +62,6 @@
             return None
         return self.ranges[bisect.bisect_right(self._firsts, key) - 1]
 
-    def owned_by(self, run: UpstreamRun) -> Iterator[OwnedRange]:
-        """Return the ranges of a run."""
-        return (each for each in self.ranges if each.owner == run)
-
     def is_complete(self) -> bool:
         """Tell whether every key has exactly one range, with no fence above the last."""
         following = 0
--- a/fireflyferry/platform/decoding.py
+++ b/fireflyferry/platform/decoding.py
@@ -59,7 +59,7 @@
         if len(limits) != 1:
             raise UnreadableError(f"{len(limits)} rows of limits")
         pools = {
-            _row_name(row): _pool(_row_name(row), _spec(row))
+            _row_name(row): PoolSpec(_row_name(row), keyed=_spec(row).get("sharded") is True)
             for row in rows
             if row.get("resourceKind") == "services"
         }
@@ -105,20 +105,10 @@
     yield from (share for share in shares if share.weight > 0)
 
 
-def _pool(name: str, spec: Mapping[str, Any]) -> PoolSpec:
-    return PoolSpec(
-        name=name,
-        keyed=spec.get("sharded") is True,
-        health_path=_text(spec, "healthPath"),
-        max_connections=_whole(spec, "maxConnections", 1),
-    )
-
-
 def _limits(spec: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
         max_header_bytes=_whole(spec, "maxHeaderBytes", 1),
         max_body_bytes=_whole(spec, "maxBodyBytes", 0),
-        header_timeout_s=_number(spec, "headerTimeoutS"),
         idle_timeout_s=_number(spec, "idleTimeoutS"),
     )
 
--- a/fireflyferry/routing/hosts.py
+++ b/fireflyferry/routing/hosts.py
@@ -39,17 +39,14 @@
 
     name: str
     keyed: bool
-    health_path: str
-    max_connections: int
 
 
 @attrs.frozen
 class CallerLimits:
-    """Limits on what a caller may send, and on how long it may take or stay idle."""
+    """Limits on what a caller may send, and on how long a connection may stay idle."""
 
     max_header_bytes: int
     max_body_bytes: int
-    header_timeout_s: float
     idle_timeout_s: float
 
 
