--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -101,7 +101,6 @@
         self._rng = random.Random()
         self._tasks = TaskGroup()
         self._stop = asyncio.Event()
-        self._began_s = self._clock.monotonic_s()
         self._metrics = GatewayMetrics()
         self._transport = CurlTransport(
             force_instance=True, connect_timeout_s=self._rules.connect_s
