Never claim that a request did not run after an attempt that may have run

Found when reading the change: after an attempt with unknown outcome, or with an error of the upstream, a refused repeat was answered 503. The earlier result now goes to the caller. Both new tests fail without the mend. Ruled out for non-idempotent requests, which are not repeated.

--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -65,12 +65,13 @@
 
 @attrs.define
 class _Search:
-    """Progress of one request."""
+    """Progress of one request; `ran` is an earlier attempt that ran or may have run."""
 
     tried: set[str] = attrs.field(factory=set)
     hops: int = 0
     reached: int = 0
     last: Attempt | None = None
+    ran: Attempt | None = None
 
 
 class FirstHop:
@@ -119,14 +120,24 @@
             search.last = attempt
             search.reached += attempt.reached
             if not self._goes_on(call, search, target, attempt):
-                return attempt
+                return self._final(search, attempt)
+            if attempt.outcome is Outcome.ANSWERED or (
+                attempt.outcome is Outcome.UNKNOWN and search.ran is None
+            ):
+                search.ran = attempt
 
     def _final(self, search: _Search, attempt: Attempt | None) -> Attempt:
-        """Prefer what an upstream said over a failed search for another."""
+        """Return what the caller is told: never *not run* after an attempt that may have run.
+
+        An answer of an upstream, also an error, goes before an outcome that is not known.
+        """
         assert attempt is not None
-        last = search.last
-        if last is not None and last.outcome is not Outcome.NOT_RUN:
-            return last
+        ran, last = search.ran, search.last
+        if ran is not None and (
+            attempt.outcome is Outcome.NOT_RUN
+            or (attempt.outcome is Outcome.UNKNOWN and ran.outcome is Outcome.ANSWERED)
+        ):
+            return ran
         if last is not None and last.retry_after_s > attempt.retry_after_s:
             return last
         return attempt
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -439,3 +439,33 @@
             assert got.status == 200 and len(upstream.seen) == len(other.seen) == 1
 
     run_with(silent, work)
+
+
+async def _lose(seen, writer):
+    return False
+
+
+async def _fail(seen, writer):
+    writer.write(reply(seen, b"broken", "500 Internal Server Error"))
+
+
+@pytest.mark.parametrize(("first", "status"), [(_lose, 504), (_fail, 500)])
+def test_refused_repeat_does_not_claim_that_the_request_did_not_run(first, status):
+    """Guards against a false promise, and against an answer that is dropped for a refusal."""
+    sends = []
+
+    async def first_then_shed(seen, writer):
+        sends.append(seen.request_id)
+        if len(sends) == 1:
+            return await first(seen, writer)
+        writer.write(reply(seen, b"", "503 Service Unavailable", f"{NAMES.not_run}: 1\r\n"))
+
+    async def work(running, upstream, store):
+        async with ScriptedUpstream(first_then_shed) as other:
+            await store.put("upstreams", "u2", upstream_content("u2", other.port))
+            await running.until(lambda: len(list(running.program._state.upstreams)) == 2)
+            got = await request(running.port, "/read/")
+            assert len(sends) == 2
+            assert got.status == status and "retry-after" not in got.headers
+
+    run_with(first_then_shed, work)
