--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -10,13 +10,17 @@
 
 @attrs.frozen
 class EntryVm:
-    """An entry VM and the address for other VMs; `leaving` once it shuts down."""
+    """An entry VM and the address for other VMs; `leaving` once it shuts down.
+
+    `capacity` is its processing power in cores.
+    """
 
     vm_id: str
     incarnation: str
     address: str
     data_centre: str
     leaving: bool = False
+    capacity: float = 1.0
 
 
 class VmDirectory:
--- a/fireflyferry/entry/state.py
+++ b/fireflyferry/entry/state.py
@@ -7,7 +7,7 @@
 
 from fireflyferry.edges import Clock, StoredObject
 from fireflyferry.entry.interfaces import TablesSource
-from fireflyferry.membership import Mirror, PlacementMap, VmTable
+from fireflyferry.membership import ObjectMirror, PlacementMap, VmTable
 from fireflyferry.messages import GroupId, GroupRecord, VmEntry, VmIncarnation, decode, encode
 from fireflyferry.messages.codec import MessageError
 from fireflyferry.messages.control import LOST_PREFIX
@@ -51,7 +51,7 @@
         self.region = region
         self.data_centre = data_centre
         self.seed_peers: tuple[str, ...] = tuple(seed_peers)
-        self.mirror = Mirror()
+        self.mirror = ObjectMirror()
         self.vm_table = VmTable()
         self.placements: dict[str, PlacementMap] = {}
         self.records: dict[GroupId, RecordView] = {}
--- a/fireflyferry/entry/tests/test_feed.py
+++ b/fireflyferry/entry/tests/test_feed.py
@@ -10,7 +10,7 @@
 from fireflyferry.entry.feed import WATCHED_PREFIXES, Feed
 from fireflyferry.entry.state import VmState
 from fireflyferry.entry.tests.fakes import FakeStore, FakeVmList, ManualClock, entry_vm
-from fireflyferry.membership import Mirror, VmTable, relay_order
+from fireflyferry.membership import ObjectMirror, VmTable, relay_order
 from fireflyferry.messages import VmIncarnation, encode
 from fireflyferry.tables import TABLES_NAME, Pool, Tables
 
@@ -87,7 +87,7 @@
 
 def test_follower_passes_to_the_next_relay_and_starts_at_its_first_position():
     first, second, *_, follower = (vm.vm_id for vm in listed())
-    mirrors = {first: Mirror(), second: Mirror()}
+    mirrors = {first: ObjectMirror(), second: ObjectMirror()}
     for number in range(1, 4):
         mirrors[first].apply((StoredObject(f"config/lost/{number}", number, None),))
     mirrors[second].apply((StoredObject(TABLES_NAME, 9, TABLES),))
@@ -117,7 +117,7 @@
 def test_vm_that_starts_while_the_store_is_away_learns_from_a_seed_peer():
     store = FakeStore()
     store.away = True
-    mirror = Mirror()
+    mirror = ObjectMirror()
     mirror.apply((StoredObject(TABLES_NAME, 9, TABLES),))
     peers = MirrorPeers({"seed-2": mirror})
     state, feed = make_feed("e-9", store, peers, entries=(), seeds=("seed-1", "seed-2"))
--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -20,6 +20,7 @@
     UnreadableError,
 )
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.mirror import DocumentMirror
 from fireflyferry.gateway.planning import PlanProgress, RangePlanner
 from fireflyferry.gateway.state import GatewayState
 from fireflyferry.gateway.watching import StoreHealth
@@ -30,7 +31,6 @@
     LeaseRecord,
     LeaseRules,
     ListedRun,
-    OwnerTable,
     RangeGranter,
     ReadLease,
     ReleaseCall,
@@ -76,7 +76,9 @@
         planner: RangePlanner,
         metrics: GatewayMetrics,
         rng: random.Random,
-        announce: Callable[[int, OwnerTable], Coroutine[Any, Any, None]],
+        mirror: DocumentMirror,
+        announce: Callable[[Document], Coroutine[Any, Any, None]],
+        follows: Callable[[], bool],
         rules: ControlRules | None = None,
         lease_rules: LeaseRules | None = None,
         timing: GrantTiming | None = None,
@@ -88,12 +90,15 @@
         self._orders = orders
         self._planner = planner
         self._metrics = metrics
+        self._mirror = mirror
         self._announce = announce
+        self._follows = follows
         self._rules = rules or ControlRules()
         self._timing = timing or GrantTiming()
         me = state.vms.me
         spread_s = rng.uniform(0.0, self._rules.takeover_spread_s)
         self._lease = StoreLease(me.vm_id, me.incarnation, lease_rules or LeaseRules(), spread_s)
+        self._holder: tuple[str, str, bool] | None = None
         self._held = False
         self._pools: dict[str, _PoolControl] = {}
         self._tasks = TaskGroup()
@@ -134,9 +139,10 @@
     def tick(self) -> None:
         """Start the calls that are due."""
         now_s = self._clock.monotonic_s()
-        action = self._lease.tick(now_s)
-        if action is not None:
-            self._tasks.start(self._lease_call(action))
+        if self._lease.mine or not self._follows():
+            action = self._lease.tick(now_s)
+            if action is not None:
+                self._tasks.start(self._lease_call(action))
         self._note_authority()
         if not self._held or self._state.config is None:
             return
@@ -144,6 +150,18 @@
             if spec.keyed:
                 self._tick_pool(now_s, name)
 
+    def take_lease(self, mirror: Mapping[str, Document]) -> None:
+        """Take the record of the lease that another VM saw, to know which VM grants."""
+        document = mirror.get(documents.LEASE_NAME)
+        if document is None:
+            return
+        try:
+            record = documents.lease_from(document)
+        except UnreadableError as error:
+            _LOG.error("lease_unreadable", extra={"error": str(error)})
+            return
+        self._lease.on_seen(self._clock.monotonic_s(), record, document.revision)
+
     # Lease
 
     async def _lease_call(self, action: ReadLease | WriteLease) -> None:
@@ -155,6 +173,7 @@
                 self._on_lease(document)
             else:
                 await self._write_lease(action)
+            self._health.on_success()
         except StoreCallError as error:
             self._health.on_failure(error)
             self._lease.on_failed(self._clock.monotonic_s())
@@ -175,15 +194,25 @@
             self._on_lease(result.found)
         else:
             self._lease.on_written(self._clock.monotonic_s(), result)
+            self._note_holder(action.record, result)
 
     def _on_lease(self, document: Document | None) -> None:
         record: LeaseRecord | None = None
         if document is not None:
             record = documents.lease_from(document)
         revision = document.revision if document is not None else 0
-        before = self._lease.record
         self._lease.on_read(self._clock.monotonic_s(), record, revision)
-        if record is not None and (before is None or before.incarnation != record.incarnation):
+        if record is not None:
+            self._note_holder(record, revision)
+
+    def _note_holder(self, record: LeaseRecord, revision: int) -> None:
+        """Tell followers of another holder; they need not know of each renewal."""
+        holder = (record.vm_id, record.incarnation, record.resigned)
+        if holder != self._holder:
+            self._holder = holder
+            content = documents.lease_content(record)
+            document = Document(documents.LEASE_NAME, revision, content)
+            self._mirror.put(documents.LEASE_KIND, document)
             _LOG.info(
                 "lease_holder_seen",
                 extra={"vm": record.vm_id, "counter": record.counter, "revision": revision},
@@ -273,8 +302,9 @@
             control.read = False
             return
         control.granter.on_saved(result)
-        self._state.take_owners(result, save.table)
-        self._tasks.start(self._announce(result, save.table))
+        document = Document(name, result, content)
+        self._mirror.put(documents.OWNER_KIND, document)
+        self._tasks.start(self._announce(document))
         self._log_moves(name, before.ranges if before is not None else (), save.table.ranges)
 
     def _log_moves(self, name: str, before: Sequence[Any], after: Sequence[Any]) -> None:
--- /dev/null
+++ b/fireflyferry/gateway/feed.py
@@ -0,0 +1,237 @@
+"""Feed: a VM in a large data centre learns the store's documents from another VM, its relay.
+
+Each VM that asks the store pays for each of its calls, so calls would grow with VMs times changes.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+
+from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.edges import Clock
+from fireflyferry.gateway.edges import Documents
+from fireflyferry.gateway.mirror import DocumentMirror, FeedChanges
+from fireflyferry.gateway.watching import KindPoller, KindSource, StoreHealth
+
+__all__ = ["Feed", "FeedAnswer", "FeedRequest", "FeedRules", "follow_order"]
+
+_LOG = logging.getLogger(__name__)
+
+UNKNOWN_AGE_S = 1e6  # stands for never, which the messages cannot hold
+
+
+@attrs.frozen
+class FeedRules:
+    """Times in seconds.
+
+    A relay answers a question after `hold_s` at the latest, or when its own knowledge becomes
+    older than `most_age_s`, above which no VM relies on it: a change must be in force everywhere
+    2 s after the store confirmed it. A relay that failed is not asked again for `avoid_s`.
+    Following pays from `least_vms` in a data centre, since a relay's own calls grow with the
+    calls that prove that it reaches the store. `relays` VMs of a data centre are tried in order.
+    """
+
+    hold_s: float = 0.7
+    most_age_s: float = 1.3
+    avoid_s: float = 2.0
+    direct_s: float = 0.5
+    least_vms: int = 4
+    relays: int = 3
+
+
+@attrs.frozen
+class FeedRequest:
+    """Question for changes after a sequence number of one incarnation of a relay.
+
+    `wanted` are kinds that the follower knows to be outdated.
+    """
+
+    incarnation: str
+    sequence: int
+    wanted: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class FeedAnswer:
+    """Changes, with the seconds since the store last answered the relay, and last failed it."""
+
+    incarnation: str
+    age_s: float
+    failed_ago_s: float
+    changes: FeedChanges
+
+
+def follow_order(vms: VmDirectory, data_centre: str, rules: FeedRules) -> list[EntryVm]:
+    """Return the VMs of a data centre that others follow, most capable first; none if it is small.
+
+    VMs that shut down are left out.
+    """
+    staying = [vm for vm in vms if vm.data_centre == data_centre and not vm.leaving]
+    if len(staying) < rules.least_vms:
+        return []
+    return sorted(staying, key=lambda vm: (-vm.capacity, vm.vm_id))[: rules.relays]
+
+
+class Feed:
+    """Follows a relay while there is one, and answers VMs that follow this one.
+
+    While a relay is followed, the sources that ask the store are paused.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        mirror: DocumentMirror,
+        health: StoreHealth,
+        vms: VmDirectory,
+        sources: Sequence[KindSource],
+        vm_kind: str,
+        required: Sequence[str],
+        ask: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
+        probe: Callable[[], Awaitable[bool]],
+        rules: FeedRules | None = None,
+    ):
+        self._clock = clock
+        self._mirror = mirror
+        self._health = health
+        self._vms = vms
+        self._sources = tuple(sources)
+        self._vm_kind = vm_kind
+        self._required = tuple(required)
+        self._ask = ask
+        self._probe = probe
+        self._rules = rules or FeedRules()
+        self._relay: EntryVm | None = None
+        self._position = ("", 0)
+        self._avoided: dict[str, float] = {}
+
+    @property
+    def relay(self) -> EntryVm | None:
+        """The VM that this one follows; None while it asks the store itself."""
+        return self._relay
+
+    @property
+    def direct(self) -> bool:
+        """Whether this VM asks the store itself."""
+        return all(source.running for source in self._sources)
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store last answered this VM, or the relay that it follows."""
+        return self._health.answered_ago_s
+
+    def self_informed(self) -> list[EntryVm]:
+        """Return the VMs that news has to be sent to; all others learn it from one of them."""
+        rules, informed = self._rules, []
+        for data_centre in sorted({vm.data_centre for vm in self._vms}):
+            order = follow_order(self._vms, data_centre, rules)
+            informed += order or [vm for vm in self._vms if vm.data_centre == data_centre]
+        return informed
+
+    async def run(self) -> None:
+        """Follow relays until cancelled; the list of VMs, which names them, comes first."""
+        for source in self._sources:
+            if source.kind != self._vm_kind:
+                source.pause()
+        while not self._mirror.knows([self._vm_kind]):
+            await self._mirror.wait(self._mirror.sequence, self._rules.hold_s)
+        while True:
+            relay = self._next_relay()
+            if relay is None:
+                await self._be_direct()
+                await asyncio.sleep(self._rules.direct_s)
+            elif not await self._follow(relay):
+                self._avoided[relay.vm_id] = self._clock.monotonic_s() + self._rules.avoid_s
+
+    async def answer(self, request: FeedRequest) -> FeedAnswer | None:
+        """Answer a follower once there is news; None if this VM knows too little itself."""
+        rules, mirror = self._rules, self._mirror
+        if not mirror.knows(self._required):
+            # All VMs may have been started at the same moment.
+            await mirror.wait(mirror.sequence, rules.hold_s)
+        if not mirror.knows(self._required) or self.age_s > rules.most_age_s:
+            return None
+        self._pass_on_wishes(request.wanted)
+        me = self._vms.me.incarnation
+        since = request.sequence if request.incarnation == me else 0
+        await mirror.wait(since, min(rules.hold_s, rules.most_age_s - self.age_s))
+        failed_ago_s = min(self._health.failed_ago_s, UNKNOWN_AGE_S)
+        return FeedAnswer(me, self.age_s, failed_ago_s, mirror.changes_since(since))
+
+    def _pass_on_wishes(self, wanted: Sequence[str]) -> None:
+        for source in self._pollers():
+            if source.kind in wanted:
+                source.ask()
+
+    def _pollers(self) -> list[KindPoller]:
+        return [source for source in self._sources if isinstance(source, KindPoller)]
+
+    def _next_relay(self) -> EntryVm | None:
+        """Return the first VM in the order before this one that did not fail lately."""
+        now_s, me = self._clock.monotonic_s(), self._vms.me
+        for vm in follow_order(self._vms, me.data_centre, self._rules):
+            if vm.vm_id == me.vm_id:
+                return None
+            if now_s >= self._avoided.get(vm.vm_id, 0.0):
+                return vm
+        return None
+
+    async def _be_direct(self) -> None:
+        """Ask the store itself, if it answers."""
+        if self._relay is not None:
+            _LOG.info("relay_left", extra={"vm": self._relay.vm_id, "age_s": self._rounded_age()})
+            self._relay = None
+        if self.direct:
+            return
+        # One cheap call shows whether the store answers at all before all sources ask it.
+        if await self._probe():
+            _LOG.info("store_asked_directly", extra={"sequence": self._mirror.sequence})
+            for source in self._sources:
+                source.resume()
+
+    async def _follow(self, relay: EntryVm) -> bool:
+        """Ask a relay once; False if it gave no usable answer."""
+        asked = [source for source in self._pollers() if source.asked]
+        wanted = tuple(source.kind for source in asked)
+        incarnation, sequence = self._position
+        request = FeedRequest(incarnation, sequence, wanted)
+        answer = await self._ask(relay, request, self._rules.hold_s)
+        if answer is None or answer.age_s > self._rules.most_age_s:
+            _LOG.info(
+                "relay_not_usable",
+                extra={
+                    "vm": relay.vm_id,
+                    "answered": answer is not None,
+                    "relay_age_s": None if answer is None else round(answer.age_s, 3),
+                    "age_s": self._rounded_age(),
+                },
+            )
+            return False
+        for source in asked:
+            source.withdraw()
+        self._take(answer)
+        if self._relay != relay:
+            self._relay = relay
+            _LOG.info(
+                "relay_followed",
+                extra={"vm": relay.vm_id, "relay_age_s": round(answer.age_s, 3)},
+            )
+        for source in self._sources:
+            source.pause()
+        return True
+
+    def _take(self, answer: FeedAnswer) -> None:
+        # Before the documents, since how a missing upstream is judged depends on it.
+        self._health.on_relayed(answer.age_s, answer.failed_ago_s)
+        changes = answer.changes
+        for kind, each in changes.kinds.items():
+            if changes.whole:
+                self._mirror.replace(kind, Documents(each.position, each.documents))
+            else:
+                self._mirror.change(kind, each)
+        self._position = (answer.incarnation, changes.sequence)
+
+    def _rounded_age(self) -> float:
+        return round(min(self.age_s, UNKNOWN_AGE_S), 3)
--- /dev/null
+++ b/fireflyferry/gateway/knowledge.py
@@ -0,0 +1,106 @@
+"""What keeps the documents of one VM current: sources that ask the store, or a relay."""
+
+from collections.abc import Awaitable, Callable, Coroutine, Iterator, Mapping
+from typing import Any
+
+from fireflyferry.balancing import EntryVm
+from fireflyferry.edges import Clock
+from fireflyferry.gateway import documents
+from fireflyferry.gateway.edges import Document, MetadataStore, PlatformCodec, StoreCallError
+from fireflyferry.gateway.feed import Feed, FeedAnswer, FeedRequest
+from fireflyferry.gateway.mirror import DocumentMirror
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.watching import (
+    KindPoller,
+    KindSource,
+    KindWatcher,
+    StoreHealth,
+    WatchRules,
+)
+
+__all__ = ["Knowledge"]
+
+# Waits bound how long a silent watch is believed: shorter where the platform bounds the delay.
+CONFIG_WATCH = WatchRules(wait_s=4.0, gap_s=0.05)
+UPSTREAM_WATCH = WatchRules(wait_s=4.0, gap_s=0.5)
+# Owner tables are also sent by the granting VM, and a wrong owner asks for an exact list.
+OWNER_POLL_S = 2.5
+VM_POLL_S = 2.0
+
+
+class Knowledge:
+    """The mirror of the store's documents with its sources and its feed."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: MetadataStore,
+        health: StoreHealth,
+        codec: PlatformCodec,
+        state: GatewayState,
+        on_lease: Callable[[Mapping[str, Document]], None],
+        ask_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
+    ):
+        self._store = store
+        self._health = health
+        self.mirror = mirror = DocumentMirror(
+            {
+                codec.config_kind: state.apply_config,
+                codec.upstream_kind: state.apply_upstreams,
+                documents.OWNER_KIND: state.apply_owners,
+                documents.VM_KIND: state.apply_vms,
+                documents.LEASE_KIND: on_lease,
+            }
+        )
+
+        def watcher(kind: str, rules: WatchRules) -> KindWatcher:
+            return KindWatcher(store, health, clock, kind, mirror, rules)
+
+        def poller(kind: str, interval_s: float) -> KindPoller:
+            return KindPoller(store, health, clock, kind, mirror, interval_s)
+
+        owners = poller(documents.OWNER_KIND, OWNER_POLL_S)
+        sources = (
+            watcher(codec.config_kind, CONFIG_WATCH),
+            watcher(codec.upstream_kind, UPSTREAM_WATCH),
+            owners,
+            poller(documents.VM_KIND, VM_POLL_S),
+        )
+        self._sources: dict[str, KindSource] = {source.kind: source for source in sources}
+        state.on_outdated_owners = owners.ask
+        self.feed = Feed(
+            clock,
+            mirror,
+            health,
+            state.vms,
+            sources,
+            documents.VM_KIND,
+            (codec.config_kind, codec.upstream_kind, documents.OWNER_KIND),
+            ask_relay,
+            self._probe,
+        )
+
+    def work(self) -> Iterator[Coroutine[Any, Any, None]]:
+        """Return what has to run in the background."""
+        yield self.feed.run()
+        for source in self._sources.values():
+            yield source.run()
+
+    def age_s(self, kind: str) -> float:
+        """Return the seconds since the store confirmed a kind, to this VM or to its relay."""
+        source = self._sources[kind]
+        return source.age_s if source.running else self.feed.age_s
+
+    def take_owners(self, document: Document) -> None:
+        """Take an owner table that the granting VM sent."""
+        self.mirror.put(documents.OWNER_KIND, document)
+
+    async def _probe(self) -> bool:
+        """Tell whether the store answers, by the cheapest call."""
+        try:
+            await self._store.read(documents.LEASE_KIND, documents.LEASE_NAME, stale=True)
+        except StoreCallError as error:
+            self._health.on_failure(error)
+            return False
+        self._health.on_success()
+        return True
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -4,24 +4,26 @@
 import logging
 
 import attrs
-import orjson
 
 from fireflyferry.balancing import EntryVm, Upstream, VmDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run, unknown
+from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
+from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.tasks import TaskGroup
 from fireflyferry.telemetry import Reason
 from fireflyferry.transport import CurlTransport, Exchange, Fetched, fetch
 from fireflyferry.transport.fetch import whole_body
 
-__all__ = ["LOADS_PATH", "OWNERS_PATH", "PING_PATH", "PeerClient", "PeerRules"]
+__all__ = ["FEED_PATH", "LOADS_PATH", "OWNERS_PATH", "PING_PATH", "PeerClient", "PeerRules"]
 
 _LOG = logging.getLogger(__name__)
 
 PING_PATH = "/peer/ping"
 LOADS_PATH = "/peer/loads"
 OWNERS_PATH = "/peer/owners"
+FEED_PATH = "/peer/feed"
 
 
 @attrs.frozen
@@ -37,6 +39,7 @@
     recheck_s: float = 0.5
     answer_margin_s: float = 0.1
     report_s: float = 0.5
+    feed_margin_s: float = 0.4  # an answer with the whole configuration takes a while to arrive
 
 
 class PeerClient:
@@ -77,14 +80,30 @@
             sending.cancel()
         return self._attempt(result, vm)
 
-    async def report_loads(self, vm: EntryVm, loads: object) -> bool:
-        """Send load samples to the granting VM; False if it did not take them."""
-        return await self._post(vm, LOADS_PATH, orjson.dumps(loads))
+    async def report_loads(self, vm: EntryVm, report: LoadReport) -> bool:
+        """Send load samples to another VM; False if it did not take them."""
+        return await self._post(vm, LOADS_PATH, peer_messages.load_message(report))
 
     async def send_owners(self, vm: EntryVm, body: bytes) -> bool:
         """Send an owner table to another VM; False if it did not take it."""
         return await self._post(vm, OWNERS_PATH, body)
 
+    async def ask_relay(
+        self, vm: EntryVm, request: FeedRequest, hold_s: float
+    ) -> FeedAnswer | None:
+        """Ask a relay for changes, which it may hold back for a time; None without an answer."""
+        body = whole_body(peer_messages.feed_request(request))
+        timeout_s = hold_s + self._rules.feed_margin_s
+        exchange = Exchange(vm.address, "POST", FEED_PATH, [], body, timeout_s)
+        result = await fetch(self._transport, exchange)
+        if result.status != 200 or not result.complete:
+            return None
+        try:
+            return peer_messages.read_feed(result.header(peer_messages.FEED), result.body)
+        except peer_messages.PeerMessageError as error:
+            _LOG.warning("feed_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
+            return None
+
     async def _post(self, vm: EntryVm, path: str, body: bytes) -> bool:
         exchange = Exchange(vm.address, "POST", path, [], whole_body(body), self._rules.report_s)
         return (await fetch(self._transport, exchange)).status == 204
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -1,23 +1,35 @@
 """Headers of requests that one entry VM passes to another, and of the results."""
 
 import zlib
+from collections.abc import Sequence
+from typing import Any
 
 import attrs
 import orjson
 
-from fireflyferry.gateway import documents
 from fireflyferry.gateway.calls import Answer, Attempt, Call
-from fireflyferry.gateway.edges import Document, UnreadableError
-from fireflyferry.keyranges import OwnerTable
+from fireflyferry.gateway.edges import Document
+from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
+from fireflyferry.gateway.mirror import FeedChanges, KindChanges
+from fireflyferry.gateway.sampling import LoadReport
+from fireflyferry.messages.codec import MessageError, structure, unstructure
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = [
     "CALL",
+    "FEED",
     "RESULT",
     "PeerCall",
     "PeerMessageError",
+    "feed_changes",
+    "feed_request",
+    "feed_times",
+    "load_message",
     "owner_message",
     "read_call",
+    "read_feed",
+    "read_feed_request",
+    "read_loads",
     "read_owners",
     "read_result",
     "write_call",
@@ -26,6 +38,9 @@
 
 CALL = "Firefly-Call"
 RESULT = "Firefly-Result"
+FEED = "Firefly-Feed"
+
+FAST_COMPRESSION = 1  # a configuration of 1,500 routes is written again for each change
 
 HeaderList = list[tuple[str, str]]
 
@@ -137,19 +152,96 @@
         raise PeerMessageError(f"{value!r}: {error}") from error
 
 
-def owner_message(revision: int, table: OwnerTable) -> bytes:
+def owner_message(document: Document) -> bytes:
     """Return the body that tells another VM of a stored owner table."""
-    message = [table.pool, revision, documents.table_content(table)]
-    return zlib.compress(orjson.dumps(message))
+    return zlib.compress(orjson.dumps(_row(document)))
 
 
-def read_owners(body: bytes) -> tuple[int, OwnerTable]:
-    """Read the body that tells of an owner table; returns its revision as well.
+def read_owners(body: bytes) -> Document:
+    """Read the body that tells of an owner table.
 
     Raises PeerMessageError.
     """
     try:
-        pool, revision, content = orjson.loads(zlib.decompress(body))
-        return int(revision), documents.table_from(Document(pool, revision, content))
-    except (zlib.error, orjson.JSONDecodeError, UnreadableError, TypeError, ValueError) as error:
+        return _document(orjson.loads(zlib.decompress(body)))
+    except (zlib.error, orjson.JSONDecodeError, TypeError, ValueError) as error:
         raise PeerMessageError(f"owner table: {error}") from error
+
+
+def load_message(report: LoadReport) -> bytes:
+    """Return the body that reports load."""
+    return orjson.dumps(unstructure(report))
+
+
+def read_loads(body: bytes) -> LoadReport:
+    """Read a report of load.
+
+    Raises PeerMessageError.
+    """
+    try:
+        return structure(orjson.loads(body), LoadReport)
+    except (orjson.JSONDecodeError, MessageError) as error:
+        raise PeerMessageError(f"load report: {error}") from error
+
+
+def feed_request(request: FeedRequest) -> bytes:
+    """Return the body of a question to a relay."""
+    return orjson.dumps([request.incarnation, request.sequence, list(request.wanted)])
+
+
+def read_feed_request(body: bytes) -> FeedRequest:
+    """Read a question to this VM as a relay.
+
+    Raises PeerMessageError.
+    """
+    try:
+        incarnation, sequence, wanted = orjson.loads(body)
+        return FeedRequest(str(incarnation), int(sequence), tuple(map(str, wanted)))
+    except (orjson.JSONDecodeError, TypeError, ValueError) as error:
+        raise PeerMessageError(f"feed request: {error}") from error
+
+
+def feed_times(answer: FeedAnswer) -> str:
+    """Return the header that says how old an answer is; times in milliseconds."""
+    ages_ms = (round(answer.age_s * 1000), round(answer.failed_ago_s * 1000))
+    return " ".join([answer.incarnation, *map(str, ages_ms)])
+
+
+def feed_changes(changes: FeedChanges) -> bytes:
+    """Return the body of an answer to a follower."""
+    kinds = {
+        kind: [each.position, list(map(_row, each.documents)), list(each.removed)]
+        for kind, each in changes.kinds.items()
+    }
+    return zlib.compress(orjson.dumps([changes.sequence, changes.whole, kinds]), FAST_COMPRESSION)
+
+
+def read_feed(times: str | None, body: bytes) -> FeedAnswer:
+    """Read the answer of a relay.
+
+    Raises PeerMessageError.
+    """
+    try:
+        incarnation, age_ms, failed_ago_ms = (times or "").split(" ")
+        sequence, whole, kinds = orjson.loads(zlib.decompress(body))
+        changes = {
+            kind: KindChanges(position, tuple(map(_document, rows)), tuple(removed))
+            for kind, (position, rows, removed) in kinds.items()
+        }
+        return FeedAnswer(
+            incarnation,
+            int(age_ms) / 1000,
+            int(failed_ago_ms) / 1000,
+            FeedChanges(sequence, whole, changes),
+        )
+    except (zlib.error, orjson.JSONDecodeError, TypeError, ValueError, AttributeError) as error:
+        raise PeerMessageError(f"feed: {error}") from error
+
+
+def _row(document: Document) -> tuple[str, int, Any]:
+    return document.name, document.revision, document.content
+
+
+def _document(row: Sequence[Any]) -> Document:
+    name, revision, content = row
+    return Document(name, revision, content)
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -4,18 +4,19 @@
 from collections.abc import Callable
 
 import attrs
-import orjson
 from tornado.http1connection import HTTP1Connection
 
 from fireflyferry.balancing import Standing, UpstreamDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Attempt, Call, not_run
+from fireflyferry.gateway.edges import Document
 from fireflyferry.gateway.exchange import Progress, WholeExchange
+from fireflyferry.gateway.feed import Feed
 from fireflyferry.gateway.headers import answer_headers, request_headers
 from fireflyferry.gateway.last_hop import LastHop
-from fireflyferry.gateway.peer_client import LOADS_PATH, OWNERS_PATH, PING_PATH
-from fireflyferry.keyranges import OwnerTable
+from fireflyferry.gateway.peer_client import FEED_PATH, LOADS_PATH, OWNERS_PATH, PING_PATH
+from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = ["PeerExchange", "PeerServices"]
@@ -33,8 +34,9 @@
     upstreams: UpstreamDirectory
     last_hop: LastHop
     request_id_header: str
-    on_loads: Callable[[object], None]
-    on_owners: Callable[[int, OwnerTable], None]
+    on_loads: Callable[[LoadReport], None]
+    on_owners: Callable[[Document], None]
+    feed: Feed
     progress: Progress = attrs.field(factory=Progress)
 
 
@@ -69,13 +71,15 @@
             self._take_loads()
         elif self._line.path == OWNERS_PATH:
             self._take_owners()
+        elif self._line.path == FEED_PATH:
+            await self._feed()
         else:
             self.answer(404, [], b"")
 
     def _take_loads(self) -> None:
         try:
-            self._services.on_loads(orjson.loads(self.body))
-        except (orjson.JSONDecodeError, ValueError, TypeError, KeyError) as error:
+            self._services.on_loads(peer_messages.read_loads(self.body))
+        except peer_messages.PeerMessageError as error:
             _LOG.warning("load_report_unreadable", extra={"error": str(error)})
             self.answer(400, [], b"")
         else:
@@ -83,14 +87,28 @@
 
     def _take_owners(self) -> None:
         try:
-            revision, table = peer_messages.read_owners(self.body)
+            document = peer_messages.read_owners(self.body)
         except peer_messages.PeerMessageError as error:
             _LOG.warning("owner_message_unreadable", extra={"error": str(error)})
             self.answer(400, [], b"")
         else:
-            self._services.on_owners(revision, table)
+            self._services.on_owners(document)
             self.answer(204, [], b"")
 
+    async def _feed(self) -> None:
+        try:
+            request = peer_messages.read_feed_request(self.body)
+        except peer_messages.PeerMessageError as error:
+            _LOG.warning("feed_request_unreadable", extra={"error": str(error)})
+            self.answer(400, [], b"")
+            return
+        answer = await self._services.feed.answer(request)
+        if answer is None:
+            self.answer(REFUSAL_STATUS, [], b"")
+            return
+        times = (peer_messages.FEED, peer_messages.feed_times(answer))
+        self.answer(200, [times], peer_messages.feed_changes(answer.changes))
+
     async def _forward(self, value: str) -> None:
         try:
             self._described = peer_messages.read_call(value)
--- a/fireflyferry/gateway/planning.py
+++ b/fireflyferry/gateway/planning.py
@@ -1,12 +1,13 @@
 """Plans which keys should move, from what all VMs report of load and speed."""
 
 import statistics
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 import attrs
 
 from fireflyferry.balancing import UpstreamDirectory
 from fireflyferry.edges import Clock
+from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.keyranges import (
     DivisionRules,
     KeyDemand,
@@ -68,14 +69,12 @@
         self._demand: dict[str, KeyDemand] = {}
         self._service_s: dict[str, tuple[float, float]] = {}
 
-    def take_loads(
-        self, keys: Mapping[str, tuple[Sequence[int], float]], service_s: Mapping[str, float]
-    ) -> None:
-        """Take the key samples of one VM and the service times of upstreams that it measured."""
+    def take_loads(self, report: LoadReport) -> None:
+        """Take sampled keys, and the service times of upstreams that VMs measured."""
         now_s = self._clock.monotonic_s()
-        for pool, (sample, weight) in keys.items():
-            self._demand_of(pool).add(KeySample(now_s, tuple(sample), weight))
-        for upstream_id, value in service_s.items():
+        for each in report.samples:
+            self._demand_of(each.pool).add(KeySample(now_s, each.keys, each.weight))
+        for upstream_id, value in report.service_s.items():
             self._service_s[upstream_id] = (now_s, value)
 
     def plan(self, now_s: float, name: str, granter: RangeGranter, progress: PlanProgress) -> None:
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -23,9 +23,10 @@
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.callers import CallerExchange, CallerServices
 from fireflyferry.gateway.control import Control
-from fireflyferry.gateway.edges import KeyOrders, MetadataStore, PlatformCodec
+from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
 from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
+from fireflyferry.gateway.knowledge import Knowledge
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.pages import listen, serve_page
@@ -34,11 +35,12 @@
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
 from fireflyferry.gateway.planning import RangePlanner
 from fireflyferry.gateway.registration import Registration
+from fireflyferry.gateway.reporting import LoadReporter
 from fireflyferry.gateway.sampling import KeySampler
 from fireflyferry.gateway.settings import GatewaySettings
 from fireflyferry.gateway.state import GatewayState
-from fireflyferry.gateway.watching import KindPoller, KindWatcher, StoreHealth, WatchRules
-from fireflyferry.keyranges import GrantTiming, OwnerTable
+from fireflyferry.gateway.watching import StoreHealth
+from fireflyferry.keyranges import GrantTiming
 from fireflyferry.routing.hosts import RoutingConfig
 from fireflyferry.tasks import TaskGroup
 from fireflyferry.transport import CurlTransport
@@ -49,13 +51,6 @@
 
 METRICS_PATH = "/metrics"
 
-# Waits bound how long a silent watch is believed: shorter where the platform bounds the delay.
-CONFIG_WATCH = WatchRules(wait_s=4.0, gap_s=0.05)
-UPSTREAM_WATCH = WatchRules(wait_s=4.0, gap_s=0.5)
-# Owner tables are also sent by the granting VM, and a wrong owner asks for an exact list.
-OWNER_POLL_S = 2.5
-VM_POLL_S = 2.0
-
 
 @attrs.frozen
 class ProgramRules:
@@ -69,7 +64,6 @@
     connect_s: float = 0.4
     disturbed_s: float = 5.0  # entries that lapsed in an outage are back within 2 s
     leaving_margin_s: float = 0.4  # of the time in which a leaving upstream may get requests
-    report_s: float = 0.5
     housekeeping_s: float = 1.0
     linger_s: float = 3.0
     exit_margin_s: float = 0.6
@@ -118,21 +112,18 @@
             self._health.disturbed,
         )
         self._state.on_config.append(self._on_config)
-        self._make_request_path()
-        self._planner = RangePlanner(self._clock, self._state.upstreams)
-        self._control = Control(
+        self._peers = PeerClient(self._clock, self._transport, self._state.vms)
+        self._knowledge = Knowledge(
             self._clock,
-            self._state,
             self._edges.store,
             self._health,
-            self._edges.orders,
-            self._planner,
-            self._metrics,
-            self._rng,
-            self._announce_owners,
-            timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
+            self._edges.codec,
+            self._state,
+            lambda leases: self._control.take_lease(leases),
+            self._peers.ask_relay,
         )
-        self._watchers = self._make_watchers()
+        self._make_request_path()
+        self._make_control()
         self._registration = Registration(self._edges.store, self._health, self._me)
         self._idle_limit_s = 0.0
         self._add_gauges()
@@ -169,12 +160,11 @@
                 "peers": self._me.address,
             },
         )
-        for mirror in (*self._watchers.values(), *self._pollers.values()):
-            self._tasks.start(mirror.run())
         for work in (
+            *self._knowledge.work(),
             self._control.run(),
             self._registration.run(),
-            self._report(),
+            self._reporter.run(),
             self._keep_house(),
         ):
             self._tasks.start(work)
@@ -186,7 +176,32 @@
     def _make_me(self) -> EntryVm:
         vm = self._settings.vm
         return EntryVm(
-            vm.vm_id, secrets.token_hex(6), f"{vm.address}:{vm.peer_port}", vm.data_centre
+            vm.vm_id,
+            secrets.token_hex(6),
+            f"{vm.address}:{vm.peer_port}",
+            vm.data_centre,
+            capacity=vm.capacity,
+        )
+
+    def _make_control(self) -> None:
+        bounds = self._settings.bounds
+        self._planner = RangePlanner(self._clock, self._state.upstreams)
+        self._control = Control(
+            self._clock,
+            self._state,
+            self._edges.store,
+            self._health,
+            self._edges.orders,
+            self._planner,
+            self._metrics,
+            self._rng,
+            self._knowledge.mirror,
+            self._announce_owners,
+            follows=lambda: not self._knowledge.feed.direct,
+            timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
+        )
+        self._reporter = LoadReporter(
+            self._me, self._sampler, self._last_hop, self._planner, self._peers, self._report_to
         )
 
     def _make_request_path(self) -> None:
@@ -195,7 +210,6 @@
         self._last_hop = LastHop(
             clock, self._transport, state.upstreams, codec.headers, self._metrics
         )
-        self._peers = PeerClient(clock, self._transport, state.vms)
         self._board = LoadBoard(SelectionRules(), self._rng)
         self._first_hop = FirstHop(
             clock,
@@ -225,31 +239,11 @@
             state.upstreams,
             self._last_hop,
             codec.headers.request_id,
-            self._take_report,
-            state.take_owners,
+            lambda report: self._reporter.take(report),
+            self._knowledge.take_owners,
+            self._knowledge.feed,
         )
 
-    def _make_watchers(self) -> dict[str, KindWatcher]:
-        state, codec = self._state, self._edges.codec
-        watched = {
-            codec.config_kind: (CONFIG_WATCH, state.apply_config),
-            codec.upstream_kind: (UPSTREAM_WATCH, state.apply_upstreams),
-        }
-        polled = {
-            documents.OWNER_KIND: (OWNER_POLL_S, state.apply_owners),
-            documents.VM_KIND: (VM_POLL_S, state.apply_vms),
-        }
-        store, health, clock = self._edges.store, self._health, self._clock
-        self._pollers = {
-            kind: KindPoller(store, health, clock, kind, interval_s, on_list)
-            for kind, (interval_s, on_list) in polled.items()
-        }
-        state.on_outdated_owners = self._pollers[documents.OWNER_KIND].ask
-        return {
-            kind: KindWatcher(store, health, clock, kind, watch, on_change)
-            for kind, (watch, on_change) in watched.items()
-        }
-
     def _add_gauges(self) -> None:
         codec = self._edges.codec
         self._metrics.gauges(
@@ -260,15 +254,15 @@
                 ),
                 "config_age_seconds": (
                     "Time since the store confirmed the configuration.",
-                    lambda: self._watchers[codec.config_kind].age_s,
+                    lambda: self._knowledge.age_s(codec.config_kind),
                 ),
                 "upstreams_age_seconds": (
                     "Time since the store confirmed the list of upstreams.",
-                    lambda: self._watchers[codec.upstream_kind].age_s,
+                    lambda: self._knowledge.age_s(codec.upstream_kind),
                 ),
                 "owners_age_seconds": (
                     "Time since the store confirmed the owners of keys.",
-                    lambda: self._pollers[documents.OWNER_KIND].age_s,
+                    lambda: self._knowledge.age_s(documents.OWNER_KIND),
                 ),
                 "upstream_busy": (
                     "Requests that upstreams of this last hop work on.",
@@ -282,6 +276,10 @@
                     "Whether this VM may grant keys.",
                     lambda: float(self._control.holds_lease),
                 ),
+                "follows_relay": (
+                    "Whether this VM learns the store's documents from another VM.",
+                    lambda: float(self._knowledge.feed.relay is not None),
+                ),
                 "retries_left": (
                     "Second sends allowed now, over all pools.",
                     lambda: sum(self._first_hop.retries_left().values()),
@@ -319,41 +317,27 @@
 
     # Background work
 
-    async def _announce_owners(self, revision: int, table: OwnerTable) -> None:
-        """Send a stored owner table to all other VMs at once."""
-        body = owner_message(revision, table)
-        others = [vm for vm in self._state.vms if vm.vm_id != self._me.vm_id]
+    async def _announce_owners(self, document: Document) -> None:
+        """Send a stored owner table to the VMs that the others learn from."""
+        body = owner_message(document)
+        others = [vm for vm in self._knowledge.feed.self_informed() if vm.vm_id != self._me.vm_id]
         taken = await asyncio.gather(*(self._peers.send_owners(vm, body) for vm in others))
         missed = [vm.vm_id for vm, took in zip(others, taken, strict=True) if not took]
         if missed:
             _LOG.info(
                 "owners_not_taken",
-                extra={"pool": table.pool, "revision": revision, "vms": ",".join(missed)},
+                extra={
+                    "pool": document.name,
+                    "revision": document.revision,
+                    "vms": ",".join(missed),
+                },
             )
 
-    async def _report(self) -> None:
-        """Send samples of this VM's load to the granting VM."""
-        while True:
-            await asyncio.sleep(self._rules.report_s)
-            keys = self._sampler.take()
-            vm = self._control.granting_vm()
-            if not keys or vm is None:
-                continue
-            service_s = self._last_hop.service_times()
-            if vm.vm_id == self._me.vm_id:
-                self._planner.take_loads(keys, service_s)
-                continue
-            rounded = {upstream_id: round(value, 3) for upstream_id, value in service_s.items()}
-            if not await self._peers.report_loads(vm, {"keys": keys, "service_s": rounded}):
-                _LOG.info("load_report_not_taken", extra={"vm": vm.vm_id, "pools": len(keys)})
-
-    def _take_report(self, report: Any) -> None:
-        keys = {
-            str(pool): ([int(key) for key in sample], float(weight))
-            for pool, (sample, weight) in report["keys"].items()
-        }
-        service_s = {str(name): float(value) for name, value in report["service_s"].items()}
-        self._planner.take_loads(keys, service_s)
+    def _report_to(self) -> EntryVm | None:
+        """Return the VM that gets this VM's report of load."""
+        if self._control.holds_lease:
+            return self._me
+        return self._knowledge.feed.relay or self._control.granting_vm()
 
     async def _keep_house(self) -> None:
         while True:
--- /dev/null
+++ b/fireflyferry/gateway/reporting.py
@@ -0,0 +1,72 @@
+"""Reports of load on their way to the granting VM; a relay sums up those of its followers."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from fireflyferry.balancing import EntryVm
+from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.planning import RangePlanner
+from fireflyferry.gateway.sampling import KeySampler, LoadReport, PoolSample
+
+__all__ = ["LoadReporter"]
+
+_LOG = logging.getLogger(__name__)
+
+REPORT_S = 0.5  # a hot key is found within 1 to 2 s
+SERVICE_DIGITS = 3  # milliseconds; more would only be longer
+MOST_SAMPLES = 400  # kept while no granting VM is known; each VM adds one a pool and period
+
+
+class LoadReporter:
+    """Sends this VM's load, and what other VMs reported to it, to `next_vm` now and then."""
+
+    def __init__(
+        self,
+        me: EntryVm,
+        sampler: KeySampler,
+        last_hop: LastHop,
+        planner: RangePlanner,
+        peers: PeerClient,
+        next_vm: Callable[[], EntryVm | None],
+    ):
+        self._me = me
+        self._sampler = sampler
+        self._last_hop = last_hop
+        self._planner = planner
+        self._peers = peers
+        self._next_vm = next_vm
+        self._samples: list[PoolSample] = []
+        self._service_s: dict[str, float] = {}
+
+    def take(self, report: LoadReport) -> None:
+        """Take the report of another VM."""
+        self._samples.extend(report.samples)
+        self._service_s.update(report.service_s)
+        if len(self._samples) > MOST_SAMPLES:
+            _LOG.info("load_samples_dropped", extra={"samples": len(self._samples) - MOST_SAMPLES})
+            del self._samples[:-MOST_SAMPLES]
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            await self._report()
+
+    async def _report(self) -> None:
+        vm = self._next_vm()
+        own = self._sampler.take()
+        if vm is None or not (own or self._samples):
+            return
+        measured = self._last_hop.service_times().items()
+        service_s = {name: round(value, SERVICE_DIGITS) for name, value in measured}
+        report = LoadReport((*own, *self._samples), {**self._service_s, **service_s})
+        self._samples, self._service_s = [], {}
+        if vm.vm_id == self._me.vm_id:
+            self._planner.take_loads(report)
+        elif not await self._peers.report_loads(vm, report):
+            _LOG.info(
+                "load_report_not_taken",
+                extra={"vm": vm.vm_id, "samples": len(report.samples)},
+            )
--- a/fireflyferry/gateway/sampling.py
+++ b/fireflyferry/gateway/sampling.py
@@ -1,9 +1,27 @@
-"""Samples of the keys that callers of this VM ask for."""
+"""Samples of the keys that callers ask for, of this VM and of those that report to it."""
 
 import random
-from collections.abc import Mapping
 
-__all__ = ["KeySampler"]
+import attrs
+
+__all__ = ["KeySampler", "LoadReport", "PoolSample"]
+
+
+@attrs.frozen
+class PoolSample:
+    """Keys of one pool that one VM sampled; each stands for `weight` requests."""
+
+    pool: str
+    weight: float
+    keys: tuple[int, ...]
+
+
+@attrs.frozen
+class LoadReport:
+    """Sampled keys of several VMs, and mean service times in seconds by upstream."""
+
+    samples: tuple[PoolSample, ...]
+    service_s: dict[str, float]
 
 
 class KeySampler:
@@ -26,8 +44,11 @@
         if place < self._capacity:
             keys[place] = key
 
-    def take(self) -> Mapping[str, tuple[list[int], float]]:
-        """Return keys with the number of requests that each stands for, and start anew."""
-        taken = {pool: (keys, self._seen[pool] / len(keys)) for pool, keys in self._keys.items()}
+    def take(self) -> list[PoolSample]:
+        """Return the sample of each pool and start anew."""
+        taken = [
+            PoolSample(pool, self._seen[pool] / len(keys), tuple(keys))
+            for pool, keys in self._keys.items()
+        ]
         self._keys, self._seen = {}, {}
         return taken
--- a/fireflyferry/gateway/settings.py
+++ b/fireflyferry/gateway/settings.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class GatewayVmSettings:
-    """The VM and where it listens."""
+    """The VM, where it listens, and its processing power in cores of a standard speed."""
 
     vm_id: str = field(NAME)
     data_centre: str = field(NAME)
@@ -25,6 +25,13 @@
     readiness: str = field(Endpoint())
     peer_port: int = field(Whole(1, 65535))
     metrics_port: int = field(Whole(1, 65535))
+    processor_share: float = field(Number(0.0, 1024.0), default=1.0)
+    processor_speed: float = field(Number(0.0, 1024.0), default=1.0)
+
+    @property
+    def capacity(self) -> float:
+        """Cores of a standard speed that this VM may use."""
+        return self.processor_share * self.processor_speed
 
 
 @attrs.frozen
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -32,6 +32,11 @@
         entry = self._tables.get(pool)
         return entry[1] if entry is not None else None
 
+    def revision(self, pool: str) -> int:
+        """Return the revision of a pool's table, 0 if none is known."""
+        entry = self._tables.get(pool)
+        return entry[0] if entry is not None else 0
+
     def moving_since_s(self, pool: str, part: OwnedRange) -> float:
         """Return when this VM learned that a range changes its owner."""
         return self._moving_since_s[pool][part]
@@ -138,12 +143,13 @@
     def apply_owners(self, mirror: Mapping[str, Document]) -> None:
         """Take the owner tables."""
         for document in mirror.values():
+            if document.revision == self.owners.revision(document.name):
+                continue
             table = self._read(documents.OWNER_KIND, document, documents.table_from)
             if table is not None:
-                self.take_owners(document.revision, table)
+                self._take_owners(document.revision, table)
 
-    def take_owners(self, revision: int, table: OwnerTable) -> None:
-        """Take one owner table."""
+    def _take_owners(self, revision: int, table: OwnerTable) -> None:
         if self.owners.put(self._clock.monotonic_s(), table.pool, revision, table):
             _LOG.info(
                 "owners_changed",
--- /dev/null
+++ b/fireflyferry/gateway/tests/test_feed.py
@@ -0,0 +1,305 @@
+"""Guards against followers that miss changes, believe a relay that lost the store, or call it."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.edges.system_clock import BootClock
+from fireflyferry.gateway import peer_messages
+from fireflyferry.gateway.edges import Document, Documents
+from fireflyferry.gateway.feed import (
+    Feed,
+    FeedAnswer,
+    FeedRequest,
+    FeedRules,
+    follow_order,
+)
+from fireflyferry.gateway.mirror import MOST_REMOVED, DocumentMirror, FeedChanges, KindChanges
+from fireflyferry.gateway.tests.support import FakeStore
+from fireflyferry.gateway.watching import KindPoller, KindWatcher, StoreHealth, WatchRules
+
+RULES = FeedRules(hold_s=0.05, most_age_s=0.3, avoid_s=0.2, direct_s=0.02)
+
+
+def documents(*rows):
+    return tuple(Document(name, revision, f"{name}{revision}") for name, revision in rows)
+
+
+def vm(number, **changes):
+    return attrs.evolve(EntryVm(f"vm-{number}", f"i{number}", f"a-{number}", "dc-1"), **changes)
+
+
+# Mirror
+
+
+def test_older_list_neither_reverts_nor_removes_a_newer_document():
+    seen = []
+    mirror = DocumentMirror({"k": lambda known: seen.append(set(known))})
+    mirror.replace("k", Documents(5, documents(("a", 5))))
+    mirror.change("k", KindChanges(8, documents(("b", 8)), ("a",)))
+    mirror.replace("k", Documents(6, documents(("a", 5))))
+    assert set(mirror.documents("k")) == {"b"}
+    assert mirror.position("k") == 8
+    assert seen == [{"a"}, {"b"}]
+
+
+def test_empty_kind_is_known_after_its_first_list():
+    told = []
+    mirror = DocumentMirror({"k": told.append})
+    mirror.replace("k", Documents(1, ()))
+    assert mirror.knows(["k"]) and told == [{}]
+
+
+def test_follower_of_forgotten_removals_gets_everything():
+    mirror = DocumentMirror({})
+    mirror.replace("k", Documents(1, documents(("kept", 1))))
+    since = mirror.sequence
+    for number in range(MOST_REMOVED + 1):
+        mirror.change("k", KindChanges(number + 2, documents((f"d{number}", number + 2))))
+        mirror.change("k", KindChanges(number + 3, (), (f"d{number}",)))
+    changes = mirror.changes_since(since)
+    assert changes.whole
+    assert [each.name for each in changes.kinds["k"].documents] == ["kept"]
+    later = mirror.changes_since(mirror.sequence)
+    assert not later.whole and later.kinds["k"].documents == ()
+
+
+# Order of relays
+
+
+def test_small_data_centres_have_no_relay_and_large_ones_the_most_capable():
+    directory = VmDirectory(vm(1), {})
+    directory.apply([vm(1), vm(2), vm(3)])
+    assert follow_order(directory, "dc-1", RULES) == []
+    directory.apply([vm(1), vm(2), vm(3), vm(4, capacity=2.0), vm(5, capacity=3.0, leaving=True)])
+    assert [each.vm_id for each in follow_order(directory, "dc-1", RULES)] == [
+        "vm-4",
+        "vm-1",
+        "vm-2",
+    ]
+
+
+# Messages
+
+
+def test_feed_messages_are_read_as_they_were_written():
+    request = FeedRequest("i1", 7, ("owners",))
+    assert peer_messages.read_feed_request(peer_messages.feed_request(request)) == request
+    changes = FeedChanges(9, True, {"k": KindChanges(4, documents(("a", 3)), ("b",))})
+    answer = FeedAnswer("i1", 0.25, 3.5, changes)
+    times, body = peer_messages.feed_times(answer), peer_messages.feed_changes(changes)
+    assert peer_messages.read_feed(times, body) == answer
+
+
+@pytest.mark.parametrize("times", [None, "", "i1 x 3", "i1 1"])
+def test_feed_without_readable_times_is_refused(times):
+    body = peer_messages.feed_changes(FeedChanges(1, False, {}))
+    with pytest.raises(peer_messages.PeerMessageError):
+        peer_messages.read_feed(times, body)
+
+
+# Following
+
+
+class CountingStore(FakeStore):
+    """Counts calls."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls = 0
+
+    async def read(self, kind, name, stale=False):
+        self.calls += 1
+        return await super().read(kind, name, stale)
+
+    async def list(self, kind, stale=False):
+        self.calls += 1
+        return await super().list(kind, stale)
+
+    async def watch(self, kind, position, wait_s):
+        self.calls += 1
+        return await super().watch(kind, position, wait_s)
+
+
+class Fleet:
+    """Feeds of VMs of one data centre, joined without a network."""
+
+    def __init__(self, count=5):
+        self.store = CountingStore()
+        self.members = [vm(number) for number in range(count)]
+        self.nodes = [Node(self, each) for each in self.members]
+        self.dead = set()
+
+    async def ask(self, relay, request, hold_s):
+        node = next(each for each in self.nodes if each.me == relay)
+        if relay.vm_id in self.dead:
+            return None
+        answer = await node.feed.answer(request)
+        if answer is None or relay.vm_id in self.dead:
+            return None
+        body = peer_messages.feed_changes(answer.changes)
+        return peer_messages.read_feed(peer_messages.feed_times(answer), body)
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        await self.store.put("config", "main", 1)
+        await self.store.put("vms", "x", 1)
+        tasks = [asyncio.ensure_future(work) for node in self.nodes for work in node.work()]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Node:
+    """What one VM knows, and the store as it reaches it."""
+
+    def __init__(self, fleet, me):
+        self.me = me
+        self.store = CountingStore()
+        clock = BootClock()
+        self.health = StoreHealth(clock, 5.0)
+        directory = VmDirectory(me, {})
+        directory.apply(fleet.members)
+        self.mirror = DocumentMirror({})
+        view = self.view = View(fleet.store)
+        rules = WatchRules(wait_s=0.1, gap_s=0.0, retry_s=0.02, most_retry_s=0.1)
+        self.sources = (
+            KindWatcher(view, self.health, clock, "config", self.mirror, rules),
+            KindPoller(view, self.health, clock, "vms", self.mirror, 0.1, 0.05),
+        )
+        self.feed = Feed(
+            clock,
+            self.mirror,
+            self.health,
+            directory,
+            self.sources,
+            "vms",
+            ("config",),
+            fleet.ask,
+            self.probe,
+            RULES,
+        )
+
+    def work(self):
+        return [self.feed.run(), *(source.run() for source in self.sources)]
+
+    async def probe(self):
+        try:
+            await self.view.read("lease", "granting", stale=True)
+        except Exception as error:
+            self.health.on_failure(error)
+            return False
+        self.health.on_success()
+        return True
+
+    @property
+    def value(self):
+        found = self.mirror.documents("config").get("main")
+        return found.content if found is not None else None
+
+
+class View(CountingStore):
+    """The store as one VM reaches it; `cut` breaks the way to it."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.shared = store
+        self.cut = False
+
+    async def _reach(self, call):
+        self.down = self.cut
+        self._check()
+        self.calls += 1
+        result = await call()
+        self.down = self.cut
+        self._check()
+        return result
+
+    async def read(self, kind, name, stale=False):
+        return await self._reach(lambda: self.shared.read(kind, name, stale))
+
+    async def list(self, kind, stale=False):
+        return await self._reach(lambda: self.shared.list(kind, stale))
+
+    async def watch(self, kind, position, wait_s):
+        return await self._reach(lambda: self.shared.watch(kind, position, wait_s))
+
+
+async def until(happened):
+    async with asyncio.timeout(20):
+        while not happened():
+            await asyncio.sleep(0.005)
+
+
+def all_know(fleet, value):
+    return lambda: all(node.value == value for node in fleet.nodes)
+
+
+def run_fleet(work):
+    async def main():
+        fleet = Fleet()
+        async with fleet.running():
+            await until(all_know(fleet, 1))
+            await until(lambda: all(node.feed.relay for node in fleet.nodes[1:]))
+            await work(fleet)
+
+    asyncio.run(main())
+
+
+def test_change_reaches_followers_without_a_call_of_theirs():
+    async def work(fleet):
+        calls = [node.view.calls for node in fleet.nodes]
+        await fleet.store.put("config", "main", 2)
+        await until(all_know(fleet, 2))
+        assert [node.view.calls for node in fleet.nodes][1:] == calls[1:]
+
+    run_fleet(work)
+
+
+@pytest.mark.parametrize("fault", ["dead", "cut"])
+def test_lost_relay_is_replaced_and_no_change_is_missed(fault):
+    async def work(fleet):
+        first = fleet.nodes[0]
+        if fault == "dead":
+            fleet.dead.add(first.me.vm_id)
+        else:
+            first.view.cut = True
+        await fleet.store.put("config", "main", 2)
+        others = fleet.nodes[1:]
+        await until(lambda: all(node.value == 2 for node in others))
+        # The next VM in the order asks the store, the others follow it.
+        await until(lambda: fleet.nodes[1].feed.direct)
+        await until(lambda: all(node.feed.relay == fleet.members[1] for node in fleet.nodes[2:]))
+
+    run_fleet(work)
+
+
+def test_followers_do_not_all_call_a_store_that_is_away():
+    async def work(fleet):
+        fleet.store.down = True
+        await until(lambda: all(node.feed.relay is None for node in fleet.nodes))
+        await asyncio.sleep(0.2)
+        # Those that followed make nothing but cheap probes.
+        assert not any(node.feed.direct for node in fleet.nodes[1:])
+        fleet.store.down = False
+        await fleet.store.put("config", "main", 3)
+        await until(all_know(fleet, 3))
+
+    run_fleet(work)
+
+
+def test_follower_learns_that_the_store_failed_its_relay():
+    """Guards against entries that lapsed in an outage being taken for upstreams that left."""
+
+    async def work(fleet):
+        assert not fleet.nodes[4].health.disturbed()
+        fleet.nodes[0].health.on_failure(RuntimeError("refused once"))
+        await until(lambda: fleet.nodes[4].health.disturbed())
+
+    run_fleet(work)
--- a/fireflyferry/gateway/watching.py
+++ b/fireflyferry/gateway/watching.py
@@ -1,17 +1,18 @@
-"""Mirrors of kinds of objects in the store, kept current by watches."""
+"""Keeps kinds of documents current from the store, by watches or by lists now and then."""
 
+import abc
 import asyncio
 import contextlib
 import logging
 import random
-from collections.abc import Callable, Mapping
 
 import attrs
 
 from fireflyferry.edges import Clock
-from fireflyferry.gateway.edges import Document, HistoryLostError, MetadataStore, StoreCallError
+from fireflyferry.gateway.edges import HistoryLostError, MetadataStore, StoreCallError
+from fireflyferry.gateway.mirror import DocumentMirror, KindChanges
 
-__all__ = ["KindPoller", "KindWatcher", "StoreHealth", "WatchRules"]
+__all__ = ["KindPoller", "KindSource", "KindWatcher", "StoreHealth", "WatchRules"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -37,18 +38,35 @@
         self._clock = clock
         self._disturbed_s = disturbed_s
         self._failed_at_s = float("-inf")
+        self._answered_at_s = float("-inf")
         self._available = True
 
+    @property
+    def answered_ago_s(self) -> float:
+        """Seconds since the store last answered a call."""
+        return self._clock.monotonic_s() - self._answered_at_s
+
+    @property
+    def failed_ago_s(self) -> float:
+        """Seconds since a call last failed."""
+        return self._clock.monotonic_s() - self._failed_at_s
+
     def disturbed(self) -> bool:
         """Tell whether a call failed within the last `disturbed_s`."""
-        return self._clock.monotonic_s() - self._failed_at_s < self._disturbed_s
+        return self.failed_ago_s < self._disturbed_s
 
     def on_success(self) -> None:
         """Note a call that was answered."""
+        self._answered_at_s = self._clock.monotonic_s()
         if not self._available:
             self._available = True
-            away_s = self._clock.monotonic_s() - self._failed_at_s
-            _LOG.info("store_regained", extra={"since_last_failure_s": round(away_s, 3)})
+            _LOG.info("store_regained", extra={"since_last_failure_s": round(self.failed_ago_s, 3)})
+
+    def on_relayed(self, answered_ago_s: float, failed_ago_s: float) -> None:
+        """Take what another VM experienced, which asks the store in place of this one."""
+        now_s = self._clock.monotonic_s()
+        self._answered_at_s = max(self._answered_at_s, now_s - answered_ago_s)
+        self._failed_at_s = max(self._failed_at_s, now_s - failed_ago_s)
 
     def on_failure(self, error: Exception) -> None:
         """Note a call that was not answered."""
@@ -58,10 +76,10 @@
             _LOG.warning("store_lost", extra={"error": str(error)})
 
 
-class KindWatcher:
-    """Keeps a mirror of all objects of one kind and tells of each change.
+class KindSource(abc.ABC):
+    """Keeps one kind of documents current from the store.
 
-    The mirror keeps its last state while the store does not answer.
+    A VM that follows another pauses its sources; they go on from what it learned meanwhile.
     """
 
     def __init__(
@@ -70,40 +88,78 @@
         health: StoreHealth,
         clock: Clock,
         kind: str,
-        rules: WatchRules,
-        on_change: Callable[[Mapping[str, Document]], None],
+        mirror: DocumentMirror,
     ):
         self._store = store
         self._health = health
         self._clock = clock
         self._kind = kind
-        self._rules = rules
-        self._on_change = on_change
-        self._mirror: dict[str, Document] = {}
-        self._position: int | None = None
+        self._mirror = mirror
         self._confirmed_s = float("-inf")
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+
+    @property
+    def kind(self) -> str:
+        """The kind of documents."""
+        return self._kind
+
+    @property
+    def running(self) -> bool:
+        """Whether calls are made."""
+        return self._resumed.is_set()
 
     @property
     def age_s(self) -> float:
-        """Seconds since the store last confirmed the mirror; infinite before the first list."""
+        """Seconds since the store last confirmed the kind; infinite before the first list."""
         return self._clock.monotonic_s() - self._confirmed_s
 
-    @property
-    def known(self) -> bool:
-        """Whether the kind was listed at least once."""
-        return self._position is not None
+    def pause(self) -> None:
+        """Make no further call."""
+        self._resumed.clear()
+
+    def resume(self) -> None:
+        """Make calls again."""
+        self._resumed.set()
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Keep the kind current until cancelled."""
+
+    def _confirm(self) -> None:
+        self._health.on_success()
+        self._confirmed_s = self._clock.monotonic_s()
+
+
+class KindWatcher(KindSource):
+    """Watches all documents of one kind."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        health: StoreHealth,
+        clock: Clock,
+        kind: str,
+        mirror: DocumentMirror,
+        rules: WatchRules,
+    ):
+        super().__init__(store, health, clock, kind, mirror)
+        self._rules = rules
+        self._history_lost = False
 
     async def run(self) -> None:
         """Watch until cancelled."""
         failures = 0
         while True:
+            await self._resumed.wait()
             try:
                 await self._step()
                 failures = 0
-                self._health.on_success()
             except HistoryLostError:
-                _LOG.info("history_lost", extra={"kind": self._kind, "position": self._position})
-                self._position = None
+                self._health.on_success()
+                position = self._mirror.position(self._kind)
+                _LOG.info("history_lost", extra={"kind": self._kind, "position": position})
+                self._history_lost = True
             except StoreCallError as error:
                 self._health.on_failure(error)
                 bound_s = min(self._rules.retry_s * 2**failures, self._rules.most_retry_s)
@@ -111,31 +167,24 @@
                 await asyncio.sleep(bound_s * random.uniform(0.5, 1.0))
 
     async def _step(self) -> None:
-        if self._position is None:
+        position = self._mirror.position(self._kind)
+        if position is None or self._history_lost:
             listed = await self._store.list(self._kind)
-            self._mirror = {each.name: each for each in listed.documents}
-            changed = True
+            self._confirm()
+            self._history_lost = False
+            self._mirror.replace(self._kind, listed)
+            changed = True  # also without news, a store that forgets at once is not asked in a loop
         else:
-            listed = await self._store.watch(self._kind, self._position, self._rules.wait_s)
-            changed = self._apply(listed.documents, listed.removed)
-        self._position = listed.position
-        self._confirmed_s = self._clock.monotonic_s()
+            seen = await self._store.watch(self._kind, position, self._rules.wait_s)
+            self._confirm()
+            changes = KindChanges(seen.position, seen.documents, seen.removed)
+            changed = self._mirror.change(self._kind, changes)
         if changed:
-            self._on_change(self._mirror)
             await asyncio.sleep(self._rules.gap_s)
 
-    def _apply(self, documents: tuple[Document, ...], removed: tuple[str, ...]) -> bool:
-        for document in documents:
-            known = self._mirror.get(document.name)
-            if known is None or document.revision > known.revision:
-                self._mirror[document.name] = document
-        for name in removed:
-            self._mirror.pop(name, None)
-        return bool(documents or removed)
 
-
-class KindPoller:
-    """Lists all objects of one kind now and then with cheap, stale reads, and exactly when asked.
+class KindPoller(KindSource):
+    """Lists all documents of one kind now and then with cheap, stale reads; exactly when asked.
 
     For kinds whose changes also arrive in another way, or matter only after seconds: each watch
     is a priced call for each change, a stale list costs a tenth of one.
@@ -147,42 +196,42 @@
         health: StoreHealth,
         clock: Clock,
         kind: str,
+        mirror: DocumentMirror,
         interval_s: float,
-        on_list: Callable[[Mapping[str, Document]], None],
         least_gap_s: float = 0.5,
     ):
-        self._store = store
-        self._health = health
-        self._clock = clock
-        self._kind = kind
+        super().__init__(store, health, clock, kind, mirror)
         self._interval_s = interval_s
         self._least_gap_s = least_gap_s
-        self._on_list = on_list
         self._asked = asyncio.Event()
-        self._confirmed_s = float("-inf")
 
     @property
-    def age_s(self) -> float:
-        """Seconds since the store last answered; infinite before the first list."""
-        return self._clock.monotonic_s() - self._confirmed_s
+    def asked(self) -> bool:
+        """Whether an exact list is wanted that was not made yet."""
+        return self._asked.is_set()
 
     def ask(self) -> None:
         """Have the kind listed exactly soon."""
         self._asked.set()
 
+    def withdraw(self) -> None:
+        """Take the wish for an exact list back, since another VM was asked for it."""
+        self._asked.clear()
+
     async def run(self) -> None:
         """List until cancelled."""
         exact = True
         while True:
+            await self._resumed.wait()
             try:
                 listed = await self._store.list(self._kind, stale=not exact)
             except StoreCallError as error:
                 self._health.on_failure(error)
-            else:
-                self._health.on_success()
-                self._confirmed_s = self._clock.monotonic_s()
-                self._on_list({each.name: each for each in listed.documents})
-                exact = False
+                await asyncio.sleep(self._least_gap_s * random.uniform(0.8, 1.2))
+                continue
+            self._confirm()
+            self._mirror.replace(self._kind, listed)
+            exact = False
             await asyncio.sleep(self._least_gap_s)
             with contextlib.suppress(TimeoutError):
                 pause_s = self._interval_s * random.uniform(0.9, 1.1) - self._least_gap_s
--- a/fireflyferry/keyranges/lease.py
+++ b/fireflyferry/keyranges/lease.py
@@ -78,6 +78,11 @@
         """The record that was seen last."""
         return self._record
 
+    @property
+    def mine(self) -> bool:
+        """Whether the record that was seen last names this VM's run."""
+        return self._is_mine()
+
     def holds(self, now_s: float) -> bool:
         """Tell whether this VM may grant now."""
         return now_s < self._until_s
@@ -112,6 +117,13 @@
         self._unsure = False
         self._schedule(now_s)
 
+    def on_seen(self, now_s: float, record: LeaseRecord, revision: int) -> None:
+        """Take a record that another VM read; it only shows that the lease has changed."""
+        if self._busy or revision <= self._revision:
+            return
+        self._record, self._revision, self._known = record, revision, True
+        self._seen_since_s = now_s
+
     def on_written(self, now_s: float, revision: int) -> None:
         """Take the confirmation of the write in flight."""
         self._busy = False
--- a/fireflyferry/membership/__init__.py
+++ b/fireflyferry/membership/__init__.py
@@ -1,6 +1,6 @@
 """VM table, role choice and the mirror of the store's objects."""
 
-from fireflyferry.membership.mirror import Mirror
+from fireflyferry.membership.mirror import Mirror, ObjectMirror, Versioned
 from fireflyferry.membership.placements import PlacementMap, bootstrap_placement
 from fireflyferry.membership.roles import (
     group_upstreams,
@@ -13,7 +13,9 @@
 
 __all__ = [
     "Mirror",
+    "ObjectMirror",
     "PlacementMap",
+    "Versioned",
     "VmTable",
     "bootstrap_placement",
     "group_upstreams",
--- a/fireflyferry/membership/tests/test_membership.py
+++ b/fireflyferry/membership/tests/test_membership.py
@@ -8,7 +8,7 @@
 
 from fireflyferry.edges import StoredObject
 from fireflyferry.membership import (
-    Mirror,
+    ObjectMirror,
     VmTable,
     bootstrap_placement,
     group_upstreams,
@@ -42,12 +42,12 @@
     ]
 
 
-# Mirror
+# ObjectMirror
 
 
 @given(VERSIONS)
 def test_mirror_keeps_the_newest_version_in_any_order_of_arrival(arrivals):
-    mirror = Mirror()
+    mirror = ObjectMirror()
     newest = {}
     for name, version in arrivals:
         expected = [stored(name, version)] if version > newest.get(name, 0) else []
@@ -60,7 +60,7 @@
 @example([("a", 1), ("b", 1), ("a", 2)], 2)
 @given(VERSIONS, st.integers(0, 20))
 def test_follower_gets_each_object_that_changed_after_its_position_once(arrivals, seen):
-    mirror = Mirror()
+    mirror = ObjectMirror()
     for name, version in arrivals[:seen]:
         mirror.apply((stored(name, version),))
     position = mirror.sequence
@@ -76,7 +76,7 @@
 
 
 def test_follower_with_the_position_of_another_relay_gets_everything():
-    mirror = Mirror()
+    mirror = ObjectMirror()
     mirror.apply((stored("a", 1), stored("b", 2)))
     batch = mirror.changes_since(99)
     assert batch.reset
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -321,6 +321,8 @@
         "listen.readyAddress": "10.1.0.2:8001",
         "internalPortRange.0": "7000",
         "platform.address": "10.2.0.1:80",
+        "limits.cpuShare": "0.717",
+        "limits.cpuCores": "3",
         "bounds.drainTimeoutS": "2",
         "bounds.gracePeriodS": "6",
         "bounds.maxHoldS": "10",
@@ -333,6 +335,7 @@
 def test_template_gives_valid_settings():
     settings = parse_settings(filled_template(), GatewaySettings)
     assert settings.vm.vm_id == "edge-z-a-1"
+    assert settings.vm.capacity == pytest.approx(2.151)
     assert settings.regions.by_data_centre() == {"z-a": "r", "z-b": "r"}
 
 
