Count the time in which a leaving upstream may have been listed unseen; divide the retry reserve

Cause: a VM counted how long a leaving upstream may get requests from when it saw the change. Between two watches 0.5 s may pass, and behind a relay that dies about 1.3 s, so the last keyed request could come after the bound. The time before the question that showed the change now counts as time of leaving.

The reserve of second sends was 2 for each VM, so its sum grew with the VMs (600 at 300 VMs); it is now half of the platform's allowance divided by the known VMs. One definition of HeaderList, one forecast of a queue.

--- a/fireflyferry/balancing/directory.py
+++ b/fireflyferry/balancing/directory.py
@@ -58,9 +58,19 @@
     _by_id: dict[str, _Entry] = attrs.field(factory=dict, init=False)
     _superseded: frozenset[UpstreamRun] = attrs.field(default=frozenset(), init=False)
 
-    def apply(self, now_s: float, listed: Iterable[Upstream], disturbed: bool) -> None:
-        """Replace what the store lists; `disturbed` if the store failed lately."""
+    def apply(
+        self,
+        now_s: float,
+        listed: Iterable[Upstream],
+        disturbed: bool,
+        unheard_s: float = 0.0,
+    ) -> None:
+        """Replace what the store lists; `disturbed` if the store failed lately.
+
+        The store may have listed it so for `unheard_s`, which counts as time of leaving.
+        """
         seen = set()
+        changed_s = now_s - unheard_s
         for upstream in listed:
             seen.add(upstream.run)
             entry = self._entries.get(upstream.run)
@@ -71,13 +81,13 @@
             if not upstream.draining:
                 entry.leaving_since_s = None
             elif entry.leaving_since_s is None:
-                entry.leaving_since_s = now_s
+                entry.leaving_since_s = changed_s
         for run, entry in self._entries.items():
             if run not in seen and entry.missing_since_s is None:
                 entry.missing_since_s = now_s
                 entry.lapsed = disturbed and entry.leaving_since_s is None
                 if entry.leaving_since_s is None:
-                    entry.leaving_since_s = now_s
+                    entry.leaving_since_s = now_s if entry.lapsed else changed_s
         self._forget(now_s)
 
     @property
--- a/fireflyferry/balancing/retry_window.py
+++ b/fireflyferry/balancing/retry_window.py
@@ -1,6 +1,7 @@
 """Retry budget of one pool on one VM over a sliding window."""
 
 import collections
+from collections.abc import Callable
 
 __all__ = ["RetryWindow"]
 
@@ -9,11 +10,10 @@
     """Allows second sends up to a share of the requests that this VM received in the window.
 
     Shares of what each VM received itself add up to the share of all requests, however many VMs
-    there are; `reserve` is the part of the allowance that does not depend on load, which each VM
-    may use.
+    there are; `reserve` returns this VM's part of the allowance that does not depend on load.
     """
 
-    def __init__(self, share: float, reserve: float, window_s: float):
+    def __init__(self, share: float, reserve: Callable[[], float], window_s: float):
         self._share = share
         self._reserve = reserve
         self._window_s = window_s
@@ -28,7 +28,7 @@
     def left(self, now_s: float) -> float:
         """Return how many second sends are allowed now."""
         self._expire(now_s)
-        return self._reserve + self._share * len(self._requests) - len(self._retries)
+        return self._reserve() + self._share * len(self._requests) - len(self._retries)
 
     def try_spend(self, now_s: float) -> bool:
         """Take one second send if the budget covers it."""
--- a/fireflyferry/entry/answers.py
+++ b/fireflyferry/entry/answers.py
@@ -7,12 +7,11 @@
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.telemetry.reasons import REASONS
 from fireflyferry.transport.curl import Receiver, TransferResult
+from fireflyferry.transport.headers import HeaderList
 from fireflyferry.transport.sinks import AnswerSink
 
 __all__ = ["AnswerReceiver"]
 
-HeaderList = list[tuple[str, str]]
-
 
 class AnswerReceiver(Receiver):
     """Receives the answer to one attempt.
--- a/fireflyferry/entry/headers.py
+++ b/fireflyferry/entry/headers.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from fireflyferry.transport.headers import end_to_end
+from fireflyferry.transport.headers import HeaderList, end_to_end
 
 __all__ = [
     "ATTEMPT",
@@ -29,7 +29,6 @@
     "request_headers",
 ]
 
-HeaderList = list[tuple[str, str]]
 
 POOL = "Firefly-Pool"
 KEY = "Firefly-Key"
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -3,11 +3,10 @@
 import attrs
 
 from fireflyferry.telemetry import Outcome, Reason
+from fireflyferry.transport.headers import HeaderList
 
 __all__ = ["Answer", "Attempt", "Call", "not_run", "unknown"]
 
-HeaderList = list[tuple[str, str]]
-
 
 @attrs.define(eq=False)
 class Call:
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -18,11 +18,12 @@
 )
 from tornado.iostream import IOStream
 
+from fireflyferry.transport.headers import HeaderList
+
 __all__ = ["ClosingConnections", "Progress", "ServerDelegate", "WholeExchange"]
 
 _LOG = logging.getLogger(__name__)
 
-HeaderList = list[tuple[str, str]]
 
 # How long a caller may take to close a connection after it was told to; then it is closed here.
 LINGER_S = 1.0
--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -197,6 +197,7 @@
         wanted = tuple(source.kind for source in asked)
         incarnation, sequence = self._position
         request = FeedRequest(incarnation, sequence, wanted)
+        asked_s = self._clock.monotonic_s()
         answer = await self._ask(relay, request, self._rules.hold_s)
         if answer is None or answer.age_s > self._rules.most_age_s:
             _LOG.info(
@@ -211,7 +212,7 @@
             return False
         for source in asked:
             source.withdraw()
-        self._take(answer)
+        self._take(answer, asked_s)
         if self._relay != relay:
             self._relay = relay
             _LOG.info(
@@ -222,11 +223,13 @@
             source.pause()
         return True
 
-    def _take(self, answer: FeedAnswer) -> None:
+    def _take(self, answer: FeedAnswer, asked_s: float) -> None:
         # Before the documents, since how a missing upstream is judged depends on it.
         self._health.on_relayed(answer.age_s, answer.failed_ago_s)
         changes = answer.changes
+        complete_s = self._clock.monotonic_s() - answer.age_s
         for kind, each in changes.kinds.items():
+            self._mirror.heard(kind, asked_s, complete_s)
             if changes.whole:
                 self._mirror.replace(kind, Documents(each.position, each.documents))
             else:
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -43,7 +44,8 @@
     """Limits of the search for an upstream; times in seconds.
 
     `most_hops` bounds the last hops that are asked. `move_wait_s` is how long a request waits for
-    a key that is changing its owner; moves take the time of one request.
+    a key that is changing its owner; moves take the time of one request. `retry_least` second
+    sends are allowed to all VMs together besides `retry_share` of the requests.
     """
 
     most_hops: int = 4
@@ -52,7 +54,8 @@
     upstream_retry_s: float = 0.3  # Retry-After while a pool has no upstream
     logged_wait_s: float = 0.05  # a shorter wait makes no request late
     retry_share: float = 0.2
-    retry_reserve: float = 2.0
+    retry_least: float = 64.0
+    retry_least_used: float = 0.5  # VMs that restart have forgotten what they used before
     retry_window_s: float = 10.0
 
 
@@ -98,10 +101,14 @@
         self._rng = rng or random.Random()
         self._budgets: dict[str, RetryWindow] = {}
 
-    def retries_left(self) -> dict[str, float]:
-        """Return the second sends that are allowed now, by pool."""
-        now_s = self._clock.monotonic_s()
-        return {pool: budget.left(now_s) for pool, budget in self._budgets.items()}
+    @property
+    def pools(self) -> Iterable[str]:
+        """Pools that requests were for."""
+        return self._budgets
+
+    def retries_left(self, pool: str) -> float:
+        """Return the second sends that are allowed now for a pool."""
+        return self._budget(pool).left(self._clock.monotonic_s())
 
     async def run(self, call: Call) -> Attempt:
         """Return the answer, or the refusal or unknown outcome that the caller is told."""
@@ -227,16 +234,20 @@
             return False
         now_s = self._clock.monotonic_s()
         others = len(self._state.upstreams.ready(now_s, call.pool)) - len(search.tried)
-        return others > 1 and self._budget(call.pool).left(now_s) >= 1.0
+        return others > 1 and self.retries_left(call.pool) >= 1.0
 
     def _budget(self, pool: str) -> RetryWindow:
         budget = self._budgets.get(pool)
         if budget is None:
             rules = self._rules
-            budget = RetryWindow(rules.retry_share, rules.retry_reserve, rules.retry_window_s)
+            budget = RetryWindow(rules.retry_share, self._retry_reserve, rules.retry_window_s)
             self._budgets[pool] = budget
         return budget
 
+    def _retry_reserve(self) -> float:
+        """Return this VM's part of the second sends that are allowed whatever the load."""
+        return self._rules.retry_least * self._rules.retry_least_used / len(self._state.vms)
+
     async def _locate(self, call: Call, search: _Search) -> _Target | Attempt:
         if call.key is not None:
             return await self._locate_owner(call, search)
--- a/fireflyferry/gateway/headers.py
+++ b/fireflyferry/gateway/headers.py
@@ -4,12 +4,10 @@
 
 from tornado.httputil import HTTPHeaders
 
-from fireflyferry.transport.headers import end_to_end
+from fireflyferry.transport.headers import HeaderList, end_to_end
 
 __all__ = ["answer_headers", "host_of", "request_headers"]
 
-HeaderList = list[tuple[str, str]]
-
 
 def request_headers(headers: HTTPHeaders, replaced: Iterable[str]) -> HeaderList:
     """Return the headers of a request to pass on, without those that the sender sets."""
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -49,14 +49,6 @@
     least_left_s: float = 0.005
 
 
-@attrs.define(eq=False)
-class _Waiter:
-    """A request that waits for a slot; the result is whether it got one in time."""
-
-    ticket: Ticket
-    turn: "asyncio.Future[bool]"
-
-
 class LastHop:
     """Sends requests to the upstreams whose slots this VM counts."""
 
@@ -78,7 +70,8 @@
         self._queue_rules = queue_rules or QueueRules()
         self._rules = rules or LastHopRules()
         self._queues: dict[UpstreamRun, SlotQueue] = {}
-        self._waiters: dict[Ticket, _Waiter] = {}
+        # Whether a waiting request got a slot in time.
+        self._turns: dict[Ticket, asyncio.Future[bool]] = {}
 
     @property
     def busy(self) -> int:
@@ -134,23 +127,23 @@
     async def _turn(self, queue: SlotQueue, ticket: Ticket, call: Call) -> bool:
         """Wait for a slot; False when it comes too late."""
         turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._waiters[ticket] = _Waiter(ticket, turn)
+        self._turns[ticket] = turn
         wait_s = call.deadline_s - self._clock.monotonic_s() - queue.service_s / 2
         try:
             await asyncio.wait([turn], timeout=max(0.0, wait_s))
             return turn.done() and turn.result()
         finally:
-            self._waiters.pop(ticket, None)
+            self._turns.pop(ticket, None)
             if not turn.done():
                 queue.cancel(ticket)
             elif turn.result() and asyncio.current_task().cancelling():
                 self._free(queue, None)
 
     def _end_wait(self, ticket: Ticket, got_slot: bool) -> bool:
-        waiter = self._waiters.pop(ticket, None)
-        if waiter is None or waiter.turn.done():
+        turn = self._turns.pop(ticket, None)
+        if turn is None or turn.done():
             return False
-        waiter.turn.set_result(got_slot)
+        turn.set_result(got_slot)
         return True
 
     def _free(self, queue: SlotQueue, service_s: float | None) -> None:
@@ -269,8 +262,7 @@
             },
         )
 
-    @staticmethod
-    def _with_forecast(attempt: Attempt, queue: SlotQueue) -> Attempt:
-        # The forecast is that of the moment of the answer, for the next request.
-        wait_s = max(0, queue.busy + len(queue) + 1 - queue.slots) * queue.service_s / queue.slots
+    def _with_forecast(self, attempt: Attempt, queue: SlotQueue) -> Attempt:
+        """Add the forecast of the moment of the answer, for the next request."""
+        wait_s = queue.wait_s(self._clock.monotonic_s())
         return attrs.evolve(attempt, wait_s=wait_s, service_s=queue.service_s)
--- a/fireflyferry/gateway/mirror.py
+++ b/fireflyferry/gateway/mirror.py
@@ -13,6 +13,10 @@
 # Removed documents that are remembered, so that followers and older lists learn of the removal.
 MOST_REMOVED = 2_000
 
+# Longer silence is an outage of the store, in which it acknowledges no change; or this VM is cut
+# off, and no bound holds for it.
+MOST_UNHEARD_S = 1.5
+
 OnChange = Callable[[Mapping[str, Document]], None]
 
 
@@ -60,6 +64,8 @@
         self._entries: Mirror[_Entry] = Mirror()
         self._documents: dict[str, dict[str, Document]] = {}
         self._positions: dict[str, int] = {}
+        self._complete_s: dict[str, float] = {}
+        self._unheard_s: dict[str, float] = {}
         self._removed: dict[str, None] = {}
         self._forgotten_at = 0
         self._changed: asyncio.Future[None] | None = None
@@ -81,6 +87,19 @@
         """Return the documents of a kind by name."""
         return self._documents.get(kind, {})
 
+    def unheard_s(self, kind: str) -> float:
+        """Return for how many seconds before its last change a kind may have changed unseen."""
+        return self._unheard_s.get(kind, 0.0)
+
+    def heard(self, kind: str, asked_s: float, complete_s: float) -> None:
+        """Note an answer to a question asked at `asked_s`, complete up to `complete_s`.
+
+        A question that waits shows each change at once, so only the time before it counts.
+        """
+        before_s = self._complete_s.get(kind, asked_s)
+        self._unheard_s[kind] = min(MOST_UNHEARD_S, max(0.0, asked_s - before_s))
+        self._complete_s[kind] = complete_s
+
     def replace(self, kind: str, listed: Documents) -> bool:
         """Take a list of all documents; those that it lacks and that are older are removed.
 
@@ -88,7 +107,8 @@
         """
         present = {each.name for each in listed.documents}
         missing = (name for name in self.documents(kind) if name not in present)
-        return self.change(kind, KindChanges(listed.position, listed.documents, tuple(missing)))
+        changes = KindChanges(listed.position, listed.documents, tuple(missing))
+        return self.change(kind, changes)
 
     def change(self, kind: str, changes: KindChanges) -> bool:
         """Take changes up to a position; returns whether anything changed."""
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -42,7 +42,6 @@
 
 FAST_COMPRESSION = 1  # a configuration of 1,500 routes is written again for each change
 
-HeaderList = list[tuple[str, str]]
 
 _OUTCOMES = {"a": Outcome.ANSWERED, "n": Outcome.NOT_RUN, "u": Outcome.UNKNOWN}
 _LETTERS = {outcome: letter for letter, outcome in _OUTCOMES.items()}
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -110,6 +110,7 @@
             UpstreamDirectory(leaving_s, lapse_s=max(0.0, leaving_s - 0.2)),
             VmDirectory(self._me, settings.regions.by_data_centre()),
             self._health.disturbed,
+            lambda: self._knowledge.mirror.unheard_s(self._edges.codec.upstream_kind),
         )
         self._state.on_config.append(self._on_config)
         self._peers = PeerClient(self._clock, self._transport, self._state.vms)
@@ -218,7 +219,11 @@
             self._peers,
             self._board,
             self._metrics,
-            FirstHopRules(retry_share=bounds.retry_share, retry_window_s=bounds.retry_window_s),
+            FirstHopRules(
+                retry_share=bounds.retry_share,
+                retry_least=bounds.retry_least,
+                retry_window_s=bounds.retry_window_s,
+            ),
             self._rng,
         )
         self._sampler = KeySampler(self._rng)
@@ -282,7 +287,7 @@
                 ),
                 "retries_left": (
                     "Second sends allowed now, over all pools.",
-                    lambda: sum(self._first_hop.retries_left().values()),
+                    lambda: sum(map(self._first_hop.retries_left, self._first_hop.pools)),
                 ),
             }
         )
--- a/fireflyferry/gateway/settings.py
+++ b/fireflyferry/gateway/settings.py
@@ -56,7 +56,8 @@
 class BoundSettings:
     """Bounds that the platform states; times in seconds.
 
-    Second sends are bounded by `retry_share` of the requests in `retry_window_s`.
+    Second sends of all VMs are bounded by `retry_share` of the requests in `retry_window_s`, and
+    `retry_least` more.
     """
 
     drain_timeout_s: float = field(SECONDS)
@@ -64,6 +65,7 @@
     max_hold_s: float = field(SECONDS)
     retry_share: float = field(Number(0.0, 1.0))
     retry_window_s: float = field(SECONDS)
+    retry_least: float = field(Number(0.0, 1e6))
 
 
 @attrs.frozen
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -74,10 +74,12 @@
         upstreams: UpstreamDirectory,
         vms: VmDirectory,
         disturbed: Callable[[], bool],
+        unheard_s: Callable[[], float],
     ):
         self._clock = clock
         self._codec = codec
         self._disturbed = disturbed
+        self._unheard_s = unheard_s
         self.upstreams = upstreams
         self.vms = vms
         self.owners = OwnerViews()
@@ -128,7 +130,7 @@
         now_s = self._clock.monotonic_s()
         disturbed = self._disturbed()
         listed = (each for each in read if each is not None and each.pool in pools)
-        self.upstreams.apply(now_s, listed, disturbed)
+        self.upstreams.apply(now_s, listed, disturbed, self._unheard_s())
         self._log_standings(now_s, disturbed)
 
     def apply_vms(self, mirror: Mapping[str, Document]) -> None:
--- a/fireflyferry/gateway/tests/test_feed.py
+++ b/fireflyferry/gateway/tests/test_relays.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import types
 
 import attrs
 import pytest
@@ -17,7 +18,14 @@
     FeedRules,
     follow_order,
 )
-from fireflyferry.gateway.mirror import MOST_REMOVED, DocumentMirror, FeedChanges, KindChanges
+from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
+from fireflyferry.gateway.mirror import (
+    MOST_REMOVED,
+    MOST_UNHEARD_S,
+    DocumentMirror,
+    FeedChanges,
+    KindChanges,
+)
 from fireflyferry.gateway.tests.support import FakeStore
 from fireflyferry.gateway.watching import KindPoller, KindWatcher, StoreHealth, WatchRules
 
@@ -67,6 +75,20 @@
     assert not later.whole and later.kinds["k"].documents == ()
 
 
+def test_time_in_which_a_change_was_not_shown_is_known():
+    """Guards against requests to a leaving upstream that was listed so for longer than seen."""
+    mirror = DocumentMirror({})
+    mirror.heard("k", 1.0, 1.1)
+    assert mirror.unheard_s("k") == 0.0
+    mirror.heard("k", 1.6, 2.9)  # a watch that began at 1.6 s and waited
+    assert mirror.unheard_s("k") == pytest.approx(0.5)
+    mirror.heard("k", 3.0, 3.2)  # an answer of a relay whose own knowledge ends at 3.2 s
+    mirror.heard("k", 4.0, 4.0)
+    assert mirror.unheard_s("k") == pytest.approx(0.8)
+    mirror.heard("k", 60.0, 60.0)
+    assert mirror.unheard_s("k") == MOST_UNHEARD_S
+
+
 # Order of relays
 
 
@@ -82,6 +104,20 @@
     ]
 
 
+# Retry budget
+
+
+@pytest.mark.parametrize("vm_count", [1, 12, 300])
+def test_allowance_for_all_vms_is_divided_between_those_that_are_known(vm_count):
+    """Guards against a sum of reserves that grows with the number of VMs."""
+    directory = VmDirectory(vm(0), {})
+    directory.apply([vm(number) for number in range(vm_count)])
+    state = types.SimpleNamespace(vms=directory)
+    rules = FirstHopRules(retry_least=60.0, retry_least_used=0.5)
+    hop = FirstHop(BootClock(), state, None, None, None, None, rules)
+    assert vm_count * hop.retries_left("pool") == pytest.approx(30.0)
+
+
 # Messages
 
 
--- a/fireflyferry/gateway/watching.py
+++ b/fireflyferry/gateway/watching.py
@@ -126,9 +126,11 @@
     async def run(self) -> None:
         """Keep the kind current until cancelled."""
 
-    def _confirm(self) -> None:
+    def _confirm(self, asked_s: float) -> None:
+        """Note the answer to a question that was asked at a time."""
         self._health.on_success()
         self._confirmed_s = self._clock.monotonic_s()
+        self._mirror.heard(self._kind, asked_s, self._confirmed_s)
 
 
 class KindWatcher(KindSource):
@@ -168,15 +170,16 @@
 
     async def _step(self) -> None:
         position = self._mirror.position(self._kind)
+        asked_s = self._clock.monotonic_s()
         if position is None or self._history_lost:
             listed = await self._store.list(self._kind)
-            self._confirm()
+            self._confirm(asked_s)
             self._history_lost = False
             self._mirror.replace(self._kind, listed)
             changed = True  # also without news, a store that forgets at once is not asked in a loop
         else:
             seen = await self._store.watch(self._kind, position, self._rules.wait_s)
-            self._confirm()
+            self._confirm(asked_s)
             changes = KindChanges(seen.position, seen.documents, seen.removed)
             changed = self._mirror.change(self._kind, changes)
         if changed:
@@ -223,13 +226,14 @@
         exact = True
         while True:
             await self._resumed.wait()
+            asked_s = self._clock.monotonic_s()
             try:
                 listed = await self._store.list(self._kind, stale=not exact)
             except StoreCallError as error:
                 self._health.on_failure(error)
                 await asyncio.sleep(self._least_gap_s * random.uniform(0.8, 1.2))
                 continue
-            self._confirm()
+            self._confirm(asked_s)
             self._mirror.replace(self._kind, listed)
             exact = False
             await asyncio.sleep(self._least_gap_s)
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -116,7 +116,7 @@
     def tick(self, now_s: float) -> list[SaveTable | GrantCall | ReleaseCall]:
         """Return what to write and call now; to be called only while the lease is held."""
         if self._saving is None:
-            table = self._next_table(now_s)
+            table = self._next_table()
             if table is not None:
                 self._saving = SaveTable(table, self._revision)
                 return [self._saving, *self._calls(now_s)]
@@ -174,7 +174,7 @@
 
     # Table
 
-    def _next_table(self, now_s: float) -> OwnerTable | None:
+    def _next_table(self) -> OwnerTable | None:
         """Return the table to write, or None if the stored one is right."""
         table = self._table
         if table is None:
@@ -183,7 +183,7 @@
             return attrs.evolve(table, term=table.term + 1)
         changes = _Changes(table.last_fence)
         for each in table.ranges:
-            changes.ranges.extend(self._changed(now_s, each, changes))
+            changes.ranges.extend(self._changed(each, changes))
         self._moves = []
         if not changes.made:
             return None
@@ -197,11 +197,11 @@
         table = OwnerTable(self._pool, 1, 1, ranges)
         return table if table.is_complete() else None
 
-    def _changed(self, now_s: float, each: OwnedRange, changes: "_Changes") -> Iterator[OwnedRange]:
+    def _changed(self, each: OwnedRange, changes: "_Changes") -> Iterator[OwnedRange]:
         """Return what becomes of one range."""
         moves = [m for m in self._moves if each.first <= m.first and m.last <= each.last]
         if moves and (each.serving or not self._accepts(each.owner)):
-            yield from self._divided(now_s, each, moves, changes)
+            yield from self._divided(each, moves, changes)
             return
         grant = self._grants.get((each.first, each.last))
         if grant is not None and grant.refused:
@@ -214,7 +214,7 @@
             yield each
 
     def _divided(
-        self, now_s: float, each: OwnedRange, moves: list[Move], changes: "_Changes"
+        self, each: OwnedRange, moves: list[Move], changes: "_Changes"
     ) -> Iterator[OwnedRange]:
         """Cut the moved parts out of a range."""
         following = each.first
@@ -224,7 +224,7 @@
             if move.first > following:
                 yield self._part(each, following, move.first - 1)
             changes.made = True
-            yield self._moved(now_s, each, move, changes.next_fence())
+            yield self._moved(each, move, changes.next_fence())
             following = move.last + 1
         if following <= each.last:
             yield self._part(each, following, each.last)
@@ -236,7 +236,7 @@
             self._grants[first, last] = _Grant(each.fence, grant.acknowledged)
         return attrs.evolve(each, first=first, last=last)
 
-    def _moved(self, now_s: float, each: OwnedRange, move: Move, fence: int) -> OwnedRange:
+    def _moved(self, each: OwnedRange, move: Move, fence: int) -> OwnedRange:
         part = (move.first, move.last)
         earlier = []
         for run in dict.fromkeys((*each.earlier, each.owner)):
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -328,6 +328,7 @@
         "bounds.maxHoldS": "10",
         "bounds.retryBudgetRatio": "0.2",
         "bounds.retryWindowS": "10",
+        "bounds.retryBudgetMin": "64",
     }
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: values[match[1]], text)
 
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -11,10 +11,10 @@
 from tornado.ioloop import IOLoop
 
 from fireflyferry.transport.bodies import RequestBody
+from fireflyferry.transport.headers import HeaderList
 
 __all__ = ["CurlTransport", "Exchange", "Receiver", "TransferResult"]
 
-HeaderList = list[tuple[str, str]]
 
 # Options with the same value in every transfer, each of which closes a hazard.
 FIXED_OPTIONS: dict[int, int | str] = {
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -6,10 +6,10 @@
 
 from fireflyferry.transport.bodies import RequestBody
 from fireflyferry.transport.curl import CurlTransport, Exchange, Receiver
+from fireflyferry.transport.headers import HeaderList
 
 __all__ = ["Fetched", "HeaderList", "fetch", "whole_body"]
 
-HeaderList = list[tuple[str, str]]
 Accept = Callable[[int, HeaderList], bool]
 
 MAX_ANSWER_BYTES = 64 << 20  # a quarter of the memory of a small VM
--- a/fireflyferry/transport/headers.py
+++ b/fireflyferry/transport/headers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-__all__ = ["end_to_end", "find"]
+__all__ = ["HeaderList", "end_to_end", "find"]
 
 HeaderList = list[tuple[str, str]]
 
--- a/fireflyferry/transport/sinks.py
+++ b/fireflyferry/transport/sinks.py
@@ -9,11 +9,10 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from fireflyferry.retries import SmallAnswer
+from fireflyferry.transport.headers import HeaderList
 
 __all__ = ["AnswerSink", "ConnectionSink", "RecordingSink"]
 
-HeaderList = list[tuple[str, str]]
-
 
 class AnswerSink(abc.ABC):
     """Consumer of one answer; `on_ready` is called when it can take a chunk again."""
