--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -39,13 +39,16 @@
     and `patience_share` of the time left, since a full upstream may never answer; 99% of answers
     take less than 4 service times, but the first estimates of them are rough.
     A non-idempotent request uses only connections that were idle for less than `unsafe_idle_s`,
-    since one that the upstream closes meanwhile makes the outcome unknown.
+    since one that the upstream closes meanwhile makes the outcome unknown. An upstream that broke
+    a kept connection before any answer gets only new ones for `no_reuse_s`, since upstreams may
+    forget idle connections long before they say so.
     """
 
     patience_services: float = 6.0
     patience_share: float = 0.5
     safe_idle_s: int = 8  # upstreams close connections that were idle for 10 s
     unsafe_idle_s: int = 4
+    no_reuse_s: float = 10.0
     least_left_s: float = 0.005
 
 
@@ -70,6 +73,7 @@
         self._queue_rules = queue_rules or QueueRules()
         self._rules = rules or LastHopRules()
         self._queues: dict[UpstreamRun, SlotQueue] = {}
+        self._no_reuse_until_s: dict[UpstreamRun, float] = {}
         # Whether a waiting request got a slot in time.
         self._turns: dict[Ticket, asyncio.Future[bool]] = {}
 
@@ -102,6 +106,7 @@
                     self._end_wait(ticket, False)
                 if not queue.busy:
                     del self._queues[run]
+                    self._no_reuse_until_s.pop(run, None)
 
     async def run(self, call: Call, upstream: Upstream) -> Attempt:
         """Have one upstream answer a request; cancelling closes the connection."""
@@ -190,7 +195,7 @@
             whole_body(call.body) if call.body or call.method in ("POST", "PUT") else None,
             self._patience_s(call, queue, left_s),
             # An answer to the first send that comes late on its connection has the same id.
-            fresh=call.repeated,
+            fresh=call.repeated or self._avoids_reuse(upstream),
             max_idle_s=rules.safe_idle_s if call.idempotent else rules.unsafe_idle_s,
         )
         result = await fetch(
@@ -199,8 +204,28 @@
             lambda: self._may_send(call, upstream),
             lambda _, headers: find(headers, names.request_id) == call.request_id,
         )
+        if result.reused and result.sent and not (result.status or result.timed_out):
+            self._on_kept_connection_lost(upstream)
         return self._judge(call, upstream, result)
 
+    def _avoids_reuse(self, upstream: Upstream) -> bool:
+        until_s = self._no_reuse_until_s.get(upstream.run, 0.0)
+        return self._clock.monotonic_s() < until_s
+
+    def _on_kept_connection_lost(self, upstream: Upstream) -> None:
+        """Note that an upstream broke a kept connection before it answered."""
+        if not self._avoids_reuse(upstream):
+            _LOG.info(
+                "connections_not_kept",
+                extra={
+                    "upstream": upstream.run.upstream_id,
+                    "born": upstream.run.born,
+                    "for_s": self._rules.no_reuse_s,
+                },
+            )
+        now_s = self._clock.monotonic_s()
+        self._no_reuse_until_s[upstream.run] = now_s + self._rules.no_reuse_s
+
     def _patience_s(self, call: Call, queue: SlotQueue, left_s: float) -> float:
         if not call.expendable:
             return left_s
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -117,6 +117,27 @@
     run_with(close_on_reuse, work)
 
 
+def test_upstream_that_forgets_idle_connections_loses_one_request_only():
+    """Load pattern: an upstream drops each idle connection without notice."""
+    used = set()
+
+    async def close_on_reuse(seen, writer):
+        if seen.connection in used:
+            return False
+        used.add(seen.connection)
+        writer.write(reply(seen))
+
+    async def work(running, upstream, store):
+        statuses = []
+        for number in range(5):
+            got = await request(running.port, "/write/", "POST", body=b"1", request_id=str(number))
+            statuses.append(got.status)
+        assert statuses == [200, 504, 200, 200, 200]
+        assert len(upstream.seen) == 5
+
+    run_with(close_on_reuse, work)
+
+
 def test_late_second_answer_does_not_reach_another_caller():
     """Guards against bytes that lie on a kept connection before the next request."""
 
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -219,8 +219,8 @@
 
 
 class _ReusesFences(RangeGranter):
-    def _moved(self, now_s, each, move, fence):
-        return super()._moved(now_s, each, move, each.fence)
+    def _moved(self, each, move, fence):
+        return super()._moved(each, move, each.fence)
 
 
 @pytest.mark.parametrize(
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -78,13 +78,15 @@
 class TransferResult:
     """How a transfer ended; `error` is a curl code, 0 for a complete answer.
 
-    `refused` tells that no process listens on the port.
+    `refused` tells that no process listens on the port, `reused` that the connection had carried
+    another request before.
     """
 
     error: int
     sent: bool
     message: str = ""
     refused: bool = False
+    reused: bool = False
 
     @property
     def timed_out(self) -> bool:
@@ -189,13 +191,16 @@
             curl_error == pycurl.E_COULDNT_CONNECT
             and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
         )
+        reused = sent and curl.getinfo(pycurl.NUM_CONNECTS) == 0
         transfer.clear()
         if curl_error:
             curl.close()
         else:
             self._idle.append(transfer)
         if not done.done():
-            done.set_result(TransferResult(curl_error or 0, sent, curl_message or "", refused))
+            done.set_result(
+                TransferResult(curl_error or 0, sent, curl_message or "", refused, reused)
+            )
 
 
 class _Transfer:
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -19,8 +19,9 @@
 class Fetched:
     """A complete answer, or how the exchange failed; `error` is a curl code, 0 if complete.
 
-    `sent` tells that the request was handed to a connection, `refused` that no process listens on
-    the port, `rejected` that the head was not accepted.
+    `sent` tells that the request was handed to a connection, `reused` that another had used the
+    connection before, `refused` that no process listens on the port, `rejected` that the head was
+    not accepted.
     """
 
     error: int
@@ -28,6 +29,7 @@
     timed_out: bool = False
     refused: bool = False
     rejected: bool = False
+    reused: bool = False
     message: str = ""
     status: int = 0
     headers: HeaderList = attrs.field(factory=list)
@@ -104,6 +106,7 @@
             result.timed_out,
             result.refused,
             answer.rejected,
+            result.reused,
             result.message,
             answer.status,
             answer.headers,
