Add a fault soak of entry VM processes against stand-ins of the platform

Real processes on loopback, with stand-ins of the store and of upstreams that check fences and holds; a proxy on each VM's way to the store delays, resets, silences or cuts it one way; VMs are killed, paused, stopped and reloaded by signals; the store goes away, falls silent, loses answers and history; upstreams fall silent, restart, drain and lose answers. The audit checks promises from what callers and upstreams see. One seed gives one schedule; a short seeded run is part of the tests, whose other cases show that each check can fail.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 STEPS ?= 2000
 SEED ?= 1
+SEEDS ?= 1-50
 
-.PHONY: demo test check fuzz clean
+.PHONY: demo test check fuzz soak clean
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,5 +26,8 @@
 fuzz: $(VENV)/.installed
 	FIREFLYFERRY_FUZZ_STEPS=$(STEPS) $(BIN)/python -m pytest --hypothesis-seed=$(SEED) -k "machine or Machine"
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m fireflyferry.platform.soak --seeds $(SEEDS)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/fireflyferry/platform/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised fault soak: real entry VM processes against stand-ins of the platform."""
--- /dev/null
+++ b/fireflyferry/platform/soak/links.py
@@ -0,0 +1,77 @@
+"""Loopback proxy between one process and one server, which can delay, reset or silence it."""
+
+import asyncio
+import contextlib
+from enum import Enum, auto
+
+from fireflyferry.tasks import TaskGroup
+
+__all__ = ["Link", "LinkMode"]
+
+DELAY_S = 0.3
+CHUNK_BYTES = 65_536
+CHECK_S = 0.02
+
+
+class LinkMode(Enum):
+    """What happens to the bytes of a link."""
+
+    PASS = auto()
+    DELAY = auto()
+    SILENT = auto()  # nothing passes; connections stay open
+    NO_ANSWERS = auto()  # only bytes towards the server pass
+
+
+class Link:
+    """A port that passes connections on to a server."""
+
+    def __init__(self, port: int):
+        self._port = port
+        self._tasks = TaskGroup()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.mode = LinkMode.PASS
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback address."""
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening and end all connections."""
+        self._server.close()
+        self._tasks.cancel()
+
+    def reset(self) -> None:
+        """Reset all connections that are open now."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        self._tasks.start(self._pump(reader, far_writer, towards_server=True))
+        self._tasks.start(self._pump(far_reader, writer, towards_server=False))
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, towards_server: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                await self._hold(towards_server)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+        self._writers.discard(writer)
+
+    async def _hold(self, towards_server: bool) -> None:
+        if self.mode is LinkMode.DELAY:
+            await asyncio.sleep(DELAY_S)
+        while self.mode is LinkMode.SILENT or (
+            self.mode is LinkMode.NO_ANSWERS and not towards_server
+        ):
+            await asyncio.sleep(CHECK_S)
--- /dev/null
+++ b/fireflyferry/platform/soak/run.py
@@ -0,0 +1,360 @@
+"""One run of the soak: a fleet on loopback, callers, faults by schedule, and the audit."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import attrs
+import tornado.httpserver
+import tornado.netutil
+
+from fireflyferry.platform import names
+from fireflyferry.platform.soak.audit import Audit
+from fireflyferry.platform.soak.links import Link, LinkMode
+from fireflyferry.platform.soak.schedule import Fault, FaultKind, make_schedule
+from fireflyferry.platform.soak.store import StoreStandin
+from fireflyferry.platform.soak.upstreams import UpstreamStandin
+from fireflyferry.platform.soak.vms import VmProcess
+from fireflyferry.tasks import TaskGroup
+from fireflyferry.transport import CurlTransport, Exchange, fetch
+from fireflyferry.transport.fetch import whole_body
+
+__all__ = ["Soak", "SoakPlan", "SoakResult"]
+
+KEYED, PLAIN = "keyed-pool", "plain-pool"
+HOST = "soak.example"
+DATA_CENTRES = ("dc-1", "dc-2")
+DEADLINE_S = 2.0
+RESTART_S = 0.3
+BEAT_S = 0.5
+# Generous, since a verdict must not depend on how busy the machine is.
+START_S, RECOVERY_S = 60.0, 60.0
+
+
+@attrs.frozen
+class SoakPlan:
+    """Size and length of a run; data centres of four VMs have a relay."""
+
+    seed: int
+    length_s: float = 12.0
+    vms: int = 8
+    upstreams: int = 4
+    callers: int = 8
+
+
+@attrs.frozen
+class SoakResult:
+    """What a run showed."""
+
+    seed: int
+    faults: dict[str, int]
+    statuses: dict[int, int]
+    findings: list
+
+
+class Soak:
+    """Runs one plan; only processes that it started are ended."""
+
+    def __init__(self, plan: SoakPlan, folder: pathlib.Path):
+        self._plan = plan
+        self._folder = folder
+        self._rng = random.Random(plan.seed)
+        self._audit = Audit()
+        self._store = StoreStandin(random.Random(plan.seed))
+        self._tasks = TaskGroup()
+        self._vms: list[VmProcess] = []
+        self._upstreams: list[UpstreamStandin] = []
+        self._version = 0
+        self._seen_version: dict[tuple[str, int], int] = {}
+        self._numbers = iter(range(1 << 30))
+        self._faults: dict[str, int] = {}
+
+    async def run(self) -> SoakResult:
+        """Play the plan and return what was found."""
+        self._transport = CurlTransport(force_instance=True, connect_timeout_s=1.0)
+        try:
+            await self._start()
+            await self._until(self._all_ready, START_S, "all VMs start")
+            self._callers = [
+                self._tasks.start(self._call_often(n)) for n in range(self._plan.callers)
+            ]
+            await self._play(make_schedule(self._plan.seed, self._plan.length_s))
+            await self._heal()
+            await self._until(self._all_served, RECOVERY_S, "everything is served after faults")
+            self._audit.finish()
+        finally:
+            for vm in self._vms:
+                vm.end()
+            self._tasks.cancel()
+            self._transport.close()
+        return SoakResult(self._plan.seed, self._faults, self._audit.statuses, self._audit.findings)
+
+    # Fleet
+
+    async def _start(self) -> None:
+        store_sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        self._store_server = tornado.httpserver.HTTPServer(self._store.application())
+        self._store_server.add_sockets(store_sockets)
+        store_port = store_sockets[0].getsockname()[1]
+        self._change_config()
+        for _ in range(self._plan.upstreams):
+            await self._add_upstream(KEYED)
+            await self._add_upstream(PLAIN)
+        regions = ",".join(f"{name}:r-1" for name in DATA_CENTRES)
+        for number in range(self._plan.vms):
+            link = Link(store_port)
+            await link.start()
+            place = DATA_CENTRES[number % len(DATA_CENTRES)]
+            vm = VmProcess(f"vm-{number}", place, link, self._folder, 1.0 + number % 3)
+            vm.write_settings(regions)
+            vm.start()
+            self._vms.append(vm)
+        self._tasks.start(self._beat())
+        self._tasks.start(self._restart_ended())
+
+    async def _add_upstream(self, pool: str) -> None:
+        sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        number = len(self._upstreams)
+        place = DATA_CENTRES[number // 2 % len(DATA_CENTRES)]
+        upstream = UpstreamStandin(
+            number,
+            pool,
+            place,
+            pool == KEYED,
+            self._store,
+            self._audit,
+            self._rng,
+            lambda: self._upstreams,
+        )
+        upstream.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        self._upstreams.append(upstream)
+        upstream.start(sockets)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            for upstream in self._upstreams:
+                if upstream.up and not upstream.silent:
+                    upstream.register()
+
+    async def _restart_ended(self) -> None:
+        while True:
+            await asyncio.sleep(RESTART_S)
+            for vm in self._vms:
+                if not vm.running:
+                    vm.start()
+
+    def _change_config(self) -> None:
+        """Write a version that adds a route named by its number."""
+        self._version += 1
+        routes = [
+            _route("keyed", "safe", KEYED),
+            _route("write", "unsafe", PLAIN),
+            *(_route(f"v{number}", "safe", PLAIN) for number in range(1, self._version + 1)),
+        ]
+        services = [
+            _resource("services", name, {"sharded": name == KEYED}) for name in (KEYED, PLAIN)
+        ]
+        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutS": 15}
+        resources = [*routes, *services, _resource("limits", "limits", limits)]
+        spec = {"version": f"{self._version:08x}", "resources": resources}
+        self._store.write(names.CONFIG_KIND, names.CONFIG_NAME, spec)
+
+    # Callers
+
+    async def _call_often(self, number: int) -> None:
+        rng = random.Random(f"{self._plan.seed}/{number}")
+        while True:
+            vm = rng.choice(self._vms)
+            if rng.random() < 0.5:
+                await self._call(vm, "GET", f"/keyed/{number}", key=rng.randrange(65536))
+            elif rng.random() < 0.7:
+                await self._call(vm, "POST", f"/write/{number}", idempotent=False)
+            else:
+                await self._call_version(vm, rng.randint(1, self._version))
+            await asyncio.sleep(rng.uniform(0.0, 0.05))
+
+    async def _call_version(self, vm: VmProcess, version: int) -> int:
+        """Ask for a version's route; a VM that knew it must not forget it."""
+        life = (vm.vm_id, vm.starts)
+        seen = self._seen_version.get(life, 0)
+        status = await self._call(vm, "GET", f"/v{version}/")
+        if status == 404 and version <= seen and life == (vm.vm_id, vm.starts):
+            self._audit.report("a configuration never reverts", f"{vm.vm_id} lost v{version}")
+        elif status == 200:
+            self._seen_version[life] = max(self._seen_version.get(life, 0), version)
+        return status
+
+    async def _call(
+        self, vm: VmProcess, method: str, path: str, key: int | None = None, idempotent: bool = True
+    ) -> int:
+        request_id = f"{self._plan.seed:x}-{next(self._numbers):x}"
+        headers = [
+            ("Host", HOST),
+            (names.HEADERS.request_id, request_id),
+            (names.HEADERS.deadline_ms, str(int(DEADLINE_S * 1000))),
+        ]
+        if key is not None:
+            headers.append((names.HEADERS.key, str(key)))
+        body = whole_body(b"x") if method == "POST" else None
+        life, calm = vm.starts, not vm.disturbed and not vm.stopping
+        self._audit.sent(request_id, idempotent)
+        exchange = Exchange(f"127.0.0.1:{vm.callers}", method, path, headers, body, 2 * DEADLINE_S)
+        got = await fetch(self._transport, exchange)
+        if got.complete:
+            signed = got.header(names.HEADERS.signature) is not None
+            self._audit.answered(request_id, got.status, got.body, signed)
+            return got.status
+        self._audit.unanswered(request_id)
+        cut = got.sent and not got.timed_out and not got.reused
+        if cut and calm and vm.stopping and not vm.disturbed and life == vm.starts:
+            detail = f"{request_id} at {vm.vm_id}: {got.message}"
+            self._audit.report("a graceful shutdown cuts no request", detail)
+        return 0
+
+    # Faults
+
+    async def _play(self, schedule: list[Fault]) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        for fault in schedule:
+            await asyncio.sleep(max(0.0, began_s + fault.at_s - loop.time()))
+            self._faults[fault.kind] = self._faults.get(fault.kind, 0) + 1
+            self._tasks.start(self._strike(fault))
+        await asyncio.sleep(max(0.0, began_s + self._plan.length_s - loop.time()))
+
+    async def _strike(self, fault: Fault) -> None:
+        vm = self._vms[fault.target % len(self._vms)]
+        if fault.kind.startswith("vm_"):
+            await self._strike_vm(fault, vm)
+        elif fault.kind.startswith("link_"):
+            await self._strike_link(fault, vm)
+        elif fault.kind.startswith("store_"):
+            await self._strike_store(fault)
+        elif fault.kind.startswith("upstream_"):
+            await self._strike_upstream(fault)
+        else:
+            self._change_config()
+
+    async def _strike_vm(self, fault: Fault, vm: VmProcess) -> None:
+        if fault.kind is FaultKind.VM_STOP:
+            vm.stopping = True
+            vm.send(signal.SIGTERM)
+        elif fault.kind is FaultKind.VM_RELOAD:
+            vm.send(signal.SIGHUP)
+        else:
+            vm.disturbed = True
+            if fault.kind is FaultKind.VM_KILL:
+                vm.send(signal.SIGKILL)
+                return
+            vm.send(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            vm.send(signal.SIGCONT)
+
+    async def _strike_link(self, fault: Fault, vm: VmProcess) -> None:
+        if fault.kind is FaultKind.LINK_RESET:
+            vm.link.reset()
+            return
+        vm.link.mode = {
+            FaultKind.LINK_DELAY: LinkMode.DELAY,
+            FaultKind.LINK_SILENT: LinkMode.SILENT,
+            FaultKind.LINK_NO_ANSWERS: LinkMode.NO_ANSWERS,
+        }[fault.kind]
+        await asyncio.sleep(fault.for_s)
+        vm.link.mode = LinkMode.PASS
+
+    async def _strike_store(self, fault: Fault) -> None:
+        store = self._store
+        if fault.kind is FaultKind.STORE_FORGETS:
+            store.forget_history()
+            return
+        name = {
+            FaultKind.STORE_AWAY: "away",
+            FaultKind.STORE_SILENT: "silent",
+            FaultKind.STORE_LOSES_ANSWERS: "loses_answers",
+        }[fault.kind]
+        setattr(store, name, True)
+        await asyncio.sleep(fault.for_s)
+        setattr(store, name, False)
+
+    async def _strike_upstream(self, fault: Fault) -> None:
+        living = [each for each in self._upstreams if each.up and not each.draining]
+        upstream = living[fault.target % len(living)]
+        if fault.kind is FaultKind.UPSTREAM_RESTART:
+            upstream.restart()
+        elif fault.kind is FaultKind.UPSTREAM_SILENT:
+            upstream.silent = True
+            await asyncio.sleep(fault.for_s)
+            upstream.thaw()
+        elif fault.kind is FaultKind.UPSTREAM_LOSES_ANSWERS:
+            upstream.loses_answers = True
+            await asyncio.sleep(fault.for_s)
+            upstream.loses_answers = False
+        else:
+            await self._add_upstream(upstream.pool)
+            upstream.draining = True
+            upstream.register()
+            await asyncio.sleep(2.0 + fault.for_s)
+            upstream.leave()
+
+    # End
+
+    async def _heal(self) -> None:
+        """End all faults; those that end by themselves later do no harm."""
+        for vm in self._vms:
+            vm.link.mode = LinkMode.PASS
+            vm.send(signal.SIGCONT)
+        self._store.away = self._store.silent = self._store.loses_answers = False
+        for upstream in self._upstreams:
+            upstream.thaw()
+            upstream.loses_answers = False
+
+    async def _all_ready(self) -> bool:
+        checks = [
+            fetch(
+                self._transport,
+                Exchange(f"127.0.0.1:{vm.readiness}", "GET", "/ready", [], None, 1.0, fresh=True),
+            )
+            for vm in self._vms
+        ]
+        return all(got.status == 200 for got in await asyncio.gather(*checks))
+
+    async def _all_served(self) -> bool:
+        """Tell whether every VM serves keys, writes and the newest route."""
+        calls: list[Awaitable[int]] = []
+        for vm in self._vms:
+            calls += [self._call(vm, "GET", "/keyed/end", key=key) for key in (0, 30_000, 65_535)]
+            calls.append(self._call(vm, "POST", "/write/end", idempotent=False))
+            calls.append(self._call_version(vm, self._version))
+        return all(status == 200 for status in await asyncio.gather(*calls))
+
+    async def _until(
+        self, happened: Callable[[], Awaitable[bool]], timeout_s: float, promise: str
+    ) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not await happened():
+                    await asyncio.sleep(0.1)
+                return
+        self._audit.report(promise, f"not within {timeout_s} s")
+
+
+def _resource(kind: str, name: str, spec: dict) -> dict:
+    return {"resourceKind": kind, "metadata": {"name": name}, "spec": spec}
+
+
+def _route(name: str, kind: str, pool: str) -> dict:
+    spec = {
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutS": DEADLINE_S,
+        "targetLatencyS": 0.5,
+        "priority": 1,
+        "maxAttempts": 2,
+        "service": pool,
+    }
+    return _resource("routes", name, spec)
--- /dev/null
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -0,0 +1,112 @@
+"""Guards against a soak that cannot fail, and against broken promises under a short run."""
+
+import asyncio
+import random
+
+import pytest
+
+from fireflyferry.platform.soak.audit import Audit
+from fireflyferry.platform.soak.run import Soak, SoakPlan
+from fireflyferry.platform.soak.schedule import FaultKind, make_schedule
+from fireflyferry.platform.soak.store import StoreStandin
+from fireflyferry.platform.soak.upstreams import UpstreamStandin
+
+# Seeds that once broke a promise, each with a line on the cause.
+KEPT_SEEDS: tuple[int, ...] = ()
+
+
+def test_one_seed_gives_one_schedule():
+    assert make_schedule(7, 30.0) == make_schedule(7, 30.0) != make_schedule(8, 30.0)
+
+
+def test_all_kinds_of_faults_are_drawn():
+    drawn = {fault.kind for seed in range(20) for fault in make_schedule(seed, 12.0)}
+    assert drawn == set(FaultKind)
+
+
+def found(audit):
+    audit.finish()
+    return {each.promise for each in audit.findings}
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_second_run_is_reported_for_non_idempotent_requests(idempotent):
+    audit = Audit()
+    audit.sent("a", idempotent)
+    audit.ran("a", "i-1")
+    audit.ran("a", "i-2")
+    assert bool(found(audit)) is not idempotent
+
+
+def test_refusal_of_a_request_that_ran_is_reported():
+    audit = Audit()
+    audit.sent("a", False)
+    audit.ran("a", "i-1")
+    audit.answered("a", 503, b"", False)
+    assert found(audit) == {"a refusal says that nothing ran"}
+
+
+def test_crossed_or_invented_answers_are_reported():
+    audit = Audit()
+    audit.sent("a", True)
+    audit.answered("a", 200, b"b i-1", True)
+    audit.ran("smuggled", "i-1")
+    assert found(audit) == {
+        "whole answer to its own request",
+        "an answer has been run",
+        "only requests of callers run",
+    }
+
+
+def grant(fence, first=0, last=9):
+    return {"from": first, "target": last, "fence": fence, "holdS": 5.0}
+
+
+def run_upstreams(work):
+    async def main():
+        store, audit, upstreams = StoreStandin(random.Random(1)), Audit(), []
+        for number in range(2):
+            upstreams.append(
+                UpstreamStandin(
+                    number, "p", "dc", True, store, audit, random.Random(1), lambda: upstreams
+                )
+            )
+        await work(*upstreams)
+        return {each.promise for each in audit.findings}
+
+    return asyncio.run(main())
+
+
+def test_two_holders_of_a_key_are_reported():
+    async def work(first, second):
+        assert first.apply_grant(grant(1), 1e9)
+        assert second.apply_grant(grant(2), 1e9)
+        second.check_sole(5, "at a request")
+
+    assert run_upstreams(work) == {"a key has one owner"}
+
+
+def test_fence_that_is_not_higher_is_reported_or_refused():
+    async def work(first, second):
+        assert first.apply_grant(grant(2), 1e9)
+        first.apply_release(grant(3))
+        assert not first.apply_grant(grant(2), 1e9)
+        assert second.apply_grant(grant(2), 1e9)
+
+    assert run_upstreams(work) == {"a fence is above all earlier ones"}
+
+
+def test_released_part_is_not_held():
+    async def work(first, _):
+        assert first.apply_grant(grant(1), 1e9)
+        first.apply_release(grant(2, 3, 5))
+        assert [first.holding(key) for key in (2, 3, 5, 6)] == [True, False, False, True]
+
+    assert run_upstreams(work) == set()
+
+
+@pytest.mark.parametrize("seed", [1, *KEPT_SEEDS])
+def test_short_seeded_run_keeps_every_promise(seed, tmp_path):
+    result = asyncio.run(Soak(SoakPlan(seed, length_s=4.0), tmp_path).run())
+    assert result.findings == []
+    assert result.statuses[200] > 0
