--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -364,3 +364,19 @@
     except asyncio.IncompleteReadError as error:
         return Reply(int(lines[0].split()[1]), headers, error.partial, False)
     return Reply(int(lines[0].split()[1]), headers, body, True)
+
+
+def run_with(script, work, pool="plain", config=None, **changes):
+    """Run `work(gateway, upstream, store)` with one scripted upstream."""
+
+    async def run():
+        store = FakeStore()
+        async with ScriptedUpstream(script) as upstream:
+            await store.put("configs", "main", unstructure(config or make_config()))
+            await store.put(
+                "upstreams", "u1", upstream_content("u1", upstream.port, pool, **changes)
+            )
+            async with gateway(store) as running:
+                await work(running, upstream, store)
+
+    asyncio.run(run())
--- /dev/null
+++ b/fireflyferry/gateway/tests/test_connections.py
@@ -0,0 +1,116 @@
+"""Kept connections to upstreams: second sends, late answers, dropped connections."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from fireflyferry.gateway.tests.support import NAMES, reply, request, run_with
+from fireflyferry.transport import curl as transport
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_reused_connection_that_closes_does_not_run_a_request_twice(guarded, monkeypatch):
+    """Guards against curl's own resend on connections that non-idempotent requests share."""
+    if not guarded:
+        monkeypatch.setattr(
+            transport._Transfer, "_before_send", lambda *_: transport.pycurl.PREREQFUNC_OK
+        )
+    answered = set()
+
+    async def close_on_reuse(seen, writer):
+        if seen.connection in answered:
+            return False
+        answered.add(seen.connection)
+        writer.write(reply(seen))
+
+    async def work(running, upstream, store):
+        # Without a body, since curl cannot send a body again that a callback gave it.
+        first = await request(running.port, "/write/", "DELETE", request_id="a")
+        second = await request(running.port, "/write/", "DELETE", request_id="b")
+        assert first.status == 200
+        assert upstream.seen[1].connection == upstream.seen[0].connection, "not reused"
+        runs = [seen.request_id for seen in upstream.seen].count("b")
+        assert runs == (1 if guarded else 2)
+        assert second.status == (504 if guarded else 200)
+
+    run_with(close_on_reuse, work)
+
+
+def test_upstream_that_forgets_idle_connections_loses_one_request_only():
+    """Load pattern: an upstream drops each idle connection without notice."""
+    used = set()
+
+    async def close_on_reuse(seen, writer):
+        if seen.connection in used:
+            return False
+        used.add(seen.connection)
+        writer.write(reply(seen))
+
+    async def work(running, upstream, store):
+        statuses = []
+        for number in range(5):
+            got = await request(running.port, "/write/", "POST", body=b"1", request_id=str(number))
+            statuses.append(got.status)
+        assert statuses == [200, 504, 200, 200, 200]
+        assert len(upstream.seen) == 5
+
+    run_with(close_on_reuse, work)
+
+
+def test_late_second_answer_does_not_reach_another_caller():
+    """Guards against bytes that lie on a kept connection before the next request."""
+
+    async def twice(seen, writer):
+        writer.write(reply(seen, f"for {seen.request_id}".encode()))
+        await writer.drain()
+        if len(seen.request_id) == 1:
+            await asyncio.sleep(0.05)
+            writer.write(reply(seen, b"again"))
+
+    async def work(running, upstream, store):
+        for request_id in ("a", "b", "c"):
+            got = await request(running.port, "/read/", request_id=request_id)
+            # Lost, if the late bytes were only seen after the request was sent.
+            assert got.body in (f"for {request_id}".encode(), b"wrong_answer\n")
+            await asyncio.sleep(0.1)
+
+    run_with(twice, work)
+
+
+def test_answer_to_another_request_is_not_delivered():
+    async def crossed(seen, writer):
+        writer.write(reply(attrs.evolve(seen, headers={NAMES.request_id.lower(): "other"})))
+
+    async def work(running, upstream, store):
+        got = await request(running.port, "/write/", "POST", body=b"1")
+        assert got.status == 504 and b"wrong_answer" in got.body
+
+    run_with(crossed, work)
+
+
+def test_repeat_does_not_use_the_connection_of_the_first_send():
+    """Guards against a late answer to the first send, which has the id of the repeat as well.
+
+    Found on caatinga-gw, scale-1 --seed 334957912817: a caller got a wrong body.
+    """
+
+    async def other_answer_first(seen, writer):
+        other = attrs.evolve(seen, headers={NAMES.request_id.lower(): "other"})
+        if seen.connection == 1:
+            writer.write(reply(other, b"stale"))
+            writer.write(reply(seen, b"late answer to the first send"))
+        else:
+            writer.write(reply(seen, b"right"))
+
+    async def work(running, upstream, store):
+        owners = running.program._state.owners
+        await running.until(
+            lambda: (table := owners.get("keyed")) is not None
+            and all(each.serving for each in table.ranges)
+        )
+        got = await request(running.port, "/keyed/", headers={NAMES.key: "7"})
+        assert (got.status, got.body) == (200, b"right")
+        assert [seen.connection for seen in upstream.seen] == [1, 2]
+
+    run_with(other_answer_first, work, pool="keyed")
