Let one last hop choose among a pool's upstreams in a large data centre

Change: in data centres of four VMs or more all upstreams of a pool without keys have one last hop, one of the most capable VMs, which knows all of their queues and chooses; first hops choose between data centres. Keyed requests go to the owner as before, small data centres are unchanged.

Ruled out: passing counts between VMs, whose messages grow with the square of the VMs.

--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -12,9 +12,10 @@
     Ticket,
     Waiting,
 )
-from fireflyferry.balancing.vms import EntryVm, VmDirectory
+from fireflyferry.balancing.vms import LARGE_DATA_CENTRE_VMS, EntryVm, VmDirectory
 
 __all__ = [
+    "LARGE_DATA_CENTRE_VMS",
     "Admitted",
     "Choice",
     "EntryVm",
--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -5,7 +5,11 @@
 import attrs
 import xxhash
 
-__all__ = ["EntryVm", "VmDirectory"]
+__all__ = ["LARGE_DATA_CENTRE_VMS", "EntryVm", "VmDirectory"]
+
+# From this number of VMs on, a VM learns from a relay and shares last hops by pool: a relay's own
+# calls to the store, which prove that it reaches it, are those of about three VMs.
+LARGE_DATA_CENTRE_VMS = 4
 
 
 @attrs.frozen
@@ -34,7 +38,7 @@
         self._regions = dict(regions)
         self._vms: dict[str, EntryVm] = {me.vm_id: me}
         self._suspected: dict[str, str] = {}
-        self._chosen: dict[tuple[str, str], tuple[EntryVm, ...]] = {}
+        self._chosen: dict[tuple[str, str, bool], tuple[EntryVm, ...]] = {}
 
     @property
     def me(self) -> EntryVm:
@@ -82,18 +86,29 @@
         """VMs that are passed over."""
         return [self._vms[vm_id] for vm_id in self._suspected if vm_id in self._vms]
 
-    def last_hop(self, upstream_id: str, data_centre: str) -> EntryVm:
-        """Return the VM that counts the slots of an upstream, this one if no other answers."""
-        key = (upstream_id, data_centre)
+    def staying(self, data_centre: str) -> list[EntryVm]:
+        """Return the VMs of a data centre that do not shut down."""
+        return [vm for vm in self if vm.data_centre == data_centre and not vm.leaving]
+
+    def is_large(self, data_centre: str) -> bool:
+        """Tell whether a data centre has so many VMs that each sees little of its load."""
+        return len(self.staying(data_centre)) >= LARGE_DATA_CENTRE_VMS
+
+    def last_hop(self, name: str, data_centre: str, by_capacity: bool = False) -> EntryVm:
+        """Return the VM that counts the slots of what has a name, this one if no other answers.
+
+        With `by_capacity`, one of the most capable VMs of the data centre is chosen.
+        """
+        key = (name, data_centre, by_capacity)
         order = self._chosen.get(key)
         if order is None:
-            order = self._chosen[key] = self._order(upstream_id, data_centre)
+            order = self._chosen[key] = self._order(*key)
         for vm in order:
             if vm.vm_id not in self._suspected:
                 return vm
         return self._me
 
-    def _order(self, upstream_id: str, data_centre: str) -> tuple[EntryVm, ...]:
+    def _order(self, name: str, data_centre: str, by_capacity: bool) -> tuple[EntryVm, ...]:
         region = self.region(data_centre)
         near = [
             vm
@@ -105,7 +120,8 @@
                 near,
                 key=lambda vm: (
                     vm.data_centre != data_centre,
-                    xxhash.xxh3_64_intdigest(f"{vm.vm_id}/{upstream_id}".encode()),
+                    -vm.capacity if by_capacity else 0.0,
+                    xxhash.xxh3_64_intdigest(f"{vm.vm_id}/{name}".encode()),
                 ),
             )
         )
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -14,7 +14,7 @@
 
     `started_s` is when the caller first asked, `returned` that it was refused before, `repeated`
     that an upstream may have received the request already, `expendable` that the attempt may be
-    given up early, since another one can follow.
+    given up early, since another one can follow. `tried` are upstreams that are not asked again.
     """
 
     request_id: str
@@ -33,6 +33,7 @@
     returned: bool = False
     repeated: bool = False
     expendable: bool = False
+    tried: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -48,7 +49,8 @@
 class Attempt:
     """Result of one attempt; `reached` tells that an upstream may have received the request.
 
-    `wait_s` and `service_s` are the upstream's forecast for the next request, if known.
+    `wait_s` and `service_s` are the forecast for the next request, if known; `upstream_id` names
+    the upstream that the last hop chose.
     """
 
     outcome: Outcome
@@ -58,6 +60,7 @@
     retry_after_s: float = 0.0
     wait_s: float | None = None
     service_s: float = 0.0
+    upstream_id: str = ""
 
 
 def not_run(reason: Reason, retry_after_s: float = 0.0, reached: bool = False) -> Attempt:
--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -29,15 +29,13 @@
     A relay answers a question after `hold_s` at the latest, or when its own knowledge becomes
     older than `most_age_s`, above which no VM relies on it: a change must be in force everywhere
     2 s after the store confirmed it. A relay that failed is not asked again for `avoid_s`.
-    Following pays from `least_vms` in a data centre, since a relay's own calls grow with the
-    calls that prove that it reaches the store. `relays` VMs of a data centre are tried in order.
+    `relays` VMs of a data centre are tried in order.
     """
 
     hold_s: float = 0.7
     most_age_s: float = 1.3
     avoid_s: float = 2.0
     direct_s: float = 0.5
-    least_vms: int = 4
     relays: int = 3
 
 
@@ -68,10 +66,9 @@
 
     VMs that shut down are left out.
     """
-    staying = [vm for vm in vms if vm.data_centre == data_centre and not vm.leaving]
-    if len(staying) < rules.least_vms:
+    if not vms.is_large(data_centre):
         return []
-    return sorted(staying, key=lambda vm: (-vm.capacity, vm.vm_id))[: rules.relays]
+    return sorted(vms.staying(data_centre), key=lambda vm: (-vm.capacity, vm.vm_id))[: rules.relays]
 
 
 class Feed:
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -38,6 +38,8 @@
     }
 )
 
+_NO_ROOM = frozenset({Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT})
+
 
 @attrs.frozen
 class FirstHopRules:
@@ -69,9 +71,13 @@
 
 @attrs.define
 class _Search:
-    """Progress of one request; `ran` is an earlier attempt that ran or may have run."""
+    """Progress of one request; `ran` is an earlier attempt that ran or may have run.
+
+    `full` are data centres whose one last hop for the pool had no room.
+    """
 
     tried: set[str] = attrs.field(factory=set)
+    full: set[str] = attrs.field(factory=set)
     hops: int = 0
     reached: int = 0
     last: Attempt | None = None
@@ -124,6 +130,7 @@
             search.hops += 1
             call.repeated = search.reached > 0
             call.expendable = self._is_expendable(call, search)
+            call.tried = frozenset(search.tried)
             attempt = await self._attempt(call, target)
             search.last = attempt
             search.reached += attempt.reached
@@ -165,11 +172,14 @@
 
     def _learn(self, call: Call, target: _Target, attempt: Attempt) -> None:
         now_s = self._clock.monotonic_s()
-        upstream_id = target.upstream.run.upstream_id
+        upstream_id = attempt.upstream_id or target.upstream.run.upstream_id
         if attempt.wait_s is not None:
-            self._board.on_forecast(now_s, upstream_id, attempt.wait_s, attempt.service_s)
+            told = target.upstream.run.upstream_id
+            self._board.on_forecast(now_s, told, attempt.wait_s, attempt.service_s)
         avoided_s = 0.0
-        if attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
+        if self._state.shares_last_hop(target.upstream):
+            pass  # the last hop chooses, and learns which upstreams fail
+        elif attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
             self._board.on_answer(upstream_id, attempt.answer.status >= 500)
         elif attempt.reason in (Reason.CONNECT_FAILED, Reason.UPSTREAM_SHED) or (
             attempt.outcome is Outcome.UNKNOWN
@@ -203,10 +213,7 @@
             return False
         if attempt.outcome is Outcome.NOT_RUN:
             repeat = attempt.reason in _REPEATABLE
-            if call.key is not None and attempt.reason in (
-                Reason.QUEUE_FULL,
-                Reason.DEADLINE_TOO_SHORT,
-            ):
+            if call.key is not None and attempt.reason in _NO_ROOM:
                 return False  # no other upstream may run it
             # An owner that sheds while its slots are free may take the same request again.
         elif attempt.outcome is Outcome.UNKNOWN:
@@ -214,8 +221,10 @@
         else:
             failed = attempt.answer is not None and attempt.answer.status >= 500
             repeat = failed and call.idempotent
-        if repeat:
-            search.tried.add(target.upstream.run.upstream_id)
+        if repeat and attempt.reason in _NO_ROOM and self._state.shares_last_hop(target.upstream):
+            search.full.add(target.upstream.data_centre)
+        elif repeat:
+            search.tried.add(attempt.upstream_id or target.upstream.run.upstream_id)
         return repeat
 
     def _may_repeat(self, call: Call) -> bool:
@@ -260,7 +269,7 @@
         now_s = self._clock.monotonic_s()
         choice = self._board.choose(
             now_s,
-            state.upstreams.ready(now_s, call.pool),
+            self._alternatives(now_s, call.pool, search),
             self._distance,
             call.objective_s - call.started_s,
             self._exact_wait,
@@ -269,8 +278,21 @@
         if choice is None:
             return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_s)
         upstream = choice.upstream
-        vm = state.vms.last_hop(upstream.run.upstream_id, upstream.data_centre)
-        return _Target(upstream, vm, choice.age_s)
+        return _Target(upstream, state.last_hop(upstream), choice.age_s)
+
+    def _alternatives(self, now_s: float, pool: str, search: _Search) -> Iterable[Upstream]:
+        """Return the upstreams to choose from, one for all that share a last hop."""
+        state = self._state
+        together: dict[str, list[Upstream]] = {}
+        for upstream in state.upstreams.ready(now_s, pool):
+            if upstream.run.upstream_id in search.tried or upstream.data_centre in search.full:
+                continue
+            if state.shares_last_hop(upstream):
+                together.setdefault(upstream.data_centre, []).append(upstream)
+            else:
+                yield upstream
+        for upstreams in together.values():
+            yield attrs.evolve(upstreams[0], slots=sum(each.slots for each in upstreams))
 
     def _distance(self, upstream: Upstream) -> int:
         vms = self._state.vms
@@ -279,9 +301,8 @@
         return 1 if vms.region(upstream.data_centre) == vms.region(vms.me.data_centre) else 2
 
     def _exact_wait(self, upstream: Upstream) -> tuple[float, float] | None:
-        vms = self._state.vms
-        vm = vms.last_hop(upstream.run.upstream_id, upstream.data_centre)
-        return self._last_hop.forecast(upstream) if vm.vm_id == vms.me.vm_id else None
+        mine = self._state.last_hop(upstream).vm_id == self._state.vms.me.vm_id
+        return self._last_hop.forecast(upstream) if mine else None
 
     async def _locate_owner(self, call: Call, search: _Search) -> _Target | Attempt:
         """Return the owner of the key; waits a little while the key changes its owner."""
@@ -337,5 +358,4 @@
         upstream = state.upstreams.get(run.upstream_id)
         if standing is Standing.GONE or upstream is None:
             return None, float("-inf")
-        vm = state.vms.last_hop(run.upstream_id, upstream.data_centre)
-        return _Target(upstream, vm), float("-inf")
+        return _Target(upstream, state.last_hop(upstream)), float("-inf")
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Container, Mapping
 
 import attrs
 
 from fireflyferry.balancing import (
     Admitted,
+    LoadBoard,
     QueueRules,
     Refused,
     SlotQueue,
@@ -53,13 +54,18 @@
 
 
 class LastHop:
-    """Sends requests to the upstreams whose slots this VM counts."""
+    """Sends requests to the upstreams whose slots this VM counts.
+
+    `choices` returns the upstreams among which it may choose in the place of a given one.
+    """
 
     def __init__(
         self,
         clock: Clock,
         transport: CurlTransport,
         upstreams: UpstreamDirectory,
+        choices: Callable[[float, Upstream], list[Upstream]],
+        board: LoadBoard,
         names: HeaderNames,
         metrics: GatewayMetrics,
         queue_rules: QueueRules | None = None,
@@ -68,6 +74,8 @@
         self._clock = clock
         self._transport = transport
         self._upstreams = upstreams
+        self._choices = choices
+        self._board = board
         self._names = names
         self._metrics = metrics
         self._queue_rules = queue_rules or QueueRules()
@@ -89,8 +97,9 @@
 
     def forecast(self, upstream: Upstream) -> tuple[float, float]:
         """Return the wait and service time in seconds that a new request can expect."""
-        queue = self._queue(upstream)
-        return queue.wait_s(self._clock.monotonic_s()), queue.service_s
+        now_s = self._clock.monotonic_s()
+        queues = map(self._queue, self._choices(now_s, upstream))
+        return min((queue.wait_s(now_s), queue.service_s) for queue in queues)
 
     def service_times(self) -> Mapping[str, float]:
         """Return the mean service time in seconds of each upstream that was used."""
@@ -108,20 +117,64 @@
                     del self._queues[run]
                     self._no_reuse_until_s.pop(run, None)
 
+    def forget_others(self, known: Container[str]) -> None:
+        """Drop what was learned of upstreams that are no longer known."""
+        self._board.forget_others(known)
+
     async def run(self, call: Call, upstream: Upstream) -> Attempt:
         """Have one upstream answer a request; cancelling closes the connection."""
-        queue = self._queue(upstream)
         now_s = self._clock.monotonic_s()
+        upstream = self._choose(now_s, call, upstream)
+        attempt = await self._run(now_s, call, upstream)
+        wait_s, service_s = self.forecast(upstream)
+        # The forecast is that of the moment of the answer, for the next request.
+        return attrs.evolve(
+            attempt, wait_s=wait_s, service_s=service_s, upstream_id=upstream.run.upstream_id
+        )
+
+    def _choose(self, now_s: float, call: Call, upstream: Upstream) -> Upstream:
+        """Return the upstream that answers first, among those that may be chosen."""
+        choices = self._choices(now_s, upstream)
+        if len(choices) == 1:
+            return choices[0]
+        choice = self._board.choose(
+            now_s,
+            choices,
+            lambda _: 0,
+            call.objective_s - now_s,
+            lambda each: self._exact(now_s, each),
+            call.tried,
+        )
+        return choice.upstream if choice is not None else choices[0]
+
+    def _exact(self, now_s: float, upstream: Upstream) -> tuple[float, float]:
+        queue = self._queue(upstream)
+        return queue.wait_s(now_s), queue.service_s
+
+    async def _run(self, now_s: float, call: Call, upstream: Upstream) -> Attempt:
+        queue = self._queue(upstream)
         ticket = Ticket(
             call.priority, call.started_s, call.objective_s, call.deadline_s, call.returned
         )
         offered = queue.offer(now_s, ticket)
         if isinstance(offered, Refused):
-            return self._with_forecast(not_run(offered.reason, offered.retry_after_s), queue)
+            return not_run(offered.reason, offered.retry_after_s)
         if not isinstance(offered, Admitted) and not await self._turn(queue, ticket, call):
-            late = not_run(Reason.DEADLINE_PASSED_IN_QUEUE, queue.wait_s(now_s))
-            return self._with_forecast(late, queue)
-        return self._with_forecast(await self._send(call, upstream, queue), queue)
+            return not_run(Reason.DEADLINE_PASSED_IN_QUEUE, queue.wait_s(now_s))
+        attempt = await self._send(call, upstream, queue)
+        self._learn(upstream, attempt)
+        return attempt
+
+    def _learn(self, upstream: Upstream, attempt: Attempt) -> None:
+        """Note whether an upstream answers, to choose another one if it does not."""
+        upstream_id = upstream.run.upstream_id
+        if attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
+            self._board.on_answer(upstream_id, attempt.answer.status >= 500)
+        elif attempt.outcome is Outcome.UNKNOWN or attempt.reason in (
+            Reason.CONNECT_FAILED,
+            Reason.UPSTREAM_SHED,
+        ):
+            self._board.on_lost(self._clock.monotonic_s(), upstream_id)
 
     def _queue(self, upstream: Upstream) -> SlotQueue:
         queue = self._queues.get(upstream.run)
@@ -286,8 +339,3 @@
                 "detail": detail,
             },
         )
-
-    def _with_forecast(self, attempt: Attempt, queue: SlotQueue) -> Attempt:
-        """Add the forecast of the moment of the answer, for the next request."""
-        wait_s = queue.wait_s(self._clock.monotonic_s())
-        return attrs.evolve(attempt, wait_s=wait_s, service_s=queue.service_s)
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -40,6 +40,7 @@
 RESULT = "Firefly-Result"
 FEED = "Firefly-Feed"
 
+NOTHING = "-"  # a value that is empty
 FAST_COMPRESSION = 1  # a configuration of 1,500 routes is written again for each change
 
 
@@ -68,10 +69,16 @@
     returned: int
     repeated: int
     expendable: int
+    tried: str
     age_ms: int
     objective_ms: int
     left_ms: int
 
+    @property
+    def tried_upstreams(self) -> frozenset[str]:
+        """Upstreams that are not asked again."""
+        return frozenset() if self.tried == NOTHING else frozenset(self.tried.split(","))
+
     def header(self) -> str:
         """Return the header's value."""
         return " ".join(str(value) for value in attrs.astuple(self))
@@ -90,6 +97,7 @@
         int(call.returned),
         int(call.repeated),
         int(call.expendable),
+        ",".join(sorted(call.tried)) or NOTHING,
         round((now_s - call.started_s) * 1000),
         round((call.objective_s - now_s) * 1000),
         round((call.deadline_s - now_s) * 1000),
@@ -120,11 +128,12 @@
     """Return the header that describes a result."""
     values = (
         _LETTERS[attempt.outcome],
-        attempt.reason or "-",
+        attempt.reason or NOTHING,
         int(attempt.reached),
         round(attempt.retry_after_s * 1000),
         -1 if attempt.wait_s is None else round(attempt.wait_s * 1000),
         round(attempt.service_s * 1000),
+        attempt.upstream_id or NOTHING,
     )
     return " ".join(str(value) for value in values)
 
@@ -136,16 +145,17 @@
     """
     parts = value.split(" ")
     try:
-        letter, reason, reached, retry_after_ms, wait_ms, service_ms = parts
+        letter, reason, reached, retry_after_ms, wait_ms, service_ms, upstream_id = parts
         outcome = _OUTCOMES[letter]
         return Attempt(
             outcome,
-            None if reason == "-" else Reason(reason),
+            None if reason == NOTHING else Reason(reason),
             answer if outcome is Outcome.ANSWERED else None,
             reached == "1",
             int(retry_after_ms) / 1000,
             None if wait_ms == "-1" else int(wait_ms) / 1000,
             int(service_ms) / 1000,
+            "" if upstream_id == NOTHING else upstream_id,
         )
     except (KeyError, ValueError) as error:
         raise PeerMessageError(f"{value!r}: {error}") from error
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -151,4 +151,5 @@
             returned=bool(described.returned),
             repeated=bool(described.repeated),
             expendable=bool(described.expendable),
+            tried=described.tried_upstreams,
         )
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -209,7 +209,13 @@
         state, codec, clock = self._state, self._edges.codec, self._clock
         bounds = self._settings.bounds
         self._last_hop = LastHop(
-            clock, self._transport, state.upstreams, codec.headers, self._metrics
+            clock,
+            self._transport,
+            state.upstreams,
+            state.choices,
+            LoadBoard(SelectionRules(), self._rng),
+            codec.headers,
+            self._metrics,
         )
         self._board = LoadBoard(SelectionRules(), self._rng)
         self._first_hop = FirstHop(
@@ -348,7 +354,9 @@
         while True:
             await asyncio.sleep(self._rules.housekeeping_s)
             self._last_hop.forget_gone()
-            self._board.forget_others({each.run.upstream_id for each in self._state.upstreams})
+            known = {each.run.upstream_id for each in self._state.upstreams}
+            self._board.forget_others(known)
+            self._last_hop.forget_others(known)
 
     # Shutdown
 
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
-from fireflyferry.balancing import EntryVm, UpstreamDirectory, VmDirectory
+from fireflyferry.balancing import EntryVm, Upstream, UpstreamDirectory, VmDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, PlatformCodec, UnreadableError
@@ -96,6 +96,28 @@
         """Whether this VM knows enough to serve."""
         return self.config is not None and self._upstreams is not None
 
+    def shares_last_hop(self, upstream: Upstream) -> bool:
+        """Tell whether all upstreams of its pool in its data centre have one last hop.
+
+        In a large data centre each VM sees too few requests to know which upstream is free.
+        """
+        spec = self.config.pools.get(upstream.pool) if self.config is not None else None
+        keyed = spec is not None and spec.keyed
+        return not keyed and self.vms.is_large(upstream.data_centre)
+
+    def last_hop(self, upstream: Upstream) -> EntryVm:
+        """Return the VM that counts the slots of an upstream."""
+        if self.shares_last_hop(upstream):
+            return self.vms.last_hop(upstream.pool, upstream.data_centre, by_capacity=True)
+        return self.vms.last_hop(upstream.run.upstream_id, upstream.data_centre)
+
+    def choices(self, now_s: float, upstream: Upstream) -> list[Upstream]:
+        """Return the upstreams that its last hop may choose in the place of one."""
+        if not self.shares_last_hop(upstream):
+            return [upstream]
+        ready = self.upstreams.ready(now_s, upstream.pool)
+        return [each for each in ready if each.data_centre == upstream.data_centre] or [upstream]
+
     def apply_config(self, mirror: Mapping[str, Document]) -> None:
         """Take the configuration if it is readable and newer."""
         document = mirror.get(self._codec.config_name)
