--- /dev/null
+++ b/fireflyferry/gateway/gauges.py
@@ -0,0 +1,62 @@
+"""Values of one entry VM that are computed when the metrics are read."""
+
+from collections.abc import Callable, Mapping
+
+from fireflyferry.gateway import documents
+from fireflyferry.gateway.control import Control
+from fireflyferry.gateway.edges import PlatformCodec
+from fireflyferry.gateway.first_hop import FirstHop
+from fireflyferry.gateway.knowledge import Knowledge
+from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.state import GatewayState
+
+__all__ = ["make_gauges"]
+
+
+def make_gauges(
+    codec: PlatformCodec,
+    state: GatewayState,
+    knowledge: Knowledge,
+    control: Control,
+    first_hop: FirstHop,
+    last_hop: LastHop,
+) -> Mapping[str, tuple[str, Callable[[], float]]]:
+    """Return a description and a reader for each gauge, by name."""
+    return {
+        "config_version": (
+            "Version of the configuration in force.",
+            lambda: state.config.version if state.config else 0,
+        ),
+        "upstream_busy": (
+            "Requests that upstreams of this last hop work on.",
+            lambda: last_hop.busy,
+        ),
+        "upstream_waiting": (
+            "Requests that wait for a slot at this last hop.",
+            lambda: last_hop.waiting,
+        ),
+        "holds_lease": (
+            "Whether this VM may grant keys.",
+            lambda: float(control.holds_lease),
+        ),
+        "follows_relay": (
+            "Whether this VM learns the store's documents from another VM.",
+            lambda: float(knowledge.feed.relay is not None),
+        ),
+        "retries_left": (
+            "Second sends allowed now, over all pools.",
+            lambda: sum(map(first_hop.retries_left, first_hop.pools)),
+        ),
+        "config_age_seconds": (
+            "Time since the store confirmed the configuration.",
+            lambda: knowledge.age_s(codec.config_kind),
+        ),
+        "upstreams_age_seconds": (
+            "Time since the store confirmed the list of upstreams.",
+            lambda: knowledge.age_s(codec.upstream_kind),
+        ),
+        "owners_age_seconds": (
+            "Time since the store confirmed the owners of keys.",
+            lambda: knowledge.age_s(documents.OWNER_KIND),
+        ),
+    }
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -53,20 +53,15 @@
             }
         )
 
-        def watcher(kind: str, rules: WatchRules) -> KindWatcher:
-            return KindWatcher(store, health, clock, kind, mirror, rules)
-
-        def poller(kind: str, interval_s: float) -> KindPoller:
-            return KindPoller(store, health, clock, kind, mirror, interval_s)
-
-        owners = poller(documents.OWNER_KIND, OWNER_POLL_S)
-        sources = (
-            watcher(codec.config_kind, CONFIG_WATCH),
-            watcher(codec.upstream_kind, UPSTREAM_WATCH),
+        common = (store, health, clock, mirror)
+        owners = KindPoller(*common, documents.OWNER_KIND, OWNER_POLL_S)
+        sources: tuple[KindSource, ...] = (
+            KindWatcher(*common, codec.config_kind, CONFIG_WATCH),
+            KindWatcher(*common, codec.upstream_kind, UPSTREAM_WATCH),
             owners,
-            poller(documents.VM_KIND, VM_POLL_S),
+            KindPoller(*common, documents.VM_KIND, VM_POLL_S),
         )
-        self._sources: dict[str, KindSource] = {source.kind: source for source in sources}
+        self._sources = {source.kind: source for source in sources}
         state.on_outdated_owners = owners.ask
         self.feed = Feed(
             clock,
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -20,12 +20,12 @@
     VmDirectory,
 )
 from fireflyferry.edges.system_clock import BootClock
-from fireflyferry.gateway import documents
 from fireflyferry.gateway.callers import CallerExchange, CallerServices
 from fireflyferry.gateway.control import Control
 from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
 from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
+from fireflyferry.gateway.gauges import make_gauges
 from fireflyferry.gateway.knowledge import Knowledge
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.metrics import GatewayMetrics
@@ -102,32 +102,22 @@
         self._edges = make_edges(self._transport, self._metrics)
         self._health = StoreHealth(self._clock, self._rules.disturbed_s)
         self._me = self._make_me()
-        bounds = settings.bounds
-        leaving_s = max(0.0, bounds.drain_timeout_s - self._rules.leaving_margin_s)
-        self._state = GatewayState(
-            self._clock,
-            self._edges.codec,
-            UpstreamDirectory(leaving_s, lapse_s=max(0.0, leaving_s - 0.2)),
-            VmDirectory(self._me, settings.regions.by_data_centre()),
-            self._health.disturbed,
-            lambda: self._knowledge.mirror.unheard_s(self._edges.codec.upstream_kind),
-        )
-        self._state.on_config.append(self._on_config)
-        self._peers = PeerClient(self._clock, self._transport, self._state.vms)
-        self._knowledge = Knowledge(
-            self._clock,
-            self._edges.store,
-            self._health,
-            self._edges.codec,
-            self._state,
-            lambda leases: self._control.take_lease(leases),
-            self._peers.ask_relay,
-        )
-        self._make_request_path()
+        self._make_state()
+        self._make_hops()
+        self._make_servers()
         self._make_control()
         self._registration = Registration(self._edges.store, self._health, self._me)
         self._idle_limit_s = 0.0
-        self._add_gauges()
+        self._metrics.gauges(
+            make_gauges(
+                self._edges.codec,
+                self._state,
+                self._knowledge,
+                self._control,
+                self._first_hop,
+                self._last_hop,
+            )
+        )
 
     @property
     def ready(self) -> bool:
@@ -205,7 +195,30 @@
             self._me, self._sampler, self._last_hop, self._planner, self._peers, self._report_to
         )
 
-    def _make_request_path(self) -> None:
+    def _make_state(self) -> None:
+        settings, codec = self._settings, self._edges.codec
+        leaving_s = max(0.0, settings.bounds.drain_timeout_s - self._rules.leaving_margin_s)
+        self._state = GatewayState(
+            self._clock,
+            codec,
+            UpstreamDirectory(leaving_s, lapse_s=max(0.0, leaving_s - 0.2)),
+            VmDirectory(self._me, settings.regions.by_data_centre()),
+            self._health.disturbed,
+            lambda: self._knowledge.mirror.unheard_s(codec.upstream_kind),
+        )
+        self._state.on_config.append(self._on_config)
+        self._peers = PeerClient(self._clock, self._transport, self._state.vms)
+        self._knowledge = Knowledge(
+            self._clock,
+            self._edges.store,
+            self._health,
+            codec,
+            self._state,
+            lambda leases: self._control.take_lease(leases),
+            self._peers.ask_relay,
+        )
+
+    def _make_hops(self) -> None:
         state, codec, clock = self._state, self._edges.codec, self._clock
         bounds = self._settings.bounds
         self._last_hop = LastHop(
@@ -233,6 +246,9 @@
             self._rng,
         )
         self._sampler = KeySampler(self._rng)
+
+    def _make_servers(self) -> None:
+        state, codec, clock = self._state, self._edges.codec, self._clock
         self._closing = ClosingConnections()
         self._splitter = ShareSplitter()
         self._callers = CallerServices(
@@ -255,49 +271,6 @@
             self._knowledge.feed,
         )
 
-    def _add_gauges(self) -> None:
-        codec = self._edges.codec
-        self._metrics.gauges(
-            {
-                "config_version": (
-                    "Version of the configuration in force.",
-                    lambda: self._state.config.version if self._state.config else 0,
-                ),
-                "config_age_seconds": (
-                    "Time since the store confirmed the configuration.",
-                    lambda: self._knowledge.age_s(codec.config_kind),
-                ),
-                "upstreams_age_seconds": (
-                    "Time since the store confirmed the list of upstreams.",
-                    lambda: self._knowledge.age_s(codec.upstream_kind),
-                ),
-                "owners_age_seconds": (
-                    "Time since the store confirmed the owners of keys.",
-                    lambda: self._knowledge.age_s(documents.OWNER_KIND),
-                ),
-                "upstream_busy": (
-                    "Requests that upstreams of this last hop work on.",
-                    lambda: self._last_hop.busy,
-                ),
-                "upstream_waiting": (
-                    "Requests that wait for a slot at this last hop.",
-                    lambda: self._last_hop.waiting,
-                ),
-                "holds_lease": (
-                    "Whether this VM may grant keys.",
-                    lambda: float(self._control.holds_lease),
-                ),
-                "follows_relay": (
-                    "Whether this VM learns the store's documents from another VM.",
-                    lambda: float(self._knowledge.feed.relay is not None),
-                ),
-                "retries_left": (
-                    "Second sends allowed now, over all pools.",
-                    lambda: sum(map(self._first_hop.retries_left, self._first_hop.pools)),
-                ),
-            }
-        )
-
     # Servers
 
     def _serve(self, delegate: ServerDelegate, endpoint: str) -> tornado.httpserver.HTTPServer:
--- a/fireflyferry/gateway/tests/test_relays.py
+++ b/fireflyferry/gateway/tests/test_relays.py
@@ -206,8 +206,8 @@
         view = self.view = View(fleet.store)
         rules = WatchRules(wait_s=0.1, gap_s=0.0, retry_s=0.02, most_retry_s=0.1)
         self.sources = (
-            KindWatcher(view, self.health, clock, "config", self.mirror, rules),
-            KindPoller(view, self.health, clock, "vms", self.mirror, 0.1, 0.05),
+            KindWatcher(view, self.health, clock, self.mirror, "config", rules),
+            KindPoller(view, self.health, clock, self.mirror, "vms", 0.1, 0.05),
         )
         self.feed = Feed(
             clock,
--- a/fireflyferry/gateway/watching.py
+++ b/fireflyferry/gateway/watching.py
@@ -87,8 +87,8 @@
         store: MetadataStore,
         health: StoreHealth,
         clock: Clock,
-        kind: str,
         mirror: DocumentMirror,
+        kind: str,
     ):
         self._store = store
         self._health = health
@@ -141,11 +141,11 @@
         store: MetadataStore,
         health: StoreHealth,
         clock: Clock,
-        kind: str,
         mirror: DocumentMirror,
+        kind: str,
         rules: WatchRules,
     ):
-        super().__init__(store, health, clock, kind, mirror)
+        super().__init__(store, health, clock, mirror, kind)
         self._rules = rules
         self._history_lost = False
 
@@ -198,12 +198,12 @@
         store: MetadataStore,
         health: StoreHealth,
         clock: Clock,
-        kind: str,
         mirror: DocumentMirror,
+        kind: str,
         interval_s: float,
         least_gap_s: float = 0.5,
     ):
-        super().__init__(store, health, clock, kind, mirror)
+        super().__init__(store, health, clock, mirror, kind)
         self._interval_s = interval_s
         self._least_gap_s = least_gap_s
         self._asked = asyncio.Event()
