Reserve the ports that tests and the soak tell a program to listen on

A port that was free a moment ago can be taken by a connection of another process. Seen in the soak: with three runs side by side, one VM in each of two runs logged port_not_free 155 and 166 times and never started. The tests of the gateway chose ports the same way. Reserved sockets stay bound without listening.

--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -38,6 +38,7 @@
     RoutingConfig,
 )
 from fireflyferry.settings.model import LogSettings
+from fireflyferry.standins.ports import reserve_port
 
 NAMES = HeaderNames("X-Id", "X-Deadline", "X-Signature", "X-Expected", "X-Not-Run", "X-Key")
 LIMITS = CallerLimits(16_384, 1_000_000, 15.0)
@@ -215,11 +216,13 @@
         return Seen(number, method, target, headers, body)
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+_HELD: list[socket.socket] = []
+
+
+def own_port() -> int:
+    """Return a port that stays this process's own until it ends."""
+    _HELD.append(reserve_port())
+    return _HELD[-1].getsockname()[1]
 
 
 def make_settings(vm_id: str = "vm-1", data_centre: str = "dc-1") -> GatewaySettings:
@@ -229,10 +232,10 @@
             vm_id,
             data_centre,
             "127.0.0.1",
-            f"127.0.0.1:{free_port()}",
-            f"127.0.0.1:{free_port()}",
-            free_port(),
-            free_port(),
+            f"127.0.0.1:{own_port()}",
+            f"127.0.0.1:{own_port()}",
+            own_port(),
+            own_port(),
         ),
         RegionSettings(("dc-1:r-1", "dc-2:r-1", "dc-3:r-2")),
         GatewayStoreSettings("127.0.0.1:1"),
--- a/fireflyferry/platform/soak/vms.py
+++ b/fireflyferry/platform/soak/vms.py
@@ -9,8 +9,9 @@
 import attrs
 
 from fireflyferry.platform.soak.links import Link
+from fireflyferry.standins.ports import reserve_port
 
-__all__ = ["VmProcess", "reserve_port"]
+__all__ = ["VmProcess"]
 
 SETTINGS = """[vm]
 vm_id = {vm_id}
@@ -42,17 +43,6 @@
 """
 
 
-def reserve_port() -> socket.socket:
-    """Return a socket whose port the kernel gives to nobody else while it is open.
-
-    It does not listen, so a program that allows the reuse of addresses can.
-    """
-    held = socket.socket()
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(("127.0.0.1", 0))
-    return held
-
-
 @attrs.define(eq=False)
 class VmProcess:
     """One entry VM; `disturbed` tells that a promise about its shutdown does not hold now."""
