--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -39,6 +39,7 @@
         self._vms: dict[str, EntryVm] = {me.vm_id: me}
         self._suspected: dict[str, str] = {}
         self._chosen: dict[tuple[str, str, bool], tuple[EntryVm, ...]] = {}
+        self._large: dict[str, bool] = {}
 
     @property
     def me(self) -> EntryVm:
@@ -69,6 +70,7 @@
             if vm_id in self._vms and self._vms[vm_id].incarnation == incarnation
         }
         self._chosen.clear()
+        self._large.clear()
 
     def suspect(self, vm: EntryVm) -> bool:
         """Pass a VM over; returns whether it was not suspected before."""
@@ -92,7 +94,12 @@
 
     def is_large(self, data_centre: str) -> bool:
         """Tell whether a data centre has so many VMs that each sees little of its load."""
-        return len(self.staying(data_centre)) >= LARGE_DATA_CENTRE_VMS
+        # Asked for each upstream and request; counting 91 VMs each time would take milliseconds.
+        large = self._large.get(data_centre)
+        if large is None:
+            large = len(self.staying(data_centre)) >= LARGE_DATA_CENTRE_VMS
+            self._large[data_centre] = large
+        return large
 
     def last_hop(self, name: str, data_centre: str, by_capacity: bool = False) -> EntryVm:
         """Return the VM that counts the slots of what has a name, this one if no other answers.
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -16,6 +16,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.learning import learn_attempt
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.state import GatewayState
@@ -172,19 +173,13 @@
 
     def _learn(self, call: Call, target: _Target, attempt: Attempt) -> None:
         now_s = self._clock.monotonic_s()
-        upstream_id = attempt.upstream_id or target.upstream.run.upstream_id
+        upstream_id = target.upstream.run.upstream_id
         if attempt.wait_s is not None:
-            told = target.upstream.run.upstream_id
-            self._board.on_forecast(now_s, told, attempt.wait_s, attempt.service_s)
+            self._board.on_forecast(now_s, upstream_id, attempt.wait_s, attempt.service_s)
         avoided_s = 0.0
-        if self._state.shares_last_hop(target.upstream):
-            pass  # the last hop chooses, and learns which upstreams fail
-        elif attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
-            self._board.on_answer(upstream_id, attempt.answer.status >= 500)
-        elif attempt.reason in (Reason.CONNECT_FAILED, Reason.UPSTREAM_SHED) or (
-            attempt.outcome is Outcome.UNKNOWN
-        ):
-            avoided_s = self._board.on_lost(now_s, upstream_id)
+        # A last hop that chooses the upstream learns itself which of them fail.
+        if not self._state.shares_last_hop(target.upstream):
+            avoided_s = learn_attempt(self._board, now_s, upstream_id, attempt)
         if attempt.outcome is not Outcome.ANSWERED:
             _LOG.info(
                 "attempt_failed",
@@ -192,7 +187,7 @@
                     "request_id": call.request_id,
                     "pool": call.pool,
                     "key": call.key,
-                    "upstream": upstream_id,
+                    "upstream": attempt.upstream_id or upstream_id,
                     "last_hop": target.vm.vm_id,
                     "outcome": str(attempt.outcome),
                     "reason": str(attempt.reason),
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -20,6 +20,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run, unknown
 from fireflyferry.gateway.edges import HeaderNames
+from fireflyferry.gateway.learning import learn_attempt
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
@@ -162,20 +163,10 @@
         if not isinstance(offered, Admitted) and not await self._turn(queue, ticket, call):
             return not_run(Reason.DEADLINE_PASSED_IN_QUEUE, queue.wait_s(now_s))
         attempt = await self._send(call, upstream, queue)
-        self._learn(upstream, attempt)
+        ended_s = self._clock.monotonic_s()
+        learn_attempt(self._board, ended_s, upstream.run.upstream_id, attempt)
         return attempt
 
-    def _learn(self, upstream: Upstream, attempt: Attempt) -> None:
-        """Note whether an upstream answers, to choose another one if it does not."""
-        upstream_id = upstream.run.upstream_id
-        if attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
-            self._board.on_answer(upstream_id, attempt.answer.status >= 500)
-        elif attempt.outcome is Outcome.UNKNOWN or attempt.reason in (
-            Reason.CONNECT_FAILED,
-            Reason.UPSTREAM_SHED,
-        ):
-            self._board.on_lost(self._clock.monotonic_s(), upstream_id)
-
     def _queue(self, upstream: Upstream) -> SlotQueue:
         queue = self._queues.get(upstream.run)
         if queue is None:
