Keep a second send for each attempt that may be given up early

Whether another could follow was asked when it was sent; when it was given up 2.1 s later, other requests had used the budget, so the upstream's work was broken off and the caller got 504. Ruled out: the shutdown itself, which waits for what is in flight.

Change: a second send is held while such an attempt runs, and an attempt for which none can be held is not given up.

--- a/fireflyferry/balancing/retry_window.py
+++ b/fireflyferry/balancing/retry_window.py
@@ -17,6 +17,7 @@
         self._share = share
         self._reserve = reserve
         self._window_s = window_s
+        self._held = 0
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -26,9 +27,10 @@
         self._expire(now_s)
 
     def left(self, now_s: float) -> float:
-        """Return how many second sends are allowed now."""
+        """Return how many second sends are allowed now, beside those that are held."""
         self._expire(now_s)
-        return self._reserve() + self._share * len(self._requests) - len(self._retries)
+        used = len(self._retries) + self._held
+        return self._reserve() + self._share * len(self._requests) - used
 
     def try_spend(self, now_s: float) -> bool:
         """Take one second send if the budget covers it."""
@@ -37,6 +39,22 @@
         self._retries.append(now_s)
         return True
 
+    def hold(self, now_s: float) -> bool:
+        """Keep one second send for a request that may need it, if the budget covers it."""
+        if self.left(now_s) < 1.0:
+            return False
+        self._held += 1
+        return True
+
+    def release(self) -> None:
+        """Give back a second send that was held."""
+        self._held -= 1
+
+    def spend_held(self, now_s: float) -> None:
+        """Take the second send that was held."""
+        self._held -= 1
+        self._retries.append(now_s)
+
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now_s - self._window_s:
--- a/fireflyferry/balancing/tests/test_balancing.py
+++ b/fireflyferry/balancing/tests/test_balancing.py
@@ -188,6 +188,18 @@
     assert window.try_spend(11.5)
 
 
+def test_held_second_send_is_there_when_it_is_needed():
+    """Guards against attempts that are given up early although no other can follow."""
+    window = RetryWindow(0.0, lambda: 2.0, 10.0)
+    assert window.hold(0.0)
+    assert window.try_spend(0.0) and not window.try_spend(0.0) and not window.hold(0.0)
+    window.spend_held(1.0)
+    assert window.left(1.0) == 0.0 and window.left(10.5) == 1.0
+    assert window.hold(11.0)
+    window.release()
+    assert window.left(11.0) == 2.0
+
+
 # Shares of traffic
 
 
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -74,11 +74,13 @@
 class _Search:
     """Progress of one request; `ran` is an earlier attempt that ran or may have run.
 
-    `full` are data centres whose one last hop for the pool had no room.
+    `full` are data centres whose one last hop for the pool had no room. `held` tells that a
+    second send is kept for the case that the attempt is given up early.
     """
 
     tried: set[str] = attrs.field(factory=set)
     full: set[str] = attrs.field(factory=set)
+    held: bool = False
     hops: int = 0
     reached: int = 0
     last: Attempt | None = None
@@ -122,15 +124,23 @@
         """Return the answer, or the refusal or unknown outcome that the caller is told."""
         self._budget(call.pool).on_request(self._clock.monotonic_s())
         search = _Search()
+        try:
+            return await self._search(call, search)
+        finally:
+            if search.held:
+                self._budget(call.pool).release()
+
+    async def _search(self, call: Call, search: _Search) -> Attempt:
         while True:
             target = await self._locate(call, search)
             if isinstance(target, Attempt):
                 return self._final(search, target)
-            if search.reached and not self._may_repeat(call):
+            if search.reached and not self._may_repeat(call, search):
                 return self._final(search, search.last)
             search.hops += 1
             call.repeated = search.reached > 0
-            call.expendable = self._is_expendable(call, search)
+            self._hold(call, search)
+            call.expendable = search.held
             call.tried = frozenset(search.tried)
             attempt = await self._attempt(call, target)
             search.last = attempt
@@ -222,24 +232,42 @@
             search.tried.add(attempt.upstream_id or target.upstream.run.upstream_id)
         return repeat
 
-    def _may_repeat(self, call: Call) -> bool:
-        """Take a second send at an upstream from the budget."""
+    def _may_repeat(self, call: Call, search: _Search) -> bool:
+        """Take a second send at an upstream from the budget, the one that is held first."""
         now_s = self._clock.monotonic_s()
-        allowed = self._budget(call.pool).try_spend(now_s)
+        if search.held:
+            self._budget(call.pool).spend_held(now_s)
+            search.held = False
+            allowed = True
+        else:
+            allowed = self._budget(call.pool).try_spend(now_s)
         self._metrics.retry(call.pool, allowed)
         if not allowed:
             _LOG.info("retry_denied", extra={"request_id": call.request_id, "pool": call.pool})
         return allowed
 
-    def _is_expendable(self, call: Call, search: _Search) -> bool:
-        """Tell whether another attempt could follow if the next one gets no answer for long."""
+    def _hold(self, call: Call, search: _Search) -> None:
+        """Hold a second send if the next attempt may be given up early, when it gets no answer.
+
+        Without one, an upstream's work would be broken off and nothing could follow.
+        """
+        budget = self._budget(call.pool)
+        wanted = self._could_follow(call, search)
+        if wanted and not search.held:
+            search.held = budget.hold(self._clock.monotonic_s())
+        elif search.held and not wanted:
+            budget.release()
+            search.held = False
+
+    def _could_follow(self, call: Call, search: _Search) -> bool:
+        """Tell whether there is another upstream for a second attempt."""
         if not call.idempotent or call.key is not None:
             return False
         if search.reached + 2 > call.max_attempts:
             return False
         now_s = self._clock.monotonic_s()
         others = len(self._state.upstreams.ready(now_s, call.pool)) - len(search.tried)
-        return others > 1 and self.retries_left(call.pool) >= 1.0
+        return others > 1
 
     def _budget(self, pool: str) -> RetryWindow:
         budget = self._budgets.get(pool)
