--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -1,23 +1,20 @@
-"""First hop: locates the upstream of a request, and repeats attempts where that is allowed."""
+"""First hop: has requests answered, and repeats attempts where that is allowed."""
 
 import asyncio
 import logging
-import random
 from collections.abc import Iterable
 
 import attrs
 
 from fireflyferry.balancing import (
-    EntryVm,
     LoadBoard,
     RetryWindow,
-    Standing,
-    Upstream,
 )
 from fireflyferry.edges import Clock
-from fireflyferry.gateway.calls import Attempt, Call, not_run
+from fireflyferry.gateway.calls import Attempt, Call
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.learning import learn_attempt
+from fireflyferry.gateway.locating import Locator, Search, Target
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.state import GatewayState
@@ -51,16 +48,11 @@
     `patience_share` of the time left, since a full upstream may never answer; 99% of answers take
     less than 4 service times, but the first estimates of them are rough.
 
-    `most_hops` bounds the last hops that are asked. `move_wait_s` is how long a request waits for
-    a key that is changing its owner; moves take the time of one request. `retry_least` second
-    sends are allowed to all VMs together besides `retry_share` of the requests.
+    `most_hops` bounds the last hops that are asked. `retry_least` second sends are allowed to all
+    VMs together besides `retry_share` of the requests.
     """
 
     most_hops: int = 4
-    move_wait_s: float = 0.7
-    owner_retry_s: float = 0.4  # Retry-After while a key has no owner
-    upstream_retry_s: float = 0.3  # Retry-After while a pool has no upstream
-    logged_wait_s: float = 0.05  # a shorter wait makes no request late
     patience_services: float = 6.0
     patience_share: float = 0.5
     retry_share: float = 0.2
@@ -70,30 +62,6 @@
     retry_window_s: float = 10.0
 
 
-@attrs.frozen
-class _Target:
-    upstream: Upstream
-    vm: EntryVm
-    forecast_age_s: float = 0.0
-
-
-@attrs.define
-class _Search:
-    """Progress of one request; `ran` is an earlier attempt that ran or may have run.
-
-    `full` are data centres whose one last hop for the pool had no room. `held` tells that a
-    second send is kept for the case that the attempt is given up early.
-    """
-
-    tried: set[str] = attrs.field(factory=set)
-    full: set[str] = attrs.field(factory=set)
-    held: bool = False
-    hops: int = 0
-    reached: int = 0
-    last: Attempt | None = None
-    ran: Attempt | None = None
-
-
 class FirstHop:
     """Has requests of this VM's callers answered."""
 
@@ -105,8 +73,8 @@
         peers: PeerClient,
         board: LoadBoard,
         metrics: GatewayMetrics,
+        locator: Locator,
         rules: FirstHopRules | None = None,
-        rng: random.Random | None = None,
     ):
         self._clock = clock
         self._state = state
@@ -114,8 +82,8 @@
         self._peers = peers
         self._board = board
         self._metrics = metrics
+        self._locator = locator
         self._rules = rules or FirstHopRules()
-        self._rng = rng or random.Random()
         self._budgets: dict[str, RetryWindow] = {}
 
     @property
@@ -130,16 +98,16 @@
     async def run(self, call: Call) -> Attempt:
         """Return the answer, or the refusal or unknown outcome that the caller is told."""
         self._budget(call.pool).on_request(self._clock.monotonic_s())
-        search = _Search()
+        search = Search()
         try:
             return await self._search(call, search)
         finally:
             if search.held:
                 self._budget(call.pool).release()
 
-    async def _search(self, call: Call, search: _Search) -> Attempt:
+    async def _search(self, call: Call, search: Search) -> Attempt:
         while True:
-            target = await self._locate(call, search)
+            target = await self._locator.locate(call, search)
             if isinstance(target, Attempt):
                 return self._final(search, target)
             if search.reached and not self._may_repeat(call, search):
@@ -157,7 +125,7 @@
             ):
                 search.ran = attempt
 
-    async def _hedged(self, call: Call, search: _Search, target: _Target) -> Attempt:
+    async def _hedged(self, call: Call, search: Search, target: Target) -> Attempt:
         """Make an attempt, and a second one beside it if it gets no answer for long.
 
         The first one goes on: its upstream may be at work, and the second may find no room.
@@ -175,11 +143,11 @@
                 each.cancel()
 
     def _second(
-        self, call: Call, search: _Search, target: _Target
+        self, call: Call, search: Search, target: Target
     ) -> "list[asyncio.Future[Attempt]]":
         """Start a second attempt at another upstream, if there is one."""
         tried = {*search.tried, target.upstream.run.upstream_id}
-        other = self._locate_any(call, attrs.evolve(search, tried=tried))
+        other = self._locator.locate_any(call, attrs.evolve(search, tried=tried))
         if isinstance(other, Attempt) or not self._may_repeat(call, search):
             return []
         search.tried, search.hops = tried, search.hops + 1
@@ -209,14 +177,14 @@
         order = (Outcome.ANSWERED, Outcome.UNKNOWN, Outcome.NOT_RUN)
         return min((each.result() for each in attempts), key=lambda a: order.index(a.outcome))
 
-    def _patience_s(self, call: Call, target: _Target) -> float:
+    def _patience_s(self, call: Call, target: Target) -> float:
         """Return how long an attempt may take before another begins beside it."""
         rules = self._rules
         left_s = call.deadline_s - self._clock.monotonic_s()
         service_s = self._board.service_s(target.upstream.run.upstream_id)
         return max(rules.patience_services * service_s, rules.patience_share * left_s)
 
-    def _final(self, search: _Search, attempt: Attempt | None) -> Attempt:
+    def _final(self, search: Search, attempt: Attempt | None) -> Attempt:
         """Return what the caller is told: never *not run* after an attempt that may have run.
 
         An answer of an upstream, also an error, goes before an outcome that is not known.
@@ -232,7 +200,7 @@
             return last
         return attempt
 
-    async def _attempt(self, call: Call, target: _Target) -> Attempt:
+    async def _attempt(self, call: Call, target: Target) -> Attempt:
         upstream_id = target.upstream.run.upstream_id
         self._board.on_sent(upstream_id)
         try:
@@ -245,7 +213,7 @@
         self._learn(call, target, attempt)
         return attempt
 
-    def _learn(self, call: Call, target: _Target, attempt: Attempt) -> None:
+    def _learn(self, call: Call, target: Target, attempt: Attempt) -> None:
         now_s = self._clock.monotonic_s()
         upstream_id = target.upstream.run.upstream_id
         if attempt.wait_s is not None:
@@ -273,7 +241,7 @@
                 },
             )
 
-    def _goes_on(self, call: Call, search: _Search, target: _Target, attempt: Attempt) -> bool:
+    def _goes_on(self, call: Call, search: Search, target: Target, attempt: Attempt) -> bool:
         """Decide whether another attempt is made."""
         if search.hops >= self._rules.most_hops or search.reached >= call.max_attempts:
             return False
@@ -296,7 +264,7 @@
             search.tried.add(attempt.upstream_id or target.upstream.run.upstream_id)
         return repeat
 
-    def _may_repeat(self, call: Call, search: _Search) -> bool:
+    def _may_repeat(self, call: Call, search: Search) -> bool:
         """Take a second send at an upstream from the budget, the one that is held first."""
         now_s = self._clock.monotonic_s()
         if search.held:
@@ -310,7 +278,7 @@
             _LOG.info("retry_denied", extra={"request_id": call.request_id, "pool": call.pool})
         return allowed
 
-    def _hold(self, call: Call, search: _Search) -> bool:
+    def _hold(self, call: Call, search: Search) -> bool:
         """Hold a second send for the case that the next attempt gets no answer for long."""
         budget = self._budget(call.pool)
         wanted = self._could_follow(call, search)
@@ -321,7 +289,7 @@
             search.held = False
         return search.held
 
-    def _could_follow(self, call: Call, search: _Search) -> bool:
+    def _could_follow(self, call: Call, search: Search) -> bool:
         """Tell whether there is another upstream for a second attempt."""
         if not call.idempotent or call.key is not None:
             return False
@@ -343,104 +311,3 @@
     def _retry_reserve(self) -> float:
         """Return this VM's part of the second sends that are allowed whatever the load."""
         return self._rules.retry_least * self._rules.retry_least_used / len(self._state.vms)
-
-    async def _locate(self, call: Call, search: _Search) -> _Target | Attempt:
-        if call.key is not None:
-            return await self._locate_owner(call, search)
-        return self._locate_any(call, search)
-
-    def _locate_any(self, call: Call, search: _Search) -> _Target | Attempt:
-        state = self._state
-        now_s = self._clock.monotonic_s()
-        choice = self._board.choose(
-            now_s,
-            self._alternatives(now_s, call.pool, search),
-            self._distance,
-            call.objective_s - call.started_s,
-            self._exact_wait,
-            search.tried,
-        )
-        if choice is None:
-            return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_s)
-        upstream = choice.upstream
-        return _Target(upstream, state.last_hop(upstream), choice.age_s)
-
-    def _alternatives(self, now_s: float, pool: str, search: _Search) -> Iterable[Upstream]:
-        """Return the upstreams to choose from, one for all that share a last hop."""
-        state = self._state
-        together: dict[str, list[Upstream]] = {}
-        for upstream in state.upstreams.ready(now_s, pool):
-            if upstream.run.upstream_id in search.tried or upstream.data_centre in search.full:
-                continue
-            if state.shares_last_hop(upstream):
-                together.setdefault(upstream.data_centre, []).append(upstream)
-            else:
-                yield upstream
-        for upstreams in together.values():
-            yield attrs.evolve(upstreams[0], slots=sum(each.slots for each in upstreams))
-
-    def _distance(self, upstream: Upstream) -> int:
-        vms = self._state.vms
-        if upstream.data_centre == vms.me.data_centre:
-            return 0
-        return 1 if vms.region(upstream.data_centre) == vms.region(vms.me.data_centre) else 2
-
-    def _exact_wait(self, upstream: Upstream) -> tuple[float, float] | None:
-        mine = self._state.last_hop(upstream).vm_id == self._state.vms.me.vm_id
-        return self._last_hop.forecast(upstream) if mine else None
-
-    async def _locate_owner(self, call: Call, search: _Search) -> _Target | Attempt:
-        """Return the owner of the key; waits a little while the key changes its owner."""
-        started_s = self._clock.monotonic_s()
-        # An owner that did not hold the key is asked again only under a newer table.
-        outdated = search.last is not None and search.last.reason is Reason.NOT_OWNER
-        if outdated:
-            self._state.on_outdated_owners()
-        while True:
-            target, moving_since_s = self._owner(call)
-            if target is not None and not outdated:
-                self._log_wait(call, target, started_s)
-                return target
-            since_s = started_s if outdated else moving_since_s
-            until_s = min(since_s + self._rules.move_wait_s, call.deadline_s)
-            left_s = until_s - self._clock.monotonic_s()
-            if left_s <= 0:
-                self._state.on_outdated_owners()
-                return not_run(Reason.OWNER_UNAVAILABLE, self._retry_after_s())
-            outdated = not await self._state.owners.wait(left_s) and outdated
-
-    def _log_wait(self, call: Call, target: _Target, started_s: float) -> None:
-        waited_s = self._clock.monotonic_s() - started_s
-        if waited_s > self._rules.logged_wait_s:
-            _LOG.info(
-                "waited_for_owner",
-                extra={
-                    "request_id": call.request_id,
-                    "pool": call.pool,
-                    "key": call.key,
-                    "upstream": target.upstream.run.upstream_id,
-                    "waited_s": round(waited_s, 3),
-                },
-            )
-
-    def _retry_after_s(self) -> float:
-        return self._rules.owner_retry_s * self._rng.uniform(0.75, 1.5)
-
-    def _owner(self, call: Call) -> tuple[_Target | None, float]:
-        """Return the owner of the key, or None and since when the key changes its owner.
-
-        A key that nobody can be waited for counts as changing since ever.
-        """
-        state = self._state
-        table = state.owners.get(call.pool)
-        part = table.find(call.key) if table is not None and call.key is not None else None
-        if part is None:
-            return None, float("-inf")
-        if not part.serving:
-            return None, state.owners.moving_since_s(call.pool, part)
-        run = part.owner
-        standing = state.upstreams.standing(self._clock.monotonic_s(), run.upstream_id, run.born)
-        upstream = state.upstreams.get(run.upstream_id)
-        if standing is Standing.GONE or upstream is None:
-            return None, float("-inf")
-        return _Target(upstream, state.last_hop(upstream)), float("-inf")
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -28,6 +28,7 @@
 from fireflyferry.gateway.gauges import make_gauges
 from fireflyferry.gateway.knowledge import Knowledge
 from fireflyferry.gateway.last_hop import LastHop
+from fireflyferry.gateway.locating import Locator
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.pages import listen, serve_page
 from fireflyferry.gateway.peer_client import PeerClient
@@ -238,12 +239,12 @@
             self._peers,
             self._board,
             self._metrics,
+            Locator(clock, state, self._last_hop, self._board, self._rng),
             FirstHopRules(
                 retry_share=bounds.retry_share,
                 retry_least=bounds.retry_least,
                 retry_window_s=bounds.retry_window_s,
             ),
-            self._rng,
         )
         self._sampler = KeySampler(self._rng)
 
--- a/fireflyferry/gateway/tests/test_first_hop.py
+++ b/fireflyferry/gateway/tests/test_first_hop.py
@@ -9,6 +9,7 @@
 from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
+from fireflyferry.gateway.locating import Locator
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.telemetry import Outcome, Reason
 
@@ -24,22 +25,29 @@
     directory.apply([vm(number) for number in range(vm_count)])
     state = types.SimpleNamespace(vms=directory)
     rules = FirstHopRules(retry_least=60.0, retry_least_used=0.5)
-    hop = FirstHop(BootClock(), state, None, None, None, None, rules)
+    hop = FirstHop(BootClock(), state, None, None, None, None, None, rules)
     assert vm_count * hop.retries_left("pool") == pytest.approx(30.0)
 
 
-class SlowHop(FirstHop):
-    """First attempts are answered after 0.1 s; others at once, or they find no room."""
+class AnyUpstream(Locator):
+    """Names the same upstream for each request."""
 
-    room = True
+    def __init__(self):
+        pass
 
-    async def _locate(self, call, search):
-        return self._locate_any(call, search)
+    async def locate(self, call, search):
+        return self.locate_any(call, search)
 
-    def _locate_any(self, call, search):
+    def locate_any(self, call, search):
         upstream = types.SimpleNamespace(run=types.SimpleNamespace(upstream_id="u1"))
         return types.SimpleNamespace(upstream=upstream)
 
+
+class SlowHop(FirstHop):
+    """First attempts are answered after 0.1 s; others at once, or they find no room."""
+
+    room = True
+
     def _patience_s(self, call, target):
         return 0.01
 
@@ -64,7 +72,7 @@
     upstreams = types.SimpleNamespace(ready=lambda now_s, pool: [1, 2, 3])
     state = types.SimpleNamespace(vms=directory, upstreams=upstreams)
     rules = FirstHopRules(retry_share=0.0, retry_least=allowed, retry_least_used=1.0)
-    hop = SlowHop(BootClock(), state, None, None, None, GatewayMetrics(), rules)
+    hop = SlowHop(BootClock(), state, None, None, None, GatewayMetrics(), AnyUpstream(), rules)
     hop.room = room
 
     async def main():
