--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -352,3 +353,12 @@
     with pytest.raises(SystemExit) as ended:
         main([option])
     assert ended.value.code == 0 and capsys.readouterr().out
+
+
+def test_page_names_every_settings_key():
+    page = (ROOT / "docs" / "configuration.md").read_text()
+    part = page[page.index("## Settings of the program on the users' platform") :]
+    named = set(re.findall(r"`(\w+)`", part))
+    sections = attrs.fields(GatewaySettings)
+    keys = {key.name for section in sections for key in attrs.fields(section.type)}
+    assert keys <= named
