Remove doubled checks and a task that plain attempts do not need

Found by reading the change again; behaviour is the same. Spending a second send is holding it and taking it; the forecast of a last hop is the least of the exact ones; upstreams that were tried were filtered twice; an attempt that no other can follow, such as each keyed one, ran in a task of its own; a test made a store that nothing read.

--- a/fireflyferry/balancing/retry_window.py
+++ b/fireflyferry/balancing/retry_window.py
@@ -34,10 +34,10 @@
 
     def try_spend(self, now_s: float) -> bool:
         """Take one second send if the budget covers it."""
-        if self.left(now_s) < 1.0:
-            return False
-        self._retries.append(now_s)
-        return True
+        held = self.hold(now_s)
+        if held:
+            self.spend_held(now_s)
+        return held
 
     def hold(self, now_s: float) -> bool:
         """Keep one second send for a request that may need it, if the budget covers it."""
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -6,10 +6,7 @@
 
 import attrs
 
-from fireflyferry.balancing import (
-    LoadBoard,
-    RetryWindow,
-)
+from fireflyferry.balancing import LoadBoard, RetryWindow
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call
 from fireflyferry.gateway.last_hop import LastHop
@@ -130,13 +127,14 @@
 
         The first one goes on: its upstream may be at work, and the second may find no room.
         """
+        if not self._hold(call, search):
+            return await self._attempt(call, target)
         first = asyncio.ensure_future(self._attempt(call, target))
         attempts = [first]
         try:
-            if self._hold(call, search):
-                await asyncio.wait([first], timeout=self._patience_s(call, target))
-                if not first.done():
-                    attempts += self._second(call, search, target)
+            await asyncio.wait([first], timeout=self._patience_s(call, target))
+            if not first.done():
+                attempts += self._second(call, search, target)
             return await self._best(attempts)
         finally:
             for each in attempts:
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -94,8 +94,7 @@
     def forecast(self, upstream: Upstream) -> tuple[float, float]:
         """Return the wait and service time in seconds that a new request can expect."""
         now_s = self._clock.monotonic_s()
-        queues = map(self._queue, self._choices(now_s, upstream))
-        return min((queue.wait_s(now_s), queue.service_s) for queue in queues)
+        return min(self._exact(now_s, each) for each in self._choices(now_s, upstream))
 
     def service_times(self) -> Mapping[str, float]:
         """Return the mean service time in seconds of each upstream that was used."""
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -93,7 +93,6 @@
             self._distance,
             call.objective_s - call.started_s,
             self._exact_wait,
-            search.tried,
         )
         if choice is None:
             return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_s)
--- a/fireflyferry/gateway/tests/test_relays.py
+++ b/fireflyferry/gateway/tests/test_relays.py
@@ -181,7 +181,6 @@
 
     def __init__(self, fleet, me):
         self.me = me
-        self.store = CountingStore()
         clock = BootClock()
         self.health = StoreHealth(clock, 5.0)
         directory = VmDirectory(me, {})
