--- a/fireflyferry/balancing/slot_queue.py
+++ b/fireflyferry/balancing/slot_queue.py
@@ -16,7 +16,9 @@
     """Limits of a queue.
 
     `prefetch` requests may wait inside the upstream, so that a slot is not idle while an answer is
-    in transit. `initial_service_s` is the assumed service time until one was observed. An upstream
+    in transit. Until a service time was observed, `initial_service_share` of the shortest target
+    latency is assumed, at most `initial_service_s`. For `overload_s` after a request was refused
+    that an empty queue would have answered in time, the queue counts as overloaded. An upstream
     counts as stalled if its slots are taken and no request has ended for `stall_service_times` mean
     service times and at least `stall_s` seconds.
     """
@@ -24,7 +26,9 @@
     prefetch: int = 1
     wait_margin: float = 1.25  # factor on forecasts; without it 30% of admitted requests were late
     initial_service_s: float = 0.2
-    late_wait_share: float = 0.35  # of the time left; longest wait of a retried or late request
+    initial_service_share: float = 1 / 3
+    overload_s: float = 0.5
+    late_wait_share: float = 0.35  # of the time left; longest wait of a request that will be late
     stall_s: float = 1.0
     stall_service_times: float = 6.0
     min_retry_after_s: float = 0.05
@@ -34,15 +38,13 @@
 class Ticket:
     """A request that needs a slot; times in seconds on the VM's clock.
 
-    `started_s` is when the caller first sent the request. `returned` marks the caller's retry
-    after a refusal.
+    `started_s` is when the caller first sent the request.
     """
 
     priority: int
     started_s: float
     target_time_s: float
     deadline_s: float
-    returned: bool = False
     cancelled: bool = attrs.field(default=False, init=False)
 
 
@@ -65,18 +67,24 @@
 
 
 class SlotQueue:
-    """Queue of tickets by priority, lowest value first, then by `started_s`."""
+    """Queue of tickets by priority, lowest value first, then by `started_s`.
+
+    Among tickets of one priority, those that can still be answered by their target time go first.
+    Under overload the others would make them late as well.
+    """
 
     def __init__(self, slots: int, rules: QueueRules | None = None):
         self._slots = max(1, slots)
         self._rules = rules or QueueRules()
         self._busy = 0
         self._service_times = ServiceTimes()
-        self._waiting: list[tuple[int, float, int, Ticket]] = []
+        self._waiting: list[tuple[int, bool, float, int, Ticket]] = []
         self._sequence = itertools.count()
         self._waiting_count = 0
         self._last_progress_s = 0.0
         self._last_retry_s = 0.0
+        self._overloaded_until_s = 0.0
+        self._assumed_service_s = self._rules.initial_service_s
 
     def __len__(self) -> int:
         return self._waiting_count
@@ -94,7 +102,7 @@
     @property
     def service_s(self) -> float:
         """Mean service time in seconds, or the assumed one."""
-        return self._service_times.mean_s or self._rules.initial_service_s
+        return self._service_times.mean_s or self._assumed_service_s
 
     def wait_s(self, now_s: float, ahead: int | None = None) -> float:
         """Forecast how many seconds a ticket waits behind `ahead` waiting ones, by default all."""
@@ -110,17 +118,20 @@
 
     def offer(self, now_s: float, ticket: Ticket) -> Admitted | Waiting | Refused:
         """Admit a ticket, let it wait, or refuse it."""
+        target_latency_s = ticket.target_time_s - ticket.started_s
+        self._assumed_service_s = min(
+            self._assumed_service_s, self._rules.initial_service_share * target_latency_s
+        )
         if self._busy == 0 and self._waiting_count == 0:
             return self._admit(now_s)
-        wait_s = self.wait_s(now_s, self._count_ahead_of(ticket))
+        position = self._position(now_s, ticket)
+        wait_s = self.wait_s(now_s, self._count_ahead_of(position))
         refusal = self._refusal(now_s, ticket, wait_s)
         if refusal is not None:
             return refusal
         if self._waiting_count == 0 and self._busy < self._max_in_flight():
             return self._admit(now_s)
-        heapq.heappush(
-            self._waiting, (ticket.priority, ticket.started_s, next(self._sequence), ticket)
-        )
+        heapq.heappush(self._waiting, (*position, next(self._sequence), ticket))
         self._waiting_count += 1
         return Waiting()
 
@@ -156,7 +167,13 @@
         return tickets
 
     def can_finish(self, now_s: float, ticket: Ticket) -> bool:
-        """Return whether a ticket that gets a slot now can be answered before its deadline."""
+        """Return whether to send a ticket that gets a slot now.
+
+        It must be possible to answer it before its deadline and, under overload, by its target
+        time.
+        """
+        if self._is_late(now_s, ticket) and self._is_overloaded(now_s) and self._waiting_count:
+            return False
         return now_s + self._service_times.low_s < ticket.deadline_s
 
     def _max_in_flight(self) -> int:
@@ -168,22 +185,35 @@
         self._busy += 1
         return Admitted()
 
-    def _count_ahead_of(self, ticket: Ticket) -> int:
-        position = (ticket.priority, ticket.started_s)
+    def _position(self, now_s: float, ticket: Ticket) -> tuple[int, bool, float]:
+        return ticket.priority, self._is_late(now_s, ticket), ticket.started_s
+
+    def _count_ahead_of(self, position: tuple[int, bool, float]) -> int:
         return sum(
-            1 for entry in self._waiting if entry[:2] <= position and not entry[-1].cancelled
+            1 for entry in self._waiting if entry[:3] <= position and not entry[-1].cancelled
         )
 
+    def _is_late(self, now_s: float, ticket: Ticket) -> bool:
+        """Return whether a ticket would miss its target time even if it got a slot now."""
+        return now_s + self._service_times.low_s > ticket.target_time_s
+
+    def _is_overloaded(self, now_s: float) -> bool:
+        return now_s < self._overloaded_until_s
+
     def _refusal(self, now_s: float, ticket: Ticket, wait_s: float) -> Refused | None:
         service_s = self.service_s
         remaining_s = ticket.deadline_s - now_s
         if self._rules.wait_margin * wait_s + service_s > remaining_s:
             return self._refuse(now_s, Reason.DEADLINE_TOO_SHORT, wait_s)
-        if ticket.returned or now_s + service_s > ticket.target_time_s:
-            # A retried or late request is worth less, so it waits only while the queue is short.
-            if wait_s > max(self._rules.late_wait_share * remaining_s, service_s / self._slots):
+        if self._busy < self._slots and self._waiting_count == 0:
+            return None  # a refusal would leave the slot idle
+        if now_s + service_s > ticket.target_time_s:
+            # A late answer is worth less, so it must not delay those that can be in time.
+            longest_wait_s = max(self._rules.late_wait_share * remaining_s, service_s / self._slots)
+            if self._is_overloaded(now_s) or wait_s > longest_wait_s:
                 return self._refuse(now_s, Reason.QUEUE_FULL, wait_s)
         elif now_s + self._rules.wait_margin * (wait_s + service_s) > ticket.target_time_s:
+            self._overloaded_until_s = now_s + self._rules.overload_s
             return self._refuse(now_s, Reason.QUEUE_FULL, wait_s)
         return None
 
--- a/fireflyferry/balancing/tests/test_slot_queue.py
+++ b/fireflyferry/balancing/tests/test_slot_queue.py
@@ -1,5 +1,7 @@
 """Queue of an upstream under overload and hot keys, with retries and upstreams that hang."""
 
+import heapq
+import itertools
 import random
 
 import pytest
@@ -10,9 +12,9 @@
 SERVICE_S = 0.2
 
 
-def ticket(now_s=0.0, target_latency_s=0.5, left_s=2.0, priority=1, age_s=0.0, returned=False):
+def ticket(now_s=0.0, target_latency_s=0.5, left_s=2.0, priority=1, age_s=0.0):
     start_s = now_s - age_s
-    return Ticket(priority, start_s, start_s + target_latency_s, now_s + left_s, returned)
+    return Ticket(priority, start_s, start_s + target_latency_s, now_s + left_s)
 
 
 def busy_queue(slots=2, busy=None):
@@ -83,7 +85,7 @@
 
 def test_retried_request_past_its_target_time_waits_while_the_queue_is_short():
     queue = busy_queue()
-    retried = ticket(age_s=0.6, left_s=1.4, returned=True)
+    retried = ticket(age_s=0.6, left_s=1.4)
     assert isinstance(queue.offer(0.0, retried), Waiting)
 
 
@@ -173,3 +175,92 @@
     assert with_refusals >= 0.95 * without_refusals
     if load > 1.0:
         assert with_refusals > 0.9 * capacity > 5 * without_refusals
+
+
+def test_free_slot_is_given_to_a_request_that_will_be_late():
+    """Guards against idle slots while callers are sent away.
+
+    Load pattern: an upstream has turned so slow that no request can be answered by its target time.
+    """
+    queue = SlotQueue(4)
+    queue.offer(0.0, ticket())
+    queue.finish(0.0, 0.6)
+    for _ in range(4):
+        assert isinstance(queue.offer(0.0, ticket()), Admitted)
+
+
+def test_slots_of_an_unknown_upstream_are_all_used():
+    """Guards against an assumed service time that leaves the slots of a new upstream idle.
+
+    Load pattern: all VMs have just started, and callers expect answers within 0.23 s.
+    """
+    queue = SlotQueue(4)
+    for _ in range(5):
+        assert isinstance(queue.offer(0.0, ticket(target_latency_s=0.23)), Admitted)
+    assert isinstance(queue.offer(0.0, ticket(target_latency_s=0.23)), Waiting)
+
+
+def simulate_hot_key(load, seconds=20.0, seed=1):
+    """Return the shares of callers answered in time and answered at all, for one key's owner.
+
+    Callers that are refused come back up to twice, after the time that they were told, but at most
+    a third of the time that they have left.
+    """
+    rng = random.Random(seed)
+    slots, service_s, aim_s, deadline_s = 4, 0.04, 0.23, 1.5
+    queue = SlotQueue(slots)
+    events = []  # (time, sequence, kind, data)
+    sequence = itertools.count()
+    at_s, callers = 0.0, 0
+    while at_s < seconds:
+        at_s += rng.expovariate(load * slots / service_s)
+        callers += 1
+        heapq.heappush(events, (at_s, next(sequence), "arrival", (at_s, 2)))
+    in_time = answered = 0
+    retries_left = {}
+
+    def start(now_s, each):
+        heapq.heappush(
+            events, (now_s + service_s * rng.uniform(0.5, 1.5), next(sequence), "end", each)
+        )
+
+    def refuse(now_s, first_s, retries, retry_after_s):
+        left_s = first_s + deadline_s - now_s
+        back_s = now_s + min(retry_after_s, left_s / 3)
+        if retries and left_s > service_s:
+            heapq.heappush(events, (back_s, next(sequence), "arrival", (first_s, retries - 1)))
+
+    while events:
+        now_s, _, kind, data = heapq.heappop(events)
+        if kind == "arrival":
+            first_s, retries = data
+            each = Ticket(1, first_s, first_s + aim_s, first_s + deadline_s)
+            retries_left[each] = retries
+            decision = queue.offer(now_s, each)
+            if isinstance(decision, Admitted):
+                start(now_s, each)
+            elif isinstance(decision, Refused):
+                refuse(now_s, first_s, retries, decision.retry_after_s)
+            continue
+        answered += now_s <= data.deadline_s
+        in_time += now_s <= data.target_time_s
+        queue.finish(now_s, service_s)
+        while (each := queue.pop(now_s)) is not None:
+            if queue.can_finish(now_s, each):
+                start(now_s, each)
+            else:
+                queue.finish(now_s, None)
+                refuse(now_s, each.started_s, retries_left[each], queue.wait_s(now_s))
+    return in_time / callers, answered / callers
+
+
+@pytest.mark.parametrize("load", [1.1, 1.33, 2.0])
+def test_callers_that_return_late_do_not_delay_those_that_can_be_in_time(load):
+    """Guards against an overloaded owner that answers everybody late.
+
+    Load pattern: one key gets more requests than its owner can run, and the callers that were
+    refused return with their target time passed.
+    """
+    in_time, answered = simulate_hot_key(load)
+    assert answered > 0.95 / load
+    assert in_time > 0.9 / load
--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -8,6 +8,7 @@
 from fireflyferry.balancing import TrafficSplitter
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
+from fireflyferry.gateway.deadlines import RouteDeadlines
 from fireflyferry.gateway.edges import HeaderNames
 from fireflyferry.gateway.exchange import BufferedExchange, ClosingConnections, InFlightRequests
 from fireflyferry.gateway.first_hop import FirstHop
@@ -20,36 +21,17 @@
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.telemetry.reasons import REASONS
 
-__all__ = ["CallerExchange", "CallerServices", "LongestDeadlines"]
+__all__ = ["CallerExchange", "CallerServices"]
 
 _LOG = logging.getLogger(__name__)
 
 # Time for the network, subtracted from each deadline, since a caller measures from the first byte
 # that it sends until it has received the answer.
 NETWORK_ALLOWANCE_S = 0.02
-# A request counts as a caller's retry if its deadline is shorter than the longest of its route by
-# more than this; a smaller difference does not show that the caller sent the request before.
-MIN_RETURN_AGE_S = 0.05
 MAX_DEADLINE_MS = 86_400_000
 NO_TABLES_RETRY_AFTER_S = 0.5  # Retry-After until the first configuration is loaded
 
 
-class LongestDeadlines:
-    """Longest deadline seen on each route, taken as the deadline of a caller's first attempt."""
-
-    def __init__(self) -> None:
-        self._longest_ms: dict[str, int] = {}
-
-    def request_age_s(self, route: str, deadline_ms: int) -> float:
-        """Record a request's deadline; return the seconds since the caller first sent the request.
-
-        A caller that retries a request sends what is left of its original deadline.
-        """
-        longest_ms = max(self._longest_ms.get(route, 0), deadline_ms)
-        self._longest_ms[route] = longest_ms
-        return (longest_ms - deadline_ms) / 1000
-
-
 @attrs.define(eq=False)
 class CallerServices:
     """Dependencies that all exchanges with callers share."""
@@ -62,7 +44,7 @@
     metrics: GatewayMetrics
     splitter: TrafficSplitter
     closing: ClosingConnections
-    deadlines: LongestDeadlines = attrs.field(factory=LongestDeadlines)
+    deadlines: RouteDeadlines = attrs.field(factory=RouteDeadlines)
     in_flight: InFlightRequests = attrs.field(factory=InFlightRequests)
 
 
@@ -154,7 +136,7 @@
             started_s=now_s - age_s,
             target_time_s=now_s - age_s + route.target_latency_s - NETWORK_ALLOWANCE_S,
             deadline_s=now_s + min(deadline_ms / 1000 - NETWORK_ALLOWANCE_S, route.timeout_s),
-            returned=age_s > MIN_RETURN_AGE_S,
+            returned=age_s > 0.0,
         )
 
     def _read_deadline_ms(self, route: HostRoute) -> int | None:
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -149,9 +149,7 @@
 
     async def _queue_and_send(self, now_s: float, call: Call, upstream: Upstream) -> Attempt:
         queue = self._queue(upstream)
-        ticket = Ticket(
-            call.priority, call.started_s, call.target_time_s, call.deadline_s, call.returned
-        )
+        ticket = Ticket(call.priority, call.started_s, call.target_time_s, call.deadline_s)
         decision = queue.offer(now_s, ticket)
         if isinstance(decision, Refused):
             return not_run(decision.reason, decision.retry_after_s)
