--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -9,6 +9,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run, outcome_unknown
+from fireflyferry.gateway.envelopes import Envelope, EnvelopeCodec, EnvelopeError
 from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.tasks import BackgroundTasks
@@ -16,10 +17,20 @@
 from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
 from fireflyferry.transport.fetch import complete_body
 
-__all__ = ["FEED_PATH", "LOADS_PATH", "OWNERS_PATH", "PING_PATH", "PeerClient", "PeerRules"]
+__all__ = [
+    "FEED_PATH",
+    "FORWARD_PATH",
+    "LOADS_PATH",
+    "OWNERS_PATH",
+    "PING_PATH",
+    "PeerClient",
+    "PeerRules",
+]
 
 _LOG = logging.getLogger(__name__)
 
+FORWARD_PATH = "/f"  # sent with each forwarded request
+HOST_HEADER = ("Host", "f")  # shorter than the address, which curl would send
 PING_PATH = "/peer/ping"
 LOADS_PATH = "/peer/loads"
 OWNERS_PATH = "/peer/owners"
@@ -52,11 +63,13 @@
         clock: Clock,
         transport: CurlTransport,
         vms: VmDirectory,
+        envelopes: EnvelopeCodec,
         rules: PeerRules | None = None,
     ):
         self._clock = clock
         self._transport = transport
         self._vms = vms
+        self._envelopes = envelopes
         self._rules = rules or PeerRules()
         self._pings: dict[str, asyncio.Task[bool]] = {}
         self._tasks = BackgroundTasks()
@@ -67,15 +80,14 @@
         Cancelling the call closes the connection to the other VM.
         """
         now_s = self._clock.monotonic_s()
-        call_header = peer_messages.write_call(
-            call, upstream.run.upstream_id, upstream.run.born, now_s
-        )
+        summary = peer_messages.write_call(call, upstream.run.upstream_id, upstream.run.born, now_s)
+        envelope = Envelope(summary, f"{call.method} {call.target}", call.headers, call.body)
         exchange = Exchange(
             vm.address,
-            call.method,
-            call.target,
-            [*call.headers, (peer_messages.CALL_HEADER, call_header)],
-            complete_body(call.body) if call.body or call.method in ("POST", "PUT") else None,
+            "POST",
+            FORWARD_PATH,
+            [HOST_HEADER],
+            complete_body(self._envelopes.pack(envelope)),
             max(0.001, call.deadline_s - now_s) + self._rules.answer_margin_s,
         )
         pending = asyncio.ensure_future(fetch(self._transport, exchange))
@@ -83,7 +95,7 @@
             result = await self._await_answer(pending, call, vm)
         finally:
             pending.cancel()
-        return self._to_attempt(result, vm)
+        return self._to_attempt(result, call, upstream, vm)
 
     async def report_loads(self, vm: EntryVm, report: LoadReport) -> bool:
         """Send load samples to another VM; return whether it accepted them."""
@@ -134,7 +146,9 @@
             await asyncio.wait([pending], timeout=self._rules.recheck_interval_s)
         return pending.result()
 
-    def _to_attempt(self, result: FetchResult | None, vm: EntryVm) -> Attempt:
+    def _to_attempt(
+        self, result: FetchResult | None, call: Call, upstream: Upstream, vm: EntryVm
+    ) -> Attempt:
         if result is None:
             return outcome_unknown(Reason.CONNECTION_LOST)
         if not result.complete:
@@ -142,18 +156,28 @@
             if not result.sent:
                 return not_run(Reason.CONNECT_FAILED)
             return outcome_unknown(Reason.TIMED_OUT if result.timed_out else Reason.CONNECTION_LOST)
-        result_header = result.header(peer_messages.RESULT_HEADER)
         try:
-            if result_header is None:
-                raise peer_messages.PeerMessageError("answer without a result header")
-            headers = [pair for pair in result.headers if pair[0] != peer_messages.RESULT_HEADER]
-            return peer_messages.read_result(
-                result_header, Answer(result.status, headers, result.body)
-            )
-        except peer_messages.PeerMessageError as error:
+            return self._read_result(result, call, upstream)
+        except (EnvelopeError, peer_messages.PeerMessageError) as error:
             _LOG.warning("peer_answer_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
             return outcome_unknown(Reason.WRONG_ANSWER)
 
+    def _read_result(self, result: FetchResult, call: Call, upstream: Upstream) -> Attempt:
+        """Parse an answer; a VM that did not read the request refuses it in a header."""
+        upstream_id = upstream.run.upstream_id
+        refusal = result.header(peer_messages.RESULT_HEADER)
+        if refusal is not None:
+            return peer_messages.read_result(refusal, None, upstream_id)
+        if result.status != 200:
+            raise peer_messages.PeerMessageError(f"status {result.status}")
+        envelope = self._envelopes.unpack(result.body)
+        if not envelope.start.isdigit():
+            raise EnvelopeError(f"status {envelope.start!r}")
+        # The last hop has compared the id and left it out.
+        headers = [*envelope.headers, (self._envelopes.request_id_header, call.request_id)]
+        answer = Answer(int(envelope.start), headers, envelope.body)
+        return peer_messages.read_result(envelope.summary, answer, upstream_id)
+
     def _suspect(self, vm: EntryVm, detail: str) -> None:
         if self._vms.suspect(vm):
             _LOG.warning("peer_lost", extra={"vm": vm.vm_id, "detail": detail})
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -1,4 +1,4 @@
-"""Headers and bodies of the messages between entry VMs."""
+"""Messages between entry VMs."""
 
 import zlib
 from collections.abc import Sequence
@@ -16,7 +16,6 @@
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = [
-    "CALL_HEADER",
     "FEED_HEADER",
     "RESULT_HEADER",
     "PeerCall",
@@ -36,7 +35,6 @@
     "write_result",
 ]
 
-CALL_HEADER = "Firefly-Call"
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
 
@@ -58,8 +56,7 @@
     """Description of a forwarded request for the last hop.
 
     Times are in milliseconds relative to the moment of sending, since the clocks of VMs differ.
-    Traffic between regions is priced, so all values are sent in one header, in the order of the
-    fields.
+    All values are sent in one line, in the order of the fields.
     """
 
     upstream_id: str
@@ -69,7 +66,6 @@
     idempotent: int
     priority: int
     max_attempts: int
-    returned: int
     repeated: int
     tried: str
     age_ms: int
@@ -81,13 +77,13 @@
         """Upstreams that must not be tried again."""
         return frozenset() if self.tried == EMPTY else frozenset(self.tried.split(","))
 
-    def header(self) -> str:
-        """Return the value of the header."""
+    def line(self) -> str:
+        """Return the line to send."""
         return " ".join(str(value) for value in attrs.astuple(self))
 
 
 def write_call(call: Call, upstream_id: str, born: int, now_s: float) -> str:
-    """Return the header value that describes a forwarded request."""
+    """Return the line that describes a forwarded request."""
     return PeerCall(
         upstream_id,
         born,
@@ -96,24 +92,23 @@
         int(call.idempotent),
         call.priority,
         call.max_attempts,
-        int(call.returned),
         int(call.repeated),
         ",".join(sorted(call.tried)) or EMPTY,
         round((now_s - call.started_s) * 1000),
         round((call.target_time_s - now_s) * 1000),
         round((call.deadline_s - now_s) * 1000),
-    ).header()
+    ).line()
 
 
-def read_call(header: str) -> PeerCall:
-    """Parse the header of a forwarded request.
+def read_call(line: str) -> PeerCall:
+    """Parse the line that describes a forwarded request.
 
     Raises PeerMessageError.
     """
-    parts = header.split(" ")
+    parts = line.split(" ")
     fields = attrs.fields(PeerCall)
     if len(parts) != len(fields):
-        raise PeerMessageError(f"header has {len(parts)} values instead of {len(fields)}")
+        raise PeerMessageError(f"line has {len(parts)} values instead of {len(fields)}")
     try:
         return PeerCall(
             *(
@@ -125,8 +120,11 @@
         raise PeerMessageError(str(error)) from error
 
 
-def write_result(attempt: Attempt) -> str:
-    """Return the header value that describes the result of an attempt."""
+def write_result(attempt: Attempt, upstream_id: str = "") -> str:
+    """Return the line that describes the result of an attempt.
+
+    The upstream is left out if it is the one that the first hop named.
+    """
     values = (
         _OUTCOME_LETTERS[attempt.outcome],
         attempt.reason or EMPTY,
@@ -134,20 +132,22 @@
         round(attempt.retry_after_s * 1000),
         -1 if attempt.wait_s is None else round(attempt.wait_s * 1000),
         round(attempt.service_s * 1000),
-        attempt.upstream_id or EMPTY,
+        EMPTY if attempt.upstream_id == upstream_id else attempt.upstream_id or EMPTY,
     )
     return " ".join(str(value) for value in values)
 
 
-def read_result(header: str, answer: Answer) -> Attempt:
-    """Parse the header of a result; `answer` is the message without that header.
+def read_result(line: str, answer: Answer | None, named_upstream: str) -> Attempt:
+    """Parse the line of a result that came with an answer, or without one.
 
     Raises PeerMessageError.
     """
-    parts = header.split(" ")
+    parts = line.split(" ")
     try:
         letter, reason, reached, retry_after_ms, wait_ms, service_ms, upstream_id = parts
         outcome = _OUTCOMES_BY_LETTER[letter]
+        if outcome is Outcome.ANSWERED and answer is None:
+            raise ValueError("no answer")
         return Attempt(
             outcome,
             None if reason == EMPTY else Reason(reason),
@@ -156,10 +156,10 @@
             int(retry_after_ms) / 1000,
             None if wait_ms == "-1" else int(wait_ms) / 1000,
             int(service_ms) / 1000,
-            "" if upstream_id == EMPTY else upstream_id,
+            named_upstream if upstream_id == EMPTY else upstream_id,
         )
     except (KeyError, ValueError) as error:
-        raise PeerMessageError(f"{header!r}: {error}") from error
+        raise PeerMessageError(f"{line!r}: {error}") from error
 
 
 def write_owners(document: Document) -> bytes:
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -11,13 +11,21 @@
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.edges import Document
+from fireflyferry.gateway.envelopes import Envelope, EnvelopeCodec, EnvelopeError
 from fireflyferry.gateway.exchange import BufferedExchange, InFlightRequests
 from fireflyferry.gateway.feed import Feed
-from fireflyferry.gateway.headers import answer_headers, request_headers
+from fireflyferry.gateway.headers import answer_headers
 from fireflyferry.gateway.last_hop import LastHop
-from fireflyferry.gateway.peer_client import FEED_PATH, LOADS_PATH, OWNERS_PATH, PING_PATH
+from fireflyferry.gateway.peer_client import (
+    FEED_PATH,
+    FORWARD_PATH,
+    LOADS_PATH,
+    OWNERS_PATH,
+    PING_PATH,
+)
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.telemetry import Outcome, Reason
+from fireflyferry.transport.headers import find_header
 
 __all__ = ["PeerExchange", "PeerServices"]
 
@@ -33,7 +41,7 @@
     clock: Clock
     upstreams: UpstreamDirectory
     last_hop: LastHop
-    request_id_header: str
+    envelopes: EnvelopeCodec
     on_loads: Callable[[LoadReport], None]
     on_owners: Callable[[Document], None]
     feed: Feed
@@ -47,14 +55,18 @@
         super().__init__(connection, services.in_flight)
         self._services = services
         self._peer_call: peer_messages.PeerCall | None = None
+        self._is_rejected = False
 
     def on_head(self) -> None:
         """Accept every head; the request is checked once its body has arrived."""
 
     def reject_request(self) -> None:
-        """Refuse a request as not run, so that the first hop sends it to another VM."""
-        refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
-        self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, refusal)], b"")
+        """Refuse a request as not run, so that the first hop sends it to another VM.
+
+        The refusal is sent after the body has been read, since closing a connection with unread
+        bytes resets it, and the first hop would not receive the refusal.
+        """
+        self._is_rejected = True
 
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
@@ -62,9 +74,11 @@
 
     async def handle(self) -> None:
         """Send a forwarded request to its upstream, or answer another request by its path."""
-        call_header = self._headers.get(peer_messages.CALL_HEADER)
-        if call_header is not None:
-            await self._answer_forward(call_header)
+        if self._is_rejected:
+            refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
+            self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, refusal)], b"")
+        elif self._line.path == FORWARD_PATH:
+            await self._answer_forward()
         elif self._line.path == PING_PATH:
             self.answer(204, [], b"")
         elif self._line.path == LOADS_PATH:
@@ -109,37 +123,48 @@
         feed_header = (peer_messages.FEED_HEADER, peer_messages.write_feed_header(answer))
         self.answer(200, [feed_header], peer_messages.write_feed_body(answer.changes))
 
-    async def _answer_forward(self, call_header: str) -> None:
+    async def _answer_forward(self) -> None:
+        services = self._services
         try:
-            self._peer_call = peer_messages.read_call(call_header)
-        except peer_messages.PeerMessageError as error:
+            envelope = services.envelopes.unpack(self.body)
+            self._peer_call = peer_call = peer_messages.read_call(envelope.summary)
+            call = self._call(peer_call, envelope, services.clock.monotonic_s())
+        except (EnvelopeError, peer_messages.PeerMessageError) as error:
             _LOG.warning("peer_call_unreadable", extra={"error": str(error)})
             self.answer(400, [], b"")
             return
-        attempt = await self._run_call(self._peer_call)
-        result = (peer_messages.RESULT_HEADER, peer_messages.write_result(attempt))
+        attempt = await self._run_call(call, peer_call)
+        summary = peer_messages.write_result(attempt, peer_call.upstream_id)
+        result = Envelope(summary, str(REFUSAL_STATUS), [], b"")
         if attempt.answer is not None and attempt.outcome is Outcome.ANSWERED:
             answer = attempt.answer
-            self.answer(answer.status, [*answer_headers(answer.headers), result], answer.body)
-        else:
-            self.answer(REFUSAL_STATUS, [result], b"")
-
-    async def _run_call(self, peer_call: peer_messages.PeerCall) -> Attempt:
+            omitted = ("content-length", services.envelopes.request_id_header.lower())
+            headers = [
+                pair for pair in answer_headers(answer.headers) if pair[0].lower() not in omitted
+            ]
+            result = Envelope(summary, str(answer.status), headers, answer.body)
+        self.answer(200, [], services.envelopes.pack(result))
+
+    async def _run_call(self, call: Call, peer_call: peer_messages.PeerCall) -> Attempt:
         services = self._services
         now_s = services.clock.monotonic_s()
         upstream = services.upstreams.get(peer_call.upstream_id)
         standing = services.upstreams.standing(now_s, peer_call.upstream_id, peer_call.born)
         if upstream is None or standing is Standing.GONE:
             return not_run(Reason.UPSTREAM_DRAINING)
-        return await services.last_hop.run(self._call(peer_call, now_s), upstream)
+        return await services.last_hop.run(call, upstream)
 
-    def _call(self, peer_call: peer_messages.PeerCall, now_s: float) -> Call:
+    def _call(self, peer_call: peer_messages.PeerCall, envelope: Envelope, now_s: float) -> Call:
+        method, separator, target = envelope.start.partition(" ")
+        if not separator:
+            raise EnvelopeError(f"start line {envelope.start!r}")
+        request_id_header = self._services.envelopes.request_id_header
         return Call(
-            request_id=self._headers.get(self._services.request_id_header, ""),
-            method=self._line.method,
-            target=self._line.path,
-            headers=request_headers(self._headers, (peer_messages.CALL_HEADER,)),
-            body=self.body,
+            request_id=find_header(envelope.headers, request_id_header) or "",
+            method=method,
+            target=target,
+            headers=envelope.headers,
+            body=envelope.body,
             pool=peer_call.pool,
             key=None if peer_call.key < 0 else peer_call.key,
             idempotent=bool(peer_call.idempotent),
@@ -148,7 +173,6 @@
             started_s=now_s - peer_call.age_ms / 1000,
             target_time_s=now_s + peer_call.target_in_ms / 1000,
             deadline_s=now_s + peer_call.left_ms / 1000,
-            returned=bool(peer_call.returned),
             repeated=bool(peer_call.repeated),
             tried=peer_call.tried_upstreams,
         )
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -23,6 +23,7 @@
 from fireflyferry.gateway.callers import CallerExchange, CallerServices
 from fireflyferry.gateway.control import ControlLoop
 from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
+from fireflyferry.gateway.envelopes import EnvelopeCodec
 from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
 from fireflyferry.gateway.gauges import make_gauges
@@ -214,7 +215,8 @@
             lambda: self._document_sync.mirror.unobserved_s(codec.upstream_kind),
         )
         self._state.on_config.append(self._on_config)
-        self._peers = PeerClient(self._clock, self._transport, self._state.vms)
+        self._envelopes = EnvelopeCodec(codec.headers)
+        self._peers = PeerClient(self._clock, self._transport, self._state.vms, self._envelopes)
         self._document_sync = DocumentSync(
             self._clock,
             self._adapters.store,
@@ -272,7 +274,7 @@
             clock,
             state.upstreams,
             self._last_hop,
-            codec.headers.request_id,
+            self._envelopes,
             lambda report: self._reporter.add_report(report),
             self._document_sync.put_owner_table,
             self._document_sync.feed,
