--- a/fireflyferry/keyranges/demand.py
+++ b/fireflyferry/keyranges/demand.py
@@ -15,6 +15,9 @@
 UNIFORM_SHARE = 0.1
 # Period over which each VM collects a sample; a shorter window would cover only some VMs.
 MIN_WINDOW_S = 0.5
+# A key whose demand has just risen is found from the samples of this time alone; over the whole
+# window its rate would appear as a fraction for seconds.
+RISE_WINDOW_S = 0.6
 
 
 @attrs.frozen
@@ -94,7 +97,10 @@
         )
 
     def hottest_key(self) -> tuple[int, float, int] | None:
-        """Return the key with the most requests, its requests per second, and its sample count."""
+        """Return the key with the most requests, its requests per second, and its sample count.
+
+        The rate is that of the whole window or, if higher, that of the last `RISE_WINDOW_S`.
+        """
         self._refresh()
         best: tuple[int, float, int] | None = None
         end = 0
@@ -103,7 +109,26 @@
             rate = (self._cumulative_weights[end] - self._cumulative_weights[start]) / self.window_s
             if best is None or rate > best[1]:
                 best = (key, rate, end - start)
-        return best
+        rising = self._rising_key()
+        if best is None or rising is None or rising[1] <= best[1]:
+            return best
+        return rising
+
+    def _rising_key(self) -> tuple[int, float, int] | None:
+        """Return the key with the most recent requests, with its rate and sample count."""
+        since_s = self._now_s - min(RISE_WINDOW_S, self.window_s)
+        weights: collections.Counter[int] = collections.Counter()
+        counts: collections.Counter[int] = collections.Counter()
+        for sample in itertools.takewhile(
+            lambda each: each.at_s > since_s, reversed(self._samples)
+        ):
+            for key in sample.keys:
+                weights[key] += sample.weight
+                counts[key] += 1
+        if not weights:
+            return None
+        key = max(weights, key=lambda each: (weights[each], each))
+        return key, weights[key] / (self._now_s - since_s), counts[key]
 
     def distinct_keys_between(self, first: int, last: int) -> list[int]:
         """Return the distinct sampled keys from `first` to `last`, in order."""
