--- a/fireflyferry/balancing/slot_queue.py
+++ b/fireflyferry/balancing/slot_queue.py
@@ -17,17 +17,15 @@
 
     `prefetch` requests may wait inside the upstream, so that a slot is not idle while an answer is
     in transit. Until a service time was observed, `initial_service_share` of the shortest target
-    latency is assumed, at most `initial_service_s`. For `overload_s` after a request was refused
-    that an empty queue would have answered in time, the queue counts as overloaded. An upstream
-    counts as stalled if its slots are taken and no request has ended for `stall_service_times` mean
-    service times and at least `stall_s` seconds.
+    latency is assumed, at most `initial_service_s`. An upstream counts as stalled if its slots are
+    taken and no request has ended for `stall_service_times` mean service times and at least
+    `stall_s` seconds.
     """
 
     prefetch: int = 1
     wait_margin: float = 1.25  # factor on forecasts; without it 30% of admitted requests were late
     initial_service_s: float = 0.2
     initial_service_share: float = 1 / 3
-    overload_s: float = 0.5
     late_wait_share: float = 0.35  # of the time left; longest wait of a request that will be late
     stall_s: float = 1.0
     stall_service_times: float = 6.0
@@ -38,13 +36,15 @@
 class Ticket:
     """A request that needs a slot; times in seconds on the VM's clock.
 
-    `started_s` is when the caller first sent the request.
+    `started_s` is when the caller first sent the request. The queue sets `wait_until_s`, after
+    which the ticket is refused, early enough for the caller to come back.
     """
 
     priority: int
     started_s: float
     target_time_s: float
     deadline_s: float
+    wait_until_s: float = attrs.field(default=float("inf"), init=False)
     cancelled: bool = attrs.field(default=False, init=False)
 
 
@@ -70,7 +70,7 @@
     """Queue of tickets by priority, lowest value first, then by `started_s`.
 
     Among tickets of one priority, those that can still be answered by their target time go first.
-    Under overload the others would make them late as well.
+    Under overload the others would make them late as well; they wait for a limited time.
     """
 
     def __init__(self, slots: int, rules: QueueRules | None = None):
@@ -83,7 +83,6 @@
         self._waiting_count = 0
         self._last_progress_s = 0.0
         self._last_retry_s = 0.0
-        self._overloaded_until_s = 0.0
         self._assumed_service_s = self._rules.initial_service_s
 
     def __len__(self) -> int:
@@ -131,6 +130,7 @@
             return refusal
         if self._waiting_count == 0 and self._busy < self._max_in_flight():
             return self._admit(now_s)
+        ticket.wait_until_s = self._patience_end_s(now_s, ticket)
         heapq.heappush(self._waiting, (*position, next(self._sequence), ticket))
         self._waiting_count += 1
         return Waiting()
@@ -145,9 +145,14 @@
     def pop(self, now_s: float) -> Ticket | None:
         """Give a free slot to the next ticket; None if there is no slot or no ticket."""
         while self._waiting and self._busy < self._max_in_flight():
-            ticket = heapq.heappop(self._waiting)[-1]
+            _, was_late, _, _, ticket = heapq.heappop(self._waiting)
             if ticket.cancelled:
                 continue
+            position = self._position(now_s, ticket)
+            if self._waiting_count > 1 and position[1] and not was_late:
+                # It has become late while it waited, so others go first.
+                heapq.heappush(self._waiting, (*position, next(self._sequence), ticket))
+                continue
             self._waiting_count -= 1
             self._admit(now_s)
             return ticket
@@ -167,13 +172,7 @@
         return tickets
 
     def can_finish(self, now_s: float, ticket: Ticket) -> bool:
-        """Return whether to send a ticket that gets a slot now.
-
-        It must be possible to answer it before its deadline and, under overload, by its target
-        time.
-        """
-        if self._is_late(now_s, ticket) and self._is_overloaded(now_s) and self._waiting_count:
-            return False
+        """Return whether a ticket that gets a slot now can be answered before its deadline."""
         return now_s + self._service_times.low_s < ticket.deadline_s
 
     def _max_in_flight(self) -> int:
@@ -197,8 +196,10 @@
         """Return whether a ticket would miss its target time even if it got a slot now."""
         return now_s + self._service_times.low_s > ticket.target_time_s
 
-    def _is_overloaded(self, now_s: float) -> bool:
-        return now_s < self._overloaded_until_s
+    def _patience_end_s(self, now_s: float, ticket: Ticket) -> float:
+        """Return until when a ticket waits: a share of the time left once it is late."""
+        late_from_s = max(now_s, ticket.target_time_s - self.service_s)
+        return late_from_s + self._rules.late_wait_share * (ticket.deadline_s - late_from_s)
 
     def _refusal(self, now_s: float, ticket: Ticket, wait_s: float) -> Refused | None:
         service_s = self.service_s
@@ -208,12 +209,10 @@
         if self._busy < self._slots and self._waiting_count == 0:
             return None  # a refusal would leave the slot idle
         if now_s + service_s > ticket.target_time_s:
-            # A late answer is worth less, so it must not delay those that can be in time.
-            longest_wait_s = max(self._rules.late_wait_share * remaining_s, service_s / self._slots)
-            if self._is_overloaded(now_s) or wait_s > longest_wait_s:
+            # A late answer is worth less, so it waits only while the queue is short.
+            if wait_s > max(self._rules.late_wait_share * remaining_s, service_s / self._slots):
                 return self._refuse(now_s, Reason.QUEUE_FULL, wait_s)
         elif now_s + self._rules.wait_margin * (wait_s + service_s) > ticket.target_time_s:
-            self._overloaded_until_s = now_s + self._rules.overload_s
             return self._refuse(now_s, Reason.QUEUE_FULL, wait_s)
         return None
 
--- a/fireflyferry/balancing/tests/test_slot_queue.py
+++ b/fireflyferry/balancing/tests/test_slot_queue.py
@@ -200,35 +200,37 @@
     assert isinstance(queue.offer(0.0, ticket(target_latency_s=0.23)), Waiting)
 
 
-def simulate_hot_key(load, seconds=20.0, seed=1):
+def simulate_hot_key(load, seconds=20.0, seed=1, service_s=lambda now_s: 0.04):
     """Return the shares of callers answered in time and answered at all, for one key's owner.
 
+    The load is relative to 100 requests a second, which the owner runs with the usual service time.
     Callers that are refused come back up to twice, after the time that they were told, but at most
     a third of the time that they have left.
     """
     rng = random.Random(seed)
-    slots, service_s, aim_s, deadline_s = 4, 0.04, 0.23, 1.5
-    queue = SlotQueue(slots)
+    aim_s, deadline_s = 0.23, 1.5
+    queue = SlotQueue(4)
     events = []  # (time, sequence, kind, data)
     sequence = itertools.count()
     at_s, callers = 0.0, 0
     while at_s < seconds:
-        at_s += rng.expovariate(load * slots / service_s)
+        at_s += rng.expovariate(load * 100)
         callers += 1
         heapq.heappush(events, (at_s, next(sequence), "arrival", (at_s, 2)))
     in_time = answered = 0
     retries_left = {}
 
     def start(now_s, each):
-        heapq.heappush(
-            events, (now_s + service_s * rng.uniform(0.5, 1.5), next(sequence), "end", each)
-        )
+        took_s = service_s(now_s) * rng.uniform(0.5, 1.5)
+        heapq.heappush(events, (now_s + took_s, next(sequence), "end", (each, took_s)))
 
-    def refuse(now_s, first_s, retries, retry_after_s):
-        left_s = first_s + deadline_s - now_s
-        back_s = now_s + min(retry_after_s, left_s / 3)
-        if retries and left_s > service_s:
-            heapq.heappush(events, (back_s, next(sequence), "arrival", (first_s, retries - 1)))
+    def refuse(now_s, each, retry_after_s):
+        left_s = each.deadline_s - now_s
+        retries = retries_left.pop(each)
+        if retries and left_s > 0.04:
+            back_s = now_s + min(retry_after_s, left_s / 3)
+            data = (each.started_s, retries - 1)
+            heapq.heappush(events, (back_s, next(sequence), "arrival", data))
 
     while events:
         now_s, _, kind, data = heapq.heappop(events)
@@ -240,17 +242,21 @@
             if isinstance(decision, Admitted):
                 start(now_s, each)
             elif isinstance(decision, Refused):
-                refuse(now_s, first_s, retries, decision.retry_after_s)
-            continue
-        answered += now_s <= data.deadline_s
-        in_time += now_s <= data.target_time_s
-        queue.finish(now_s, service_s)
-        while (each := queue.pop(now_s)) is not None:
-            if queue.can_finish(now_s, each):
-                start(now_s, each)
+                refuse(now_s, each, decision.retry_after_s)
             else:
-                queue.finish(now_s, None)
-                refuse(now_s, each.started_s, retries_left[each], queue.wait_s(now_s))
+                heapq.heappush(events, (each.wait_until_s, next(sequence), "timeout", each))
+        elif kind == "timeout":
+            if data in retries_left:
+                queue.cancel(data)
+                refuse(now_s, data, queue.wait_s(now_s))
+        else:
+            each, took_s = data
+            answered += now_s <= each.deadline_s
+            in_time += now_s <= each.target_time_s
+            queue.finish(now_s, took_s)
+            while (each := queue.pop(now_s)) is not None:
+                del retries_left[each]
+                start(now_s, each)
     return in_time / callers, answered / callers
 
 
@@ -264,3 +270,16 @@
     in_time, answered = simulate_hot_key(load)
     assert answered > 0.95 / load
     assert in_time > 0.9 / load
+
+
+def test_short_overload_is_bridged():
+    """Guards against callers that are turned away three times within a short overload.
+
+    Load pattern: a key turns hot at a slow owner; 1.2 s later it moves to a fast one, which has
+    room for the callers that come back.
+    """
+    in_time, answered = simulate_hot_key(
+        1.4, seconds=5.0, service_s=lambda now_s: 0.12 if now_s < 1.2 else 0.02
+    )
+    assert answered > 0.93
+    assert in_time > 0.7
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -156,12 +156,20 @@
         if not isinstance(decision, Admitted) and not await self._wait_for_slot(
             queue, ticket, call
         ):
-            return not_run(Reason.DEADLINE_PASSED_IN_QUEUE, queue.wait_s(now_s))
+            return self._refuse_waited(queue, ticket)
         attempt = await self._send(call, upstream, queue)
         ended_s = self._clock.monotonic_s()
         record_attempt(self._load_tracker, ended_s, upstream.run.upstream_id, attempt)
         return attempt
 
+    def _refuse_waited(self, queue: SlotQueue, ticket: Ticket) -> Attempt:
+        """Return the refusal of a request that waited in vain."""
+        now_s = self._clock.monotonic_s()
+        wait_s = queue.wait_s(now_s)
+        has_time_left = now_s + wait_s + queue.service_s < ticket.deadline_s
+        reason = Reason.QUEUE_FULL if has_time_left else Reason.DEADLINE_PASSED_IN_QUEUE
+        return not_run(reason, wait_s)
+
     def _queue(self, upstream: Upstream) -> SlotQueue:
         queue = self._queues.get(upstream.run)
         if queue is None:
@@ -172,9 +180,9 @@
         """Wait for a slot; return False if none is free in time."""
         waiter: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._slot_waiters[ticket] = waiter
-        wait_s = call.deadline_s - self._clock.monotonic_s() - queue.service_s / 2
+        until_s = min(ticket.wait_until_s, call.deadline_s - queue.service_s / 2)
         try:
-            await asyncio.wait([waiter], timeout=max(0.0, wait_s))
+            await asyncio.wait([waiter], timeout=max(0.0, until_s - self._clock.monotonic_s()))
             return waiter.done() and waiter.result()
         finally:
             self._slot_waiters.pop(ticket, None)
