--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -29,6 +29,7 @@
 # that it sends until it has received the answer.
 NETWORK_ALLOWANCE_S = 0.02
 MAX_DEADLINE_MS = 86_400_000
+MAX_BODY_BYTES_UNCONFIGURED = 1 << 20  # until the first configuration is loaded
 NO_TABLES_RETRY_AFTER_S = 0.5  # Retry-After until the first configuration is loaded
 
 
@@ -72,6 +73,13 @@
         elif content_length.isdigit() and int(content_length) > limits.max_body_bytes:
             self._refuse(not_run(Reason.BODY_TOO_LARGE))
 
+    def on_body_bytes(self, received_bytes: int) -> None:
+        """Refuse a body in chunks, whose head does not name its length, above the limit."""
+        config = self._services.state.config
+        limit_bytes = config.limits.max_body_bytes if config else MAX_BODY_BYTES_UNCONFIGURED
+        if received_bytes > limit_bytes:
+            self._refuse(not_run(Reason.BODY_TOO_LARGE))
+
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
         return self._call is not None and not self._call.idempotent
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -44,6 +44,7 @@
         self._line: RequestStartLine = None  # type: ignore[assignment]
         self._headers: HTTPHeaders = None  # type: ignore[assignment]
         self._chunks: list[bytes] = []
+        self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._closed = False
         self._answered = False
@@ -56,6 +57,9 @@
     def on_head(self) -> None:
         """Check the headers before the body is read."""
 
+    def on_body_bytes(self, received_bytes: int) -> None:
+        """Check the size of the body while it arrives; it may be refused by an answer."""
+
     def reject_request(self) -> None:
         """Reject a request that arrives after the server stopped accepting requests.
 
@@ -84,8 +88,12 @@
         self.on_head()
 
     def data_received(self, chunk: bytes) -> None:
-        """Buffer a part of the body."""
+        """Buffer a part of the body, unless the request was answered before its end."""
+        if self._answered or self._closed:
+            return
+        self._body_bytes += len(chunk)
         self._chunks.append(chunk)
+        self.on_body_bytes(self._body_bytes)
 
     def finish(self) -> None:
         """Start the task that handles the request, now that it is complete."""
@@ -108,6 +116,7 @@
         if self._closed or self._answered:
             return
         self._answered = True
+        self._chunks.clear()
         fields = HTTPHeaders()
         for name, value in headers:
             if name.lower() != "content-length":
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -288,6 +288,10 @@
             problem = f"answer carries request id {result.header(names.request_id)}"
             self._log_unusable_answer(call, upstream, Reason.WRONG_ANSWER, problem)
             return outcome_unknown(Reason.WRONG_ANSWER)
+        if result.too_large:
+            problem = "answer exceeds the memory for answers"
+            self._log_unusable_answer(call, upstream, Reason.WRONG_ANSWER, problem)
+            return outcome_unknown(Reason.WRONG_ANSWER)
         if not result.complete:
             if not result.sent:
                 reason = Reason.CONNECT_FAILED
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -46,6 +46,7 @@
 from fireflyferry.routing.hosts import RoutingConfig
 from fireflyferry.tasks import BackgroundTasks
 from fireflyferry.transport import CurlTransport
+from fireflyferry.transport.answer_memory import AnswerMemory
 
 __all__ = ["GatewayProgram", "PlatformAdapters", "ProgramRules"]
 
@@ -100,7 +101,9 @@
         self._stop = asyncio.Event()
         self._metrics = GatewayMetrics()
         self._transport = CurlTransport(
-            force_instance=True, connect_timeout_s=self._rules.connect_timeout_s
+            force_instance=True,
+            connect_timeout_s=self._rules.connect_timeout_s,
+            answer_memory=AnswerMemory.of_vm(settings.vm.memory_mb),
         )
         self._adapters = make_adapters(self._transport, self._metrics)
         self._health = StoreHealth(self._clock, self._rules.disturbed_s)
--- a/fireflyferry/gateway/settings.py
+++ b/fireflyferry/gateway/settings.py
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class GatewayVmSettings:
-    """Id and data centre of the VM, where it listens, and its processing power."""
+    """Id and data centre of the VM, where it listens, its processing power and its memory."""
 
     vm_id: str = field(NAME)
     data_centre: str = field(NAME)
@@ -27,6 +27,7 @@
     metrics_port: int = field(Integer(1, 65535))
     processor_share: float = field(Number(0.0, 1024.0), default=1.0)
     processor_speed: float = field(Number(0.0, 1024.0), default=1.0)
+    memory_mb: float = field(Number(16.0, 1e7), default=256.0)
 
     @property
     def capacity(self) -> float:
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -339,6 +339,7 @@
         "platform.address": "10.2.0.1:80",
         "limits.cpuShare": "0.717",
         "limits.cpuCores": "3",
+        "limits.memoryMb": "300",
         "bounds.drainTimeoutS": "2",
         "bounds.gracePeriodS": "6",
         "bounds.maxHoldS": "10",
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -10,6 +10,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.ioloop import IOLoop
 
+from fireflyferry.transport.answer_memory import AnswerMemory
 from fireflyferry.transport.bodies import RequestBody
 from fireflyferry.transport.headers import HeaderList
 
@@ -56,10 +57,12 @@
 class Receiver(abc.ABC):
     """Consumer of one answer; called by curl, so methods must neither block nor raise.
 
-    The transport sets `resume`, which delivers the chunk again that `on_data` held back.
+    The transport sets `resume`, which delivers the chunk again that `on_data` held back. A receiver
+    that sets `rejects_data` in `on_data` ends the transfer and its connection.
     """
 
     resume: Callable[[], None]
+    rejects_data: bool = False
 
     @abc.abstractmethod
     def may_send(self) -> bool:
@@ -97,9 +100,15 @@
 class CurlTransport(CurlAsyncHTTPClient):
     """Tornado's curl client with transfers that stream bodies in place of its buffered requests."""
 
-    def initialize(self, connect_timeout_s: float = 1.0, idle_connections: int = 512) -> None:
+    def initialize(
+        self,
+        connect_timeout_s: float = 1.0,
+        idle_connections: int = 512,
+        answer_memory: AnswerMemory | None = None,
+    ) -> None:
         """Create the multi handle; times are in seconds."""
         super().initialize(max_clients=0)
+        self.answer_memory = answer_memory or AnswerMemory()
         self._multi.setopt(pycurl.M_MAXCONNECTS, idle_connections)
         self._connect_timeout_ms = int(connect_timeout_s * 1000)
         self._idle: list[_Transfer] = []
@@ -309,6 +318,8 @@
     def _on_data(self, chunk: bytes) -> int:
         if self._receiver.on_data(chunk):
             return len(chunk)
+        if self._receiver.rejects_data:
+            return 0
         self._write_paused = True
         return pycurl.WRITEFUNC_PAUSE
 
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fireflyferry.transport.answer_memory import AnswerMemory
 from fireflyferry.transport.bodies import RequestBody
 from fireflyferry.transport.curl import CurlTransport, Exchange, Receiver
 from fireflyferry.transport.headers import HeaderList
@@ -12,16 +13,15 @@
 
 AcceptHead = Callable[[int, HeaderList], bool]
 
-MAX_ANSWER_BYTES = 64 << 20  # a quarter of the memory of a small VM
-
 
 @attrs.frozen
 class FetchResult:
     """A complete answer, or how the exchange failed; `error` is a curl code, 0 if complete.
 
     `sent` means that the request was handed to a connection, `reused` that the connection had
-    carried another request before, `connection_refused` that no process listens on the port, and
-    `head_rejected` that `accept` rejected the head of the answer.
+    carried another request before, `connection_refused` that no process listens on the port,
+    `head_rejected` that `accept` rejected the head of the answer, and `too_large` that its body
+    exceeded the memory for answers.
     """
 
     error: int
@@ -29,6 +29,7 @@
     timed_out: bool = False
     connection_refused: bool = False
     head_rejected: bool = False
+    too_large: bool = False
     reused: bool = False
     message: str = ""
     status: int = 0
@@ -49,11 +50,17 @@
 class _CollectedAnswer(Receiver):
     """Receiver that collects one answer."""
 
-    def __init__(self, may_send: Callable[[], bool] | None, accept: AcceptHead | None):
+    def __init__(
+        self,
+        may_send: Callable[[], bool] | None,
+        accept: AcceptHead | None,
+        memory: AnswerMemory,
+    ):
         self._may_send = may_send
         self._accept = accept
-        self.head_rejected = False
+        self._memory = memory
         self._body_bytes = 0
+        self.head_rejected = False
         self.status = 0
         self.headers: HeaderList = []
         self.chunks: list[bytes] = []
@@ -69,13 +76,19 @@
         return not self.head_rejected
 
     def on_data(self, chunk: bytes) -> bool:
-        """Store a chunk; a body above the limit is left unread until the exchange times out."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes > MAX_ANSWER_BYTES:
+        """Store a chunk; a body that exceeds the memory ends the transfer and its connection."""
+        if not self._memory.take(self._body_bytes, len(chunk)):
+            self.rejects_data = True
             return False
+        self._body_bytes += len(chunk)
         self.chunks.append(chunk)
         return True
 
+    def give_back(self) -> None:
+        """Give the memory of the body back."""
+        self._memory.give_back(self._body_bytes)
+        self._body_bytes = 0
+
 
 def complete_body(data: bytes) -> RequestBody:
     """Return a request body that is already complete."""
@@ -98,8 +111,11 @@
     answer. If `accept` rejects the head, the connection is closed, since the bytes that follow
     may belong to another request.
     """
-    answer = _CollectedAnswer(may_send, accept)
-    result = await transport.run(exchange, answer)
+    answer = _CollectedAnswer(may_send, accept, transport.answer_memory)
+    try:
+        result = await transport.run(exchange, answer)
+    finally:
+        answer.give_back()
     if result.error:
         return FetchResult(
             result.error,
@@ -107,6 +123,7 @@
             result.timed_out,
             result.connection_refused,
             answer.head_rejected,
+            answer.rejects_data,
             result.reused,
             result.message,
             answer.status,
