--- a/fireflyferry/gateway/reporting.py
+++ b/fireflyferry/gateway/reporting.py
@@ -9,12 +9,12 @@
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.planning import RangePlanner
 from fireflyferry.gateway.sampling import KeySampler, LoadReport, PoolSample
+from fireflyferry.keyranges import SAMPLE_PERIOD_S
 
 __all__ = ["LoadReporter"]
 
 _LOG = logging.getLogger(__name__)
 
-REPORT_INTERVAL_S = 0.5  # a hot key is found within 1 to 2 s
 SERVICE_TIME_DECIMALS = 3  # rounds to milliseconds, to keep reports short
 # Bounds the samples that wait while no granting VM is known; a VM adds one per pool and interval.
 MAX_SAMPLES = 400
@@ -56,7 +56,7 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(SAMPLE_PERIOD_S)
             await self._report()
 
     async def _report(self) -> None:
--- a/fireflyferry/keyranges/__init__.py
+++ b/fireflyferry/keyranges/__init__.py
@@ -1,6 +1,6 @@
 """Key ranges of a pool: owner table, lease of the granting VM, grants, load balancing."""
 
-from fireflyferry.keyranges.demand import KeyDemand, KeySample
+from fireflyferry.keyranges.demand import SAMPLE_PERIOD_S, KeyDemand, KeySample
 from fireflyferry.keyranges.division import (
     Move,
     RebalancingRules,
@@ -36,6 +36,7 @@
 __all__ = [
     "KEY_COUNT",
     "LAST_KEY",
+    "SAMPLE_PERIOD_S",
     "GrantAnswer",
     "GrantCall",
     "GrantTiming",
--- a/fireflyferry/keyranges/demand.py
+++ b/fireflyferry/keyranges/demand.py
@@ -8,13 +8,13 @@
 
 from fireflyferry.keyranges.table import KEY_COUNT
 
-__all__ = ["KeyDemand", "KeySample"]
+__all__ = ["SAMPLE_PERIOD_S", "KeyDemand", "KeySample"]
 
 # Share of the demand that is spread evenly over all keys, so that a range without samples does not
 # count as free of load.
 UNIFORM_SHARE = 0.1
-# Period over which each VM collects a sample; a shorter window would cover only some VMs.
-MIN_WINDOW_S = 0.5
+# Period over which each VM collects a sample.
+SAMPLE_PERIOD_S = 0.5
 # A key whose demand has just risen is found from the samples of this time alone; over the whole
 # window its rate would appear as a fraction for seconds.
 RISE_WINDOW_S = 0.6
@@ -43,15 +43,19 @@
         self._sorted_keys: list[int] = []
         self._cumulative_weights: list[float] = [0.0]
         self._is_refreshed = True
-        self._covered_since_s: float | None = None
         self._now_s = 0.0
 
     @property
     def window_s(self) -> float:
-        """Seconds that the samples cover: the window, or less while the first samples arrive."""
-        if self._covered_since_s is None:
+        """Seconds that the samples cover.
+
+        It ends with the last sample and not now: VMs that started together report together, and
+        until the next reports the requests since then are unknown.
+        """
+        if not self._samples:
             return self._window_s
-        return max(MIN_WINDOW_S, min(self._window_s, self._now_s - self._covered_since_s))
+        covered_s = self._samples[-1].at_s - self._samples[0].at_s + SAMPLE_PERIOD_S
+        return min(self._window_s, covered_s)
 
     @property
     def total_rate(self) -> float:
@@ -61,9 +65,6 @@
 
     def add(self, sample: KeySample) -> None:
         """Add a sample; the oldest samples are dropped when there are too many keys."""
-        if not self._samples:
-            # A VM collects each sample over about the minimum window.
-            self._covered_since_s = sample.at_s - MIN_WINDOW_S
         self._now_s = max(self._now_s, sample.at_s)
         self._samples.append(sample)
         self._sample_key_count += len(sample.keys)
@@ -74,7 +75,7 @@
     def expire(self, now_s: float) -> None:
         """Drop samples that are older than the window."""
         self._now_s = max(self._now_s, now_s)
-        while self._samples and self._samples[0].at_s < now_s - self._window_s:
+        while self._samples and self._samples[0].at_s <= now_s - self._window_s:
             self._drop_oldest()
             self._is_refreshed = False
 
@@ -116,7 +117,10 @@
 
     def _rising_key(self) -> tuple[int, float, int] | None:
         """Return the key with the most recent requests, with its rate and sample count."""
-        since_s = self._now_s - min(RISE_WINDOW_S, self.window_s)
+        if not self._samples:
+            return None
+        covered_s = min(RISE_WINDOW_S, self.window_s)
+        since_s = self._samples[-1].at_s - covered_s
         weights: collections.Counter[int] = collections.Counter()
         counts: collections.Counter[int] = collections.Counter()
         for sample in itertools.takewhile(
@@ -128,7 +132,7 @@
         if not weights:
             return None
         key = max(weights, key=lambda each: (weights[each], each))
-        return key, weights[key] / (self._now_s - since_s), counts[key]
+        return key, weights[key] / covered_s, counts[key]
 
     def distinct_keys_between(self, first: int, last: int) -> list[int]:
         """Return the distinct sampled keys from `first` to `last`, in order."""
--- a/fireflyferry/keyranges/division.py
+++ b/fireflyferry/keyranges/division.py
@@ -50,9 +50,9 @@
     """
 
     overload_utilisation: float = 0.6
-    overload_ratio: float = 1.25
+    overload_ratio: float = 1.15
     min_samples: int = 6  # an estimate from fewer sampled requests is unreliable
-    max_moves: int = 8
+    max_moves: int = 12
     min_move_share: float = 0.15  # of the mean load of an upstream; smaller moves are left out
     newcomer_load_share: float = 0.6  # of the mean load; given to an upstream without keys
     # A key that takes this share of its owner's capacity moves to an upstream whose capacity is
