--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -49,11 +49,13 @@
 class ControlRules:
     """Timing of the control loop, in seconds.
 
+    The VM that holds the lease works each `tick_interval_s`, the others each `idle_interval_s`.
     Each VM adds a random delay of up to `takeover_jitter_s` before it takes over an expired
     lease, so that the VMs do not all try to acquire it at the same moment.
     """
 
     tick_interval_s: float = 0.05
+    idle_interval_s: float = 0.2
     takeover_jitter_s: float = 0.4
 
 
@@ -133,7 +135,10 @@
         """Run until cancelled."""
         while True:
             self.tick()
-            await asyncio.sleep(self._rules.tick_interval_s)
+            rules = self._rules
+            await asyncio.sleep(
+                rules.tick_interval_s if self._lease_held else rules.idle_interval_s
+            )
 
     async def resign(self) -> None:
         """Release the lease, so that another VM can take over before it expires."""
--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -129,13 +129,21 @@
         """Seconds since the store last answered this VM, or the relay that it follows."""
         return self._health.last_answer_age_s
 
-    def vms_to_notify(self) -> list[EntryVm]:
-        """Return the VMs to notify of a change; all others receive it from one of these."""
-        rules, to_notify = self._rules, []
+    def vms_to_notify(self) -> list[list[EntryVm]]:
+        """Return lists of VMs; of each, the first one that can be reached has to learn of a change.
+
+        In a large data centre all VMs learn it from their relay, so the list has its candidates. A
+        list that begins with this VM is left out.
+        """
+        lists: list[list[EntryVm]] = []
+        suspected = {vm.vm_id for vm in self._vms.suspected}
         for data_centre in sorted({vm.data_centre for vm in self._vms}):
-            order = relay_candidates(self._vms, data_centre, rules)
-            to_notify += order or [vm for vm in self._vms if vm.data_centre == data_centre]
-        return to_notify
+            candidates = relay_candidates(self._vms, data_centre, self._rules)
+            if candidates:
+                lists.append(sorted(candidates, key=lambda vm: vm.vm_id in suspected))
+            else:
+                lists += [[vm] for vm in self._vms if vm.data_centre == data_centre]
+        return [each for each in lists if each[0].vm_id != self._vms.this_vm.vm_id]
 
     async def run(self) -> None:
         """Follow a relay, or read the store while there is none, until cancelled.
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -31,7 +31,7 @@
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.locating import Locator
 from fireflyferry.gateway.metrics import GatewayMetrics
-from fireflyferry.gateway.pages import listen, serve_page
+from fireflyferry.gateway.pages import RequestServer, listen, serve_page
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.peer_messages import write_owners
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
@@ -286,9 +286,7 @@
     # Servers
 
     def _serve(self, delegate: ServerDelegate, endpoint: str) -> tornado.httpserver.HTTPServer:
-        server = tornado.httpserver.HTTPServer(
-            delegate, max_body_size=1 << 30, max_header_size=1 << 18
-        )
+        server = RequestServer(delegate, max_body_size=1 << 30, max_header_size=1 << 18)
         server.add_socket(listen(endpoint))
         return server
 
@@ -316,13 +314,18 @@
     async def _announce_owners(self, document: Document) -> None:
         """Send a stored owner table to the VMs that do not get it from a relay."""
         body = write_owners(document)
-        others = [
-            vm for vm in self._document_sync.feed.vms_to_notify() if vm.vm_id != self._this_vm.vm_id
-        ]
-        delivered = await asyncio.gather(*(self._peers.send_owners(vm, body) for vm in others))
+
+        async def send_to_first(vms: list[EntryVm]) -> bool:
+            for vm in vms:
+                if vm.vm_id == self._this_vm.vm_id or await self._peers.send_owners(vm, body):
+                    return True
+            return False
+
+        groups = self._document_sync.feed.vms_to_notify()
+        delivered = await asyncio.gather(*map(send_to_first, groups))
         not_delivered = [
-            vm.vm_id
-            for vm, was_delivered in zip(others, delivered, strict=True)
+            vms[0].vm_id
+            for vms, was_delivered in zip(groups, delivered, strict=True)
             if not was_delivered
         ]
         if not_delivered:
--- a/fireflyferry/gateway/tests/test_relays.py
+++ b/fireflyferry/gateway/tests/test_relays.py
@@ -336,3 +336,32 @@
         await wait_until(lambda: fleet.nodes[4].health.failed_recently())
 
     run_fleet(scenario)
+
+
+def notified(this_number, suspected=()):
+    """Return the ids of the VMs that one VM notifies, by list."""
+    members = [vm(number) for number in range(5)]
+    members += [vm(number, data_centre="dc-2") for number in range(5, 7)]
+    directory = VmDirectory(members[this_number], {"dc-1": "r-1", "dc-2": "r-2"})
+    directory.apply(members)
+    for number in suspected:
+        directory.suspect(members[number])
+    feed = Feed(BootClock(), None, None, directory, (), "vms", (), None, None, RULES)
+    return [[each.vm_id for each in group] for group in feed.vms_to_notify()]
+
+
+def test_change_is_sent_to_one_vm_of_a_large_data_centre():
+    """Guards against owner tables that cross regions once for each possible relay.
+
+    Load pattern: many keys move, in a fleet with several VMs in each data centre.
+    """
+    assert notified(5) == [["vm-0", "vm-1", "vm-2"], ["vm-6"]]
+
+
+def test_suspected_relay_is_notified_last():
+    assert notified(5, suspected=[0])[0] == ["vm-1", "vm-2", "vm-0"]
+
+
+def test_relay_does_not_notify_its_own_data_centre():
+    assert notified(0) == [["vm-5"], ["vm-6"]]
+    assert notified(1)[0] == ["vm-0", "vm-1", "vm-2"]
--- a/fireflyferry/platform/__main__.py
+++ b/fireflyferry/platform/__main__.py
@@ -18,6 +18,7 @@
 from fireflyferry.settings import SettingsError, read_settings
 from fireflyferry.telemetry.logs import configure_bounded_logging
 from fireflyferry.transport import CurlTransport
+from fireflyferry.transport.event_loop import new_event_loop
 
 __all__ = ["main"]
 
@@ -57,7 +58,8 @@
         return EXIT_BAD_SETTINGS
     output = configure_bounded_logging(settings.log.format, settings.log.level)
     try:
-        asyncio.run(_run(options.settings, settings))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(_run(options.settings, settings))
     except OSError as error:
         _LOG.error("port_not_free", extra={"error": str(error)})
         return EXIT_NO_PORT
