--- a/fireflyferry/gateway/documents.py
+++ b/fireflyferry/gateway/documents.py
@@ -1,6 +1,6 @@
 """Documents that entry VMs write to the store: VM entries, the lease record, owner tables."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -42,7 +42,7 @@
     term: int
     last_fence: int
     runs: list[tuple[str, int]]
-    ranges: list[tuple[int, int, int, bool, list[int]]]
+    ranges: list[Any]
 
 
 def vm_content(vm: EntryVm) -> Any:
@@ -103,12 +103,10 @@
     """
     stored = _read(document, _StoredTable)
     runs = [UpstreamRun(upstream_id, born) for upstream_id, born in stored.runs]
-    try:
-        ranges = tuple(_ranges(stored.ranges, runs))
-    except IndexError as error:
-        raise UnreadableDocumentError(
-            f"{document.name!r} refers to an upstream run that is missing from its list of runs"
-        ) from error
+    for row in stored.ranges:
+        if not _is_row(row, len(runs)):
+            raise UnreadableDocumentError(f"{document.name!r} has the range {row!r}")
+    ranges = tuple(_ranges(stored.ranges, runs))
     table = OwnerTable(stored.pool, stored.term, stored.last_fence, ranges)
     if not table.is_complete():
         raise UnreadableDocumentError(
@@ -117,11 +115,20 @@
     return table
 
 
-def _ranges(
-    stored: Iterable[tuple[int, int, int, bool, list[int]]], runs: list[UpstreamRun]
-) -> Iterator[OwnedRange]:
-    rows = list(stored)
-    lasts = [row[0] - 1 for row in rows[1:]] + [LAST_KEY]
+def _is_row(row: Any, run_count: int) -> bool:
+    """Return whether a row is valid; each VM checks hundreds of them for each move of keys."""
+    if not isinstance(row, list | tuple) or len(row) != 5:
+        return False
+    first, owner, fence, serving, earlier = row
+    if not (type(first) is int and type(fence) is int and type(serving) is bool):
+        return False
+    if not isinstance(earlier, list | tuple):
+        return False
+    return all(type(index) is int and 0 <= index < run_count for index in (owner, *earlier))
+
+
+def _ranges(rows: list[Any], runs: list[UpstreamRun]) -> Iterator[OwnedRange]:
+    lasts = [row[0] - 1 for row in rows[1:]] + [LAST_KEY] * bool(rows)
     for (first, owner, fence, serving, earlier), last in zip(rows, lasts, strict=True):
         yield OwnedRange(
             first, last, runs[owner], fence, tuple(runs[index] for index in earlier), serving
