--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -202,6 +202,10 @@
             # No VM can acquire the lease while its record is unreadable; the next read may succeed.
             _LOG.error("lease_unreadable", extra={"error": str(error)})
             self._lease.on_failed(self._clock.monotonic_s())
+        except Exception:
+            # Without a result the lease would wait for this call for ever.
+            self._lease.on_failed(self._clock.monotonic_s())
+            raise
         self._update_lease_held()
 
     async def _write_lease(self, action: WriteLease) -> None:
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -77,11 +77,11 @@
             self._probe,
         )
 
-    def background_work(self) -> Iterator[Coroutine[Any, Any, None]]:
-        """Yield the coroutines that have to run in the background."""
-        yield self.feed.run()
+    def background_work(self) -> Iterator[Callable[[], Coroutine[Any, Any, None]]]:
+        """Yield the coroutine functions that have to run in the background."""
+        yield self.feed.run
         for source in self._sources.values():
-            yield source.run()
+            yield source.run
 
     def age_s(self, kind: str) -> float:
         """Return the age of this VM's data of a kind, in seconds.
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -159,12 +159,12 @@
         )
         for work in (
             *self._document_sync.background_work(),
-            self._control_loop.run(),
-            self._registration.run(),
-            self._reporter.run(),
-            self._remove_stale_state(),
+            self._control_loop.run,
+            self._registration.run,
+            self._reporter.run,
+            self._remove_stale_state,
         ):
-            self._tasks.start(work)
+            self._tasks.supervise(work)
         await self._stop.wait()
         await self._shut_down(servers)
 
--- a/fireflyferry/platform/store.py
+++ b/fireflyferry/platform/store.py
@@ -62,12 +62,13 @@
         while True:
             query = {**base_query, "after": after} if after else base_query
             page = self._content(await self._call(label, "GET", _path(kind), query))
-            documents.extend(map(_document, page["items"]))
+            items = _field(page, "items", list)
+            documents.extend(map(_document, items))
             if position is None:
                 # A watch from the first page's position returns again the changes that were made
                 # while the other pages were read.
-                position = page["asOf"]
-            if not page.get("hasMore") or not page["items"]:
+                position = _field(page, "asOf", int)
+            if not page.get("hasMore") or not items:
                 return DocumentBatch(position, tuple(documents))
             after = documents[-1].name
 
@@ -85,15 +86,15 @@
         content = self._content(result)
         changed: dict[str, Document] = {}
         removed: dict[str, None] = {}
-        for event in content["events"]:
-            document = _document(event["object"])
+        for event in _field(content, "events", list):
+            document = _document(_field(event, "object", dict))
             if event.get("removed"):
                 changed.pop(document.name, None)
                 removed[document.name] = None
             else:
                 changed[document.name] = document
                 removed.pop(document.name, None)
-        return DocumentBatch(content["asOf"], tuple(changed.values()), tuple(removed))
+        return DocumentBatch(_field(content, "asOf", int), tuple(changed.values()), tuple(removed))
 
     async def write(self, kind: str, name: str, content: Any, revision: int) -> int | Conflict:
         """Write an object if its revision is the given one (0: it does not exist).
@@ -160,8 +161,17 @@
 
 def _document(value: Any) -> Document:
     """Read an object's name and revision; the codec decodes its content."""
-    try:
-        metadata = value["metadata"]
-        return Document(metadata["name"], metadata["revision"], value.get("spec"))
-    except (KeyError, TypeError, AttributeError) as error:
-        raise StoreCallError(f"answer holds no valid object: {error!r}") from error
+    metadata = _field(value, "metadata", dict)
+    name, revision = _field(metadata, "name", str), _field(metadata, "revision", int)
+    return Document(name, revision, value.get("spec"))
+
+
+def _field(content: Any, name: str, kind: type) -> Any:
+    """Return a field of an answer.
+
+    Raises StoreCallError if it is missing or of another type.
+    """
+    value = content.get(name) if isinstance(content, dict) else None
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise StoreCallError(f"answer has {name} {value!r}, not of type {kind.__name__}")
+    return value
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -378,3 +378,36 @@
     sections = attrs.fields(GatewaySettings)
     keys = {key.name for section in sections for key in attrs.fields(section.type)}
     assert keys <= named
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {},
+        [],
+        None,
+        "text",
+        {"items": None, "asOf": 1},
+        {"items": [], "asOf": "1"},
+        {"items": [], "asOf": True},
+        {"items": [{}], "asOf": 1},
+        {"items": [{"metadata": {"name": 1, "revision": 1}}], "asOf": 1},
+        {"items": [{"metadata": {"name": "a", "revision": None}}], "asOf": 1},
+        {"items": ["a"], "asOf": 1},
+        {"events": {}, "asOf": 1},
+        {"events": [{}], "asOf": 1},
+        {"events": [{"object": None}], "asOf": 1},
+        {"events": ["a"], "asOf": 1},
+    ],
+)
+def test_malformed_answer_of_the_store_is_an_error_of_the_call(answer):
+    """Guards against a watch that ends for good because of one malformed answer."""
+
+    async def scenario():
+        async with RecordingServer((200, answer), (200, answer)) as server:
+            with pytest.raises(StoreCallError):
+                await server.store.list("k")
+            with pytest.raises(StoreCallError):
+                await server.store.watch("k", 1, 0.1)
+
+    run(scenario)
--- a/fireflyferry/tasks.py
+++ b/fireflyferry/tasks.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 __all__ = ["BackgroundTasks"]
 
 _LOG = logging.getLogger(__name__)
 
+RESTART_DELAY_S = 0.5
+
 
 class BackgroundTasks:
     """Running asyncio tasks.
@@ -26,6 +28,24 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def supervise(self, run: Callable[[], Coroutine]) -> asyncio.Task:
+        """Start a task that runs `run()`, and runs it again after an unexpected error.
+
+        Without that, one error would end the work for the life of the process.
+        """
+        return self.start(self._run_again_after_errors(run))
+
+    async def _run_again_after_errors(self, run: Callable[[], Coroutine]) -> None:
+        while True:
+            try:
+                await run()
+            except Exception:
+                name = getattr(run, "__qualname__", repr(run))
+                _LOG.exception("task_restarted", extra={"task": name, "after_s": RESTART_DELAY_S})
+                await asyncio.sleep(RESTART_DELAY_S)
+            else:
+                return
+
     def cancel(self) -> None:
         """Cancel all running tasks."""
         for task in self._tasks:
