--- a/fireflyferry/gateway/tests/test_connections.py
+++ b/fireflyferry/gateway/tests/test_connections.py
@@ -8,7 +8,17 @@
 import attrs
 import pytest
 
-from fireflyferry.gateway.tests.support import HEADER_NAMES, reply, request, run_with
+from fireflyferry.gateway import peer_messages
+from fireflyferry.gateway.peer_client import FORWARD_PATH
+from fireflyferry.gateway.peer_messages import RESULT_HEADER
+from fireflyferry.gateway.tests.support import (
+    HEADER_NAMES,
+    read_reply,
+    reply,
+    request,
+    run_with,
+)
+from fireflyferry.telemetry import Outcome
 from fireflyferry.transport import curl
 
 
@@ -121,3 +131,29 @@
         assert [seen.connection for seen in upstream.seen] == [1, 2]
 
     run_with(answer_other_request_first, scenario, pool="keyed")
+
+
+def test_vm_that_shuts_down_reads_a_forwarded_request_before_it_refuses_it():
+    """Guards against a refusal that is lost, so that *not run* is taken for an unknown outcome.
+
+    Closing a connection with unread bytes resets it. The body of a forwarded request may arrive
+    after its head.
+    """
+
+    async def scenario(running, upstream, store):
+        running.program._peer_services.in_flight.closed = True
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.settings.vm.peer_port)
+        body = b"x" * 200_000
+        head = f"POST {FORWARD_PATH} HTTP/1.1\r\nHost: f\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode())
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.read(1)
+        writer.write(body)
+        got = await read_reply(reader)
+        assert got.status == 503
+        result = got.headers[RESULT_HEADER.lower()]
+        assert peer_messages.read_result(result, None, "u1").outcome is Outcome.NOT_RUN
+        writer.close()
+
+    run_with(None, scenario)
