--- a/fireflyferry/keyranges/demand.py
+++ b/fireflyferry/keyranges/demand.py
@@ -43,7 +43,6 @@
         self._sorted_keys: list[int] = []
         self._cumulative_weights: list[float] = [0.0]
         self._is_refreshed = True
-        self._now_s = 0.0
 
     @property
     def window_s(self) -> float:
@@ -65,7 +64,6 @@
 
     def add(self, sample: KeySample) -> None:
         """Add a sample; the oldest samples are dropped when there are too many keys."""
-        self._now_s = max(self._now_s, sample.at_s)
         self._samples.append(sample)
         self._sample_key_count += len(sample.keys)
         while self._sample_key_count > self._max_keys:
@@ -74,7 +72,6 @@
 
     def expire(self, now_s: float) -> None:
         """Drop samples that are older than the window."""
-        self._now_s = max(self._now_s, now_s)
         while self._samples and self._samples[0].at_s <= now_s - self._window_s:
             self._drop_oldest()
             self._is_refreshed = False
