--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -168,6 +168,9 @@
         refusal = result.header(peer_messages.RESULT_HEADER)
         if refusal is not None:
             return peer_messages.read_result(refusal, None, upstream_id)
+        if result.status == 404:
+            # A VM of an earlier revision knows no envelopes, so it has not passed the request on.
+            return not_run(Reason.SHUTTING_DOWN)
         if result.status != 200:
             raise peer_messages.PeerMessageError(f"status {result.status}")
         envelope = self._envelopes.unpack(result.body)
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -16,6 +16,7 @@
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = [
+    "EARLIER_CALL_HEADER",
     "FEED_HEADER",
     "RESULT_HEADER",
     "PeerCall",
@@ -35,6 +36,7 @@
     "write_result",
 ]
 
+EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
 
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -74,7 +74,8 @@
 
     async def handle(self) -> None:
         """Send a forwarded request to its upstream, or answer another request by its path."""
-        if self._is_rejected:
+        is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
+        if self._is_rejected or is_of_earlier_revision:
             refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
             self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, refusal)], b"")
         elif self._line.path == FORWARD_PATH:
--- a/fireflyferry/gateway/tests/test_connections.py
+++ b/fireflyferry/gateway/tests/test_connections.py
@@ -8,8 +8,12 @@
 import attrs
 import pytest
 
+from fireflyferry.balancing import EntryVm, Upstream, VmDirectory
+from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway import peer_messages
-from fireflyferry.gateway.peer_client import FORWARD_PATH
+from fireflyferry.gateway.calls import Call
+from fireflyferry.gateway.envelopes import EnvelopeCodec
+from fireflyferry.gateway.peer_client import FORWARD_PATH, PeerClient
 from fireflyferry.gateway.peer_messages import RESULT_HEADER
 from fireflyferry.gateway.tests.support import (
     HEADER_NAMES,
@@ -18,6 +22,7 @@
     request,
     run_with,
 )
+from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome
 from fireflyferry.transport import curl
 
@@ -157,3 +162,43 @@
         writer.close()
 
     run_with(None, scenario)
+
+
+def test_forwarded_request_of_an_earlier_revision_is_refused_as_not_run():
+    """Guards against unknown outcomes while the VMs of a fleet are replaced one after the other."""
+
+    async def scenario(running, upstream, store):
+        headers = {peer_messages.EARLIER_CALL_HEADER: "u1 1 plain -1 0 1 2 0 0 - 0 900 2000"}
+        got = await request(running.settings.vm.peer_port, "/write/", "POST", headers, b"1")
+        result = peer_messages.read_result(got.headers[RESULT_HEADER.lower()], None, "u1")
+        assert result.outcome is Outcome.NOT_RUN and not result.reached
+        assert not upstream.seen
+
+    run_with(None, scenario)
+
+
+def test_vm_of_an_earlier_revision_has_not_run_an_envelope():
+    """Guards against the same, in the other direction: such a VM answers 404 to an envelope."""
+
+    async def scenario():
+        async def answer_not_found(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(answer_not_found, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        transport = curl.CurlTransport(force_instance=True)
+        clock = BootClock()
+        earlier_vm = EntryVm("vm-2", "i2", f"127.0.0.1:{port}", "dc-1")
+        vms = VmDirectory(EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1"), {})
+        client = PeerClient(clock, transport, vms, EnvelopeCodec(HEADER_NAMES))
+        now_s = clock.monotonic_s()
+        call = Call("r1", "POST", "/", [], b"1", "p", None, False, 1, 1, now_s, now_s, now_s + 2)
+        upstream = Upstream(UpstreamRun("u1", 1), "p", "127.0.0.1:1", "dc-1", 2)
+        attempt = await client.forward(call, upstream, earlier_vm)
+        transport.close()
+        server.close()
+        return attempt
+
+    attempt = asyncio.run(scenario())
+    assert attempt.outcome is Outcome.NOT_RUN and not attempt.reached
