Reproduce two holders of a key: a process that starts at another's address takes its grants

Users saw keys at two upstreams, and a key that went to an upstream with a fence that another one had. The simulation of key ranges delivered each call to the incarnation that it names, so it could not show what happens when another process lives at the address. It now delivers calls to the process at the address.

--- a/fireflyferry/keyranges/tests/range_world.py
+++ b/fireflyferry/keyranges/tests/range_world.py
@@ -1,6 +1,7 @@
 """Simulation of granting VMs, a store and upstreams.
 
-The upstreams get late grants, restart, lapse from the store's list, and drain.
+The upstreams get late grants, restart, lapse from the store's list, and drain. Calls reach the
+process that lives at an address when they arrive, which need not be the one that is meant.
 """
 
 import random
@@ -38,6 +39,7 @@
     """An upstream process, which holds keys until its grants expire on its own, slow clock."""
 
     run: UpstreamRun
+    address: str
     clock_rate: float
     alive: bool = True
     listed: bool = True
@@ -91,13 +93,16 @@
 
     `conflicts` lists keys with two holders, `fence_errors` grants to new owners without a higher
     fence.
-    `served` counts probes of a serving range that found its owner holding the key.
+    `served` counts probes of a serving range that found its owner holding the key. With
+    `restarts_unlisted`, a process that starts at the address of an ended one is reached at once
+    and listed seconds later, under the same id or another one.
     """
 
     rng: random.Random
     make_granter: Callable[[float], RangeGranter] = lambda began_s: RangeGranter(
         "pool", GrantTiming(), began_s
     )
+    restarts_unlisted: bool = False
     now_s: float = 0.0
     processes: list[_Process] = attrs.field(factory=list)
     scheduled: list[tuple[float, Callable[[], None]]] = attrs.field(factory=list)
@@ -106,7 +111,7 @@
     conflicts: list[str] = attrs.field(factory=list)
     fence_errors: list[str] = attrs.field(factory=list)
     served: int = 0
-    highest_grants: dict[int, tuple[int, UpstreamRun]] = attrs.field(factory=dict)
+    highest_grants: dict[int, tuple[int, _Process]] = attrs.field(factory=dict)
     _born: int = 100
 
     def start(self, upstreams: int) -> None:
@@ -128,12 +133,31 @@
             self._tick()
             self._check_holders()
 
-    def _add_process(self, upstream_id: str) -> _Process:
+    def _add_process(self, upstream_id: str, address: str = "") -> _Process:
         self._born += 1
-        process = _Process(UpstreamRun(upstream_id, self._born), self.rng.uniform(0.98, 1.0))
+        process = _Process(
+            UpstreamRun(upstream_id, self._born),
+            address or f"address-{self._born}",
+            self.rng.uniform(0.98, 1.0),
+        )
         self.processes.append(process)
         return process
 
+    def _restart_unlisted(self, ended: _Process) -> None:
+        """Start a process at the address of an ended one; the store lists it seconds later."""
+        same_id = self.rng.random() < 0.5
+        upstream_id = ended.run.upstream_id if same_id else f"u{len(self.processes)}"
+        process = self._add_process(upstream_id, ended.address)
+        process.listed = False
+        self._schedule(
+            self.now_s + self.rng.uniform(0.0, 4.0),
+            lambda: setattr(process, "listed", process.alive),
+        )
+
+    def _process_at(self, address: str) -> _Process | None:
+        """Return the live process at an address."""
+        return next((p for p in self.processes if p.alive and p.address == address), None)
+
     def _new_term(self) -> None:
         self.granter = self.make_granter(self.now_s)
         self.granter.on_table_read(*self.stored)
@@ -146,8 +170,12 @@
             process.alive = False
             # The store drops the entry after three missed heartbeats, but lists a restart at once.
             self._schedule(self.now_s + 2.6, lambda: setattr(process, "listed", False))
-            if self.rng.random() < 0.5:
-                self._schedule(self.now_s + 1.0, lambda: self._add_process(process.run.upstream_id))
+            if self.restarts_unlisted:
+                delay_s = self.rng.uniform(0.1, 2.0)
+                self._schedule(self.now_s + delay_s, lambda: self._restart_unlisted(process))
+            elif self.rng.random() < 0.5:
+                upstream_id, address = process.run.upstream_id, process.address
+                self._schedule(self.now_s + 1.0, lambda: self._add_process(upstream_id, address))
         elif roll < 0.008:
             process.listed = False
             self._schedule(self.now_s + 4.0, lambda: setattr(process, "listed", process.alive))
@@ -164,8 +192,8 @@
 
     def _tick(self) -> None:
         granter = self.granter
-        listed = [p for p in self.processes if p.listed]
-        granter.set_listed(ListedRun(p.run, f"addr-{p.run}", not p.draining) for p in listed)
+        listed = list({p.run.upstream_id: p for p in self.processes if p.listed}.values())
+        granter.set_listed(ListedRun(p.run, p.address, not p.draining) for p in listed)
         granter.request_moves(self._moves(listed))
         for action in granter.tick(self.now_s):
             if isinstance(action, SaveTable):
@@ -212,9 +240,9 @@
         return True
 
     def _grant(self, granter: RangeGranter, call: GrantCall) -> None:
-        process = next(p for p in self.processes if p.run == call.run)
+        process = self._process_at(call.address)
         arrives_s = self.now_s + self.rng.uniform(0.0, 0.1)
-        if not process.alive:
+        if process is None:
             self._schedule(
                 arrives_s, lambda: granter.on_grant(self.now_s, call, GrantAnswer.NO_LISTENER)
             )
@@ -244,22 +272,24 @@
         if process.alive:
             answer = process.grant(self.now_s, call, self.now_s)
         if answer is GrantAnswer.ACCEPTED:
-            self._check_fence(call)
+            self._check_fence(process, call)
         granter.on_grant(self.now_s, call, answer)
 
-    def _check_fence(self, call: GrantCall) -> None:
+    def _check_fence(self, process: _Process, call: GrantCall) -> None:
         for key in PROBE_KEYS:
             if call.first <= key <= call.last:
-                fence, run = self.highest_grants.get(key, (0, call.run))
-                if run != call.run and call.fence <= fence:
-                    self.fence_errors.append(f"key {key}: {call.fence} after {fence}")
+                fence, holder = self.highest_grants.get(key, (0, process))
+                if holder is not process and call.fence <= fence:
+                    self.fence_errors.append(
+                        f"key {key}: {process.run} with {call.fence}, {holder.run} with {fence}"
+                    )
                 self.highest_grants[key] = max(
-                    (fence, run), (call.fence, call.run), key=lambda e: e[0]
+                    (fence, holder), (call.fence, process), key=lambda e: e[0]
                 )
 
     def _release(self, granter: RangeGranter, call: ReleaseCall) -> None:
-        process = next(p for p in self.processes if p.run == call.run)
-        if not process.alive:
+        process = self._process_at(call.address)
+        if process is None:
             answer, delay_s = GrantAnswer.NO_LISTENER, 0.02
         elif not process.reachable:
             answer, delay_s = GrantAnswer.UNKNOWN, 4.0
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -196,6 +196,19 @@
     assert simulation.served > 0.4 * 6 * 60.0 / 0.05
 
 
+def test_process_at_an_address_takes_no_grant_of_the_one_before_it():
+    """Guards against a fence, or keys, at two processes when one starts at the other's address."""
+    simulations = [
+        RangeSimulation(random.Random(seed), restarts_unlisted=True) for seed in range(40)
+    ]
+    for simulation in simulations:
+        simulation.start(4)
+        simulation.run(60.0)
+    assert [error for each in simulations for error in each.fence_errors] == []
+    assert [conflict for each in simulations for conflict in each.conflicts] == []
+    assert all(each.served > 0.4 * 6 * 60.0 / 0.05 for each in simulations)
+
+
 class _GrantsBeforeRelease(RangeGranter):
     def _is_cleared(self, now_s, owned, run):
         super()._is_cleared(now_s, owned, run)
