--- a/fireflyferry/balancing/directory.py
+++ b/fireflyferry/balancing/directory.py
@@ -1,6 +1,6 @@
 """Upstreams that the store lists or recently listed, and whether they may get requests."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from enum import Enum, auto
 
 import attrs
@@ -59,7 +59,7 @@
     retention_s: float = 30.0
     _entries: dict[UpstreamRun, _Entry] = attrs.field(factory=dict, init=False)
     _by_id: dict[str, _Entry] = attrs.field(factory=dict, init=False)
-    _superseded: frozenset[UpstreamRun] = attrs.field(default=frozenset(), init=False)
+    _addresses: Mapping[str, str] = attrs.field(factory=dict, init=False)
 
     def apply(
         self,
@@ -95,9 +95,9 @@
         self._remove_expired(now_s)
 
     @property
-    def superseded(self) -> frozenset[UpstreamRun]:
-        """Incarnations that have ended because a newer one has their id or their address."""
-        return self._superseded
+    def addresses(self) -> Mapping[str, str]:
+        """Last known address of each id, also of upstreams that are gone."""
+        return self._addresses
 
     def get(self, upstream_id: str) -> Upstream | None:
         """Return the newest incarnation under an id, even if it is leaving or gone."""
@@ -152,13 +152,15 @@
         for run, entry in self._entries.items():
             for id_or_address in (run.upstream_id, entry.upstream.address):
                 newest_born[id_or_address] = max(newest_born.get(id_or_address, 0), run.born)
-        self._superseded = frozenset(
+        superseded = frozenset(
             run
             for run, entry in self._entries.items()
             if run.born < max(newest_born[run.upstream_id], newest_born[entry.upstream.address])
         )
+        by_start = sorted(self._entries.values(), key=lambda entry: entry.upstream.run.born)
+        self._addresses = {
+            entry.upstream.run.upstream_id: entry.upstream.address for entry in by_start
+        }
         self._by_id = {
-            run.upstream_id: entry
-            for run, entry in self._entries.items()
-            if run not in self._superseded
+            run.upstream_id: entry for run, entry in self._entries.items() if run not in superseded
         }
--- a/fireflyferry/balancing/tests/test_balancing.py
+++ b/fireflyferry/balancing/tests/test_balancing.py
@@ -73,7 +73,8 @@
     upstreams.apply(0.0, [UPSTREAM], False)
     restarted = upstream("u1", born=2)
     upstreams.apply(1.0, [restarted], False)
-    assert upstreams.get("u1") == restarted and UPSTREAM.run in upstreams.superseded
+    assert upstreams.get("u1") == restarted
+    assert list(upstreams.listed(1.0, "p")) == [(restarted, True)]
     assert upstreams.standing(1.0, "u1", 1) is Standing.GONE
 
 
@@ -84,7 +85,8 @@
     upstreams.apply(
         1.0, [UPSTREAM, upstream("u2", born=5, address=UPSTREAM.address, pool="q")], False
     )
-    assert upstreams.standing(1.0, "u1") is Standing.GONE and UPSTREAM.run in upstreams.superseded
+    assert upstreams.standing(1.0, "u1") is Standing.GONE
+    assert list(upstreams.listed(1.0, "p")) == []
 
 
 # Entry VMs
--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -31,11 +31,13 @@
     GrantTiming,
     LeaseRecord,
     ListedRun,
+    OwnedRange,
     RangeGranter,
     ReadLease,
     ReleaseCall,
     SaveTable,
     StoreLease,
+    UpstreamRun,
     WriteLease,
 )
 from fireflyferry.tasks import BackgroundTasks
@@ -276,7 +278,7 @@
             ListedRun(upstream.run, upstream.address, ready)
             for upstream, ready in self._state.upstreams.listed(now_s, pool)
         ]
-        control.granter.set_listed(listed, self._state.upstreams.superseded)
+        control.granter.set_listed(listed, self._state.upstreams.addresses)
         self._planner.plan(now_s, pool, control.granter, control.progress)
         for action in control.granter.tick(now_s):
             self._start_action(pool, control, action)
@@ -340,6 +342,8 @@
 
     def _log_moves(self, pool: str, before: Sequence[Any], after: Sequence[Any]) -> None:
         moved = [each for each in set(after) - set(before) if not each.serving]
+        fences = {(each.first, each.last, each.owner): each.fence for each in before}
+        self._log_new_fences(pool, fences, [each for each in after if each.serving])
         self._metrics.count_owner_changes(pool, len(moved))
         for each in sorted(moved, key=lambda r: r.first):
             _LOG.info(
@@ -354,12 +358,37 @@
                 },
             )
 
+    def _log_new_fences(
+        self,
+        pool: str,
+        fences: Mapping[tuple[int, int, UpstreamRun], int],
+        serving: Sequence[OwnedRange],
+    ) -> None:
+        """Log ranges whose owner stays and gets them under a new fence."""
+        for each in serving:
+            earlier = fences.get((each.first, each.last, each.owner), each.fence)
+            if earlier != each.fence:
+                _LOG.info(
+                    "fence_raised",
+                    extra={
+                        "pool": pool,
+                        "first": each.first,
+                        "last": each.last,
+                        "owner": each.owner.upstream_id,
+                        "fence": each.fence,
+                        "earlier_fence": earlier,
+                    },
+                )
+
     async def _grant(self, control: _PoolControl, call: GrantCall) -> None:
-        answer = await self._orders.grant(call, lambda: self._is_current(control))
-        self._metrics.order("grant", answer.name.lower())
-        if answer is not GrantAnswer.ACCEPTED:
-            self._log_order("grant_not_accepted", call, answer)
-        control.granter.on_grant(self._clock.monotonic_s(), call, answer)
+        result = await self._orders.grant(call, lambda: self._is_current(control))
+        self._metrics.order("grant", result.answer.name.lower())
+        if result.answer is not GrantAnswer.ACCEPTED:
+            self._log_order("grant_not_accepted", call, result.answer)
+        elif call.cleared:
+            cleared = ",".join(f"{run.upstream_id}:{why.name.lower()}" for run, why in call.cleared)
+            self._log_order("moved_range_granted", call, result.answer, cleared=cleared)
+        control.granter.on_grant(self._clock.monotonic_s(), call, result)
 
     async def _release(self, control: _PoolControl, call: ReleaseCall) -> None:
         answer, handover = await self._orders.release(call, lambda: self._is_current(control))
@@ -367,7 +396,9 @@
         self._log_order("release_answered", call, answer)
         control.granter.on_release(self._clock.monotonic_s(), call, answer, handover)
 
-    def _log_order(self, event: str, call: GrantCall | ReleaseCall, answer: GrantAnswer) -> None:
+    def _log_order(
+        self, event: str, call: GrantCall | ReleaseCall, answer: GrantAnswer, **fields: str
+    ) -> None:
         _LOG.info(
             event,
             extra={
@@ -377,5 +408,6 @@
                 "last": call.last,
                 "fence": call.fence,
                 "answer": answer.name.lower(),
+                **fields,
             },
         )
--- a/fireflyferry/gateway/edges.py
+++ b/fireflyferry/gateway/edges.py
@@ -8,7 +8,7 @@
 
 from fireflyferry.balancing import Upstream
 from fireflyferry.errors import FireflyferryError
-from fireflyferry.keyranges import GrantAnswer, GrantCall, ReleaseCall
+from fireflyferry.keyranges import GrantAnswer, GrantCall, GrantResult, ReleaseCall
 from fireflyferry.routing.hosts import RoutingConfig
 
 __all__ = [
@@ -105,7 +105,7 @@
     """Client for orders: calls that grant key ranges to upstreams or release them."""
 
     @abc.abstractmethod
-    async def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> GrantAnswer:
+    async def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> GrantResult:
         """Grant or renew a key range; `may_send` is checked right before the first byte is sent."""
 
     @abc.abstractmethod
--- a/fireflyferry/gateway/planning.py
+++ b/fireflyferry/gateway/planning.py
@@ -86,7 +86,7 @@
 
         Keys of lost upstreams are moved at once, others every `plan_interval_s` by load.
         """
-        runs = self._run_capacities(now_s, pool)
+        runs = [r for r in self._run_capacities(now_s, pool) if not granter.has_ended(r.run)]
         table = granter.table
         if table is None:
             if self._is_settled(now_s, progress, runs):
--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -28,7 +28,13 @@
     GatewayVmSettings,
     RegionSettings,
 )
-from fireflyferry.keyranges import GrantAnswer, GrantCall, ReleaseCall, UpstreamRun
+from fireflyferry.keyranges import (
+    GrantAnswer,
+    GrantCall,
+    GrantResult,
+    ReleaseCall,
+    UpstreamRun,
+)
 from fireflyferry.messages.codec import structure, unstructure
 from fireflyferry.routing.hosts import (
     CallerLimits,
@@ -126,9 +132,9 @@
         self.grants: list[GrantCall] = []
         self.releases: list[ReleaseCall] = []
 
-    async def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> GrantAnswer:
+    async def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> GrantResult:
         self.grants.append(call)
-        return GrantAnswer.ACCEPTED
+        return GrantResult(GrantAnswer.ACCEPTED, 1)
 
     async def release(
         self, call: ReleaseCall, may_send: Callable[[], bool]
--- a/fireflyferry/keyranges/__init__.py
+++ b/fireflyferry/keyranges/__init__.py
@@ -18,8 +18,10 @@
     WriteLease,
 )
 from fireflyferry.keyranges.orders import (
+    Clearance,
     GrantAnswer,
     GrantCall,
+    GrantResult,
     GrantTiming,
     ListedRun,
     ReleaseCall,
@@ -37,8 +39,10 @@
     "KEY_COUNT",
     "LAST_KEY",
     "SAMPLE_PERIOD_S",
+    "Clearance",
     "GrantAnswer",
     "GrantCall",
+    "GrantResult",
     "GrantTiming",
     "GrantingLeaseTiming",
     "KeyDemand",
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -2,21 +2,25 @@
 
 The owner table is written before any call depends on it. A range is granted to its owner only
 after each earlier holder has released it, or its grants have expired, or its process has ended.
+A call reaches the process that has an address, so an address alone never identifies a holder.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
 from fireflyferry.keyranges.division import Move
 from fireflyferry.keyranges.orders import (
+    Clearance,
     GrantAnswer,
     GrantCall,
+    GrantResult,
     GrantTiming,
     ListedRun,
     ReleaseCall,
     SaveTable,
 )
+from fireflyferry.keyranges.sent_grants import SentGrants
 from fireflyferry.keyranges.table import OwnedRange, OwnerTable, UpstreamRun
 
 __all__ = ["RangeGranter"]
@@ -29,13 +33,15 @@
 class _Grant:
     """Grant of one range to its owner in the current term.
 
-    `refused` means that the owner has seen a higher fence.
+    `higher_fence_seen` means that the owner refused the grant, and `needs_new_fence` that it
+    cannot be renewed, since the process that has the fence may have ended.
     """
 
     fence: int
     acknowledged: bool = False
     call_in_flight: bool = False
-    refused: bool = False
+    higher_fence_seen: bool = False
+    needs_new_fence: bool = False
     next_call_s: float = 0.0
 
 
@@ -63,20 +69,17 @@
     def __init__(self, pool: str, timing: GrantTiming, began_s: float):
         self._pool = pool
         self._timing = timing
-        self._began_s = began_s
         self._first_fence_of_term = 0
         self._table: OwnerTable | None = None
         self._revision = 0
         self._is_table_of_this_term = False
         self._save_in_flight: SaveTable | None = None
         self._listed: dict[UpstreamRun, ListedRun] = {}
-        self._superseded: frozenset[UpstreamRun] = frozenset()
-        self._addresses: dict[UpstreamRun, str] = {}
+        self._listed_ids: frozenset[str] = frozenset()
+        self._addresses: Mapping[str, str] = {}
         self._grants: dict[_KeyRange, _Grant] = {}
         self._releases: dict[tuple[_KeyRange, UpstreamRun], _Release] = {}
-        self._sent_grants: set[tuple[UpstreamRun, int]] = set()
-        self._grant_calls_in_flight: dict[UpstreamRun, int] = {}
-        self._grant_expiry_s: dict[UpstreamRun, float] = {}
+        self._sent_grants = SentGrants(timing, began_s)
         self._handovers: dict[_KeyRange, str] = {}
         self._requested_moves: list[Move] = []
 
@@ -110,13 +113,15 @@
         self._save_in_flight, self._is_table_of_this_term = None, True
         self._drop_removed_ranges()
 
-    def set_listed(
-        self, runs: Iterable[ListedRun], superseded: frozenset[UpstreamRun] = frozenset()
-    ) -> None:
-        """Replace the incarnations that the store lists; `superseded` ones have ended."""
+    def set_listed(self, runs: Iterable[ListedRun], addresses: Mapping[str, str]) -> None:
+        """Replace the incarnations that the store lists, and the last known address of each id."""
         self._listed = {each.run: each for each in runs}
-        self._superseded = superseded
-        self._addresses.update({each.run: each.address for each in self._listed.values()})
+        self._listed_ids = frozenset(run.upstream_id for run in self._listed)
+        self._addresses = addresses
+
+    def has_ended(self, run: UpstreamRun) -> bool:
+        """Return whether another upstream is known to have the address of an incarnation."""
+        return self._sent_grants.has_ended(run)
 
     def request_moves(self, moves: Iterable[Move]) -> None:
         """Request changes of owners; earlier requests that were not applied yet are discarded."""
@@ -131,27 +136,22 @@
                 return [self._save_in_flight, *self._calls(now_s)]
         return list(self._calls(now_s))
 
-    def on_grant(self, now_s: float, call: GrantCall, answer: GrantAnswer) -> None:
+    def on_grant(self, now_s: float, call: GrantCall, result: GrantResult) -> None:
         """Apply the result of a grant call."""
-        timing = self._timing
-        self._grant_calls_in_flight[call.run] -= 1
-        grant_expiry_s = now_s + timing.max_validity_s
-        if answer in (GrantAnswer.ACCEPTED, GrantAnswer.UNKNOWN):
-            self._grant_expiry_s[call.run] = max(
-                self._grant_expiry_s.get(call.run, 0.0), grant_expiry_s
-            )
+        self._sent_grants.on_result(now_s, call, result)
         self._set_release_expiry(call.run)
         grant = self._grants.get((call.first, call.last))
         if grant is None or grant.fence != call.fence:
             return
         grant.call_in_flight = False
-        if answer is GrantAnswer.ACCEPTED:
+        if result.answer is GrantAnswer.ACCEPTED:
             grant.acknowledged = True
-            grant.next_call_s = now_s + timing.renew_s
+            grant.next_call_s = now_s + self._timing.renew_s
             self._handovers.pop((call.first, call.last), None)
         else:
-            grant.refused = answer is GrantAnswer.HIGHER_FENCE
-            grant.next_call_s = now_s + timing.retry_delay_s
+            grant.higher_fence_seen = result.answer is GrantAnswer.HIGHER_FENCE
+            grant.needs_new_fence = result.answer is GrantAnswer.CONNECTION_TOO_NEW
+            grant.next_call_s = now_s + self._timing.retry_delay_s
 
     def on_release(
         self, now_s: float, call: ReleaseCall, answer: GrantAnswer, handover: str = ""
@@ -166,6 +166,8 @@
             release.done = True
             if handover:
                 self._handovers[call.first, call.last] = handover
+        elif answer is GrantAnswer.OTHER_UPSTREAM:
+            self._sent_grants.on_ended(call.run)
         elif answer is GrantAnswer.NO_LISTENER:
             release.refused_connections += 1
 
@@ -198,9 +200,13 @@
         table = self._table
         if table is None:
             return self._first_table()
-        if not self._is_table_of_this_term:
-            return attrs.evolve(table, term=table.term + 1)
         changes = _TableChanges(table.last_fence)
+        if not self._is_table_of_this_term:
+            # The processes that have the fences of the earlier term may have ended.
+            changes.ranges = [attrs.evolve(r, fence=changes.next_fence()) for r in table.ranges]
+            return attrs.evolve(
+                table.with_ranges(changes.ranges, changes.last_fence), term=table.term + 1
+            )
         for each in table.ranges:
             changes.ranges.extend(self._next_ranges(each, changes))
         self._requested_moves = []
@@ -225,15 +231,25 @@
             yield from self._split_by_moves(owned, moves, changes)
             return
         grant = self._grants.get((owned.first, owned.last))
-        if grant is not None and grant.refused:
-            changes.has_changes = True
-            yield attrs.evolve(owned, fence=changes.next_fence(), serving=False)
+        if grant is not None and (grant.higher_fence_seen or grant.needs_new_fence):
+            yield self._with_new_fence(owned, grant, changes)
         elif not owned.serving and grant is not None and grant.acknowledged:
             changes.has_changes = True
             yield attrs.evolve(owned, earlier_holders=(), serving=True)
         else:
             yield owned
 
+    def _with_new_fence(
+        self, owned: OwnedRange, grant: _Grant, changes: "_TableChanges"
+    ) -> OwnedRange:
+        """Return a range that its owner, which may hold it already, gets under a new fence."""
+        changes.has_changes = True
+        fence = changes.next_fence()
+        self._sent_grants.on_new_fence(owned.owner, fence)
+        return attrs.evolve(
+            owned, fence=fence, serving=owned.serving and not grant.higher_fence_seen
+        )
+
     def _split_by_moves(
         self, owned: OwnedRange, moves: list[Move], changes: "_TableChanges"
     ) -> Iterator[OwnedRange]:
@@ -262,17 +278,17 @@
         earlier_holders = []
         for run in dict.fromkeys((*owned.earlier_holders, owned.owner)):
             release = self._releases.get(((owned.first, owned.last), run))
-            if (
-                run == move.new_owner
-                or self._has_ended(run)
-                or (release is not None and release.done)
-            ):
+            if release is not None and release.done:
+                continue
+            if _is_replaced_by(run, move.new_owner):
+                # The next owner may hold the keys by grants that were meant for the earlier one.
+                self._sent_grants.on_new_fence(move.new_owner, fence)
                 continue
             if run == owned.owner and self._never_granted(owned):
                 continue
             earlier_holders.append(run)
             grant_expiry_s = (
-                release.grant_expiry_s if release is not None else self._last_grant_expiry_s(run)
+                release.grant_expiry_s if release is not None else self._sent_grants.expiry_s(run)
             )
             self._releases[key_range, run] = _Release(grant_expiry_s)
         return OwnedRange(move.first, move.last, move.new_owner, fence, tuple(earlier_holders))
@@ -280,7 +296,7 @@
     def _never_granted(self, owned: OwnedRange) -> bool:
         """Return whether a range got its fence in this term and was never granted to its owner."""
         is_of_this_term = owned.fence >= self._first_fence_of_term
-        return is_of_this_term and (owned.owner, owned.fence) not in self._sent_grants
+        return is_of_this_term and not self._sent_grants.may_hold(owned.owner, owned.fence)
 
     # Calls
 
@@ -288,95 +304,112 @@
         if self._table is None or not self._is_table_of_this_term:
             return
         for each in self._table.ranges:
-            cleared = True
+            cleared = []
             for run in each.earlier_holders:
-                if not self._is_cleared(now_s, each, run):
-                    cleared = False
+                clearance = self._clearance(now_s, each, run)
+                if clearance is None:
                     yield from self._release(now_s, each, run)
-            if cleared:
-                yield from self._grant(now_s, each)
-
-    def _is_cleared(self, now_s: float, owned: OwnedRange, run: UpstreamRun) -> bool:
-        """Return whether an earlier holder can no longer hold a range."""
+                else:
+                    cleared.append((run, clearance))
+            if len(cleared) == len(each.earlier_holders):
+                yield from self._grant(now_s, each, tuple(cleared))
+
+    def _clearance(self, now_s: float, owned: OwnedRange, run: UpstreamRun) -> Clearance | None:
+        """Return why an earlier holder can no longer hold a range; None if it may hold it."""
+        # A later incarnation is not an end in itself: it may have taken grants that were meant for
+        # the earlier one, and holds them unless it is the next owner.
+        if _is_replaced_by(run, owned.owner):
+            return Clearance.RESTARTED
+        if self.has_ended(run):
+            return Clearance.ENDED
         key_range = (owned.first, owned.last)
         release = self._releases.get((key_range, run))
         if release is None:
             # The VM that granted before may have sent grants until this term began.
-            release = self._releases[key_range, run] = _Release(self._last_grant_expiry_s(run))
-        if release.done or self._has_ended(run):
-            return True
-        # Refused connections prove the end of an unlisted incarnation only; the port of a listed
-        # one may refuse for a moment.
-        if run not in self._listed and release.refused_connections >= 2:
-            return True
-        return release.grant_expiry_s is not None and now_s >= release.grant_expiry_s
-
-    def _has_ended(self, run: UpstreamRun) -> bool:
-        """Return whether an incarnation ended because a newer one has its id or its address."""
-        return run in self._superseded or any(
-            other.upstream_id == run.upstream_id and other.born > run.born for other in self._listed
-        )
+            release = self._releases[key_range, run] = _Release(self._sent_grants.expiry_s(run))
+        if release.done:
+            return Clearance.RELEASED
+        # Refused connections prove the end of an unlisted upstream only; the port of a listed one
+        # may refuse for a moment.
+        if run.upstream_id not in self._listed_ids and release.refused_connections >= 2:
+            return Clearance.NO_LISTENER
+        if release.grant_expiry_s is not None and now_s >= release.grant_expiry_s:
+            return Clearance.EXPIRED
+        return None
 
     def _is_accepting(self, run: UpstreamRun) -> bool:
         listed = self._listed.get(run)
-        return listed is not None and listed.accepting
+        return listed is not None and listed.accepting and not self.has_ended(run)
 
     def _release(self, now_s: float, owned: OwnedRange, run: UpstreamRun) -> Iterator[ReleaseCall]:
         release = self._releases[(owned.first, owned.last), run]
-        address = self._addresses.get(run)
+        address = self._addresses.get(run.upstream_id)
         if (
             address is None
             or release.call_in_flight
             or now_s < release.next_call_s
-            or self._grant_calls_in_flight.get(run)
+            or self._sent_grants.in_flight(run)
         ):
             return
         release.call_in_flight = True
         yield ReleaseCall(run, address, owned.first, owned.last, owned.fence)
 
-    def _grant(self, now_s: float, owned: OwnedRange) -> Iterator[GrantCall]:
+    def _grant(
+        self, now_s: float, owned: OwnedRange, cleared: tuple[tuple[UpstreamRun, Clearance], ...]
+    ) -> Iterator[GrantCall]:
         key_range = (owned.first, owned.last)
         grant = self._grants.setdefault(key_range, _Grant(owned.fence))
-        listed = self._listed.get(owned.owner)
-        if listed is None or grant.call_in_flight or grant.refused or now_s < grant.next_call_s:
-            return
-        if self._save_in_flight is not None and owned not in self._save_in_flight.table.ranges:
-            return
-        if self._release_is_due(now_s, owned.owner):
+        if not self._may_grant(now_s, owned, grant):
             return
         grant.call_in_flight = True
-        self._sent_grants.add((owned.owner, owned.fence))
-        self._grant_calls_in_flight[owned.owner] = (
-            self._grant_calls_in_flight.get(owned.owner, 0) + 1
+        call = GrantCall(
+            owned.owner,
+            self._listed[owned.owner].address,
+            *key_range,
+            owned.fence,
+            self._timing.hold_s,
+            self._handovers.get(key_range, ""),
+            self._sent_grants.max_connection(owned.owner, owned.fence),
+            cleared,
         )
-        handover = self._handovers.get(key_range, "")
-        yield GrantCall(
-            owned.owner, listed.address, *key_range, owned.fence, self._timing.hold_s, handover
+        self._sent_grants.on_sent(call)
+        yield call
+
+    def _may_grant(self, now_s: float, owned: OwnedRange, grant: _Grant) -> bool:
+        if owned.owner not in self._listed or self.has_ended(owned.owner):
+            return False
+        if grant.call_in_flight or grant.higher_fence_seen or grant.needs_new_fence:
+            return False
+        if self._save_in_flight is not None and owned not in self._save_in_flight.table.ranges:
+            return False
+        return (
+            now_s >= grant.next_call_s
+            and self._sent_grants.may_send(owned.owner, owned.fence)
+            and not self._release_is_due(now_s, owned.owner)
         )
 
     def _release_is_due(self, now_s: float, run: UpstreamRun) -> bool:
         """Return whether a release is due, which another grant call to the upstream would delay."""
         return any(
-            holder == run and not (each.done or each.call_in_flight) and now_s >= each.next_call_s
+            holder.upstream_id == run.upstream_id
+            and not self.has_ended(holder)
+            and not (each.done or each.call_in_flight)
+            and now_s >= each.next_call_s
             for (_, holder), each in self._releases.items()
         )
 
-    def _last_grant_expiry_s(self, run: UpstreamRun) -> float | None:
-        """Return when all grants to an upstream expire; None while grant calls are in flight."""
-        if self._grant_calls_in_flight.get(run):
-            return None
-        earlier_term_expiry_s = (
-            self._began_s + self._timing.call_timeout_s + self._timing.max_validity_s
-        )
-        return max(earlier_term_expiry_s, self._grant_expiry_s.get(run, 0.0))
-
     def _set_release_expiry(self, run: UpstreamRun) -> None:
         """Set when the grants to an upstream expire, once no grant call to it is in flight."""
-        if self._grant_calls_in_flight.get(run):
+        if self._sent_grants.in_flight(run):
             return
         for (_, holder), release in self._releases.items():
-            if holder == run and release.grant_expiry_s is None:
-                release.grant_expiry_s = self._last_grant_expiry_s(run)
+            if holder.upstream_id == run.upstream_id and release.grant_expiry_s is None:
+                release.grant_expiry_s = self._sent_grants.expiry_s(run)
+
+
+def _is_replaced_by(run: UpstreamRun, owner: UpstreamRun) -> bool:
+    """Return whether an owner is the same incarnation or a later one under the same id."""
+    return run.upstream_id == owner.upstream_id and run.born <= owner.born
 
 
 @attrs.define
--- a/fireflyferry/keyranges/orders.py
+++ b/fireflyferry/keyranges/orders.py
@@ -7,8 +7,10 @@
 from fireflyferry.keyranges.table import OwnerTable, UpstreamRun
 
 __all__ = [
+    "Clearance",
     "GrantAnswer",
     "GrantCall",
+    "GrantResult",
     "GrantTiming",
     "ListedRun",
     "ReleaseCall",
@@ -42,6 +44,30 @@
     UNKNOWN = auto()  # no answer, or one without a usable result
     NOT_SENT = auto()  # no byte of the call left this VM
     NO_LISTENER = auto()  # the port refused the connection
+    OTHER_UPSTREAM = auto()  # another upstream has the address, so the one that was meant has ended
+    CONNECTION_TOO_NEW = auto()  # not sent, since the process at the address may be another one
+
+
+@attrs.frozen
+class GrantResult:
+    """Result of a grant call.
+
+    `opened_connections` is how many connections this VM had opened when the call was sent; None if
+    it was not sent.
+    """
+
+    answer: GrantAnswer
+    opened_connections: int | None = None
+
+
+class Clearance(Enum):
+    """Proof that an earlier holder of a range holds it no longer."""
+
+    RELEASED = auto()  # it has acknowledged the release
+    ENDED = auto()  # another upstream has its address
+    RESTARTED = auto()  # the owner is a later incarnation of it
+    NO_LISTENER = auto()  # it is not listed and its port refused connections
+    EXPIRED = auto()  # its grants have expired
 
 
 @attrs.frozen
@@ -58,6 +84,8 @@
     """Grant of keys `first` to `last` to an upstream for `hold_s` seconds, or its renewal.
 
     `handover` is what the earlier holder returned when it released the keys; empty if nothing.
+    A renewal goes only over a connection whose number is at most `max_connection`. `cleared` says
+    for each earlier holder why it holds the keys no longer.
     """
 
     run: UpstreamRun
@@ -66,7 +94,9 @@
     last: int
     fence: int
     hold_s: float
-    handover: str
+    handover: str = ""
+    max_connection: int | None = None
+    cleared: tuple[tuple[UpstreamRun, Clearance], ...] = ()
 
 
 @attrs.frozen
--- a/fireflyferry/keyranges/tests/range_world.py
+++ b/fireflyferry/keyranges/tests/range_world.py
@@ -13,6 +13,7 @@
     KEY_COUNT,
     GrantAnswer,
     GrantCall,
+    GrantResult,
     GrantTiming,
     KeyDemand,
     ListedRun,
@@ -112,6 +113,9 @@
     fence_errors: list[str] = attrs.field(factory=list)
     served: int = 0
     highest_grants: dict[int, tuple[int, _Process]] = attrs.field(factory=dict)
+    # Numbers of the connections to each process; they are closed when it ends.
+    connections: dict[UpstreamRun, list[int]] = attrs.field(factory=dict)
+    opened_connections: int = 0
     _born: int = 100
 
     def start(self, upstreams: int) -> None:
@@ -193,7 +197,9 @@
     def _tick(self) -> None:
         granter = self.granter
         listed = list({p.run.upstream_id: p for p in self.processes if p.listed}.values())
-        granter.set_listed(ListedRun(p.run, p.address, not p.draining) for p in listed)
+        addresses = {p.run.upstream_id: p.address for p in self.processes}
+        runs = (ListedRun(p.run, p.address, not p.draining) for p in listed)
+        granter.set_listed(runs, addresses)
         granter.request_moves(self._moves(listed))
         for action in granter.tick(self.now_s):
             if isinstance(action, SaveTable):
@@ -243,37 +249,63 @@
         process = self._process_at(call.address)
         arrives_s = self.now_s + self.rng.uniform(0.0, 0.1)
         if process is None:
-            self._schedule(
-                arrives_s, lambda: granter.on_grant(self.now_s, call, GrantAnswer.NO_LISTENER)
-            )
+            self._answer_grant(granter, call, arrives_s, GrantAnswer.NO_LISTENER)
             return
         if not process.reachable and self.rng.random() < 0.5:
-            self._schedule(
-                self.now_s + 0.4, lambda: granter.on_grant(self.now_s, call, GrantAnswer.NOT_SENT)
-            )
+            self._answer_grant(granter, call, self.now_s + 0.4, GrantAnswer.NOT_SENT)
             return
+        number = self._connection(process)
+        if call.max_connection is not None and number > call.max_connection:
+            self._answer_grant(granter, call, arrives_s, GrantAnswer.CONNECTION_TOO_NEW)
+            return
+        opened = self.opened_connections
         late = self.rng.random() < 0.08
         silent = not process.reachable or late
         if late and process.reachable:
             due_s = arrives_s + self.rng.uniform(2.0, 12.0)
-            self._schedule(
-                due_s, lambda: process.alive and process.grant(self.now_s, call, arrives_s)
-            )
+            self._schedule(due_s, lambda: self._apply_grant(process, call, arrives_s))
         if silent:
-            self._schedule(
-                self.now_s + 1.0,
-                lambda: granter.on_grant(self.now_s, call, GrantAnswer.UNKNOWN),
-            )
+            self._answer_grant(granter, call, self.now_s + 1.0, GrantAnswer.UNKNOWN, opened)
         else:
-            self._schedule(arrives_s, lambda: self._deliver_grant(granter, process, call))
-
-    def _deliver_grant(self, granter: RangeGranter, process: _Process, call: GrantCall) -> None:
-        answer = GrantAnswer.NO_LISTENER
-        if process.alive:
-            answer = process.grant(self.now_s, call, self.now_s)
-        if answer is GrantAnswer.ACCEPTED:
+            self._schedule(arrives_s, lambda: self._deliver_grant(granter, process, call, opened))
+
+    def _connection(self, process: _Process) -> int:
+        """Return the number of a connection to a process, which is opened if need be."""
+        known = self.connections.setdefault(process.run, [])
+        if not known or self.rng.random() < 0.1:
+            self.opened_connections += 1
+            known.append(self.opened_connections)
+        elif self.rng.random() < 0.05:
+            known.pop(0)  # closed while it was idle
+            return self._connection(process)
+        return self.rng.choice(known)
+
+    def _answer_grant(
+        self,
+        granter: RangeGranter,
+        call: GrantCall,
+        at_s: float,
+        answer: GrantAnswer,
+        opened: int | None = None,
+    ) -> None:
+        result = GrantResult(answer, opened)
+        self._schedule(at_s, lambda: granter.on_grant(self.now_s, call, result))
+
+    def _deliver_grant(
+        self, granter: RangeGranter, process: _Process, call: GrantCall, opened: int
+    ) -> None:
+        answer = self._apply_grant(process, call, self.now_s)
+        granter.on_grant(self.now_s, call, GrantResult(answer, opened))
+
+    def _apply_grant(self, process: _Process, call: GrantCall, arrived_s: float) -> GrantAnswer:
+        if not process.alive:
+            return GrantAnswer.UNKNOWN
+        if process.run.upstream_id != call.run.upstream_id:
+            return GrantAnswer.OTHER_UPSTREAM
+        answer = process.grant(self.now_s, call, arrived_s)
+        if answer is GrantAnswer.ACCEPTED and self.now_s < arrived_s + call.hold_s:
             self._check_fence(process, call)
-        granter.on_grant(self.now_s, call, answer)
+        return answer
 
     def _check_fence(self, process: _Process, call: GrantCall) -> None:
         for key in PROBE_KEYS:
@@ -293,6 +325,8 @@
             answer, delay_s = GrantAnswer.NO_LISTENER, 0.02
         elif not process.reachable:
             answer, delay_s = GrantAnswer.UNKNOWN, 4.0
+        elif process.run.upstream_id != call.run.upstream_id:
+            answer, delay_s = GrantAnswer.OTHER_UPSTREAM, 0.05
         else:
             answer, delay_s = GrantAnswer.ACCEPTED, self.rng.uniform(0.05, 0.6)
             process.release(call)
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -2,11 +2,14 @@
 
 import random
 
+import attrs
 import pytest
 
 from fireflyferry.keyranges import (
+    Clearance,
     GrantAnswer,
     GrantCall,
+    GrantResult,
     GrantTiming,
     ListedRun,
     Move,
@@ -17,16 +20,20 @@
     UpstreamRun,
     plan_initial_ranges,
 )
+from fireflyferry.keyranges.sent_grants import SentGrants
 from fireflyferry.keyranges.tests.range_world import RangeSimulation
 
 TIMING = GrantTiming()
 A, B, C = UpstreamRun("a", 1), UpstreamRun("b", 1), UpstreamRun("c", 1)
+ADDRESSES = {upstream_id: f"10.0.0.{ord(upstream_id)}:80" for upstream_id in "abc"}
 
 
 def listed_runs(*runs, draining=()):
-    return [
-        ListedRun(run, f"10.0.0.{ord(run.upstream_id)}:80", run not in draining) for run in runs
-    ]
+    return [ListedRun(run, ADDRESSES[run.upstream_id], run not in draining) for run in runs]
+
+
+def grant_result(answer=GrantAnswer.ACCEPTED, opened_connections=1):
+    return GrantResult(answer, opened_connections)
 
 
 def split_actions(actions):
@@ -41,13 +48,13 @@
     """Return a granter whose ranges are all serving; its table has revision 2."""
     granter = RangeGranter("pool", TIMING, 0.0)
     granter.on_table_read(None, 0)
-    granter.set_listed(listed_runs(*runs))
+    granter.set_listed(listed_runs(*runs), ADDRESSES)
     granter.request_moves(plan_initial_ranges([RunCapacity(run, 10.0) for run in runs]))
     granter.tick(0.0)
     granter.on_table_saved(1)
     _, grants, _ = split_actions(granter.tick(0.0))
     for call in grants:
-        granter.on_grant(0.0, call, GrantAnswer.ACCEPTED)
+        granter.on_grant(0.0, call, grant_result())
     granter.tick(0.0)
     granter.on_table_saved(2)
     assert all(each.serving for each in granter.table.ranges)
@@ -57,7 +64,7 @@
 def test_nothing_is_granted_before_the_table_is_stored():
     granter = RangeGranter("pool", TIMING, 0.0)
     granter.on_table_read(None, 0)
-    granter.set_listed(listed_runs(A, B))
+    granter.set_listed(listed_runs(A, B), ADDRESSES)
     granter.request_moves(plan_initial_ranges([RunCapacity(A, 10.0), RunCapacity(B, 10.0)]))
     saves, grants, _ = split_actions(granter.tick(0.0))
     assert len(saves) == 1 and not grants
@@ -92,14 +99,14 @@
     _, _, releases = split_actions(granter.tick(2.1))
     assert not releases
     for call in renewals:
-        granter.on_grant(2.2, call, GrantAnswer.ACCEPTED)
+        granter.on_grant(2.2, call, grant_result())
     _, _, releases = split_actions(granter.tick(2.3))
     assert [call.run for call in releases] == [A]
 
 
 def test_keys_of_a_silent_owner_move_when_its_grants_have_expired():
     granter = serving_granter(A, B)
-    granter.set_listed(listed_runs(B))
+    granter.set_listed(listed_runs(B), ADDRESSES)
     owned = granter.table.ranges[0]
     granter.request_moves([Move(owned.first, owned.last, B)])
     granter.tick(1.0)
@@ -121,7 +128,7 @@
     """Guards against treating a listed upstream as ended because its port refuses for a moment."""
     granter = serving_granter(A, B)
     runs = listed_runs(A, B, draining=(A,)) if still_listed else listed_runs(B)
-    granter.set_listed(runs)
+    granter.set_listed(runs, ADDRESSES)
     owned = granter.table.ranges[0]
     granter.request_moves([Move(owned.first, owned.last, B)])
     granter.tick(1.0)
@@ -138,7 +145,7 @@
     granter = serving_granter(A, B)
     owned = granter.table.ranges[0]
     restarted = UpstreamRun("a", 2)
-    granter.set_listed(listed_runs(restarted, B))
+    granter.set_listed(listed_runs(restarted, B), ADDRESSES)
     granter.request_moves([Move(owned.first, owned.last, restarted)])
     granter.tick(1.0)
     granter.on_table_saved(3)
@@ -152,7 +159,7 @@
     table = serving_granter(A, B).table
     granter = RangeGranter("pool", TIMING, 50.0)
     granter.on_table_read(table, 9)
-    granter.set_listed(listed_runs(A, B))
+    granter.set_listed(listed_runs(A, B), ADDRESSES)
     saves, grants, _ = split_actions(granter.tick(50.0))
     assert saves[0].revision == 9 and saves[0].table.term == table.term + 1 and not grants
     granter.on_table_saved(10)
@@ -165,7 +172,7 @@
     table = serving_granter(A, B).table
     granter = RangeGranter("pool", TIMING, 50.0)
     granter.on_table_read(table, 9)
-    granter.set_listed(listed_runs(B))
+    granter.set_listed(listed_runs(B), ADDRESSES)
     granter.tick(50.0)
     granter.on_table_saved(10)
     owned = table.ranges[0]
@@ -179,12 +186,79 @@
 def test_higher_fence_at_the_owner_leads_to_a_new_fence():
     granter = serving_granter(A, B)
     _, renewals, _ = split_actions(granter.tick(2.0))
-    granter.on_grant(2.1, renewals[0], GrantAnswer.HIGHER_FENCE)
+    granter.on_grant(2.1, renewals[0], grant_result(GrantAnswer.HIGHER_FENCE))
     saves, _, _ = split_actions(granter.tick(2.2))
     changed = saves[0].table.find(renewals[0].first)
     assert changed.fence > renewals[0].fence and changed.owner == renewals[0].run
 
 
+def test_renewal_without_a_known_connection_gets_a_new_fence():
+    """Guards against a restarted upstream that holds keys under the fence of its earlier run."""
+    granter = serving_granter(A, B)
+    _, renewals, _ = split_actions(granter.tick(2.0))
+    assert [call.max_connection for call in renewals] == [1, 1]
+    granter.on_grant(2.1, renewals[0], GrantResult(GrantAnswer.CONNECTION_TOO_NEW))
+    saves, _, _ = split_actions(granter.tick(2.5))
+    changed = saves[0].table.find(renewals[0].first)
+    assert changed.owner == A and changed.serving and changed.fence > renewals[0].fence
+    granter.on_table_saved(3)
+    _, grants, _ = split_actions(granter.tick(2.6))
+    assert [(call.fence, call.max_connection) for call in grants] == [(changed.fence, None)]
+
+
+def test_later_incarnation_releases_keys_before_they_move():
+    """Guards against keys at two upstreams when a restarted one took grants of its earlier run."""
+    granter = serving_granter(A, B)
+    owned = granter.table.ranges[0]
+    restarted = UpstreamRun("a", 2)
+    granter.set_listed(listed_runs(restarted, B, draining=(restarted,)), ADDRESSES)
+    granter.request_moves([Move(owned.first, owned.last, B)])
+    granter.tick(1.0)
+    granter.on_table_saved(3)
+    _, grants, releases = split_actions(granter.tick(1.1))
+    assert not [call for call in grants if call.first == owned.first]
+    granter.on_release(1.2, releases[0], GrantAnswer.ACCEPTED, "token")
+    _, grants, _ = split_actions(granter.tick(1.3))
+    moved = next(call for call in grants if call.first == owned.first)
+    assert moved.run == B and moved.cleared == ((A, Clearance.RELEASED),)
+
+
+def test_keys_of_an_upstream_move_at_once_when_another_has_its_address():
+    granter = serving_granter(A, B)
+    _, renewals, _ = split_actions(granter.tick(2.0))
+    granter.on_grant(2.1, renewals[0], grant_result(GrantAnswer.OTHER_UPSTREAM))
+    assert granter.has_ended(A)
+    granter.request_moves([Move(renewals[0].first, renewals[0].last, B)])
+    granter.tick(2.2)
+    granter.on_table_saved(3)
+    _, grants, releases = split_actions(granter.tick(2.3))
+    moved = next(call for call in grants if call.first == renewals[0].first)
+    assert moved.run == B and moved.cleared == ((A, Clearance.ENDED),) and not releases
+
+
+def test_refused_renewal_may_have_taken_effect():
+    """Guards against an earlier refusal, sent once more, after which keys are taken to be free."""
+    granter = serving_granter(A, B)
+    _, renewals, _ = split_actions(granter.tick(8.0))
+    granter.on_grant(8.0, renewals[0], grant_result(GrantAnswer.HIGHER_FENCE))
+    granter.set_listed(listed_runs(B), ADDRESSES)
+    granter.request_moves([Move(renewals[0].first, renewals[0].last, B)])
+    granter.tick(8.1)
+    granter.on_table_saved(3)
+    _, grants, _ = split_actions(granter.tick(8.0 + TIMING.hold_s))
+    assert not [call for call in grants if call.first == renewals[0].first]
+
+
+def test_new_term_gives_new_fences():
+    """Guards against a fence at two processes when an upstream restarts between two terms."""
+    table = serving_granter(A, B).table
+    granter = RangeGranter("pool", TIMING, 50.0)
+    granter.on_table_read(table, 9)
+    granter.set_listed(listed_runs(A, B), ADDRESSES)
+    saves, _, _ = split_actions(granter.tick(50.0))
+    assert all(each.fence > table.last_fence and each.serving for each in saves[0].table.ranges)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_never_two_holders(seed):
     """Guards against two holders after late grants, restarts, lapses, drains and takeovers."""
@@ -210,9 +284,8 @@
 
 
 class _GrantsBeforeRelease(RangeGranter):
-    def _is_cleared(self, now_s, owned, run):
-        super()._is_cleared(now_s, owned, run)
-        return True
+    def _clearance(self, now_s, owned, run):
+        return super()._clearance(now_s, owned, run) or Clearance.RELEASED
 
 
 class _IgnoresEarlierTerms(RangeGranter):
@@ -221,14 +294,15 @@
 
 
 class _TreatsUnlistedAsEnded(RangeGranter):
-    def _has_ended(self, run):
-        return run not in self._listed or super()._has_ended(run)
+    def _clearance(self, now_s, owned, run):
+        clearance = super()._clearance(now_s, owned, run)
+        return clearance or (None if run in self._listed else Clearance.ENDED)
 
 
 class _ExpectsShortGrants(RangeGranter):
-    def on_grant(self, now_s, call, answer):
-        super().on_grant(now_s, call, answer)
-        self._grant_expiry_s[call.run] = now_s + 1.0
+    def __init__(self, pool, timing, began_s):
+        super().__init__(pool, timing, began_s)
+        self._sent_grants = SentGrants(attrs.evolve(timing, hold_s=0.5, margin_s=0.5), began_s)
 
 
 class _ReusesFences(RangeGranter):
@@ -236,6 +310,28 @@
         return super()._moved_part(owned, move, owned.fence)
 
 
+class _RenewsOverAnyConnection(RangeGranter):
+    def _grant(self, now_s, owned, cleared):
+        for call in super()._grant(now_s, owned, cleared):
+            yield attrs.evolve(call, max_connection=None)
+
+
+class _KeepsFencesOfEarlierTerms(RangeGranter):
+    def _next_table(self):
+        table = super()._next_table()
+        if self._table is None or self._is_table_of_this_term:
+            return table
+        return attrs.evolve(self._table, term=table.term)
+
+
+class _TreatsRestartAsEnd(RangeGranter):
+    def _clearance(self, now_s, owned, run):
+        restarted = any(
+            each.upstream_id == run.upstream_id and each.born > run.born for each in self._listed
+        )
+        return super()._clearance(now_s, owned, run) or (Clearance.ENDED if restarted else None)
+
+
 @pytest.mark.parametrize(
     "broken_granter",
     [
@@ -244,6 +340,9 @@
         _TreatsUnlistedAsEnded,
         _ExpectsShortGrants,
         _ReusesFences,
+        _RenewsOverAnyConnection,
+        _KeepsFencesOfEarlierTerms,
+        _TreatsRestartAsEnd,
     ],
 )
 def test_simulation_detects_a_removed_check(broken_granter):
@@ -251,7 +350,9 @@
     violations = 0
     for seed in range(60):
         simulation = RangeSimulation(
-            random.Random(seed), lambda began_s: broken_granter("pool", TIMING, began_s)
+            random.Random(seed),
+            lambda began_s: broken_granter("pool", TIMING, began_s),
+            restarts_unlisted=seed % 2 == 0,
         )
         simulation.start(4)
         simulation.run(60.0)
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -289,11 +289,13 @@
         ) as server:
             owner = UpstreamRun("i-1", 1)
             grant = GrantCall(owner, server.address, 1, 9, 12, 4.0, "h")
-            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.ACCEPTED
-            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.HIGHER_FENCE
+            assert (await server.orders.grant(grant, lambda: True)).answer is GrantAnswer.ACCEPTED
+            assert (
+                await server.orders.grant(grant, lambda: True)
+            ).answer is GrantAnswer.HIGHER_FENCE
             release = ReleaseCall(owner, server.address, 1, 9, 13)
             assert await server.orders.release(release, lambda: True) == (GrantAnswer.ACCEPTED, "t")
-            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.UNKNOWN
+            assert (await server.orders.grant(grant, lambda: True)).answer is GrantAnswer.UNKNOWN
             body = {"from": 1, "target": 9, "fence": 12, "holdS": 4.0, "handover": "h"}
             assert server.calls[0] == ("POST", "/grant", body)
 
@@ -306,7 +308,7 @@
     async def scenario():
         async with RecordingServer() as server:
             grant = GrantCall(UpstreamRun("i-1", 1), server.address, 1, 9, 12, 4.0, "")
-            assert await server.orders.grant(grant, lambda: False) is GrantAnswer.NOT_SENT
+            assert (await server.orders.grant(grant, lambda: False)).answer is GrantAnswer.NOT_SENT
             assert not server.calls
 
     run(scenario)
@@ -318,7 +320,9 @@
             sock, port = bind_unused_port()
             sock.close()
             grant = GrantCall(UpstreamRun("i-1", 1), f"127.0.0.1:{port}", 1, 9, 12, 4.0, "")
-            assert await server.orders.grant(grant, lambda: True) is GrantAnswer.NO_LISTENER
+            assert (
+                await server.orders.grant(grant, lambda: True)
+            ).answer is GrantAnswer.NO_LISTENER
 
     run(scenario)
 
--- /dev/null
+++ b/fireflyferry/platform/tests/test_orders.py
@@ -0,0 +1,143 @@
+"""Guards against grants and releases that act on another process than the one that is meant."""
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import attrs
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from fireflyferry.keyranges import GrantAnswer, GrantCall, GrantTiming, ReleaseCall, UpstreamRun
+from fireflyferry.platform.orders import HttpKeyOrders
+from fireflyferry.transport import CurlTransport
+
+RUN = UpstreamRun("i-1", 1)
+
+
+@attrs.define
+class Answer:
+    """An answer to an order; with `closes`, the connection is closed after it."""
+
+    status: int
+    handover: str = ""
+    closes: bool = False
+
+
+class UpstreamServer:
+    """Upstream that answers orders in turn and records the port from which each call came."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+        self.ports = []
+        sock, port = bind_unused_port()
+        self.address = f"127.0.0.1:{port}"
+        server = self
+
+        class Handler(RequestHandler):
+            def post(self):
+                server.calls.append((self.request.headers, json.loads(self.request.body)))
+                server.ports.append(self.request.connection.context.address[1])
+                answer = server.answers.pop(0)
+                self.set_status(answer.status)
+                if answer.handover:
+                    self.set_header("Fireflyferry-Handover", answer.handover)
+                if answer.closes:
+                    self.set_header("Connection", "close")
+
+        self._server = HTTPServer(Application([(".*", Handler)], log_function=lambda _: None))
+        self._server.add_socket(sock)
+
+    async def close(self):
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+def run_with_server(scenario: Callable, *answers):
+    async def main():
+        transport, server = CurlTransport(force_instance=True), UpstreamServer(*answers)
+        try:
+            await scenario(server, HttpKeyOrders(transport, GrantTiming()))
+        finally:
+            transport.close()
+            await server.close()
+
+    asyncio.run(main())
+
+
+def grant(orders, server, max_connection=None):
+    call = GrantCall(RUN, server.address, 1, 9, 12, 4.0, max_connection=max_connection)
+    return orders.grant(call, lambda: True)
+
+
+def release(orders, server):
+    return orders.release(ReleaseCall(RUN, server.address, 1, 9, 13), lambda: True)
+
+
+def test_orders_name_the_upstream_that_is_meant():
+    """Guards against keys for a process that got the address of the one that is meant."""
+
+    async def scenario(server, orders):
+        result = await grant(orders, server)
+        assert result.answer is GrantAnswer.OTHER_UPSTREAM
+        assert (await release(orders, server))[0] is GrantAnswer.ACCEPTED
+        names = [headers["Fireflyferry-Expected-Instance"] for headers, _ in server.calls]
+        assert names == ["i-1", "i-1"]
+
+    run_with_server(scenario, Answer(421), Answer(200, "t"))
+
+
+def test_renewal_is_sent_over_a_connection_of_the_first_grant_only():
+    """Guards against a renewal that reaches a restarted upstream under the fence of its past."""
+
+    async def scenario(server, orders):
+        first = await grant(orders, server)
+        renewed = await grant(orders, server, first.opened_connections)
+        assert renewed.answer is GrantAnswer.ACCEPTED and server.ports[0] == server.ports[1]
+        late = await grant(orders, server, first.opened_connections)
+        assert late.answer is GrantAnswer.CONNECTION_TOO_NEW
+        assert late.opened_connections is None and len(server.calls) == 2
+        again = await grant(orders, server)
+        assert again.answer is GrantAnswer.ACCEPTED
+
+    run_with_server(scenario, Answer(200), Answer(200, closes=True), Answer(200))
+
+
+def test_refusal_on_a_connection_in_use_proves_no_end():
+    """Guards against an earlier refusal, sent once more, that ends the wait for a holder."""
+
+    async def scenario(server, orders):
+        await grant(orders, server)
+        result = await grant(orders, server)
+        assert result.answer is GrantAnswer.UNKNOWN and result.opened_connections == 1
+        confirmed = await grant(orders, server)
+        assert confirmed.answer is GrantAnswer.OTHER_UPSTREAM
+        assert server.ports[0] == server.ports[1] != server.ports[2]
+
+    run_with_server(scenario, Answer(200), Answer(421), Answer(421))
+
+
+@pytest.mark.parametrize("handover", ["", "first"])
+def test_release_is_not_confirmed_by_an_earlier_answer(handover):
+    """Guards against an earlier answer, sent once more, that passes for that of a release."""
+
+    async def scenario(server, orders):
+        assert await release(orders, server) == (GrantAnswer.ACCEPTED, "first")
+        assert await release(orders, server) == (GrantAnswer.UNKNOWN, "")
+        assert await release(orders, server) == (GrantAnswer.ACCEPTED, "second")
+        assert server.ports[1] != server.ports[2]
+
+    run_with_server(scenario, Answer(200, "first"), Answer(200, handover), Answer(200, "second"))
+
+
+def test_refusal_of_a_grant_counts_as_sent():
+    """Guards against an earlier refusal, sent once more, that hides a grant that took effect."""
+
+    async def scenario(server, orders):
+        result = await grant(orders, server)
+        assert result.answer is GrantAnswer.HIGHER_FENCE and result.opened_connections == 1
+
+    run_with_server(scenario, Answer(409))
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -41,7 +41,9 @@
     """A request to send to `address`, which is `IP:PORT`; without a body if `body` is None.
 
     With `fresh_connection`, the request uses a new connection that is not used again. Otherwise
-    it may use one that has been idle for at most `max_idle_s`.
+    it may use one that has been idle for at most `max_idle_s`; with `new_connection`, it opens
+    one, which may be used again. Connections are numbered in the order in which they were opened;
+    with `max_connection`, the request is sent only over one with at most this number.
     """
 
     address: str
@@ -52,6 +54,8 @@
     timeout_s: float
     fresh_connection: bool = False
     max_idle_s: int = 118  # curl's default
+    new_connection: bool = False
+    max_connection: int | None = None
 
 
 class Receiver(abc.ABC):
@@ -83,6 +87,8 @@
 
     `sent` means that the request was handed to a connection, `connection_refused` that no process
     listens on the port, and `reused` that the connection had carried another request before.
+    `opened_connections` is how many connections had been opened when the request was sent.
+    `connection_too_new` means that it was not sent because of `Exchange.max_connection`.
     """
 
     error: int
@@ -90,6 +96,8 @@
     message: str = ""
     connection_refused: bool = False
     reused: bool = False
+    opened_connections: int = 0
+    connection_too_new: bool = False
 
     @property
     def timed_out(self) -> bool:
@@ -111,6 +119,7 @@
         self.answer_memory = answer_memory or AnswerMemory()
         self._multi.setopt(pycurl.M_MAXCONNECTS, idle_connections)
         self._connect_timeout_ms = int(connect_timeout_s * 1000)
+        self.connections = ConnectionNumbers()
         self._idle: list[_Transfer] = []
         self._active: dict[pycurl.Curl, _Transfer] = {}
 
@@ -196,6 +205,8 @@
         transfer = self._active.pop(curl)
         self._multi.remove_handle(curl)
         done, sent = transfer.done, transfer.sent
+        opened_connections = transfer.opened_connections
+        connection_too_new = transfer.connection_too_new
         connection_refused = (
             curl_error == pycurl.E_COULDNT_CONNECT
             and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
@@ -209,11 +220,43 @@
         if not done.done():
             done.set_result(
                 TransferResult(
-                    curl_error or 0, sent, curl_message or "", connection_refused, reused
+                    curl_error or 0,
+                    sent,
+                    curl_message or "",
+                    connection_refused,
+                    reused,
+                    opened_connections,
+                    connection_too_new,
                 )
             )
 
 
+class ConnectionNumbers:
+    """Numbers of the connections of a transport, in the order in which they were opened.
+
+    As long as a connection is open, the process at its other end is the one that accepted it.
+    """
+
+    def __init__(self) -> None:
+        self._opened = 0
+        self._by_local_address: dict[tuple[str, int], int] = {}
+
+    @property
+    def opened(self) -> int:
+        """How many connections have been opened so far."""
+        return self._opened
+
+    def on_opened(self, local_address: tuple[str, int]) -> int:
+        """Number a new connection; its address may have belonged to one that was closed."""
+        self._opened += 1
+        self._by_local_address[local_address] = self._opened
+        return self._opened
+
+    def number(self, local_address: tuple[str, int]) -> int:
+        """Return the number of an open connection."""
+        return self._by_local_address.get(local_address) or self.on_opened(local_address)
+
+
 class _Transfer:
     """One curl handle with its callbacks; reused after a transfer without error."""
 
@@ -227,6 +270,7 @@
         curl.setopt(pycurl.WRITEFUNCTION, self._on_data)
         curl.setopt(pycurl.READFUNCTION, self._on_read)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_send)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket)
         self.clear()
 
     def clear(self) -> None:
@@ -236,6 +280,10 @@
             body.on_data = None
         self.done: asyncio.Future[TransferResult] = None  # type: ignore[assignment]
         self.sent = False
+        self.opened_connections = 0
+        self.connection_too_new = False
+        self._max_connection: int | None = None
+        self._is_connection_new = False
         self._receiver: Receiver = None  # type: ignore[assignment]
         self._body: RequestBody | None = None
         self._lines: list[bytes] = []
@@ -248,13 +296,15 @@
         self._receiver = receiver
         receiver.resume = self.resume
         self._body = exchange.body
+        self._max_connection = exchange.max_connection
         curl = self.curl
         curl.setopt(pycurl.URL, f"http://{exchange.address}/")
         curl.setopt(pycurl.REQUEST_TARGET, exchange.target.encode("latin-1"))
         curl.setopt(pycurl.HTTPHEADER, _header_lines(exchange.headers))
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms(exchange.timeout_s))
         # curl sends a request again if a reused connection closes before the answer's first byte.
-        curl.setopt(pycurl.FRESH_CONNECT, int(exchange.fresh_connection))
+        new_connection = exchange.fresh_connection or exchange.new_connection
+        curl.setopt(pycurl.FRESH_CONNECT, int(new_connection))
         curl.setopt(pycurl.FORBID_REUSE, int(exchange.fresh_connection))
         curl.setopt(pycurl.MAXAGE_CONN, exchange.max_idle_s)
         curl.setopt(pycurl.HTTPGET, 1)
@@ -291,12 +341,26 @@
             # The transfer has failed; curl reports the error through `_finish`.
             return
 
-    def _before_send(self, *_addresses: object) -> int:
+    def _on_socket(self, _descriptor: int, _purpose: int) -> int:
+        self._is_connection_new = True
+        return pycurl.SOCKOPT_OK
+
+    def _before_send(self, _address: str, local_ip: str, _port: int, local_port: int) -> int:
+        connections, local_address = self._transport.connections, (local_ip, local_port)
+        if self._is_connection_new:
+            self._is_connection_new = False
+            number = connections.on_opened(local_address)
+        else:
+            number = connections.number(local_address)
         # At a second call curl is about to send the request again, but only the first hop decides
         # about retries.
-        if self.sent or not self._receiver.may_send():
+        if self.sent:
+            return pycurl.PREREQFUNC_ABORT
+        self.connection_too_new = self._max_connection is not None and number > self._max_connection
+        if self.connection_too_new or not self._receiver.may_send():
             return pycurl.PREREQFUNC_ABORT
         self.sent = True
+        self.opened_connections = connections.opened
         return pycurl.PREREQFUNC_OK
 
     def _on_header(self, line: bytes) -> int:
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -21,7 +21,8 @@
     `sent` means that the request was handed to a connection, `reused` that the connection had
     carried another request before, `connection_refused` that no process listens on the port,
     `head_rejected` that `accept` rejected the head of the answer, and `too_large` that its body
-    exceeded the memory for answers.
+    exceeded the memory for answers. `opened_connections` and `connection_too_new` are as in
+    `TransferResult`.
     """
 
     error: int
@@ -35,6 +36,8 @@
     status: int = 0
     headers: HeaderList = attrs.field(factory=list)
     body: bytes = b""
+    opened_connections: int = 0
+    connection_too_new: bool = False
 
     @property
     def complete(self) -> bool:
@@ -128,7 +131,15 @@
             result.message,
             answer.status,
             answer.headers,
+            opened_connections=result.opened_connections,
+            connection_too_new=result.connection_too_new,
         )
     return FetchResult(
-        0, True, status=answer.status, headers=answer.headers, body=b"".join(answer.chunks)
+        0,
+        True,
+        reused=result.reused,
+        status=answer.status,
+        headers=answer.headers,
+        body=b"".join(answer.chunks),
+        opened_connections=result.opened_connections,
     )
