Take the answer to a release only for the call that it answers

Keys could be at two upstreams until the grants of one of them expired.

Cause: an upstream answers a release when its requests for the keys have ended, up to 4 s after the call. If the keys went back to it meanwhile and moved on again, the late answer counted for the later release, which had not even been sent: the result was found by range and upstream, not by the fence of the call.

Change: each release notes the fence of its last call, and other results are ignored.

Evidence: found by a review of the fix; the test fails before the change.

--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -49,12 +49,14 @@
 class _Release:
     """Release of one range by an earlier holder.
 
-    `grant_expiry_s` is None while grant calls to the holder are in flight.
+    `grant_expiry_s` is None while grant calls to the holder are in flight. `called_fence` is the
+    fence of the last call.
     """
 
     grant_expiry_s: float | None
     done: bool = False
     call_in_flight: bool = False
+    called_fence: int = 0
     next_call_s: float = 0.0
 
 
@@ -155,7 +157,7 @@
     ) -> None:
         """Apply the result of a release call."""
         release = self._releases.get(((call.first, call.last), call.run))
-        if release is None:
+        if release is None or release.called_fence != call.fence:
             return
         release.call_in_flight = False
         release.next_call_s = now_s + self._timing.retry_delay_s
@@ -342,7 +344,7 @@
             or self._sent_grants.in_flight(run)
         ):
             return
-        release.call_in_flight = True
+        release.call_in_flight, release.called_fence = True, owned.fence
         yield ReleaseCall(run, address, owned.first, owned.last, owned.fence)
 
     def _grant(
--- /dev/null
+++ b/fireflyferry/keyranges/tests/test_granter_answers.py
@@ -0,0 +1,57 @@
+"""Guards against keys with two holders after late, lost and refused answers of upstreams."""
+
+from fireflyferry.keyranges import GrantAnswer, GrantResult, Move, UpstreamRun
+from fireflyferry.keyranges.tests.test_granter import (
+    ADDRESSES,
+    TIMING,
+    A,
+    B,
+    C,
+    grant_result,
+    listed_runs,
+    serving_granter,
+    split_actions,
+)
+
+
+def move(granter, now_s, revision, first, last, owner):
+    """Request a move and confirm the write of the table."""
+    granter.request_moves([Move(first, last, owner)])
+    granter.tick(now_s)
+    granter.on_table_saved(revision)
+
+
+def accept_all(granter, now_s, grants):
+    for call in grants:
+        granter.on_grant(now_s, call, grant_result())
+
+
+def grants_of(calls, first):
+    return [call for call in calls if call.first == first]
+
+
+def test_answer_to_an_earlier_release_does_not_clear_a_later_grant():
+    """Guards against keys that move on because of the answer to a release before the last grant.
+
+    The answer to a release comes only when the upstream has ended its requests, up to 4 s later.
+    """
+    granter = serving_granter(A, B, C)
+    move(granter, 0.1, 3, 100, 200, B)
+    _, grants, (earlier_release,) = split_actions(granter.tick(0.2))
+    accept_all(granter, 0.21, grants)
+    # B drains before it gets the keys, which go back to A.
+    granter.set_listed(listed_runs(A, B, C, draining=(B,)), ADDRESSES)
+    move(granter, 0.3, 4, 100, 200, A)
+    _, grants, _ = split_actions(granter.tick(0.35))
+    accept_all(granter, 0.4, grants)
+    _, grants, _ = split_actions(granter.tick(0.45))
+    accept_all(granter, 0.46, grants)
+    granter.on_table_saved(5)
+    assert granter.table.find(100).owner == A and granter.table.find(100).serving
+    # A renewal of another range of A is in flight when the keys move on.
+    _, renewals, _ = split_actions(granter.tick(1.58))
+    assert [call for call in renewals if call.run == A]
+    move(granter, 1.6, 6, 100, 200, C)
+    granter.on_release(1.7, earlier_release, GrantAnswer.ACCEPTED, "token")
+    _, grants, _ = split_actions(granter.tick(1.75))
+    assert not grants_of(grants, 100)
