Renew grants beside a release that is no longer needed

An upstream could lose all its keys, and callers get refusals for them, after it had once not answered a release.

Cause: a release that is due goes before renewals, since a renewal in flight would delay it. One whose range had gone on because the grants had expired was never sent again, but stayed due until the next owner accepted the range; without an answer of that one no grant of the upstream was renewed.

Change: a release is due only until the grants that it is for have expired.

--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -388,6 +388,7 @@
             and not self.has_ended(holder)
             and not (each.done or each.call_in_flight)
             and now_s >= each.next_call_s
+            and not (each.grant_expiry_s is not None and now_s >= each.grant_expiry_s)
             for (_, holder), each in self._releases.items()
         )
 
--- a/fireflyferry/keyranges/tests/test_granter_answers.py
+++ b/fireflyferry/keyranges/tests/test_granter_answers.py
@@ -55,3 +55,24 @@
     granter.on_release(1.7, earlier_release, GrantAnswer.ACCEPTED, "token")
     _, grants, _ = split_actions(granter.tick(1.75))
     assert not grants_of(grants, 100)
+
+
+def test_release_that_is_no_longer_needed_does_not_hold_up_renewals():
+    """Guards against an upstream that loses all its keys after a release that it did not answer.
+
+    Load pattern: the next owner does not answer either, so the range stays without an owner.
+    """
+    granter = serving_granter(A, B)
+    move(granter, 1.0, 3, 100, 200, B)
+    now_s = renewed_s = 1.0
+    while now_s < 16.0:
+        now_s += 0.1
+        granter.request_moves([])
+        _, grants, releases = split_actions(granter.tick(now_s))
+        for call in releases:
+            granter.on_release(now_s, call, GrantAnswer.UNKNOWN)
+        for call in grants:
+            answer = GrantAnswer.ACCEPTED if call.run == A else GrantAnswer.UNKNOWN
+            granter.on_grant(now_s, call, grant_result(answer))
+            renewed_s = now_s if call.run == A else renewed_s
+    assert now_s - renewed_s < TIMING.hold_s
