Give each write of the lease a counter of its own

Two VMs could hold the lease for some tenths of a second, and grant keys at the same time; what upstreams saw is covered by the end of grants and by fences.

Cause: a write that got no answer could take effect after it had been read back. The next write carried an equal record. Its conflict returned the record of the earlier write, which counted as the confirmation of the later one, so the lease was held from the time of the later write, while another VM waited from that of the earlier one.

Change: a VM never uses a counter twice.

--- a/fireflyferry/keyranges/lease.py
+++ b/fireflyferry/keyranges/lease.py
@@ -81,6 +81,7 @@
         self._is_call_in_flight = False
         self._authority_until_s = float("-inf")
         self._sent_write: tuple[LeaseRecord, float] | None = None
+        self._last_counter = 0
         self._has_resigned = False
 
     @property
@@ -174,8 +175,10 @@
         return record is not None and (record.vm_id, record.incarnation) == self._own_id
 
     def _next_record(self, resigned: bool = False) -> LeaseRecord:
-        counter = self._record.counter + 1 if self._record is not None else 1
-        return LeaseRecord(*self._own_id, counter, resigned)
+        # Not the counter of a write without an answer: finding that one must not confirm this one.
+        known_counter = self._record.counter if self._record is not None else 0
+        self._last_counter = max(known_counter, self._last_counter) + 1
+        return LeaseRecord(*self._own_id, self._last_counter, resigned)
 
     def _confirm_sent(self) -> None:
         """Extend the authority after a successful write; end it if another VM has the lease."""
--- a/fireflyferry/keyranges/tests/test_lease.py
+++ b/fireflyferry/keyranges/tests/test_lease.py
@@ -97,6 +97,37 @@
     assert lease.tick(10.0) is None
 
 
+def test_late_write_does_not_confirm_a_later_one():
+    """Guards against two holders of the lease after a write that took effect late."""
+    lease, other = make_lease(), StoreLease("other", "other-1", TIMING)
+    lease.tick(0.0)
+    lease.on_read(0.0, None, 0)
+    first = lease.tick(0.01)
+    lease.on_written(0.02, 1)
+    late = lease.tick(0.75)
+    lease.on_failed(1.25)
+    assert lease.tick(1.66) == ReadLease(stale=False)
+    lease.on_read(1.67, first.record, 1)  # the write has not taken effect yet
+    other.tick(1.69)
+    other.on_read(1.69, late.record, 2)
+    again = lease.tick(2.38)
+    assert isinstance(again, WriteLease) and again.revision == 1
+    lease.on_read(2.39, late.record, 2)  # conflict
+    now_s = 1.69 + TIMING.takeover_s
+    assert isinstance(other.tick(now_s), WriteLease)
+    other.on_written(now_s, 3)
+    assert other.holds(now_s) and not lease.holds(now_s)
+
+
+@pytest.mark.parametrize("seed", [13, 22])
+def test_never_two_holders_after_late_writes(seed):
+    """Guards against two holders of the lease, as above, with few VMs and many late writes."""
+    simulation = LeaseSimulation(random.Random(seed))
+    simulation.add_vms(3)
+    simulation.run(200.0)
+    assert simulation.overlaps == 0
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_never_two_holders(seed):
     """Guards against two holders of the lease at the same time.
