Test four guards of grants that no test covered

A review removed each guard of the fix of the incident; four removals went unnoticed: the fence that a restarted upstream may hold, connections that only an accepted grant makes usable, the wait for grant calls in flight, and the count of connections that is taken when a grant is sent. Each test fails without its guard and passes with it.

--- a/fireflyferry/keyranges/tests/test_granter_answers.py
+++ b/fireflyferry/keyranges/tests/test_granter_answers.py
@@ -76,3 +76,41 @@
             granter.on_grant(now_s, call, grant_result(answer))
             renewed_s = now_s if call.run == A else renewed_s
     assert now_s - renewed_s < TIMING.hold_s
+
+
+def test_restarted_upstream_releases_keys_that_it_was_not_granted_yet():
+    """Guards against keys that move on while a restarted upstream has them by an earlier grant."""
+    granter = serving_granter(A, B)
+    owned = granter.table.ranges[0]
+    restarted = UpstreamRun("a", 2)
+    granter.set_listed(listed_runs(restarted, B), ADDRESSES)
+    granter.request_moves([Move(owned.first, owned.last, restarted)])
+    granter.tick(1.0)
+    granter.set_listed(listed_runs(restarted, B, draining=(restarted,)), ADDRESSES)
+    granter.on_table_saved(3)
+    granter.request_moves([Move(owned.first, owned.last, B)])
+    saves, _, _ = split_actions(granter.tick(1.01))
+    moved = saves[0].table.find(owned.first)
+    assert moved.owner == B and moved.earlier_holders == (restarted,)
+
+
+def test_unanswered_renewal_allows_no_newer_connection():
+    """Guards against a renewal that reaches a restarted upstream after an answer was lost."""
+    granter = serving_granter(A, B)
+    _, renewals, _ = split_actions(granter.tick(2.0))
+    granter.on_grant(2.6, renewals[0], GrantResult(GrantAnswer.UNKNOWN, 7))
+    _, again, _ = split_actions(granter.tick(3.0))
+    assert [call.max_connection for call in grants_of(again, renewals[0].first)] == [1]
+
+
+def test_wait_for_an_earlier_holder_counts_a_renewal_that_was_in_flight():
+    """Guards against keys that move before the last renewal of a silent holder has expired."""
+    granter = serving_granter(A, B)
+    _, renewals, _ = split_actions(granter.tick(2.0))
+    owned = granter.table.ranges[0]
+    granter.set_listed(listed_runs(B), ADDRESSES)
+    move(granter, 2.05, 3, owned.first, owned.last, B)
+    for call in renewals:
+        granter.on_grant(2.6, call, GrantResult(GrantAnswer.UNKNOWN, 1))
+    _, grants, _ = split_actions(granter.tick(2.6 + TIMING.hold_s))
+    assert not grants_of(grants, owned.first)
--- a/fireflyferry/platform/tests/test_orders.py
+++ b/fireflyferry/platform/tests/test_orders.py
@@ -12,7 +12,7 @@
 
 from fireflyferry.keyranges import GrantAnswer, GrantCall, GrantTiming, ReleaseCall, UpstreamRun
 from fireflyferry.platform.orders import HttpKeyOrders
-from fireflyferry.transport import CurlTransport
+from fireflyferry.transport import CurlTransport, Exchange, fetch
 
 RUN = UpstreamRun("i-1", 1)
 
@@ -141,3 +141,37 @@
         assert result.answer is GrantAnswer.HIGHER_FENCE and result.opened_connections == 1
 
     run_with_server(scenario, Answer(409))
+
+
+def test_connections_opened_while_a_grant_is_in_flight_are_too_new_for_its_renewal():
+    """Guards against a renewal over a connection to a process that started during the grant."""
+
+    async def main():
+        answered = asyncio.Event()
+
+        class Handler(RequestHandler):
+            async def post(self):
+                await answered.wait()
+
+            async def get(self):
+                """Answer at once."""
+
+        sock, port = bind_unused_port()
+        server = HTTPServer(Application([(".*", Handler)], log_function=lambda _: None))
+        server.add_socket(sock)
+        transport = CurlTransport(force_instance=True)
+        address = f"127.0.0.1:{port}"
+        orders = HttpKeyOrders(transport, GrantTiming(call_timeout_s=20.0))
+        call = GrantCall(RUN, address, 1, 9, 12, 4.0)
+        pending = asyncio.ensure_future(orders.grant(call, lambda: True))
+        while not transport.connections.opened:
+            await asyncio.sleep(0.01)
+        await fetch(transport, Exchange(address, "GET", "/", [], None, 20.0))
+        answered.set()
+        result = await pending
+        assert (result.opened_connections, transport.connections.opened) == (1, 2)
+        transport.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(main())
