Refuse requests that arrive when a stopping VM takes no more, instead of closing

What callers saw: three seconds after the termination signal, a whole request on a kept connection was read and its connection closed without an answer. A caller cannot tell this from a request that was passed on, so one that may not be repeated was lost. A request whose head had arrived before that moment was passed on whenever its body came, up to the exit. Requests that other VMs forward had the same gap.

Cause: the exchange decided when the head arrived. A caller's request was then dropped with its connection, since an answer before the end of the body may be lost by the reset of a connection with unread bytes.

Fix: both kinds of exchanges decide once the request has been received completely, and refuse it as not run: callers get 503 with Retry-After and Connection: close, first hops a refusal that lets them ask another VM. A request that is refused counts as in flight until its answer is written, so the exit does not cut the answer off.

Evidence: the three tests fail before the change, each with a connection that ends without an answer. In two of them, those with a late body, the upstream had received the request.

--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -103,6 +103,8 @@
         """Return the call, or the refusal of a request that cannot be routed."""
         services, names = self._services, self._services.names
         state = services.state
+        if services.in_flight.closed:
+            return not_run(Reason.SHUTTING_DOWN)
         if state.config is None:
             return not_run(Reason.NO_TABLES, NO_TABLES_RETRY_AFTER_S)
         target = self._line.path
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -51,7 +51,11 @@
 
     @abc.abstractmethod
     async def handle(self) -> None:
-        """Answer the request."""
+        """Answer the request; refuse it as not run if the server no longer takes requests.
+
+        A refusal before the whole body has been read could be lost, since closing a connection with
+        unread bytes resets it.
+        """
 
     @abc.abstractmethod
     def on_head(self) -> None:
@@ -60,14 +64,6 @@
     def on_body_bytes(self, received_bytes: int) -> None:
         """Check the size of the body while it arrives; it may be refused by an answer."""
 
-    def reject_request(self) -> None:
-        """Reject a request that arrives after the server stopped accepting requests.
-
-        The connection is closed without an answer, so that the sender tries another VM.
-        """
-        self._closed = True
-        self._connection.close()
-
     def continues_without_sender(self) -> bool:
         """Return whether the request is handled to its end after its sender has disconnected."""
         return False
@@ -80,9 +76,6 @@
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Start a request when its headers have arrived."""
         self._line, self._headers = start_line, headers
-        if self._in_flight.closed:
-            self.reject_request()
-            return
         self._is_in_flight = True
         self._in_flight.request_started()
         self.on_head()
@@ -154,7 +147,10 @@
 
 
 class InFlightRequests:
-    """Number of requests in flight on one server; once `closed` is set, new ones are rejected."""
+    """Number of requests in flight on one server.
+
+    Once `closed` is set, requests that have not been received completely are refused.
+    """
 
     def __init__(self) -> None:
         self.count = 0
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -55,19 +55,10 @@
         super().__init__(connection, services.in_flight)
         self._services = services
         self._peer_call: peer_messages.PeerCall | None = None
-        self._is_rejected = False
 
     def on_head(self) -> None:
         """Accept every head; the request is checked once its body has arrived."""
 
-    def reject_request(self) -> None:
-        """Refuse a request as not run, so that the first hop sends it to another VM.
-
-        The refusal is sent after the body has been read, since closing a connection with unread
-        bytes resets it, and the first hop would not receive the refusal.
-        """
-        self._is_rejected = True
-
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
         return self._peer_call is not None and not self._peer_call.idempotent
@@ -75,7 +66,7 @@
     async def handle(self) -> None:
         """Send a forwarded request to its upstream, or answer another request by its path."""
         is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
-        if self._is_rejected or is_of_earlier_revision:
+        if self._in_flight.closed or is_of_earlier_revision:
             refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
             self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, refusal)], b"")
         elif self._line.path == FORWARD_PATH:
--- /dev/null
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -0,0 +1,158 @@
+"""Requests around the end of a graceful shutdown: taken, cut, refused, broken off."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+
+from fireflyferry.gateway import peer_messages
+from fireflyferry.gateway.calls import Call
+from fireflyferry.gateway.envelopes import Envelope, EnvelopeCodec
+from fireflyferry.gateway.peer_client import FORWARD_PATH
+from fireflyferry.gateway.peer_messages import RESULT_HEADER
+from fireflyferry.gateway.program import ProgramRules
+from fireflyferry.gateway.tests.support import (
+    HEADER_NAMES,
+    FakeStore,
+    Gateway,
+    Reply,
+    ScriptedUpstream,
+    SeenRequest,
+    gateway,
+    make_config,
+    make_route,
+    make_settings,
+    read_reply,
+    reply,
+    request_bytes,
+    upstream_content,
+)
+from fireflyferry.messages.codec import unstructure
+from fireflyferry.telemetry import Outcome, Reason
+
+GRACE_PERIOD_S = 2.0
+LONG_DEADLINE = {HEADER_NAMES.deadline_ms: "8000"}
+RULES = ProgramRules(accept_while_stopping_s=0.5, exit_margin_s=0.6)
+
+
+async def never_answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    """Work on a request for longer than the grace period."""
+    await asyncio.sleep(30)
+
+
+def run_stopping(
+    scenario: Callable[[Gateway, ScriptedUpstream], Awaitable[None]],
+    script: Callable | None = never_answer,
+    rules: ProgramRules = RULES,
+    **changes,
+) -> None:
+    """Run an entry VM with a short grace period; await `scenario(running, upstream)`."""
+    slow = make_route("write", "plain", idempotent=False, timeout_s=8.0, target_latency_s=8.0)
+    config = make_config(routes=(slow, make_route("short", "plain", timeout_s=0.6)))
+    settings = make_settings()
+    bounds = attrs.evolve(settings.bounds, grace_period_s=GRACE_PERIOD_S)
+    settings = attrs.evolve(settings, bounds=bounds)
+
+    async def run():
+        store = FakeStore()
+        async with ScriptedUpstream(script) as upstream:
+            await store.put("configs", "main", unstructure(config))
+            await store.put("upstreams", "u1", upstream_content("u1", upstream.port, **changes))
+            async with gateway(store, settings, rules) as running:
+                await scenario(running, upstream)
+
+    asyncio.run(run())
+
+
+@contextlib.asynccontextmanager
+async def connection(
+    port: int,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Open a connection, for the length of the block."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+async def kept_connection_reply(
+    running: Gateway, target: str, after_s: float, headers: dict[str, str] = LONG_DEADLINE
+) -> Reply:
+    """Return the answer to a request on a connection that was open before the shutdown."""
+    async with connection(running.port) as (reader, writer):
+        await asyncio.sleep(0.05)
+        running.program.stop()
+        await asyncio.sleep(after_s)
+        writer.write(request_bytes(target, "POST", headers, b"1"))
+        return await read_reply(reader)
+
+
+def assert_refused(got: Reply) -> None:
+    """Check that a caller may send its request again, to another VM."""
+    assert (got.status, got.complete, got.headers["connection"]) == (503, True, "close")
+    assert float(got.headers["retry-after"]) > 0
+
+
+def test_request_on_a_kept_connection_is_refused_when_no_more_are_taken():
+    """Guards against closing a connection without an answer after a whole request was read."""
+
+    async def slow(seen, writer):
+        await asyncio.sleep(1.0)
+        writer.write(reply(seen))
+
+    async def scenario(running, upstream):
+        async with connection(running.port) as (earlier_reader, earlier_writer):
+            earlier_writer.write(request_bytes("/write/", "POST", LONG_DEADLINE, b"1"))
+            await running.wait_until(lambda: upstream.seen)
+            assert_refused(await kept_connection_reply(running, "/write/", 0.7))
+            assert len(upstream.seen) == 1
+            assert (await read_reply(earlier_reader)).status == 200
+
+    run_stopping(scenario, slow)
+
+
+def test_request_whose_body_arrives_when_no_more_are_taken_is_refused():
+    """Guards against passing on, shortly before the exit, a request whose head came early."""
+
+    async def scenario(running, upstream):
+        async with connection(running.port) as (reader, writer):
+            whole = request_bytes("/write/", "POST", LONG_DEADLINE, b"12")
+            writer.write(whole[:-1])
+            await running.wait_until(lambda: running.program._in_flight() == 1)
+            running.program.stop()
+            await asyncio.sleep(0.7)
+            writer.write(whole[-1:])
+            assert_refused(await read_reply(reader))
+            assert not upstream.seen
+
+    run_stopping(scenario)
+
+
+def forward_bytes(left_s: float) -> bytes:
+    """Return the bytes of a non-idempotent request that another VM forwards."""
+    call = Call("r1", "POST", "/write/", [], b"1", "plain", None, False, 1, 1, 0.0, left_s, left_s)
+    headers = [(HEADER_NAMES.request_id, "r1")]
+    summary = peer_messages.write_call(call, "u1", 1, 0.0)
+    body = EnvelopeCodec(HEADER_NAMES).pack(Envelope(summary, "POST /write/", headers, b"1"))
+    return request_bytes(FORWARD_PATH, "POST", body=body)
+
+
+def test_forwarded_request_whose_body_arrives_when_no_more_are_taken_has_not_run():
+    """Guards against running a forwarded request shortly before the exit of its last hop."""
+
+    async def scenario(running, upstream):
+        async with connection(running.settings.vm.peer_port) as (reader, writer):
+            whole = forward_bytes(8.0)
+            writer.write(whole[:-1])
+            await running.wait_until(lambda: running.program._in_flight() == 1)
+            running.program.stop()
+            await asyncio.sleep(0.7)
+            writer.write(whole[-1:])
+            got = await read_reply(reader)
+            result = peer_messages.read_result(got.headers[RESULT_HEADER.lower()], None, "u1")
+            assert (result.outcome, result.reason) == (Outcome.NOT_RUN, Reason.SHUTTING_DOWN)
+            assert not upstream.seen
+
+    run_stopping(scenario)
