Answer requests that are still in flight when a stopping VM has to exit

What callers saw: a request that lasted longer than the grace period ended with its connection, without an answer, whether an upstream worked on it or it still waited for a slot here. A first hop on another VM saw its connection break, suspected this VM and pinged it.

Cause: at the end of the grace period the shutdown closed all connections, also those of requests in flight.

Fix: shortly before the exit each request in flight is broken off with a final answer. It says that the outcome is unknown (504, new reason broken_off) if an upstream may have received the request, and not run (503 with Retry-After) if it was never passed on. Calls note whether they were passed on; the note is withdrawn only by an upstream's or last hop's refusal. The log line "stopped" counts what was broken off.

Evidence: the three tests fail before the change with a connection that ends without an answer.

--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -97,8 +97,19 @@
                 attempt = await services.first_hop.run(call)
             self._send_result(attempt)
         finally:
+            if attempt is None and self._is_broken_off:
+                attempt = self._result_if_broken_off()
             self._record_result(attempt)
 
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that no upstream has received the request."""
+        self._send_result(self._result_if_broken_off())
+
+    def _result_if_broken_off(self) -> Attempt:
+        if self._call is None:
+            return not_run(Reason.SHUTTING_DOWN)
+        return self._call.result_if_broken_off()
+
     def _resolve(self) -> Call | Attempt:
         """Return the call, or the refusal of a request that cannot be routed."""
         services, names = self._services, self._services.names
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -15,7 +15,8 @@
     `started_s` is when the caller first sent the request, `target_time_s` when an answer becomes
     late, `deadline_s` when it becomes useless. `returned` is set if the caller has sent the request
     before, `repeated` if an upstream may have received it from an earlier attempt. `tried` holds
-    ids of upstreams not to try again. `key` is None in pools without keys.
+    ids of upstreams not to try again. `key` is None in pools without keys. `passed_on` is set while
+    an upstream may have received the request.
     """
 
     request_id: str
@@ -34,6 +35,13 @@
     returned: bool = False
     repeated: bool = False
     tried: frozenset[str] = frozenset()
+    passed_on: bool = False
+
+    def result_if_broken_off(self) -> "Attempt":
+        """Return the result for a caller whose request ends now, with the exit of this VM."""
+        return (
+            outcome_unknown(Reason.BROKEN_OFF) if self.passed_on else not_run(Reason.SHUTTING_DOWN)
+        )
 
 
 @attrs.frozen
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -48,6 +48,7 @@
         self._task: asyncio.Task[None] | None = None
         self._closed = False
         self._answered = False
+        self._is_broken_off = False
 
     @abc.abstractmethod
     async def handle(self) -> None:
@@ -61,6 +62,10 @@
     def on_head(self) -> None:
         """Check the headers before the body is read."""
 
+    @abc.abstractmethod
+    def answer_broken_off(self) -> None:
+        """Answer a request that was broken off: its outcome is unknown, or it was not run."""
+
     def on_body_bytes(self, received_bytes: int) -> None:
         """Check the size of the body while it arrives; it may be refused by an answer."""
 
@@ -77,7 +82,7 @@
         """Start a request when its headers have arrived."""
         self._line, self._headers = start_line, headers
         self._is_in_flight = True
-        self._in_flight.request_started()
+        self._in_flight.add(self)
         self.on_head()
 
     def data_received(self, chunk: bytes) -> None:
@@ -104,6 +109,12 @@
         elif not self.continues_without_sender():
             self._task.cancel()
 
+    def break_off(self) -> None:
+        """End the request now with a final answer, if it has been received completely."""
+        if self._task is not None and not self._task.done():
+            self._is_broken_off = True
+            self._task.cancel()
+
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
         """Send the complete answer, unless one was sent or the sender has disconnected."""
         if self._closed or self._answered:
@@ -128,13 +139,15 @@
         self._end_request()
 
     def _on_task_done(self, _task: "asyncio.Task[None]") -> None:
+        if self._is_broken_off:
+            self.answer_broken_off()
         if not self._answered:
             self._end_request()
 
     def _end_request(self) -> None:
         if self._is_in_flight:
             self._is_in_flight = False
-            self._in_flight.request_ended()
+            self._in_flight.remove(self)
 
     async def _run(self) -> None:
         try:
@@ -147,22 +160,30 @@
 
 
 class InFlightRequests:
-    """Number of requests in flight on one server.
+    """Requests in flight on one server.
 
     Once `closed` is set, requests that have not been received completely are refused.
     """
 
     def __init__(self) -> None:
-        self.count = 0
         self.closed = False
+        self._exchanges: set[BufferedExchange] = set()
+
+    def __len__(self) -> int:
+        return len(self._exchanges)
+
+    def add(self, exchange: BufferedExchange) -> None:
+        """Add a request when it starts."""
+        self._exchanges.add(exchange)
 
-    def request_started(self) -> None:
-        """Count the start of a request."""
-        self.count += 1
+    def remove(self, exchange: BufferedExchange) -> None:
+        """Remove a request when it has ended."""
+        self._exchanges.discard(exchange)
 
-    def request_ended(self) -> None:
-        """Count the end of a request."""
-        self.count -= 1
+    def break_off(self) -> None:
+        """End all requests with final answers, since the program is about to exit."""
+        for exchange in list(self._exchanges):
+            exchange.break_off()
 
 
 class ClosingConnections:
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -106,6 +106,7 @@
 
     async def _search(self, call: Call, search: Search) -> Attempt:
         while True:
+            call.passed_on = search.possibly_run is not None
             target = await self._locator.locate(call, search)
             if isinstance(target, Attempt):
                 return self._final_result(search, target)
@@ -162,6 +163,7 @@
                 "instead_of": target.upstream.run.upstream_id,
             },
         )
+        call.passed_on = True
         hedged_call = attrs.evolve(call, repeated=True, tried=frozenset(tried))
         return [asyncio.ensure_future(self._attempt(hedged_call, other))]
 
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -245,6 +245,7 @@
             fresh_connection=call.repeated or self._avoids_kept_connections(upstream),
             max_idle_s=rules.idempotent_idle_s if call.idempotent else rules.non_idempotent_idle_s,
         )
+        call.passed_on = True
         result = await fetch(
             self._transport,
             exchange,
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -90,6 +90,7 @@
             complete_body(self._envelopes.pack(envelope)),
             max(0.001, call.deadline_s - now_s) + self._rules.answer_margin_s,
         )
+        call.passed_on = True
         pending = asyncio.ensure_future(fetch(self._transport, exchange))
         try:
             result = await self._await_answer(pending, call, vm)
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -55,6 +55,7 @@
         super().__init__(connection, services.in_flight)
         self._services = services
         self._peer_call: peer_messages.PeerCall | None = None
+        self._call: Call | None = None
 
     def on_head(self) -> None:
         """Accept every head; the request is checked once its body has arrived."""
@@ -67,8 +68,7 @@
         """Send a forwarded request to its upstream, or answer another request by its path."""
         is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
         if self._in_flight.closed or is_of_earlier_revision:
-            refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
-            self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, refusal)], b"")
+            self._refuse(not_run(Reason.SHUTTING_DOWN))
         elif self._line.path == FORWARD_PATH:
             await self._answer_forward()
         elif self._line.path == PING_PATH:
@@ -82,6 +82,16 @@
         else:
             self.answer(404, [], b"")
 
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that no upstream has received the request."""
+        no_call = not_run(Reason.SHUTTING_DOWN)
+        self._refuse(self._call.result_if_broken_off() if self._call is not None else no_call)
+
+    def _refuse(self, attempt: Attempt) -> None:
+        """Answer with a result without an upstream's answer."""
+        result = peer_messages.write_result(attempt)
+        self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, result)], b"")
+
     def _accept_loads(self) -> None:
         try:
             self._services.on_loads(peer_messages.read_loads(self.body))
@@ -120,7 +130,8 @@
         try:
             envelope = services.envelopes.unpack(self.body)
             self._peer_call = peer_call = peer_messages.read_call(envelope.summary)
-            call = self._call(peer_call, envelope, services.clock.monotonic_s())
+            now_s = services.clock.monotonic_s()
+            self._call = call = self._make_call(peer_call, envelope, now_s)
         except (EnvelopeError, peer_messages.PeerMessageError) as error:
             _LOG.warning("peer_call_unreadable", extra={"error": str(error)})
             self.answer(400, [], b"")
@@ -146,7 +157,9 @@
             return not_run(Reason.UPSTREAM_DRAINING)
         return await services.last_hop.run(call, upstream)
 
-    def _call(self, peer_call: peer_messages.PeerCall, envelope: Envelope, now_s: float) -> Call:
+    def _make_call(
+        self, peer_call: peer_messages.PeerCall, envelope: Envelope, now_s: float
+    ) -> Call:
         method, separator, target = envelope.start.partition(" ")
         if not separator:
             raise EnvelopeError(f"start line {envelope.start!r}")
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -62,7 +62,8 @@
     The store counts as disturbed for `disturbed_s` after a failed call. `accept_while_stopping_s`
     is how long a stopping VM still accepts connections, since the load balancer stops using it only
     after two failed checks, a second apart. The VM exits at the latest `exit_margin_s` before the
-    end of the grace period, which begins with the termination signal.
+    end of the grace period, which begins with the termination signal. Requests that are still in
+    flight `final_answers_s` before the exit are broken off with a final answer.
     """
 
     connect_timeout_s: float = 0.4
@@ -71,6 +72,7 @@
     cleanup_interval_s: float = 1.0
     accept_while_stopping_s: float = 3.0
     exit_margin_s: float = 0.6
+    final_answers_s: float = 0.1
 
 
 @attrs.frozen
@@ -373,11 +375,15 @@
         for server in servers:
             server.stop()
         self._caller_services.in_flight.closed = self._peer_services.in_flight.closed = True
-        while self._in_flight() and clock.monotonic_s() < exit_by_s:
-            await asyncio.sleep(0.02)
+        await self._wait_until_idle(exit_by_s - rules.final_answers_s)
+        broken_off = self._in_flight()
+        for requests in (self._caller_services.in_flight, self._peer_services.in_flight):
+            requests.break_off()
+        await self._wait_until_idle(exit_by_s)
         _LOG.info(
             "stopped",
             extra={
+                "broken_off": broken_off,
                 "in_flight": self._in_flight(),
                 "took_s": round(clock.monotonic_s() - stop_began_s, 3),
             },
@@ -387,5 +393,9 @@
             await server.close_all_connections()
         self._transport.close()
 
+    async def _wait_until_idle(self, until_s: float) -> None:
+        while self._in_flight() and self._clock.monotonic_s() < until_s:
+            await asyncio.sleep(0.02)
+
     def _in_flight(self) -> int:
-        return self._caller_services.in_flight.count + self._peer_services.in_flight.count
+        return len(self._caller_services.in_flight) + len(self._peer_services.in_flight)
--- a/fireflyferry/gateway/tests/test_stopping.py
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -95,6 +95,49 @@
     assert float(got.headers["retry-after"]) > 0
 
 
+def test_request_in_flight_at_the_signal_is_answered_before_the_exit():
+    """Guards against a connection that is cut without an answer when the grace period ends."""
+
+    async def scenario(running, upstream):
+        async with connection(running.port) as (reader, writer):
+            writer.write(request_bytes("/write/", "POST", LONG_DEADLINE, b"1"))
+            await running.wait_until(lambda: upstream.seen)
+            running.program.stop()
+            got = await read_reply(reader)
+            assert (got.status, got.complete, got.headers["connection"]) == (504, True, "close")
+            assert "retry-after" not in got.headers
+
+    run_stopping(scenario)
+
+
+def test_request_that_never_reached_an_upstream_is_refused_before_the_exit():
+    """Guards against cutting off callers whose requests wait for a slot until the exit.
+
+    Load pattern: all slots are taken by requests that last longer than the grace period.
+    """
+
+    async def scenario(running, upstream):
+        last_hop = running.program._last_hop
+
+        def received():
+            return last_hop.busy + last_hop.waiting
+
+        async with contextlib.AsyncExitStack() as stack:
+            pairs = [await stack.enter_async_context(connection(running.port)) for _ in range(3)]
+            for number, (_, writer) in enumerate(pairs):
+                whole = request_bytes("/write/", "POST", LONG_DEADLINE, b"1", f"r{number}")
+                writer.write(whole)
+                await running.wait_until(lambda count=number + 1: received() == count)
+            assert last_hop.waiting == 1
+            running.program.stop()
+            replies = await asyncio.gather(*(read_reply(reader) for reader, _ in pairs))
+            assert sorted(got.status for got in replies) == [503, 504, 504]
+            assert_refused(replies[2])
+            assert len(upstream.seen) == 2
+
+    run_stopping(scenario, slots=1)
+
+
 def test_request_on_a_kept_connection_is_refused_when_no_more_are_taken():
     """Guards against closing a connection without an answer after a whole request was read."""
 
@@ -139,6 +182,21 @@
     return request_bytes(FORWARD_PATH, "POST", body=body)
 
 
+def test_forwarded_request_is_broken_off_with_an_unknown_outcome():
+    """Guards against a cut connection between VMs, whose first hop would suspect this VM."""
+
+    async def scenario(running, upstream):
+        async with connection(running.settings.vm.peer_port) as (reader, writer):
+            writer.write(forward_bytes(8.0))
+            await running.wait_until(lambda: upstream.seen)
+            running.program.stop()
+            got = await read_reply(reader)
+            result = peer_messages.read_result(got.headers[RESULT_HEADER.lower()], None, "u1")
+            assert (result.outcome, result.reason) == (Outcome.UNKNOWN, Reason.BROKEN_OFF)
+
+    run_stopping(scenario)
+
+
 def test_forwarded_request_whose_body_arrives_when_no_more_are_taken_has_not_run():
     """Guards against running a forwarded request shortly before the exit of its last hop."""
 
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -46,6 +46,7 @@
     OUTCOME_NOT_RECORDED = "outcome_not_recorded"
     TIMED_OUT = "timed_out"
     CONNECTION_LOST = "connection_lost"
+    BROKEN_OFF = "broken_off"
     WRONG_ANSWER = "wrong_answer"
     OWNERSHIP_LAPSED = "ownership_lapsed"
 
@@ -99,6 +100,7 @@
     Reason.OUTCOME_NOT_RECORDED: ReasonInfo(Outcome.UNKNOWN, 409, False),
     Reason.TIMED_OUT: _unknown_outcome(),
     Reason.CONNECTION_LOST: _unknown_outcome(),
+    Reason.BROKEN_OFF: _unknown_outcome(),
     Reason.WRONG_ANSWER: _unknown_outcome(),
     Reason.OWNERSHIP_LAPSED: _unknown_outcome(),
 }
