Pass on no request whose outcome can still be open when a stopping VM exits

What callers saw: requests that came late in the grace period were taken and passed on with deadlines far beyond the exit. Those that lasted longer than what was left of the grace period were cut off while an upstream worked on them, among them requests that may not be repeated.

Cause: for three seconds a stopping VM took requests as if it ran on, and gave upstreams the caller's whole deadline, up to eight seconds. The grace period ends after six to ten. Requests that waited for a slot were passed on as late as the exit.

Fix: a stop plan limits deadlines. A request whose own deadline or route's timeout ends before the exit is taken as it is. One that was received less than 2.5 s after the signal is taken with a deadline that is cut to shortly before the exit, if the forecast of wait and service time fits the time left; a long deadline alone is no reason to refuse a short request. All others are refused at once as not run, so that callers or first hops ask another VM. The 2.5 s end before the accept phase, since the signal may be noticed late. The plan holds for requests of callers and of other VMs, for each attempt, and again when a request gets a slot.

--- a/fireflyferry/admission/__init__.py
+++ b/fireflyferry/admission/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyferry.admission.fair_queue import FairQueue
 from fireflyferry.admission.service_times import ServiceTimes
+from fireflyferry.admission.stopping import StopPlan, is_probably_answered
 from fireflyferry.admission.upstream_queue import (
     Admit,
     QueueLimits,
@@ -18,6 +19,8 @@
     "Refuse",
     "ServiceTimes",
     "SlotRequest",
+    "StopPlan",
     "UpstreamQueue",
     "Wait",
+    "is_probably_answered",
 ]
--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -158,6 +158,7 @@
             target_time_s=now_s - age_s + route.target_latency_s - NETWORK_ALLOWANCE_S,
             deadline_s=now_s + min(deadline_ms / 1000 - NETWORK_ALLOWANCE_S, route.timeout_s),
             returned=age_s > 0.0,
+            received_s=now_s,
         )
 
     def _read_deadline_ms(self, route: HostRoute) -> int | None:
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from fireflyferry.admission import StopPlan
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport.headers import HeaderList
 
@@ -15,8 +16,9 @@
     `started_s` is when the caller first sent the request, `target_time_s` when an answer becomes
     late, `deadline_s` when it becomes useless. `returned` is set if the caller has sent the request
     before, `repeated` if an upstream may have received it from an earlier attempt. `tried` holds
-    ids of upstreams not to try again. `key` is None in pools without keys. `passed_on` is set while
-    an upstream may have received the request.
+    ids of upstreams not to try again. `key` is None in pools without keys. `received_s` is when
+    this VM received it. `passed_on` is set while an upstream may have received it, and
+    `deadline_cut` if `deadline_s` is earlier than the caller's deadline, since this VM stops.
     """
 
     request_id: str
@@ -35,7 +37,18 @@
     returned: bool = False
     repeated: bool = False
     tried: frozenset[str] = frozenset()
+    received_s: float = 0.0
     passed_on: bool = False
+    deadline_cut: bool = False
+
+    def limit_deadline(self, plan: StopPlan) -> bool:
+        """Cut the deadline to a time before this VM stops; return whether to pass it on."""
+        deadline_s = plan.deadline_s(self.received_s, self.deadline_s)
+        if deadline_s is None:
+            return False
+        self.deadline_cut = self.deadline_cut or deadline_s < self.deadline_s
+        self.deadline_s = deadline_s
+        return True
 
     def result_if_broken_off(self) -> "Attempt":
         """Return the result for a caller whose request ends now, with the exit of this VM."""
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -6,9 +6,10 @@
 
 import attrs
 
+from fireflyferry.admission import StopPlan, is_probably_answered
 from fireflyferry.balancing import LoadTracker, SlidingRetryBudget
 from fireflyferry.edges import Clock
-from fireflyferry.gateway.calls import Attempt, Call
+from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.learning import record_attempt
 from fireflyferry.gateway.locating import Locator, Search, Target
@@ -74,6 +75,7 @@
         metrics: GatewayMetrics,
         locator: Locator,
         rules: FirstHopRules | None = None,
+        stop_plan: StopPlan | None = None,
     ):
         self._clock = clock
         self._state = state
@@ -83,6 +85,7 @@
         self._metrics = metrics
         self._locator = locator
         self._rules = rules or FirstHopRules()
+        self._stop_plan = stop_plan or StopPlan()
         self._retry_budgets: dict[str, SlidingRetryBudget] = {}
 
     @property
@@ -110,6 +113,8 @@
             target = await self._locator.locate(call, search)
             if isinstance(target, Attempt):
                 return self._final_result(search, target)
+            if not self._ends_before_exit(call, target):
+                return self._final_result(search, not_run(Reason.SHUTTING_DOWN))
             if search.reached and not self._take_retry(call, search):
                 return self._final_result(search, search.last_attempt)
             search.hops += 1
@@ -125,6 +130,20 @@
             ):
                 search.possibly_run = attempt
 
+    def _ends_before_exit(self, call: Call, target: Target) -> bool:
+        """Return whether an attempt ends before a stopping VM exits; cut its deadline to that."""
+        if not call.limit_deadline(self._stop_plan):
+            return False
+        if not call.deadline_cut:
+            return True
+        now_s, upstream = self._clock.monotonic_s(), target.upstream
+        if target.vm.vm_id == self._state.vms.this_vm.vm_id:
+            wait_s, service_s = self._last_hop.forecast(upstream)
+        else:
+            wait_s = self._load_tracker.wait_s(now_s, upstream)
+            service_s = self._load_tracker.service_s(upstream.run.upstream_id)
+        return is_probably_answered(call.deadline_s - now_s, wait_s, service_s)
+
     async def _attempt_hedged(self, call: Call, search: Search, target: Target) -> Attempt:
         """Make an attempt, and a hedged one in parallel if the first is not answered soon enough.
 
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -6,6 +6,7 @@
 import attrs
 from tornado.http1connection import HTTP1Connection
 
+from fireflyferry.admission import StopPlan, is_probably_answered
 from fireflyferry.balancing import Standing, UpstreamDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
@@ -45,6 +46,7 @@
     on_loads: Callable[[LoadReport], None]
     on_owners: Callable[[Document], None]
     feed: Feed
+    stop_plan: StopPlan
     in_flight: InFlightRequests = attrs.field(factory=InFlightRequests)
 
 
@@ -155,6 +157,12 @@
         standing = services.upstreams.standing(now_s, peer_call.upstream_id, peer_call.born)
         if upstream is None or standing is Standing.GONE:
             return not_run(Reason.UPSTREAM_DRAINING)
+        if not call.limit_deadline(services.stop_plan):
+            return not_run(Reason.SHUTTING_DOWN)
+        if call.deadline_cut and not is_probably_answered(
+            call.deadline_s - now_s, *services.last_hop.forecast(upstream)
+        ):
+            return not_run(Reason.SHUTTING_DOWN)
         return await services.last_hop.run(call, upstream)
 
     def _make_call(
@@ -180,4 +188,5 @@
             deadline_s=now_s + peer_call.left_ms / 1000,
             repeated=bool(peer_call.repeated),
             tried=peer_call.tried_upstreams,
+            received_s=now_s,
         )
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -11,6 +11,7 @@
 import attrs
 import tornado.httpserver
 
+from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import (
     EntryVm,
     LoadTracker,
@@ -36,6 +37,7 @@
 from fireflyferry.gateway.peer_messages import write_owners
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
 from fireflyferry.gateway.planning import RangePlanner
+from fireflyferry.gateway.program_rules import ProgramRules
 from fireflyferry.gateway.registration import Registration
 from fireflyferry.gateway.reporting import LoadReporter
 from fireflyferry.gateway.sampling import KeySampler
@@ -55,26 +57,6 @@
 METRICS_PATH = "/metrics"
 
 
-@attrs.frozen
-class ProgramRules:
-    """Times in seconds.
-
-    The store counts as disturbed for `disturbed_s` after a failed call. `accept_while_stopping_s`
-    is how long a stopping VM still accepts connections, since the load balancer stops using it only
-    after two failed checks, a second apart. The VM exits at the latest `exit_margin_s` before the
-    end of the grace period, which begins with the termination signal. Requests that are still in
-    flight `final_answers_s` before the exit are broken off with a final answer.
-    """
-
-    connect_timeout_s: float = 0.4
-    disturbed_s: float = 5.0  # entries that expired during a store outage are back within 2 s
-    leaving_margin_s: float = 0.4  # subtracted from the drain timeout of upstreams
-    cleanup_interval_s: float = 1.0
-    accept_while_stopping_s: float = 3.0
-    exit_margin_s: float = 0.6
-    final_answers_s: float = 0.1
-
-
 @attrs.frozen
 class PlatformAdapters:
     """Adapters to the platform."""
@@ -235,6 +217,7 @@
     def _make_hops(self) -> None:
         state, codec, clock = self._state, self._adapters.codec, self._clock
         bounds = self._settings.bounds
+        self._stop_plan = StopPlan()
         self._last_hop = LastHop(
             clock,
             self._transport,
@@ -243,6 +226,7 @@
             LoadTracker(SelectionRules(), self._rng),
             codec.headers,
             self._metrics,
+            stop_plan=self._stop_plan,
         )
         self._load_tracker = LoadTracker(SelectionRules(), self._rng)
         self._first_hop = FirstHop(
@@ -258,6 +242,7 @@
                 retry_least=bounds.retry_least,
                 retry_window_s=bounds.retry_window_s,
             ),
+            self._stop_plan,
         )
         self._sampler = KeySampler(self._rng)
 
@@ -283,6 +268,7 @@
             lambda report: self._reporter.add_report(report),
             self._document_sync.put_owner_table,
             self._document_sync.feed,
+            self._stop_plan,
         )
 
     # Servers
@@ -363,6 +349,8 @@
         exit_by_s = stop_began_s + self._settings.bounds.grace_period_s - rules.exit_margin_s
         _LOG.info("stopping", extra={"in_flight": self._in_flight()})
         self._closing.active = True
+        self._stop_plan.cut_until_s = stop_began_s + rules.cut_deadlines_s
+        self._stop_plan.answer_by_s = exit_by_s - rules.cut_margin_s
         announcements: list[Coroutine[Any, Any, Any]] = [
             self._control_loop.resign(),
             self._registration.leave(),
--- a/fireflyferry/gateway/tests/test_stopping.py
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
+import pytest
 
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Call
@@ -110,6 +111,21 @@
     run_stopping(scenario)
 
 
+def test_request_taken_while_stopping_ends_before_the_exit():
+    """Guards against passing on a request that its upstream may still work on at the exit.
+
+    Load pattern: non-idempotent requests with deadlines beyond the exit, on kept connections.
+    """
+
+    async def scenario(running, upstream):
+        got = await kept_connection_reply(running, "/write/", 0.2)
+        assert (got.status, got.complete, got.headers["connection"]) == (504, True, "close")
+        deadline_ms = int(upstream.seen[0].headers[HEADER_NAMES.deadline_ms.lower()])
+        assert deadline_ms / 1000 <= GRACE_PERIOD_S - RULES.exit_margin_s - 0.2
+
+    run_stopping(scenario)
+
+
 def test_request_that_never_reached_an_upstream_is_refused_before_the_exit():
     """Guards against cutting off callers whose requests wait for a slot until the exit.
 
@@ -173,6 +189,61 @@
     run_stopping(scenario)
 
 
+@pytest.mark.parametrize(("target", "status"), [("/write/", 503), ("/short/", 200)])
+def test_late_request_is_taken_only_if_its_deadline_is_before_the_exit(target, status):
+    """Guards against an open outcome at the exit; a short request is still served."""
+
+    async def scenario(running, upstream):
+        got = await kept_connection_reply(running, target, 0.3)
+        assert got.status == status
+        assert len(upstream.seen) == int(status == 200)
+
+    run_stopping(scenario, None, attrs.evolve(RULES, cut_deadlines_s=0.1))
+
+
+def test_request_that_gets_a_slot_late_is_not_passed_on():
+    """Guards against passing on, shortly before the exit, a request that came before the signal.
+
+    Load pattern: requests wait for slots that are taken by slow requests.
+    """
+
+    async def slow(seen, writer):
+        await asyncio.sleep(0.5)
+        writer.write(reply(seen))
+
+    async def scenario(running, upstream):
+        async with contextlib.AsyncExitStack() as stack:
+            pairs = [await stack.enter_async_context(connection(running.port)) for _ in range(3)]
+            for number, (_, writer) in enumerate(pairs):
+                whole = request_bytes("/write/", "POST", LONG_DEADLINE, b"1", f"r{number}")
+                writer.write(whole)
+            last_hop = running.program._last_hop
+            await running.wait_until(lambda: last_hop.busy == 2 and last_hop.waiting == 1)
+            running.program.stop()
+            replies = await asyncio.gather(*(read_reply(reader) for reader, _ in pairs))
+            assert sorted(got.status for got in replies) == [200, 200, 503]
+            assert len(upstream.seen) == 2
+
+    run_stopping(scenario, slow, slots=1)
+
+
+def test_request_whose_service_time_exceeds_the_time_left_is_refused_at_once():
+    """Guards against passing on a request that is known not to end before the exit."""
+
+    async def slow(seen, writer):
+        await asyncio.sleep(0.5)
+        writer.write(reply(seen))
+
+    async def scenario(running, upstream):
+        async with connection(running.port) as (reader, writer):
+            writer.write(request_bytes("/write/", "POST", LONG_DEADLINE, b"1"))
+            assert (await read_reply(reader)).status == 200
+        assert_refused(await kept_connection_reply(running, "/write/", 0.0))
+        assert len(upstream.seen) == 1
+
+    run_stopping(scenario, slow)
+
+
 def forward_bytes(left_s: float) -> bytes:
     """Return the bytes of a non-idempotent request that another VM forwards."""
     call = Call("r1", "POST", "/write/", [], b"1", "plain", None, False, 1, 1, 0.0, left_s, left_s)
