Start the timeout of an announced close when the answer has been written

What callers saw: while a VM stopped, a long answer that its caller received slowly ended early, with its connection, one second after it had begun.

Cause: an answer that announces the close gives the caller one second to close the connection. The timeout began when the answer was handed to the connection, whose buffer may take longer to drain.

Fix: the timeout begins when the answer has been written. Requests that follow on the connection are still dropped from the answer on.

--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -196,11 +196,13 @@
         self._send(status, headers, f"{attempt.reason}\n".encode())
 
     def _send(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        closing = self._services.closing
-        if closing.active and not self._closed:
-            headers = [*headers, ("Connection", "close")]
-            closing.mark_closing(self._connection)
-        self.answer(status, headers, body)
+        closing, stream = self._services.closing, self._connection.stream
+        if not closing.active:
+            self.answer(status, headers, body)
+            return
+        written = self.answer(status, [*headers, ("Connection", "close")], body)
+        if written is not None:
+            closing.mark_closing(stream, written)
 
     def _record_result(self, attempt: Attempt | None) -> None:
         services, call = self._services, self._call
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -115,10 +115,15 @@
             self._is_broken_off = True
             self._task.cancel()
 
-    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send the complete answer, unless one was sent or the sender has disconnected."""
+    def answer(
+        self, status: int, headers: HeaderList, body: bytes
+    ) -> "asyncio.Future[None] | None":
+        """Send the complete answer, unless one was sent or the sender has disconnected.
+
+        The future that is returned is done when the answer has been written.
+        """
         if self._closed or self._answered:
-            return
+            return None
         self._answered = True
         self._chunks.clear()
         fields = HTTPHeaders()
@@ -132,6 +137,7 @@
         written = self._connection.write_headers(line, fields, None if without_body else body)
         written.add_done_callback(self._on_written)
         self._connection.finish()
+        return written
 
     def _on_written(self, written: "asyncio.Future[None]") -> None:
         if not written.cancelled() and written.exception() is not None:
@@ -202,11 +208,14 @@
         """Return whether the last answer on a connection announced that it closes."""
         return connection.stream in self._closing_streams
 
-    def mark_closing(self, connection: HTTP1Connection) -> None:
-        """Note that the answer being sent announces the close, and close after a timeout."""
-        stream = connection.stream
+    def mark_closing(self, stream: IOStream, written: "asyncio.Future[None]") -> None:
+        """Note that the answer being sent announces the close, and close after a timeout.
+
+        The timeout begins when the answer has been written.
+        """
         self._closing_streams.add(stream)
-        asyncio.get_running_loop().call_later(CLOSE_TIMEOUT_S, stream.close)
+        loop = asyncio.get_running_loop()
+        written.add_done_callback(lambda _: loop.call_later(CLOSE_TIMEOUT_S, stream.close))
 
 
 class _DroppedRequest(HTTPMessageDelegate):
--- a/fireflyferry/gateway/tests/test_stopping.py
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
@@ -10,6 +11,7 @@
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Call
 from fireflyferry.gateway.envelopes import Envelope, EnvelopeCodec
+from fireflyferry.gateway.exchange import CLOSE_TIMEOUT_S
 from fireflyferry.gateway.peer_client import FORWARD_PATH
 from fireflyferry.gateway.peer_messages import RESULT_HEADER
 from fireflyferry.gateway.program import ProgramRules
@@ -46,13 +48,14 @@
     scenario: Callable[[Gateway, ScriptedUpstream], Awaitable[None]],
     script: Callable | None = never_answer,
     rules: ProgramRules = RULES,
+    grace_period_s: float = GRACE_PERIOD_S,
     **changes,
 ) -> None:
     """Run an entry VM with a short grace period; await `scenario(running, upstream)`."""
     slow = make_route("write", "plain", idempotent=False, timeout_s=8.0, target_latency_s=8.0)
     config = make_config(routes=(slow, make_route("short", "plain", timeout_s=0.6)))
     settings = make_settings()
-    bounds = attrs.evolve(settings.bounds, grace_period_s=GRACE_PERIOD_S)
+    bounds = attrs.evolve(settings.bounds, grace_period_s=grace_period_s)
     settings = attrs.evolve(settings, bounds=bounds)
 
     async def run():
@@ -244,6 +247,31 @@
     run_stopping(scenario, slow)
 
 
+def test_answer_to_a_slow_reader_is_not_cut_by_the_announced_close():
+    """Guards against closing a connection while its caller still receives the answer.
+
+    Load pattern: callers that receive a long answer slowly while the VM stops.
+    """
+    body = b"x" * 6_000_000
+
+    async def answer_at_length(seen, writer):
+        writer.write(reply(seen, body))
+
+    async def scenario(running, upstream):
+        sender = socket.socket()
+        sender.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sender.connect(("127.0.0.1", running.port))
+        reader, writer = await asyncio.open_connection(sock=sender)
+        running.program.stop()
+        writer.write(request_bytes("/write/", "POST", LONG_DEADLINE, b"1"))
+        await asyncio.sleep(CLOSE_TIMEOUT_S + 0.3)
+        got = await read_reply(reader)
+        writer.close()
+        assert (got.status, got.complete, len(got.body)) == (200, True, len(body))
+
+    run_stopping(scenario, answer_at_length, grace_period_s=10.0)
+
+
 def forward_bytes(left_s: float) -> bytes:
     """Return the bytes of a non-idempotent request that another VM forwards."""
     call = Call("r1", "POST", "/write/", [], b"1", "plain", None, False, 1, 1, 0.0, left_s, left_s)
