Let no request of a draining VM outlast its exit without an answer

What callers saw: the drain of fireflyferry-entry took requests on open connections until its time was over, with deadlines of any length, and passed them on. When the time was over, their connections were cut without an answer, also those of requests that waited for a slot and had never been passed on. Other VMs saw the connections of forwarded requests break.

Fix: the drain sets the stop plan. In its first half a request gets a deadline that ends before the exit; later ones are refused as not run, unless their own deadline ends before it. The plan holds for each attempt of the first hop, for forwarded requests, and again when a request gets a slot. At the end, requests in flight are broken off with a final answer: unknown if they were passed on, not run otherwise. After the drain nothing is passed on.

--- a/fireflyferry/entry/exchange.py
+++ b/fireflyferry/entry/exchange.py
@@ -38,6 +38,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
         self._body_too_large = False
+        self._is_broken_off = False
         self._sink = ConnectionSink(connection, [])
 
     @abc.abstractmethod
@@ -52,6 +53,16 @@
     def request_ended(self) -> None:
         """Count the request as ended, whether or not it was answered."""
 
+    @abc.abstractmethod
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that the request was never passed on."""
+
+    def break_off(self) -> None:
+        """End the request now, with a final answer if none was begun."""
+        if self._task is not None and not self._task.done():
+            self._is_broken_off = True
+            self._task.cancel()
+
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Receive the head."""
         self._line, self._headers = start_line, headers
@@ -147,10 +158,20 @@
             self._fail_request()
 
     def _on_task_done(self, _task: asyncio.Task[None]) -> None:
+        if self._is_broken_off and not self._closed:
+            self._end_broken_off()
         if self._body is not None:
             self._body.discard()
         self.request_ended()
 
+    def _end_broken_off(self) -> None:
+        if self._sink.started:
+            self._sink.abort()
+            return
+        self._sink.drop_header(router_headers.OUTCOME)
+        self._sink.add_header("Connection", "close")
+        self.answer_broken_off()
+
     def _fail_request(self) -> None:
         if self._sink.started:
             self._sink.abort()
--- a/fireflyferry/entry/first_hop.py
+++ b/fireflyferry/entry/first_hop.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fireflyferry.admission import StopPlan
 from fireflyferry.edges import Clock
 from fireflyferry.entry.calls import Call
 from fireflyferry.entry.interfaces import Locator
@@ -32,6 +33,7 @@
     _backoff: Backoff
     _rng: random.Random
     _statistics: Statistics
+    _stop_plan: StopPlan
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
 
     async def run(self, call: Call, pool: Pool, sink: AnswerSink) -> Verdict:
@@ -54,7 +56,10 @@
         self, call: Call, pool: Pool, sink: AnswerSink, redirect: Verdict | None
     ) -> tuple[Verdict, int]:
         """Make one attempt; return its result and the leader's term as known here."""
-        if self._clock.monotonic_s() >= call.deadline_s:
+        now_s = self._clock.monotonic_s()
+        if not call.limit_deadline(now_s, self._stop_plan):
+            return Verdict(Outcome.NOT_RUN, Reason.SHUTTING_DOWN), 0
+        if now_s >= call.deadline_s:
             return Verdict(Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT), 0
         location = self._locator.locate(call.pool, call.key)
         if isinstance(location, Reason):
--- a/fireflyferry/entry/last_hop.py
+++ b/fireflyferry/entry/last_hop.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-from fireflyferry.admission import QueueLimits
+from fireflyferry.admission import QueueLimits, StopPlan
 from fireflyferry.edges import Clock, UpstreamControl
 from fireflyferry.edges.base import UpstreamUnavailableError
 from fireflyferry.entry import headers as router_headers
@@ -62,6 +62,7 @@
     _transport: CurlTransport
     _limits: RequestLimits
     _vm_id: str
+    _stop_plan: StopPlan
     gate: SlotGate
     seen_ids: SeenIds
     _in_flight: dict[tuple[str, str], int] = attrs.field(factory=dict)
@@ -159,6 +160,8 @@
         refused = None
         if current.upstream_id != upstream_id:
             refused = Reason.NOT_OWNER
+        elif not call.limit_deadline(now_s, self._stop_plan):
+            refused = Reason.SHUTTING_DOWN
         elif now_s >= call.deadline_s:
             refused = Reason.DEADLINE_PASSED_IN_QUEUE
         if refused is not None:
@@ -184,6 +187,7 @@
         )
         exchange = self._make_exchange(call, location, target, call.deadline_s - started_s)
         verdict = Verdict(Outcome.UNKNOWN)
+        call.passed_on = True
         try:
             verdict = receiver.verdict(await self._transport.run(exchange, receiver))
         finally:
--- a/fireflyferry/entry/main.py
+++ b/fireflyferry/entry/main.py
@@ -202,9 +202,7 @@
         handed_over = await self._control_loop.wait_for_handover()
         _LOG.info("handed_over", extra={"complete": handed_over})
         servers[0].stop()
-        try:
-            await asyncio.wait_for(self._request_path.drain(), self._settings.drain.time_s)
-        except TimeoutError:
+        if not await self._request_path.drain(self._settings.drain.time_s):
             _LOG.warning("drain_timed_out", extra={"time_s": self._settings.drain.time_s})
         servers[1].stop()
         for task in background:
--- a/fireflyferry/entry/peer.py
+++ b/fireflyferry/entry/peer.py
@@ -6,7 +6,7 @@
 
 from fireflyferry.edges.peer_auth import PeerSignatureError
 from fireflyferry.entry import headers as router_headers
-from fireflyferry.entry.calls import Call
+from fireflyferry.entry.calls import Call, broken_off
 from fireflyferry.entry.exchange import ServerExchange
 from fireflyferry.entry.services import RequestServices
 from fireflyferry.retries import Verdict
@@ -30,6 +30,7 @@
     def prepare(self) -> float | None:
         """Check the signature and parse the router's own headers."""
         self._services.statistics.peer_in_flight += 1
+        self._services.exchanges.add(self)
         now_s = self._services.clock.monotonic_s()
         request_id = self._headers.get(router_headers.REQUEST_ID, "")
         self._sink.add_header(router_headers.REQUEST_ID, request_id)
@@ -58,10 +59,15 @@
 
     def request_ended(self) -> None:
         """Count the request as ended."""
+        self._services.exchanges.discard(self)
         statistics = self._services.statistics
         statistics.peer_in_flight -= 1
         statistics.last_active_s = self._services.clock.monotonic_s()
 
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that the request was never passed on."""
+        self.refuse(broken_off(self._call))
+
     def _verify(self) -> bool:
         line = self._line
         try:
@@ -79,6 +85,8 @@
 
     async def _serve(self, call: Call) -> Verdict:
         services = self._services
+        if not call.limit_deadline(services.clock.monotonic_s(), services.stop_plan):
+            return Verdict(Outcome.NOT_RUN, Reason.SHUTTING_DOWN)
         if self._body is not None and not self._body.ended and self._body.fits_replay:
             return Verdict(Outcome.NOT_RUN, Reason.DEADLINE_TOO_SHORT)
         routes = services.routes()
--- a/fireflyferry/entry/public.py
+++ b/fireflyferry/entry/public.py
@@ -6,7 +6,7 @@
 from tornado.http1connection import HTTP1Connection
 
 from fireflyferry.entry import headers as router_headers
-from fireflyferry.entry.calls import Call
+from fireflyferry.entry.calls import Call, broken_off
 from fireflyferry.entry.exchange import ServerExchange
 from fireflyferry.entry.services import RequestServices
 from fireflyferry.retries import BadRequestIdError, Verdict, issued_wall_s, new_request_id
@@ -40,6 +40,7 @@
     def prepare(self) -> float | None:
         """Resolve the route, key and deadline."""
         self._services.statistics.in_flight += 1
+        self._services.exchanges.add(self)
         now_s = self._services.clock.monotonic_s()
         try:
             self._call = self._resolve(now_s)
@@ -68,12 +69,19 @@
 
     def request_ended(self) -> None:
         """Count the request as ended."""
+        self._services.exchanges.discard(self)
         statistics = self._services.statistics
         statistics.in_flight -= 1
         statistics.last_active_s = self._services.clock.monotonic_s()
         if self._closed:
             statistics.count_disconnect()
 
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that the request was never passed on."""
+        verdict = broken_off(self._call)
+        self._services.statistics.count_result(verdict)
+        self._report(verdict)
+
     def _report(self, verdict: Verdict) -> None:
         call = self._call
         logger.info(
--- a/fireflyferry/entry/remote.py
+++ b/fireflyferry/entry/remote.py
@@ -41,6 +41,7 @@
             remaining_s,
             fresh_connection=not call.idempotent,
         )
+        call.passed_on = True
         return receiver.verdict(await self._transport.run(exchange, receiver))
 
     def _headers(self, call: Call, location: Location, remaining_s: float) -> list[tuple[str, str]]:
--- a/fireflyferry/entry/request_path.py
+++ b/fireflyferry/entry/request_path.py
@@ -7,6 +7,7 @@
 import attrs
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
 
+from fireflyferry.admission import StopPlan
 from fireflyferry.edges import Clock, Metrics, UpstreamControl
 from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.entry.first_hop import FirstHop
@@ -32,6 +33,12 @@
 
 __all__ = ["EntryRequestPath", "RequestSnapshot", "make_request_path"]
 
+# Shares of the time that a drain may take. In the first, requests that may last longer than the
+# drain are taken with a deadline that is cut. At its end, requests are broken off.
+CUT_DEADLINES_SHARE = 0.5
+FINAL_ANSWERS_SHARE = 0.1
+FINAL_ANSWERS_S = 0.1
+
 
 @attrs.frozen
 class RequestSnapshot:
@@ -102,21 +109,37 @@
         """Return the number of requests for a unit that an upstream may be working on."""
         return self._services.last_hop.in_flight(upstream_id, unit)
 
-    async def drain(self) -> None:
-        """Handle requests until none has been in flight for `drain_idle_s`.
+    async def drain(self, time_s: float) -> bool:
+        """Handle requests until none has been in flight for `drain_idle_s`, or `time_s` has passed.
 
-        The listening sockets are closed before the drain, and idle connections after it.
+        Requests that would last longer are refused, or broken off with a final answer. Returns
+        whether none was broken off. The listening sockets are closed before the drain, and idle
+        connections after it.
         """
         services = self._services
         services.draining = True
-        statistics = services.statistics
-        statistics.last_active_s = services.clock.monotonic_s()
-        while True:
-            idle_s = services.clock.monotonic_s() - statistics.last_active_s
+        plan, now_s = services.stop_plan, services.clock.monotonic_s()
+        services.statistics.last_active_s = now_s
+        final_answers_s = min(FINAL_ANSWERS_S, FINAL_ANSWERS_SHARE * time_s)
+        break_off_s = now_s + time_s - final_answers_s
+        plan.cut_until_s = now_s + CUT_DEADLINES_SHARE * time_s
+        plan.answer_by_s = break_off_s - final_answers_s
+        is_idle = await self._wait_until_idle(break_off_s, services.limits.drain_idle_s)
+        plan.answer_by_s = float("-inf")
+        for exchange in list(services.exchanges):
+            exchange.break_off()
+        await self._wait_until_idle(break_off_s + final_answers_s, 0.0)
+        return is_idle
+
+    async def _wait_until_idle(self, until_s: float, idle_s: float) -> bool:
+        """Wait until no request has been in flight for `idle_s` seconds; return whether so."""
+        clock, statistics = self._services.clock, self._services.statistics
+        while clock.monotonic_s() < until_s:
             in_flight = statistics.in_flight + statistics.peer_in_flight
-            if not in_flight and idle_s >= services.limits.drain_idle_s:
-                return
+            if not in_flight and clock.monotonic_s() - statistics.last_active_s >= idle_s:
+                return True
             await asyncio.sleep(0.02)
+        return not statistics.in_flight + statistics.peer_in_flight
 
     def close(self) -> None:
         """Close all connections to upstreams and peers."""
@@ -160,7 +183,7 @@
         connect_timeout_s=limits.connect_timeout_s,
         idle_connections=limits.max_idle_connections,
     )
-    statistics = Statistics(metrics)
+    statistics, stop_plan = Statistics(metrics), StopPlan()
     last_hop = LastHop(
         clock,
         owners,
@@ -169,13 +192,16 @@
         transport,
         limits,
         vm_id,
+        stop_plan,
         SlotGate(clock, limits.queue_length),
         SeenIds(clock, limits),
     )
     backoff = Backoff(rng, limits.backoff_base_s, limits.max_backoff_s)
     remote = RemoteHop(clock, transport, vm_id, signer)
-    first_hop = FirstHop(clock, locator, last_hop, remote, limits, backoff, rng, statistics)
+    first_hop = FirstHop(
+        clock, locator, last_hop, remote, limits, backoff, rng, statistics, stop_plan
+    )
     services = RequestServices(
-        clock, rng, limits, tables, locator, statistics, last_hop, first_hop, signer
+        clock, rng, limits, tables, locator, statistics, last_hop, first_hop, signer, stop_plan
     )
     return EntryRequestPath(services, transport)
--- a/fireflyferry/entry/services.py
+++ b/fireflyferry/entry/services.py
@@ -4,8 +4,10 @@
 
 import attrs
 
+from fireflyferry.admission import StopPlan
 from fireflyferry.edges import Clock
 from fireflyferry.edges.peer_auth import PeerSigner
+from fireflyferry.entry.exchange import ServerExchange
 from fireflyferry.entry.first_hop import FirstHop
 from fireflyferry.entry.interfaces import Locator, TablesSource
 from fireflyferry.entry.last_hop import LastHop
@@ -30,7 +32,9 @@
     last_hop: LastHop
     first_hop: FirstHop
     signer: PeerSigner
+    stop_plan: StopPlan
     draining: bool = False
+    exchanges: set[ServerExchange] = attrs.field(factory=set)
     _routes: tuple[Tables, RouteTable] | None = None
 
     def routes(self) -> RouteTable | None:
--- a/fireflyferry/entry/tests/test_streaming.py
+++ b/fireflyferry/entry/tests/test_streaming.py
@@ -244,7 +244,7 @@
         await wait_until(lambda: len(upstream.received) == 2)
         for server in cluster.servers[2 * first_hop : 2 * first_hop + 2]:
             server.stop()
-        drained = asyncio.ensure_future(path.drain())
+        drained = asyncio.ensure_future(path.drain(30.0))
         await asyncio.sleep(0.4)
         assert not drained.done()
         idle_writer.write(b"GET /read/late HTTP/1.1\r\nHost: r\r\n\r\n")
