Check all requests that reached an upstream for cuts in the soak test

The check that a graceful shutdown cuts no request saw only requests that were sent on new connections before the signal, since another request may cross the close without being read. Requests on kept connections, and those sent while a VM stops, were not checked at all. A request that reached an upstream was read, so it is now checked however it was sent. The former check is kept.

--- a/fireflyferry/platform/soak/audit.py
+++ b/fireflyferry/platform/soak/audit.py
@@ -60,6 +60,14 @@
         """Record that a request got no answer."""
         self._statuses[request_id] = 0
 
+    def record_cut(self, request_id: str, detail: str, may_be_unread: bool) -> None:
+        """Record that a VM which is only being stopped ended a connection without an answer.
+
+        `may_be_unread` if the request may have crossed the close; then it must not have run.
+        """
+        if request_id in self._executions or not may_be_unread:
+            self.report("a graceful shutdown cuts no request", f"{request_id} {detail}")
+
     def finish(self) -> None:
         """Check the invariants that need the complete record."""
         for request_id, upstream_ids in self._executions.items():
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -204,7 +204,7 @@
         if key is not None:
             headers.append((names.HEADERS.key, str(key)))
         body = complete_body(b"x") if method == "POST" else None
-        starts, undisturbed = vm.starts, not vm.disturbed and not vm.stopping
+        starts, undisturbed, was_stopping = vm.starts, not vm.disturbed, vm.stopping
         self._audit.record_sent(request_id, idempotent)
         exchange = Exchange(
             f"127.0.0.1:{vm.callers_port}", method, path, headers, body, 2 * DEADLINE_S
@@ -215,16 +215,16 @@
             self._audit.record_answer(request_id, result.status, result.body, signed)
             return result.status
         self._audit.record_no_answer(request_id)
-        connection_cut = result.sent and not result.timed_out and not result.reused
         if (
-            connection_cut
+            result.sent
+            and not result.timed_out
             and undisturbed
             and vm.stopping
             and not vm.disturbed
             and starts == vm.starts
         ):
-            detail = f"{request_id} at {vm.vm_id}: {result.message}"
-            self._audit.report("a graceful shutdown cuts no request", detail)
+            may_be_unread = result.reused or was_stopping
+            self._audit.record_cut(request_id, f"at {vm.vm_id}: {result.message}", may_be_unread)
         return 0
 
     # Faults
--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -58,6 +58,21 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("ran", "may_be_unread", "is_reported"),
+    [(True, True, True), (False, False, True), (False, True, False)],
+)
+def test_cut_of_a_request_that_was_read_is_reported(ran, may_be_unread, is_reported):
+    audit = Audit()
+    audit.record_sent("a", False)
+    if ran:
+        audit.record_execution("a", "i-1")
+    audit.record_cut("a", "at vm-1", may_be_unread)
+    assert violated_invariants(audit) == (
+        {"a graceful shutdown cuts no request"} if is_reported else set()
+    )
+
+
 def grant(fence, first=0, last=9):
     return {"from": first, "target": last, "fence": fence, "holdS": 5.0}
 
