--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -109,11 +109,13 @@
         elif not self.continues_without_sender():
             self._task.cancel()
 
-    def break_off(self) -> None:
-        """End the request now with a final answer, if it has been received completely."""
-        if self._task is not None and not self._task.done():
-            self._is_broken_off = True
-            self._task.cancel()
+    def break_off(self) -> bool:
+        """End the request now with a final answer; return False if it is not being handled."""
+        if self._task is None or self._task.done():
+            return False
+        self._is_broken_off = True
+        self._task.cancel()
+        return True
 
     def answer(
         self, status: int, headers: HeaderList, body: bytes
@@ -186,10 +188,9 @@
         """Remove a request when it has ended."""
         self._exchanges.discard(exchange)
 
-    def break_off(self) -> None:
-        """End all requests with final answers, since the program is about to exit."""
-        for exchange in list(self._exchanges):
-            exchange.break_off()
+    def break_off(self) -> int:
+        """End the requests that are being handled with final answers; return their number."""
+        return sum(exchange.break_off() for exchange in list(self._exchanges))
 
 
 class ClosingConnections:
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -364,9 +364,8 @@
             server.stop()
         self._caller_services.in_flight.closed = self._peer_services.in_flight.closed = True
         await self._wait_until_idle(exit_by_s - rules.final_answers_s)
-        broken_off = self._in_flight()
-        for requests in (self._caller_services.in_flight, self._peer_services.in_flight):
-            requests.break_off()
+        broken_off = self._caller_services.in_flight.break_off()
+        broken_off += self._peer_services.in_flight.break_off()
         await self._wait_until_idle(exit_by_s)
         _LOG.info(
             "stopped",
