Answer pings of other VMs until the last forwarded request has ended

Callers got 504 for requests at which an upstream was at work, because another VM than the one that they had asked was told to stop.

Cause: three seconds after the signal a stopping VM closed both listening sockets, and refused pings on kept connections like forwarded requests, while it still waited for answers to forwarded requests. A first hop that had waited for 0.5 s pinged it, got no answer, took it for lost and broke an idempotent request off. The list of VMs does not show a stop while the store is away.

New forwarded requests are refused as not run, as before on kept connections.

Evidence: the test fails before the change with a refused connection.

--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -69,12 +69,12 @@
     async def handle(self) -> None:
         """Send a forwarded request to its upstream, or answer another request by its path."""
         is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
-        if self._in_flight.closed or is_of_earlier_revision:
+        if self._line.path == PING_PATH:
+            self.answer(204, [], b"")
+        elif self._in_flight.closed or is_of_earlier_revision:
             self._refuse(not_run(Reason.SHUTTING_DOWN))
         elif self._line.path == FORWARD_PATH:
             await self._answer_forward()
-        elif self._line.path == PING_PATH:
-            self.answer(204, [], b"")
         elif self._line.path == LOADS_PATH:
             self._accept_loads()
         elif self._line.path == OWNERS_PATH:
--- a/fireflyferry/gateway/tests/test_stopping.py
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -12,7 +12,7 @@
 from fireflyferry.gateway.calls import Call
 from fireflyferry.gateway.envelopes import Envelope, EnvelopeCodec
 from fireflyferry.gateway.exchange import CLOSE_TIMEOUT_S
-from fireflyferry.gateway.peer_client import FORWARD_PATH
+from fireflyferry.gateway.peer_client import FORWARD_PATH, PING_PATH
 from fireflyferry.gateway.peer_messages import RESULT_HEADER
 from fireflyferry.gateway.program import ProgramRules
 from fireflyferry.gateway.tests.support import (
@@ -28,6 +28,7 @@
     make_settings,
     read_reply,
     reply,
+    request,
     request_bytes,
     upstream_content,
 )
@@ -313,3 +314,23 @@
             assert not upstream.seen
 
     run_stopping(scenario)
+
+
+def test_ping_is_answered_until_the_last_forwarded_request_has_ended():
+    """Guards against first hops that break off requests at which a stopping last hop works."""
+
+    async def slow(seen, writer):
+        await asyncio.sleep(1.6)
+        writer.write(reply(seen))
+
+    async def scenario(running, upstream):
+        port = running.settings.vm.peer_port
+        async with connection(port) as (reader, writer):
+            writer.write(forward_bytes(2.0))
+            await running.wait_until(lambda: upstream.seen)
+            running.program.stop()
+            await running.wait_until(lambda: running.program._peer_services.in_flight.closed)
+            assert (await request(port, PING_PATH)).status == 204
+            assert (await read_reply(reader)).status == 200
+
+    run_stopping(scenario, slow)
