--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -97,12 +97,25 @@
                 attempt = await services.first_hop.run(call)
             self._send_result(attempt)
         finally:
+            if attempt is None and self._is_broken_off:
+                attempt = self._result_if_broken_off()
             self._record_result(attempt)
 
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that no upstream has received the request."""
+        self._send_result(self._result_if_broken_off())
+
+    def _result_if_broken_off(self) -> Attempt:
+        if self._call is None:
+            return not_run(Reason.SHUTTING_DOWN)
+        return self._call.result_if_broken_off()
+
     def _resolve(self) -> Call | Attempt:
         """Return the call, or the refusal of a request that cannot be routed."""
         services, names = self._services, self._services.names
         state = services.state
+        if services.in_flight.closed:
+            return not_run(Reason.SHUTTING_DOWN)
         if state.config is None:
             return not_run(Reason.NO_TABLES, NO_TABLES_RETRY_AFTER_S)
         target = self._line.path
@@ -145,6 +158,7 @@
             target_time_s=now_s - age_s + route.target_latency_s - NETWORK_ALLOWANCE_S,
             deadline_s=now_s + min(deadline_ms / 1000 - NETWORK_ALLOWANCE_S, route.timeout_s),
             returned=age_s > 0.0,
+            received_s=now_s,
         )
 
     def _read_deadline_ms(self, route: HostRoute) -> int | None:
@@ -182,11 +196,13 @@
         self._send(status, headers, f"{attempt.reason}\n".encode())
 
     def _send(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        closing = self._services.closing
-        if closing.active and not self._closed:
-            headers = [*headers, ("Connection", "close")]
-            closing.mark_closing(self._connection)
-        self.answer(status, headers, body)
+        closing, stream = self._services.closing, self._connection.stream
+        if not closing.active:
+            self.answer(status, headers, body)
+            return
+        written = self.answer(status, [*headers, ("Connection", "close")], body)
+        if written is not None:
+            closing.mark_closing(stream, written)
 
     def _record_result(self, attempt: Attempt | None) -> None:
         services, call = self._services, self._call
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -48,26 +48,27 @@
         self._task: asyncio.Task[None] | None = None
         self._closed = False
         self._answered = False
+        self._is_broken_off = False
 
     @abc.abstractmethod
     async def handle(self) -> None:
-        """Answer the request."""
+        """Answer the request; refuse it as not run if the server no longer takes requests.
+
+        A refusal before the whole body has been read could be lost, since closing a connection with
+        unread bytes resets it.
+        """
 
     @abc.abstractmethod
     def on_head(self) -> None:
         """Check the headers before the body is read."""
 
+    @abc.abstractmethod
+    def answer_broken_off(self) -> None:
+        """Answer a request that was broken off: its outcome is unknown, or it was not run."""
+
     def on_body_bytes(self, received_bytes: int) -> None:
         """Check the size of the body while it arrives; it may be refused by an answer."""
 
-    def reject_request(self) -> None:
-        """Reject a request that arrives after the server stopped accepting requests.
-
-        The connection is closed without an answer, so that the sender tries another VM.
-        """
-        self._closed = True
-        self._connection.close()
-
     def continues_without_sender(self) -> bool:
         """Return whether the request is handled to its end after its sender has disconnected."""
         return False
@@ -80,11 +81,8 @@
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Start a request when its headers have arrived."""
         self._line, self._headers = start_line, headers
-        if self._in_flight.closed:
-            self.reject_request()
-            return
         self._is_in_flight = True
-        self._in_flight.request_started()
+        self._in_flight.add(self)
         self.on_head()
 
     def data_received(self, chunk: bytes) -> None:
@@ -111,10 +109,23 @@
         elif not self.continues_without_sender():
             self._task.cancel()
 
-    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send the complete answer, unless one was sent or the sender has disconnected."""
+    def break_off(self) -> bool:
+        """End the request now with a final answer; return False if it is not being handled."""
+        if self._task is None or self._task.done():
+            return False
+        self._is_broken_off = True
+        self._task.cancel()
+        return True
+
+    def answer(
+        self, status: int, headers: HeaderList, body: bytes
+    ) -> "asyncio.Future[None] | None":
+        """Send the complete answer, unless one was sent or the sender has disconnected.
+
+        The future that is returned is done when the answer has been written.
+        """
         if self._closed or self._answered:
-            return
+            return None
         self._answered = True
         self._chunks.clear()
         fields = HTTPHeaders()
@@ -128,6 +139,7 @@
         written = self._connection.write_headers(line, fields, None if without_body else body)
         written.add_done_callback(self._on_written)
         self._connection.finish()
+        return written
 
     def _on_written(self, written: "asyncio.Future[None]") -> None:
         if not written.cancelled() and written.exception() is not None:
@@ -135,13 +147,15 @@
         self._end_request()
 
     def _on_task_done(self, _task: "asyncio.Task[None]") -> None:
+        if self._is_broken_off:
+            self.answer_broken_off()
         if not self._answered:
             self._end_request()
 
     def _end_request(self) -> None:
         if self._is_in_flight:
             self._is_in_flight = False
-            self._in_flight.request_ended()
+            self._in_flight.remove(self)
 
     async def _run(self) -> None:
         try:
@@ -154,19 +168,29 @@
 
 
 class InFlightRequests:
-    """Number of requests in flight on one server; once `closed` is set, new ones are rejected."""
+    """Requests in flight on one server.
+
+    Once `closed` is set, requests that have not been received completely are refused.
+    """
 
     def __init__(self) -> None:
-        self.count = 0
         self.closed = False
+        self._exchanges: set[BufferedExchange] = set()
 
-    def request_started(self) -> None:
-        """Count the start of a request."""
-        self.count += 1
+    def __len__(self) -> int:
+        return len(self._exchanges)
 
-    def request_ended(self) -> None:
-        """Count the end of a request."""
-        self.count -= 1
+    def add(self, exchange: BufferedExchange) -> None:
+        """Add a request when it starts."""
+        self._exchanges.add(exchange)
+
+    def remove(self, exchange: BufferedExchange) -> None:
+        """Remove a request when it has ended."""
+        self._exchanges.discard(exchange)
+
+    def break_off(self) -> int:
+        """End the requests that are being handled with final answers; return their number."""
+        return sum(exchange.break_off() for exchange in list(self._exchanges))
 
 
 class ClosingConnections:
@@ -185,11 +209,14 @@
         """Return whether the last answer on a connection announced that it closes."""
         return connection.stream in self._closing_streams
 
-    def mark_closing(self, connection: HTTP1Connection) -> None:
-        """Note that the answer being sent announces the close, and close after a timeout."""
-        stream = connection.stream
+    def mark_closing(self, stream: IOStream, written: "asyncio.Future[None]") -> None:
+        """Note that the answer being sent announces the close, and close after a timeout.
+
+        The timeout begins when the answer has been written.
+        """
         self._closing_streams.add(stream)
-        asyncio.get_running_loop().call_later(CLOSE_TIMEOUT_S, stream.close)
+        loop = asyncio.get_running_loop()
+        written.add_done_callback(lambda _: loop.call_later(CLOSE_TIMEOUT_S, stream.close))
 
 
 class _DroppedRequest(HTTPMessageDelegate):
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -6,6 +6,7 @@
 import attrs
 from tornado.http1connection import HTTP1Connection
 
+from fireflyferry.admission import StopPlan, is_probably_answered
 from fireflyferry.balancing import Standing, UpstreamDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
@@ -45,6 +46,7 @@
     on_loads: Callable[[LoadReport], None]
     on_owners: Callable[[Document], None]
     feed: Feed
+    stop_plan: StopPlan
     in_flight: InFlightRequests = attrs.field(factory=InFlightRequests)
 
 
@@ -55,19 +57,11 @@
         super().__init__(connection, services.in_flight)
         self._services = services
         self._peer_call: peer_messages.PeerCall | None = None
-        self._is_rejected = False
+        self._call: Call | None = None
 
     def on_head(self) -> None:
         """Accept every head; the request is checked once its body has arrived."""
 
-    def reject_request(self) -> None:
-        """Refuse a request as not run, so that the first hop sends it to another VM.
-
-        The refusal is sent after the body has been read, since closing a connection with unread
-        bytes resets it, and the first hop would not receive the refusal.
-        """
-        self._is_rejected = True
-
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
         return self._peer_call is not None and not self._peer_call.idempotent
@@ -75,13 +69,12 @@
     async def handle(self) -> None:
         """Send a forwarded request to its upstream, or answer another request by its path."""
         is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
-        if self._is_rejected or is_of_earlier_revision:
-            refusal = peer_messages.write_result(not_run(Reason.SHUTTING_DOWN))
-            self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, refusal)], b"")
+        if self._line.path == PING_PATH:
+            self.answer(204, [], b"")
+        elif self._in_flight.closed or is_of_earlier_revision:
+            self._refuse(not_run(Reason.SHUTTING_DOWN))
         elif self._line.path == FORWARD_PATH:
             await self._answer_forward()
-        elif self._line.path == PING_PATH:
-            self.answer(204, [], b"")
         elif self._line.path == LOADS_PATH:
             self._accept_loads()
         elif self._line.path == OWNERS_PATH:
@@ -91,6 +84,16 @@
         else:
             self.answer(404, [], b"")
 
+    def answer_broken_off(self) -> None:
+        """Answer that the outcome is unknown, or that no upstream has received the request."""
+        no_call = not_run(Reason.SHUTTING_DOWN)
+        self._refuse(self._call.result_if_broken_off() if self._call is not None else no_call)
+
+    def _refuse(self, attempt: Attempt) -> None:
+        """Answer with a result without an upstream's answer."""
+        result = peer_messages.write_result(attempt)
+        self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, result)], b"")
+
     def _accept_loads(self) -> None:
         try:
             self._services.on_loads(peer_messages.read_loads(self.body))
@@ -129,7 +132,8 @@
         try:
             envelope = services.envelopes.unpack(self.body)
             self._peer_call = peer_call = peer_messages.read_call(envelope.summary)
-            call = self._call(peer_call, envelope, services.clock.monotonic_s())
+            now_s = services.clock.monotonic_s()
+            self._call = call = self._make_call(peer_call, envelope, now_s)
         except (EnvelopeError, peer_messages.PeerMessageError) as error:
             _LOG.warning("peer_call_unreadable", extra={"error": str(error)})
             self.answer(400, [], b"")
@@ -153,9 +157,17 @@
         standing = services.upstreams.standing(now_s, peer_call.upstream_id, peer_call.born)
         if upstream is None or standing is Standing.GONE:
             return not_run(Reason.UPSTREAM_DRAINING)
+        if not call.limit_deadline(services.stop_plan):
+            return not_run(Reason.SHUTTING_DOWN)
+        if call.deadline_cut and not is_probably_answered(
+            call.deadline_s - now_s, *services.last_hop.forecast(upstream)
+        ):
+            return not_run(Reason.SHUTTING_DOWN)
         return await services.last_hop.run(call, upstream)
 
-    def _call(self, peer_call: peer_messages.PeerCall, envelope: Envelope, now_s: float) -> Call:
+    def _make_call(
+        self, peer_call: peer_messages.PeerCall, envelope: Envelope, now_s: float
+    ) -> Call:
         method, separator, target = envelope.start.partition(" ")
         if not separator:
             raise EnvelopeError(f"start line {envelope.start!r}")
@@ -176,4 +188,5 @@
             deadline_s=now_s + peer_call.left_ms / 1000,
             repeated=bool(peer_call.repeated),
             tried=peer_call.tried_upstreams,
+            received_s=now_s,
         )
