Reject answers whose head is damaged or frames the body twice

Callers got an answer with status 2000, a 200 whose Content-Length belied its body, or a closed connection without an answer, when an upstream sent a head with both a length and a transfer encoding, the same length twice, a coding other than chunked, a status line that is no HTTP/1 one, or a header name with a space.

Cause: the transport took the status from the second word of the first line and passed the headers on as they were. curl settles some contradictions by itself, for example a length beside chunks, and the headers that were passed on told the server side something else. Tornado then raised inside a curl callback ("not an integer: '4,4'", "Invalid header name") or while the answer was finished. A second status line in place of the first raised IndexError in the transport's own callback.

The transport now parses each head in one pure function, which accepts a body's end only if it is given at most once and in a form that curl reads the same way. All receivers of answers use it: upstreams, entry VMs, the store and grants. A rejected head ends the transfer as sent, outcome unknown.

--- a/fireflyferry/entry/tests/test_curl_hazards.py
+++ b/fireflyferry/entry/tests/test_curl_hazards.py
@@ -19,7 +19,7 @@
     entry_vms,
     send_request,
 )
-from fireflyferry.transport import curl, sinks
+from fireflyferry.transport import curl, heads, sinks
 
 GUARDED = pytest.mark.parametrize("guarded", [True, False])
 LARGE_BODY_TABLES = attrs.evolve(
@@ -125,7 +125,7 @@
     """Guards against curl's resend after a 417 to the Expect header that it adds itself."""
     if not guarded:
         allow_resend(monkeypatch)
-        monkeypatch.setattr(curl, "ADDED_HEADERS", ())
+        monkeypatch.setattr(heads, "ADDED_HEADERS", ())
 
     async def script(request, writer):
         writer.write(answer(request, status="417 Expectation Failed"))
@@ -169,6 +169,39 @@
     run_with(script, requests)
 
 
+HEAD = "HTTP/1.1 200 OK\r\nFirefly-Request-Id: {id}\r\n"
+
+
+@pytest.mark.parametrize("first_hop", [0, 1])
+@pytest.mark.parametrize(
+    "data",
+    [
+        "HTTP/1.1 200 OK\r\n",
+        HEAD,
+        HEAD + "Content-Length: 0\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" + HEAD,
+        HEAD + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+        HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        HEAD + "X Y: 1\r\nContent-Length: 2\r\n\r\nok",
+        HEAD.replace("200", "abc") + "Content-Length: 2\r\n\r\nok",
+        HEAD.replace("200", "2000") + "Content-Length: 2\r\n\r\nok",
+    ],
+)
+def test_cut_or_damaged_head_is_an_unknown_outcome(data, first_hop):
+    """Guards against an answer that looks complete, and against an exception inside a callback."""
+
+    async def script(request, writer):
+        writer.write(data.format(id=request.request_id).encode())
+        return False
+
+    async def requests(port, cluster, upstream):
+        reply = await send_request(cluster.public_ports[first_hop], "/write/key", "POST", body=b"1")
+        assert (reply.status, reply.outcome, reply.complete) == (504, "unknown", True)
+        assert len(upstream.received) == 1
+
+    run_with(script, requests)
+
+
 def test_answer_without_framing_is_not_passed_on():
     """Guards against a body whose end cannot be distinguished from a lost connection."""
 
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -13,6 +13,7 @@
 from fireflyferry.transport.answer_memory import AnswerMemory
 from fireflyferry.transport.bodies import RequestBody
 from fireflyferry.transport.headers import HeaderList
+from fireflyferry.transport.heads import HeadError, read_head, request_lines
 
 __all__ = ["CurlTransport", "Exchange", "Receiver", "TransferResult"]
 
@@ -31,9 +32,6 @@
     pycurl.TCP_NODELAY: 1,
     pycurl.BUFFERSIZE: 65_536,
 }
-# "Expect:" removes the header that curl adds to long bodies. A 417 answer to it would make curl
-# send the request again.
-ADDED_HEADERS: tuple[bytes, ...] = (b"Expect:",)
 
 
 @attrs.define(eq=False)
@@ -204,6 +202,7 @@
     ) -> None:
         transfer = self._active.pop(curl)
         self._multi.remove_handle(curl)
+        curl_message = transfer.head_error or curl_message
         done, sent = transfer.done, transfer.sent
         opened_connections = transfer.opened_connections
         connection_too_new = transfer.connection_too_new
@@ -288,6 +287,7 @@
         self._body: RequestBody | None = None
         self._lines: list[bytes] = []
         self._in_head = True
+        self.head_error = ""
         self._read_paused = self._write_paused = False
 
     def prepare(self, exchange: Exchange, receiver: Receiver) -> None:
@@ -300,7 +300,7 @@
         curl = self.curl
         curl.setopt(pycurl.URL, f"http://{exchange.address}/")
         curl.setopt(pycurl.REQUEST_TARGET, exchange.target.encode("latin-1"))
-        curl.setopt(pycurl.HTTPHEADER, _header_lines(exchange.headers))
+        curl.setopt(pycurl.HTTPHEADER, request_lines(exchange.headers))
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms(exchange.timeout_s))
         # curl sends a request again if a reused connection closes before the answer's first byte.
         new_connection = exchange.fresh_connection or exchange.new_connection
@@ -373,11 +373,15 @@
 
     def _end_head(self) -> bool:
         lines, self._lines = self._lines, []
-        status = int(lines[0].split(None, 2)[1])
-        if status < 200:
+        try:
+            head = read_head(lines)
+        except HeadError as error:
+            self.head_error = str(error)
+            return False
+        if head.is_interim:
             return True
         self._in_head = False
-        return self._receiver.on_head(status, _parse_headers(lines[1:]))
+        return self._receiver.on_head(head.status, head.headers)
 
     def _on_data(self, chunk: bytes) -> int:
         if self._receiver.on_data(chunk):
@@ -398,23 +402,3 @@
 def timeout_ms(timeout_s: float) -> int:
     """Return a timeout in milliseconds for curl, which takes 0 to mean no timeout."""
     return max(1, int(timeout_s * 1000))
-
-
-def _header_lines(headers: HeaderList) -> list[bytes]:
-    """Format headers for curl, which sends an empty value for `Name;` and nothing for `Name:`."""
-    lines = [f"{n}: {v}".encode("latin-1") if v else f"{n};".encode("latin-1") for n, v in headers]
-    lines.extend(ADDED_HEADERS)
-    names = {name.lower() for name, _ in headers}
-    if "accept" not in names:
-        lines.append(b"Accept:")
-    if "content-type" not in names:
-        lines.append(b"Content-Type:")
-    return lines
-
-
-def _parse_headers(lines: list[bytes]) -> HeaderList:
-    headers: HeaderList = []
-    for line in lines:
-        name, _, value = line.decode("latin-1").partition(":")
-        headers.append((name.strip(), value.strip()))
-    return headers
