Count an answer that ends inside its head as lost

When an upstream closed a connection between the status line and the end of the head, callers got "HTTP/1.1 0 Unknown" with an empty body, framed as whole, and an idempotent request was not sent again.

Cause: curl reports success for such a transfer, also with a length in the part that arrived and after an interim answer, and passes an unfinished last line on as if it were whole. The transport took curl's word, so that the result was complete with status 0 and no headers. The last hop read that as an answer with a status other than success. Entry VMs, the store and grants were asked for a certain status and treated 0 as unusable. The request path of the own interface needs a head to begin an answer and already reported an unknown outcome.

A transfer without a complete final head now counts as failed in the transport, so no receiver has to check it: sent, outcome unknown, 504 for a non-idempotent request, a retry within the budget for another.

Bodies that are cut were recognised before and after, on new and reused connections.

--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -202,6 +202,9 @@
     ) -> None:
         transfer = self._active.pop(curl)
         self._multi.remove_handle(curl)
+        # curl reports success if the connection closes inside a head.
+        if not curl_error and transfer.in_head:
+            curl_error, curl_message = pycurl.E_PARTIAL_FILE, "connection closed inside the head"
         curl_message = transfer.head_error or curl_message
         done, sent = transfer.done, transfer.sent
         opened_connections = transfer.opened_connections
@@ -286,7 +289,7 @@
         self._receiver: Receiver = None  # type: ignore[assignment]
         self._body: RequestBody | None = None
         self._lines: list[bytes] = []
-        self._in_head = True
+        self.in_head = True
         self.head_error = ""
         self._read_paused = self._write_paused = False
 
@@ -364,7 +367,7 @@
         return pycurl.PREREQFUNC_OK
 
     def _on_header(self, line: bytes) -> int:
-        if not self._in_head:
+        if not self.in_head:
             return len(line)  # trailer
         if line in (b"\r\n", b"\n"):
             return len(line) if self._end_head() else 0
@@ -380,7 +383,7 @@
             return False
         if head.is_interim:
             return True
-        self._in_head = False
+        self.in_head = False
         return self._receiver.on_head(head.status, head.headers)
 
     def _on_data(self, chunk: bytes) -> int:
--- a/fireflyferry/transport/tests/test_cut_answers.py
+++ b/fireflyferry/transport/tests/test_cut_answers.py
@@ -16,6 +16,33 @@
 KINDS = pytest.mark.parametrize("reused", [False, True], ids=["new", "reused"])
 ENDS = pytest.mark.parametrize("resets", [False, True], ids=["close", "reset"])
 
+CUT_HEADS = [
+    b"HTTP/1.1 20",
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 OK",
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nX-I",
+    b"HTTP/1.1 200 OK\r\nX-Id: a",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Len",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\n",
+    b"HTTP/1.1 204 No Content\r\nX-Id: a\r\n",
+    b"HTTP/1.1 304 Not Modified\r\nX-Id: a\r\n",
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\n",
+    b"HTTP/1.1 200 OK\n",
+    b"HTTP/1.1 200 OK\nX-Id: a\nContent-Length: 0\n",
+    b"HTTP/1.1 100 Continue\r\n",
+    CONTINUE,
+    CONTINUE + b"HTTP/1.1 200",
+    CONTINUE + b"HTTP/1.1 200 OK\r\n",
+    CONTINUE + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n",
+]
+
 CUT_BODIES = [
     WHOLE[:-1],
     WHOLE[:-4],
@@ -104,6 +131,16 @@
     return asyncio.run(answer_and_end(data, reused, resets, ends))
 
 
+@KINDS
+@ENDS
+@pytest.mark.parametrize("data", CUT_HEADS)
+def test_answer_that_ends_inside_its_head_is_incomplete(data, reused, resets):
+    """Guards against an empty answer that looks complete, since curl reports success for it."""
+    result = run(data, reused, resets)
+    assert result.sent and not result.complete and not result.timed_out
+    assert (result.status, result.headers, result.body) == (0, [], b"")
+
+
 @KINDS
 @ENDS
 @pytest.mark.parametrize("data", CUT_BODIES)
