Promise callers "not run" only on the upstream's word

Callers were given an upstream's 503, 429 or 408 unchanged, also without the header by which upstreams say that they have not run a request. These statuses promise callers that the request has not run and never will, so they send it again, although nothing but the header says so.

Cause: the last hop read the header only to turn an answer into a refusal, and passed every other failure on as it was.

Such an answer now counts as wrong_answer: 504, no second send of a non-idempotent request. A 421 remains a refusal, with the header or without, since an upstream that is not the expected one answers with it.

Evidence: test_status_that_promises_not_run_needs_the_upstreams_word fails without the change for each of the three statuses and passes with it.

--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -30,6 +30,8 @@
 
 __all__ = ["LastHop", "LastHopRules"]
 
+NOT_RUN_STATUSES = (408, 429, 503)  # promise callers that a request has not run and never will
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -318,6 +320,8 @@
         """Return why a complete answer cannot be passed on, or an empty string."""
         if result.header("Content-Encoding") is not None:
             return "answer has a content encoding that was not requested"
+        if result.status in NOT_RUN_STATUSES and result.header(self._names.not_run) is None:
+            return f"status {result.status} of an upstream that may have run the request"
         if 200 <= result.status < 300 and result.header(self._names.signature) is None:
             return "successful answer has no signature"
         return ""
--- a/fireflyferry/gateway/tests/test_broken_answers.py
+++ b/fireflyferry/gateway/tests/test_broken_answers.py
@@ -240,3 +240,21 @@
         assert (got.status, got.body) == (504, b"wrong_answer\n")
 
     run_with(refuse, scenario)
+
+
+@pytest.mark.parametrize("status", ["503 Service Unavailable", "429 Slow Down", "408 Timeout"])
+def test_status_that_promises_not_run_needs_the_upstreams_word(status):
+    """Guards against a promise to the caller that the upstream did not make.
+
+    To callers, these statuses mean that the request has not run.
+    """
+
+    async def answer(seen, writer):
+        writer.write(reply(seen, b"ran", status))
+
+    async def scenario(running, upstream, store):
+        got = await request(running.port, "/write/", "POST", body=b"1")
+        assert (got.status, got.body) == (504, b"wrong_answer\n")
+        assert len(upstream.seen) == 1
+
+    run_with(answer, scenario)
