Read the answers to control calls with the shared transport

A cancellation counted as confirmed, and the slot of its request was freed, when the upstream closed the connection inside the head of its answer.

Cause: the edges had a curl client of their own, which took the status from the part of the head that had arrived and relied on curl to report a cut one as an error. An answer to a cancellation needs no body, so nothing else noticed. The other edges failed later, on an empty body.

HttpClient now makes its calls with the transport of the request path, which counts such an answer as lost, and keeps only what belongs to control calls. The transport also never lets curl send a call a second time by itself: a call on a kept connection that the server closes is reported as unanswered.

--- a/fireflyferry/edges/http_client.py
+++ b/fireflyferry/edges/http_client.py
@@ -1,24 +1,19 @@
-"""Curl client shared by the HTTP edges.
+"""HTTP client shared by the edges, on the transport that sends each call at most once."""
 
-Its options keep libcurl from sending a call twice, to another path or through a proxy.
-"""
-
-import asyncio
+import functools
 
 import attrs
-import pycurl
-import tornado.curl_httpclient
-import tornado.httpclient
-import tornado.httputil
 
 from fireflyferry.edges.base import EdgeError
+from fireflyferry.transport import CurlTransport, Exchange, fetch
+from fireflyferry.transport.answer_memory import AnswerMemory
+from fireflyferry.transport.fetch import complete_body
 
 __all__ = ["HttpAnswer", "HttpClient", "NoAnswerError"]
 
-# A watch occupies a handle while it waits; with Tornado's default of 10, other calls would queue
-# behind the watches.
-MAX_CLIENTS = 100
 MIN_TIMEOUT_S = 0.001  # libcurl takes 0 ms to mean no timeout
+MAX_ANSWER_BYTES = 100 << 20  # listings have all objects of a kind
+MAX_ANSWERS_BYTES = 200 << 20
 
 
 class NoAnswerError(EdgeError):
@@ -29,10 +24,9 @@
 
 @attrs.frozen
 class HttpAnswer:
-    """Status, headers and complete body of an answer."""
+    """Status and complete body of an answer."""
 
     status: int
-    headers: tornado.httputil.HTTPHeaders
     body: bytes
 
 
@@ -43,18 +37,25 @@
         self._vm_id = vm_id
         self._connect_timeout_s = connect_timeout_s
         self._timeout_s = timeout_s
-        self._client = tornado.curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
 
     @property
     def vm_id(self) -> str:
         """Id of the VM, which is sent with each call."""
         return self._vm_id
 
+    @functools.cached_property
+    def _transport(self) -> CurlTransport:
+        """The transport, made by the first call since it needs a running event loop."""
+        return CurlTransport(
+            force_instance=True,
+            connect_timeout_s=self._connect_timeout_s,
+            answer_memory=AnswerMemory(MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES),
+        )
+
     def close(self) -> None:
         """Close all connections."""
-        self._client.close()
+        if "_transport" in self.__dict__:
+            self._transport.close()
 
     async def call(
         self,
@@ -65,42 +66,28 @@
         timeout_s: float | None = None,
         fresh_connection: bool = False,
     ) -> HttpAnswer:
-        """Make a call.
+        """Make a call to an `http` URL.
 
         With `fresh_connection`, the call uses a new connection that is not used again, so that
-        libcurl cannot send it twice. Raises NoAnswerError.
+        neither an idle connection that the server closes nor an earlier answer can affect it.
+        Raises NoAnswerError.
         """
-        limit_s = max(self._timeout_s if timeout_s is None else timeout_s, MIN_TIMEOUT_S)
-        request = tornado.httpclient.HTTPRequest(
-            url,
-            method=method,
-            body=body,
-            headers={"Firefly-Vm": self._vm_id, **(headers or {})},
-            connect_timeout=min(self._connect_timeout_s, limit_s),
-            request_timeout=limit_s,
-            user_agent="fireflyferry",
-            follow_redirects=False,
-            decompress_response=False,
-            allow_nonstandard_methods=True,
-            prepare_curl_callback=_connection_options(fresh_connection),
+        address, _, path = url.removeprefix("http://").partition("/")
+        sends_body = body is not None or method in ("POST", "PUT")
+        exchange = Exchange(
+            address,
+            method,
+            f"/{path}",
+            [
+                ("Firefly-Vm", self._vm_id),
+                ("User-Agent", "fireflyferry"),
+                *(headers or {}).items(),
+            ],
+            complete_body(body or b"") if sends_body else None,
+            max(self._timeout_s if timeout_s is None else timeout_s, MIN_TIMEOUT_S),
+            fresh_connection=fresh_connection,
         )
-        try:
-            # Also limits the time in Tornado's queue, which request_timeout does not cover.
-            async with asyncio.timeout(limit_s + 1.0):
-                response = await self._client.fetch(request, raise_error=False)
-        except (TimeoutError, OSError, tornado.httpclient.HTTPClientError) as error:
-            raise NoAnswerError(f"{method} {url}: {error!r}") from error
-        return HttpAnswer(response.code, response.headers, response.body)
-
-
-def _connection_options(fresh_connection: bool):
-    def prepare(curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.FRESH_CONNECT, int(fresh_connection))
-        curl.setopt(pycurl.FORBID_REUSE, int(fresh_connection))
-        # libcurl would shorten `a/../b` to `b`, which is another object's name.
-        curl.setopt(pycurl.PATH_AS_IS, 1)
-        # Proxy variables of the environment must not divert calls between processes.
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.NOPROXY, "*")
-
-    return prepare
+        result = await fetch(self._transport, exchange)
+        if not result.complete:
+            raise NoAnswerError(f"{method} {url}: curl error {result.error} {result.message}")
+        return HttpAnswer(result.status, result.body)
