Confirm a cancellation only by an answer on a connection of its own

A faulty upstream that wrote an earlier answer once more on a kept connection could confirm a cancellation that it had not read. The slot of the request was freed, and its unit could move, while the request still ran.

Cause: nothing in the answer to a cancellation says which call it belongs to, and the call used any kept connection to the upstream.

A cancellation now uses a new connection, on which no other answer can have been sent.

Evidence: test_cancellation_is_not_confirmed_by_an_earlier_answer fails without the change (one connection for three calls) and passes with it.

--- a/fireflyferry/edges/http_upstream.py
+++ b/fireflyferry/edges/http_upstream.py
@@ -39,7 +39,10 @@
         Returns once the request no longer runs. Raises UpstreamUnavailableError.
         """
         body = orjson.dumps({"request_id": request_id})
-        await self._call("POST", address, "cancel", body, self._cancel_timeout_s)
+        # Nothing in the answer names the request, so no earlier answer may be on the connection.
+        await self._call(
+            "POST", address, "cancel", body, self._cancel_timeout_s, fresh_connection=True
+        )
 
     async def _call(
         self,
@@ -48,10 +51,13 @@
         name: str,
         body: bytes | None = None,
         timeout_s: float | None = None,
+        fresh_connection: bool = False,
     ) -> bytes:
         url = f"http://{address}/control/v1/{name}"
         try:
-            answer = await self._client.call(method, url, body, timeout_s=timeout_s)
+            answer = await self._client.call(
+                method, url, body, timeout_s=timeout_s, fresh_connection=fresh_connection
+            )
         except NoAnswerError as error:
             raise UpstreamUnavailableError(str(error)) from error
         if answer.status != 200:
--- a/fireflyferry/edges/tests/test_unusable_answers.py
+++ b/fireflyferry/edges/tests/test_unusable_answers.py
@@ -93,3 +93,24 @@
             client.close()
 
     asyncio.run(scenario())
+
+
+def test_cancellation_is_not_confirmed_by_an_earlier_answer():
+    """Guards against an earlier answer, written once more, that frees the slot of a request.
+
+    All answers to cancellations are alike, so only a connection without earlier answers tells
+    which one is meant.
+    """
+
+    async def scenario():
+        client = HttpClient("vm-1", connect_timeout_s=30.0, timeout_s=30.0)
+        control = HttpUpstreamControl(client)
+        async with Server(WHOLE, WHOLE, WHOLE) as server:
+            with pytest.raises(UpstreamUnavailableError):
+                await control.hello(server.address)
+            await control.cancel(server.address, "a")
+            await control.cancel(server.address, "b")
+            assert server.connections == 3 and len(server.paths) == 3
+            client.close()
+
+    asyncio.run(scenario())
