Suspect an incarnation of a VM, not whatever has its id

Callers could see longer waits: after a VM had restarted, some VMs never used it as last hop again, so that two VMs counted the slots of one upstream.

Cause: a forwarded request to the earlier incarnation that failed after the next one was listed marked the id as suspected. No ping followed, since the entry had changed, so the suspicion lasted until the list of VMs changed again. In the same way an answer to a ping at the earlier address ended the suspicion of the next incarnation.

Change: a VM is suspected or trusted only if the listed incarnation is the one that failed or answered, and pings are shared only by callers that mean the same entry. The log names the incarnation that was lost or regained.

--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -75,15 +75,24 @@
         self._is_large_cache.clear()
 
     def suspect(self, vm: EntryVm) -> bool:
-        """Suspect a VM; return whether it was not suspected before."""
-        if vm.vm_id == self._this_vm.vm_id or self._suspected.get(vm.vm_id) == vm.incarnation:
+        """Suspect a listed incarnation of a VM; return whether it was not suspected before."""
+        listed = self._vms.get(vm.vm_id)
+        if (
+            vm.vm_id == self._this_vm.vm_id
+            or listed is None
+            or listed.incarnation != vm.incarnation
+            or vm.vm_id in self._suspected
+        ):
             return False
         self._suspected[vm.vm_id] = vm.incarnation
         return True
 
     def trust(self, vm: EntryVm) -> bool:
-        """Stop suspecting a VM; return whether it was suspected."""
-        return self._suspected.pop(vm.vm_id, None) is not None
+        """Stop suspecting an incarnation of a VM; return whether it was suspected."""
+        if self._suspected.get(vm.vm_id) != vm.incarnation:
+            return False
+        del self._suspected[vm.vm_id]
+        return True
 
     @property
     def suspected(self) -> list[EntryVm]:
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -71,7 +71,7 @@
         self._vms = vms
         self._envelopes = envelopes
         self._rules = rules or PeerRules()
-        self._pings: dict[str, asyncio.Task[bool]] = {}
+        self._pings: dict[EntryVm, asyncio.Task[bool]] = {}
         self._tasks = BackgroundTasks()
 
     async def forward(self, call: Call, upstream: Upstream, vm: EntryVm) -> Attempt:
@@ -183,25 +183,30 @@
 
     def _suspect(self, vm: EntryVm, detail: str) -> None:
         if self._vms.suspect(vm):
-            _LOG.warning("peer_lost", extra={"vm": vm.vm_id, "detail": detail})
+            _LOG.warning(
+                "peer_lost",
+                extra={"vm": vm.vm_id, "incarnation": vm.incarnation, "detail": detail},
+            )
             self._tasks.start(self._ping_until_answered(vm))
 
     async def _ping_until_answered(self, vm: EntryVm) -> None:
         """Ping a suspected VM until it answers or its entry in the list of VMs changes."""
         while self._vms.get(vm.vm_id) == vm and vm in self._vms.suspected:
             if await self._is_alive(vm):
-                self._vms.trust(vm)
-                _LOG.info("peer_regained", extra={"vm": vm.vm_id})
+                if self._vms.trust(vm):
+                    _LOG.info(
+                        "peer_regained", extra={"vm": vm.vm_id, "incarnation": vm.incarnation}
+                    )
                 return
             await asyncio.sleep(self._rules.recheck_interval_s)
 
     async def _is_alive(self, vm: EntryVm) -> bool:
         """Return whether a VM answers a ping; concurrent callers share one ping."""
-        ping = self._pings.get(vm.vm_id)
+        ping = self._pings.get(vm)
         if ping is None:
             ping = asyncio.ensure_future(self._ping(vm))
-            self._pings[vm.vm_id] = ping
-            ping.add_done_callback(lambda _: self._pings.pop(vm.vm_id, None))
+            self._pings[vm] = ping
+            ping.add_done_callback(lambda _: self._pings.pop(vm, None))
         return await asyncio.shield(ping)
 
     async def _ping(self, vm: EntryVm) -> bool:
--- /dev/null
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -0,0 +1,67 @@
+"""Processes that have the id or the address of an earlier one, of which they prove nothing."""
+
+import asyncio
+
+import attrs
+
+from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.edges.system_clock import BootClock
+from fireflyferry.gateway.envelopes import EnvelopeCodec
+from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.tests.support import HEADER_NAMES, reserve_free_port
+from fireflyferry.transport import CurlTransport
+
+THIS_VM = EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1")
+
+
+@attrs.define
+class Peers:
+    """Client for other VMs, and the directory of VMs that it uses."""
+
+    client: PeerClient
+    vms: VmDirectory
+
+
+def with_peers(scenario):
+    """Await `scenario(peers)` with a client for other VMs."""
+
+    async def run():
+        transport = CurlTransport(force_instance=True, connect_timeout_s=0.4)
+        vms = VmDirectory(THIS_VM, {})
+        peers = Peers(PeerClient(BootClock(), transport, vms, EnvelopeCodec(HEADER_NAMES)), vms)
+        try:
+            await scenario(peers)
+        finally:
+            transport.close()
+
+    asyncio.run(run())
+
+
+async def serve_at(port, answer):
+    """Serve the same bytes to every request at a port."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", port)
+
+
+# Calls to other VMs
+
+
+def test_ping_that_an_earlier_incarnation_answers_is_not_shared_with_the_next():
+    """Guards against a dead VM that counts as alive because its earlier address responds."""
+
+    async def scenario(peers):
+        server = await serve_at(0, b"HTTP/1.1 204 No Content\r\n\r\n")
+        port = server.sockets[0].getsockname()[1]
+        earlier = EntryVm("vm-2", "i2", f"127.0.0.1:{port}", "dc-1")
+        later = attrs.evolve(earlier, incarnation="j2", address=f"127.0.0.1:{reserve_free_port()}")
+        peers.vms.apply([THIS_VM, later])
+        alive = await asyncio.gather(peers.client._is_alive(earlier), peers.client._is_alive(later))
+        assert alive == [True, False] and peers.vms.suspected == [later]
+        server.close()
+
+    with_peers(scenario)
