--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -6,9 +6,12 @@
 
 from fireflyferry.balancing import EntryVm, VmDirectory
 from fireflyferry.edges.system_clock import BootClock
+from fireflyferry.gateway import documents
 from fireflyferry.gateway.envelopes import EnvelopeCodec
 from fireflyferry.gateway.peer_client import PeerClient
-from fireflyferry.gateway.tests.support import HEADER_NAMES, reserve_free_port
+from fireflyferry.gateway.registration import Registration
+from fireflyferry.gateway.tests.support import HEADER_NAMES, FakeStore, reserve_free_port
+from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.transport import CurlTransport
 
 THIS_VM = EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1")
@@ -65,3 +68,78 @@
         server.close()
 
     with_peers(scenario)
+
+
+# Entries in the store
+
+
+class SlowStore(FakeStore):
+    """Store that delays the next write until `delayed` is set, if it is not None."""
+
+    def __init__(self):
+        super().__init__()
+        self.delayed = None
+
+    async def write(self, kind, name, content, revision):
+        delayed, self.delayed = self.delayed, None
+        if delayed is not None:
+            await delayed.wait()
+        return await super().write(kind, name, content, revision)
+
+    @property
+    def vm(self):
+        """The VM that the entry describes."""
+        return documents.read_vm(self.objects[documents.VM_KIND][THIS_VM.vm_id])
+
+
+def registration(store, vm):
+    return Registration(store, StoreHealth(BootClock(), 5.0), vm)
+
+
+def test_vm_that_stops_late_does_not_mark_the_next_incarnation_as_leaving():
+    """Guards against a restarted VM that no other VM uses, since the earlier one stopped late."""
+
+    async def run():
+        store = SlowStore()
+        earlier = registration(store, THIS_VM)
+        later = attrs.evolve(THIS_VM, incarnation="j1")
+        await earlier.run()
+        await registration(store, later).run()
+        await earlier.leave()
+        assert store.vm == later
+
+    asyncio.run(run())
+
+
+def test_vm_that_stops_before_it_is_registered_stays_marked_as_leaving():
+    """Guards against requests to a VM that stops, since it retried its first write afterwards."""
+
+    async def run():
+        store = SlowStore()
+        store.down = True
+        stopping = registration(store, THIS_VM)
+        running = asyncio.ensure_future(stopping.run())
+        await asyncio.sleep(0)
+        store.down = False
+        await stopping.leave()
+        await running
+        assert store.vm == attrs.evolve(THIS_VM, leaving=True)
+
+    asyncio.run(run())
+
+
+def test_first_write_that_is_in_flight_at_the_stop_does_not_end_the_mark():
+    """Guards against requests to a VM that stops, since its two writes overtook each other."""
+
+    async def run():
+        store = SlowStore()
+        delayed = store.delayed = asyncio.Event()
+        stopping = registration(store, THIS_VM)
+        running = asyncio.ensure_future(stopping.run())
+        await asyncio.sleep(0)
+        await stopping.leave()
+        delayed.set()
+        await running
+        assert store.vm == attrs.evolve(THIS_VM, leaving=True)
+
+    asyncio.run(run())
