Suspect a VM at whose address another server responds

Requests could fail one by one, as long as the entry of a VM that had crashed was listed: non- idempotent ones with an unknown outcome, although no upstream had received them.

Cause: the entry of a VM that crashed stays in the store, and its address may go to an upstream or to another VM. An answer that is none of a VM's made an unknown outcome, but raised no suspicion, so the next request took the same way. A ping that the next VM at the address answered counted as an answer of the one that was meant.

Change: an unreadable answer leads to a suspicion, which a ping ends if the VM is there after all. The answer to a ping names the VM; one without a name, of an earlier revision, counts as before. Status 400 counts as not run, like 404: a VM sends it for a message that it cannot read, and no other server passes a forwarded request on.

--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -23,6 +23,7 @@
     "LOADS_PATH",
     "OWNERS_PATH",
     "PING_PATH",
+    "VM_HEADER",
     "PeerClient",
     "PeerRules",
 ]
@@ -35,6 +36,11 @@
 LOADS_PATH = "/peer/loads"
 OWNERS_PATH = "/peer/owners"
 FEED_PATH = "/peer/feed"
+VM_HEADER = "Firefly-Vm"  # id of the VM that answers a ping
+
+# Answers of a VM that has not passed a forwarded request on: it cannot read it, or it is of an
+# earlier revision and knows no envelopes. Other servers pass none on.
+_UNREAD_STATUSES = (400, 404)
 
 
 @attrs.frozen
@@ -159,7 +165,14 @@
         try:
             return self._read_result(result, call, upstream)
         except (EnvelopeError, peer_messages.PeerMessageError) as error:
-            _LOG.warning("peer_answer_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
+            _LOG.warning(
+                "peer_answer_unreadable",
+                extra={"vm": vm.vm_id, "incarnation": vm.incarnation, "error": str(error)},
+            )
+            # Another server may have the address of a VM that has ended.
+            self._suspect(vm, "unreadable answer")
+            if result.status in _UNREAD_STATUSES:
+                return not_run(Reason.SHUTTING_DOWN)
             return outcome_unknown(Reason.WRONG_ANSWER)
 
     def _read_result(self, result: FetchResult, call: Call, upstream: Upstream) -> Attempt:
@@ -168,9 +181,6 @@
         refusal = result.header(peer_messages.RESULT_HEADER)
         if refusal is not None:
             return peer_messages.read_result(refusal, None, upstream_id)
-        if result.status == 404:
-            # A VM of an earlier revision knows no envelopes, so it has not passed the request on.
-            return not_run(Reason.SHUTTING_DOWN)
         if result.status != 200:
             raise peer_messages.PeerMessageError(f"status {result.status}")
         envelope = self._envelopes.unpack(result.body)
@@ -211,7 +221,9 @@
 
     async def _ping(self, vm: EntryVm) -> bool:
         exchange = Exchange(vm.address, "GET", PING_PATH, [], None, self._rules.ping_timeout_s)
-        alive = (await fetch(self._transport, exchange)).status == 204
+        result = await fetch(self._transport, exchange)
+        # A VM of an earlier revision does not name itself.
+        alive = result.status == 204 and result.header(VM_HEADER) in (None, vm.vm_id)
         if not alive:
-            self._suspect(vm, "no answer to a ping")
+            self._suspect(vm, "no answer of this VM to a ping")
         return alive
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -22,6 +22,7 @@
     LOADS_PATH,
     OWNERS_PATH,
     PING_PATH,
+    VM_HEADER,
 )
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.telemetry import Outcome, Reason
@@ -36,8 +37,9 @@
 
 @attrs.define(eq=False)
 class PeerServices:
-    """Dependencies that all exchanges with other VMs share."""
+    """Dependencies that all exchanges with other VMs share; `vm_id` is the id of this VM."""
 
+    vm_id: str
     clock: Clock
     upstreams: UpstreamDirectory
     last_hop: LastHop
@@ -81,7 +83,7 @@
         elif self._line.path == FORWARD_PATH:
             await self._answer_forward()
         elif self._line.path == PING_PATH:
-            self.answer(204, [], b"")
+            self.answer(204, [(VM_HEADER, self._services.vm_id)], b"")
         elif self._line.path == LOADS_PATH:
             self._accept_loads()
         elif self._line.path == OWNERS_PATH:
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -274,6 +274,7 @@
             self._closing,
         )
         self._peer_services = PeerServices(
+            self._this_vm.vm_id,
             clock,
             state.upstreams,
             self._last_hop,
--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -3,15 +3,19 @@
 import asyncio
 
 import attrs
+import pytest
 
-from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.balancing import EntryVm, Upstream, VmDirectory
 from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway import documents
+from fireflyferry.gateway.calls import Call
 from fireflyferry.gateway.envelopes import EnvelopeCodec
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.registration import Registration
-from fireflyferry.gateway.tests.support import HEADER_NAMES, FakeStore, reserve_free_port
+from fireflyferry.gateway.tests.support import HEADER_NAMES, FakeStore, reserve_free_port, run_with
 from fireflyferry.gateway.watching import StoreHealth
+from fireflyferry.keyranges import UpstreamRun
+from fireflyferry.telemetry import Outcome
 from fireflyferry.transport import CurlTransport
 
 THIS_VM = EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1")
@@ -70,6 +74,57 @@
     with_peers(scenario)
 
 
+def make_call(**changes):
+    call = Call("r1", "GET", "/", [], b"", "p", None, False, 1, 2, 0.0, 0.0, 0.0)
+    now_s = BootClock().monotonic_s()
+    times = {"started_s": now_s, "target_time_s": now_s + 1, "deadline_s": now_s + 1}
+    return attrs.evolve(call, **{**times, **changes})
+
+
+UPSTREAM = Upstream(UpstreamRun("u1", 1), "p", "127.0.0.1:2", "dc-1", 1)
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", Outcome.NOT_RUN),
+        (b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", Outcome.NOT_RUN),
+        (b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", Outcome.UNKNOWN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Outcome.UNKNOWN),
+    ],
+)
+def test_address_of_a_gone_vm_that_another_server_has_is_not_used_again(answer, outcome):
+    """Guards against requests that are lost one by one at an address which is no VM's any more.
+
+    Load pattern: a VM crashed without a mark in its entry, and an upstream has its address.
+    """
+
+    async def scenario(peers):
+        server = await serve_at(0, answer)
+        gone = EntryVm("vm-2", "i2", f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "dc-1")
+        peers.vms.apply([THIS_VM, gone])
+        attempt = await peers.client.forward(make_call(), UPSTREAM, gone)
+        assert attempt.outcome is outcome
+        assert peers.vms.suspected == [gone]
+        # Pings that the other server answers do not end the suspicion.
+        assert not await peers.client._is_alive(gone)
+        assert peers.vms.suspected == [gone]
+        server.close()
+
+    with_peers(scenario)
+
+
+def test_ping_that_the_next_vm_at_an_address_answers_is_none_of_the_earlier_one():
+    """Guards against a gone VM that counts as alive since another VM has its address."""
+
+    async def scenario(running, upstream, store):
+        peers, this_vm = running.program._peers, running.program._this_vm
+        gone = EntryVm("vm-2", "i2", this_vm.address, "dc-1")
+        assert await peers._is_alive(this_vm) and not await peers._is_alive(gone)
+
+    run_with(None, scenario)
+
+
 # Entries in the store
 
 
