Keep one VM for each address

A VM could follow itself as its relay, under the id of a crashed one, and read its own documents in place of the store's until they were too old. Crashed VMs also counted in the size of a data centre, and two ids led to one process.

Cause: the entry of a VM that crashed stays in the store. When another VM had its address, both entries counted as VMs, and calls to the earlier one were answered by the next.

Change: of several entries with one address only the one that was written last counts, and a leaving one only if there is no other. This VM is the only one at its own address.

--- a/fireflyferry/balancing/tests/test_directories.py
+++ b/fireflyferry/balancing/tests/test_directories.py
@@ -39,3 +39,27 @@
     assert vms.suspect(LATER) and not vms.trust(EARLIER)
     assert vms.suspected == [LATER] and vms.last_hop("u1", "dc-2") == THIS_VM
     assert vms.trust(LATER) and vms.last_hop("u1", "dc-2") == LATER
+
+
+def test_vm_at_the_address_of_an_earlier_one_replaces_it():
+    """Guards against VMs that count twice, under their id and that of a crashed VM.
+
+    The entry of a VM that crashed stays in the store.
+    """
+    next_vm = EntryVm("vm-3", "i3", EARLIER.address, "dc-2")
+    vms = make_vms(EARLIER, next_vm)
+    assert {vm.vm_id for vm in vms} == {"vm-1", "vm-3"} and vms.get("vm-2") is None
+    assert {vms.last_hop(f"u{n}", "dc-2").vm_id for n in range(20)} == {"vm-3"}
+
+
+def test_late_mark_of_an_earlier_vm_does_not_hide_the_next_at_its_address():
+    """Guards against a VM that is not used since an earlier one was marked as leaving late."""
+    next_vm = EntryVm("vm-3", "i3", EARLIER.address, "dc-2")
+    vms = make_vms(next_vm, attrs.evolve(EARLIER, leaving=True))
+    assert vms.get("vm-3") == next_vm and vms.get("vm-2") is None
+
+
+def test_this_vm_is_the_only_one_at_its_address():
+    """Guards against a VM that forwards requests to itself under the id of a crashed one."""
+    vms = make_vms(EntryVm("vm-0", "i0", THIS_VM.address, "dc-1"))
+    assert list(vms) == [THIS_VM]
--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -63,9 +63,17 @@
         return self._regions.get(data_centre, data_centre)
 
     def apply(self, listed: Iterable[EntryVm]) -> None:
-        """Replace the VMs that the store lists; this VM is always included."""
-        self._vms = {each.vm_id: each for each in listed}
-        self._vms[self._this_vm.vm_id] = self._this_vm
+        """Replace the VMs that the store lists, in the order in which they were written.
+
+        This VM is always included. Entries of VMs that crashed stay in the store, so of several
+        with one address only the last that is not leaving is kept.
+        """
+        by_address: dict[str, EntryVm] = {}
+        others = [vm for vm in listed if vm.vm_id != self._this_vm.vm_id]
+        for vm in sorted(others, key=lambda vm: not vm.leaving):
+            by_address[vm.address] = vm
+        by_address[self._this_vm.address] = self._this_vm
+        self._vms = {vm.vm_id: vm for vm in by_address.values()}
         self._suspected = {
             vm_id: incarnation
             for vm_id, incarnation in self._suspected.items()
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -165,7 +165,7 @@
         """Apply the list of entry VMs."""
         listed = [
             self._parse(documents.VM_KIND, each, documents.read_vm)
-            for each in documents_by_name.values()
+            for each in sorted(documents_by_name.values(), key=lambda each: each.revision)
         ]
         known: list[EntryVm] = [each for each in listed if each is not None]
         self.vms.apply(known)
--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -128,6 +128,20 @@
 # Entries in the store
 
 
+def test_newer_of_two_entries_with_one_address_is_used():
+    """Guards against a crashed VM that is used in place of the next one at its address."""
+
+    async def scenario(running, upstream, store):
+        vms = running.program._state.vms
+        first = EntryVm("vm-9", "i9", "127.0.0.1:3", "dc-2")
+        for vm in (first, attrs.evolve(first, vm_id="vm-2", incarnation="i2")):
+            await store.put(documents.VM_KIND, vm.vm_id, documents.vm_content(vm))
+        await running.wait_until(lambda: len(vms) > 1)
+        assert {vm.vm_id for vm in vms} == {"vm-1", "vm-2"}
+
+    run_with(None, scenario)
+
+
 class SlowStore(FakeStore):
     """Store that delays the next write until `delayed` is set, if it is not None."""
 
--- a/fireflyferry/gateway/tests/test_relays.py
+++ b/fireflyferry/gateway/tests/test_relays.py
@@ -109,6 +109,19 @@
     ]
 
 
+def test_vm_does_not_follow_itself_as_an_earlier_vm():
+    """Guards against a VM that reads its own documents in place of the store's.
+
+    Load pattern: a VM crashed, and the next one has its address and another id.
+    """
+    this_vm = vm(5, address="a-0")
+    directory = VmDirectory(this_vm, {})
+    directory.apply([vm(number) for number in range(5)] + [this_vm])
+    assert this_vm.address not in {
+        each.address for each in relay_candidates(directory, "dc-1", RULES)
+    }
+
+
 # Messages
 
 
