Keep load statistics for each incarnation of an upstream

Callers could wait longer than needed after an upstream had restarted under its id: it was avoided for up to 8 s, although it was idle.

Cause: forecasts, requests in flight and failures were kept by id. Requests to the earlier process that failed later, one by one at their deadlines, counted against the next one.

Change: they are kept by incarnation, as slot queues are. The tests of the tracker name incarnations instead of ids; their checks are the same.

Evidence: with statistics by id, the new test fails.

--- a/fireflyferry/balancing/selection.py
+++ b/fireflyferry/balancing/selection.py
@@ -6,6 +6,7 @@
 import attrs
 
 from fireflyferry.balancing.directory import Upstream
+from fireflyferry.keyranges import UpstreamRun
 
 __all__ = ["Choice", "LoadTracker", "SelectionRules"]
 
@@ -52,36 +53,40 @@
 
 
 class LoadTracker:
-    """Forecasts, requests in flight and failures of upstreams as seen by one VM."""
+    """Forecasts, requests in flight and failures of upstreams as seen by one VM.
+
+    They are kept for each incarnation, since requests to an earlier one may still fail when the
+    next one is already in use.
+    """
 
     def __init__(self, rules: SelectionRules, rng: random.Random):
         self._rules = rules
         self._rng = rng
-        self._loads: dict[str, _UpstreamLoad] = {}
+        self._loads: dict[UpstreamRun, _UpstreamLoad] = {}
 
-    def on_sent(self, upstream_id: str) -> None:
+    def on_sent(self, run: UpstreamRun) -> None:
         """Count a request that is sent to an upstream."""
-        self._load_of(upstream_id).in_flight += 1
+        self._load_of(run).in_flight += 1
 
-    def on_ended(self, upstream_id: str) -> None:
+    def on_ended(self, run: UpstreamRun) -> None:
         """Count the end of a request to an upstream."""
-        self._load_of(upstream_id).in_flight -= 1
+        self._load_of(run).in_flight -= 1
 
-    def on_forecast(self, now_s: float, upstream_id: str, wait_s: float, service_s: float) -> None:
+    def on_forecast(self, now_s: float, run: UpstreamRun, wait_s: float, service_s: float) -> None:
         """Store the forecast that came with an answer; times in seconds."""
-        load = self._load_of(upstream_id)
+        load = self._load_of(run)
         load.wait_s, load.service_s, load.forecast_at_s = wait_s, service_s, now_s
 
-    def on_answer(self, upstream_id: str, failed: bool) -> None:
+    def on_answer(self, run: UpstreamRun, failed: bool) -> None:
         """Record an answer; `failed` if it was an error of the upstream itself."""
-        load = self._load_of(upstream_id)
+        load = self._load_of(run)
         load.consecutive_failures = 0
         weight = self._rules.failure_weight
         load.failure_share += weight * (float(failed) - load.failure_share)
 
-    def on_no_answer(self, now_s: float, upstream_id: str) -> float:
+    def on_no_answer(self, now_s: float, run: UpstreamRun) -> float:
         """Record a request without a usable answer; return the avoidance time in seconds."""
-        load = self._load_of(upstream_id)
+        load = self._load_of(run)
         load.consecutive_failures += 1
         avoid_s = min(
             self._rules.first_avoid_s * 2 ** (load.consecutive_failures - 1),
@@ -90,13 +95,13 @@
         load.avoid_until_s = now_s + avoid_s * self._rng.uniform(0.8, 1.2)
         return avoid_s
 
-    def service_s(self, upstream_id: str) -> float:
+    def service_s(self, run: UpstreamRun) -> float:
         """Return the last reported mean service time in seconds; 0 if there is none."""
-        return self._load_of(upstream_id).service_s
+        return self._load_of(run).service_s
 
     def wait_s(self, now_s: float, upstream: Upstream) -> float:
         """Estimate how many seconds a request waits at an upstream whose last hop is another VM."""
-        load = self._load_of(upstream.run.upstream_id)
+        load = self._load_of(upstream.run)
         age_s = now_s - load.forecast_at_s
         forecast_s = 0.0
         if age_s < self._rules.max_forecast_age_s:
@@ -123,10 +128,9 @@
         mean_service_s = self._mean_service_s(upstreams)
         best: tuple[tuple[bool, float], Choice] | None = None
         for upstream in upstreams:
-            upstream_id = upstream.run.upstream_id
-            if upstream_id in tried:
+            if upstream.run.upstream_id in tried:
                 continue
-            load = self._load_of(upstream_id)
+            load = self._load_of(upstream.run)
             exact = exact_wait(upstream)
             wait_s, service_s = exact or (
                 self.wait_s(now_s, upstream),
@@ -147,20 +151,18 @@
 
     def _mean_service_s(self, upstreams: Iterable[Upstream]) -> float:
         """Return the mean of the known service times in seconds; 0 if none is known."""
-        loads = (self._load_of(each.run.upstream_id) for each in upstreams)
+        loads = (self._load_of(each.run) for each in upstreams)
         known = [load.service_s for load in loads if load.service_s]
         return sum(known) / len(known) if known else 0.0
 
-    def retain(self, known: Container[str]) -> None:
+    def retain(self, known: Container[UpstreamRun]) -> None:
         """Keep only known upstreams and those with requests in flight."""
         self._loads = {
-            upstream_id: load
-            for upstream_id, load in self._loads.items()
-            if upstream_id in known or load.in_flight
+            run: load for run, load in self._loads.items() if run in known or load.in_flight
         }
 
-    def _load_of(self, upstream_id: str) -> _UpstreamLoad:
-        load = self._loads.get(upstream_id)
+    def _load_of(self, run: UpstreamRun) -> _UpstreamLoad:
+        load = self._loads.get(run)
         if load is None:
-            load = self._loads[upstream_id] = _UpstreamLoad()
+            load = self._loads[run] = _UpstreamLoad()
         return load
--- a/fireflyferry/balancing/tests/test_balancing.py
+++ b/fireflyferry/balancing/tests/test_balancing.py
@@ -21,6 +21,7 @@
 from fireflyferry.routing.hosts import HostRoute, HostRoutes, PoolShare
 
 UPSTREAM = Upstream(UpstreamRun("u1", 1), "p", "10.0.0.1:80", "dc-1", 2)
+U1, U2 = UpstreamRun("u1", 1), UpstreamRun("u2", 1)
 REGIONS = {"dc-1": "r-1", "dc-2": "r-1", "dc-3": "r-2"}
 
 
@@ -267,16 +268,16 @@
     distances = {"u2": 2}
     tracker = make_tracker()
     assert choose(tracker, [near, far], distances).upstream == near
-    tracker.on_forecast(10.0, "u1", 0.2, 0.2)
+    tracker.on_forecast(10.0, U1, 0.2, 0.2)
     assert choose(tracker, [near, far], distances).upstream == near
-    tracker.on_forecast(10.0, "u1", 0.6, 0.2)
+    tracker.on_forecast(10.0, U1, 0.6, 0.2)
     assert choose(tracker, [near, far], distances).upstream == far
 
 
 def test_faster_upstream_is_preferred():
     tracker = make_tracker()
-    tracker.on_forecast(10.0, "u1", 0.0, 0.4)
-    tracker.on_forecast(10.0, "u2", 0.0, 0.1)
+    tracker.on_forecast(10.0, U1, 0.0, 0.4)
+    tracker.on_forecast(10.0, U2, 0.0, 0.1)
     assert choose(tracker, [upstream("u1"), upstream("u2")]).upstream.run.upstream_id == "u2"
 
 
@@ -287,19 +288,19 @@
     """
     tracker = make_tracker()
     for _ in range(8):
-        tracker.on_answer("u1", True)
-        tracker.on_answer("u2", False)
+        tracker.on_answer(U1, True)
+        tracker.on_answer(U2, False)
     assert choose(tracker, [upstream("u1"), upstream("u2")]).upstream.run.upstream_id == "u2"
     for _ in range(40):
-        tracker.on_answer("u1", False)
-    tracker.on_sent("u2")
-    tracker.on_forecast(10.0, "u2", 0.1, 0.1)
+        tracker.on_answer(U1, False)
+    tracker.on_sent(U2)
+    tracker.on_forecast(10.0, U2, 0.1, 0.1)
     assert choose(tracker, [upstream("u1"), upstream("u2")]).upstream.run.upstream_id == "u1"
 
 
 def test_failed_upstream_is_avoided_for_a_time_that_grows():
     tracker = make_tracker()
-    times = [tracker.on_no_answer(10.0, "u1") for _ in range(6)]
+    times = [tracker.on_no_answer(10.0, U1) for _ in range(6)]
     assert times == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
     assert choose(tracker, [upstream("u1"), upstream("u2")]).upstream.run.upstream_id == "u2"
     assert (
@@ -313,5 +314,5 @@
 
 def test_old_forecast_is_ignored():
     tracker = make_tracker()
-    tracker.on_forecast(8.5, "u1", 5.0, 0.2)
+    tracker.on_forecast(8.5, U1, 5.0, 0.2)
     assert tracker.wait_s(10.0, upstream("u1")) == 0.0
--- a/fireflyferry/balancing/tests/test_directories.py
+++ b/fireflyferry/balancing/tests/test_directories.py
@@ -1,8 +1,11 @@
 """Incarnations of VMs and upstreams: what is known of one says nothing about the next."""
 
+import random
+
 import attrs
 
-from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.balancing import EntryVm, LoadTracker, SelectionRules, Upstream, VmDirectory
+from fireflyferry.keyranges import UpstreamRun
 
 THIS_VM = EntryVm("vm-1", "i1", "10.1.0.1:1", "dc-1")
 EARLIER = EntryVm("vm-2", "i2", "10.1.0.2:1", "dc-2")
@@ -63,3 +66,22 @@
     """Guards against a VM that forwards requests to itself under the id of a crashed one."""
     vms = make_vms(EntryVm("vm-0", "i0", THIS_VM.address, "dc-1"))
     assert list(vms) == [THIS_VM]
+
+
+# Upstreams
+
+
+def test_late_failure_of_an_earlier_incarnation_does_not_avoid_the_next():
+    """Guards against a restarted upstream that is avoided for requests to the earlier process.
+
+    Load pattern: requests in flight at a crash fail one by one while its next process is idle.
+    """
+    earlier, later, other = (UpstreamRun(*run) for run in (("u1", 1), ("u1", 2), ("u2", 1)))
+    tracker = LoadTracker(SelectionRules(), random.Random(1))
+    upstreams = [Upstream(run, "p", "10.0.0.1:80", "dc-1", 2) for run in (later, other)]
+    tracker.on_forecast(10.0, later, 0.0, 0.1)
+    tracker.on_forecast(10.0, other, 0.5, 0.1)
+    for _ in range(4):
+        tracker.on_no_answer(10.0, earlier)
+    choice = tracker.choose(10.0, upstreams, lambda _: 0, 0.6, lambda _: None)
+    assert choice.upstream.run == later
--- a/fireflyferry/balancing/tests/test_shared_choice.py
+++ b/fireflyferry/balancing/tests/test_shared_choice.py
@@ -67,18 +67,18 @@
             name = pool.choose(now_s, tracker, shared)
             ticket = Ticket(1, now_s, now_s + TARGET_LATENCY_S, now_s + DEADLINE_S)
             tickets[ticket] = tracker
-            tracker.on_sent(name)
+            tracker.on_sent(UpstreamRun(name, 1))
             offered = pool.queues[name].offer(now_s, ticket)
             if isinstance(offered, Admitted):
                 start_request(now_s, name, ticket)
             elif not isinstance(offered, Waiting):
-                tracker.on_ended(name)
+                tracker.on_ended(UpstreamRun(name, 1))
             continue
         ticket, service_s = started
         queue, tracker = pool.queues[name], tickets[ticket]
         queue.finish(now_s, service_s)
-        tracker.on_ended(name)
-        tracker.on_forecast(now_s, name, queue.wait_s(now_s), queue.service_s)
+        tracker.on_ended(UpstreamRun(name, 1))
+        tracker.on_forecast(now_s, UpstreamRun(name, 1), queue.wait_s(now_s), queue.service_s)
         in_time += now_s <= ticket.target_time_s
         while (next_ticket := queue.pop(now_s)) is not None:
             start_request(now_s, name, next_ticket)
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -185,7 +185,7 @@
         """Return how long an attempt may take before a hedged one starts in parallel."""
         rules = self._rules
         left_s = call.deadline_s - self._clock.monotonic_s()
-        service_s = self._load_tracker.service_s(target.upstream.run.upstream_id)
+        service_s = self._load_tracker.service_s(target.upstream.run)
         return max(rules.hedge_service_times * service_s, rules.hedge_deadline_share * left_s)
 
     def _final_result(self, search: Search, attempt: Attempt | None) -> Attempt:
@@ -205,27 +205,26 @@
         return attempt
 
     async def _attempt(self, call: Call, target: Target) -> Attempt:
-        upstream_id = target.upstream.run.upstream_id
-        self._load_tracker.on_sent(upstream_id)
+        run = target.upstream.run
+        self._load_tracker.on_sent(run)
         try:
             if target.vm.vm_id == self._state.vms.this_vm.vm_id:
                 attempt = await self._last_hop.run(call, target.upstream)
             else:
                 attempt = await self._peers.forward(call, target.upstream, target.vm)
         finally:
-            self._load_tracker.on_ended(upstream_id)
+            self._load_tracker.on_ended(run)
         self._record_attempt(call, target, attempt)
         return attempt
 
     def _record_attempt(self, call: Call, target: Target, attempt: Attempt) -> None:
-        now_s = self._clock.monotonic_s()
-        upstream_id = target.upstream.run.upstream_id
+        now_s, run = self._clock.monotonic_s(), target.upstream.run
         if attempt.wait_s is not None:
-            self._load_tracker.on_forecast(now_s, upstream_id, attempt.wait_s, attempt.service_s)
+            self._load_tracker.on_forecast(now_s, run, attempt.wait_s, attempt.service_s)
         avoided_s = 0.0
         # A last hop that chooses among upstreams records their failures itself.
         if not self._state.shares_last_hop(target.upstream):
-            avoided_s = record_attempt(self._load_tracker, now_s, upstream_id, attempt)
+            avoided_s = record_attempt(self._load_tracker, now_s, run, attempt)
         if attempt.outcome is not Outcome.ANSWERED:
             _LOG.info(
                 "attempt_failed",
@@ -233,7 +232,7 @@
                     "request_id": call.request_id,
                     "pool": call.pool,
                     "key": call.key,
-                    "upstream": attempt.upstream_id or upstream_id,
+                    "upstream": attempt.upstream_id or run.upstream_id,
                     "last_hop": target.vm.vm_id,
                     "outcome": str(attempt.outcome),
                     "reason": str(attempt.reason),
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -113,7 +113,7 @@
                     del self._queues[run]
                     self._no_reuse_until_s.pop(run, None)
 
-    def retain(self, known: Container[str]) -> None:
+    def retain(self, known: Container[UpstreamRun]) -> None:
         """Remove the load statistics of all upstreams but the known ones."""
         self._load_tracker.retain(known)
 
@@ -159,7 +159,7 @@
             return self._refuse_waited(queue, ticket)
         attempt = await self._send(call, upstream, queue)
         ended_s = self._clock.monotonic_s()
-        record_attempt(self._load_tracker, ended_s, upstream.run.upstream_id, attempt)
+        record_attempt(self._load_tracker, ended_s, upstream.run, attempt)
         return attempt
 
     def _refuse_waited(self, queue: SlotQueue, ticket: Ticket) -> Attempt:
--- a/fireflyferry/gateway/learning.py
+++ b/fireflyferry/gateway/learning.py
@@ -2,20 +2,21 @@
 
 from fireflyferry.balancing import LoadTracker
 from fireflyferry.gateway.calls import Attempt
+from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = ["record_attempt"]
 
 
 def record_attempt(
-    load_tracker: LoadTracker, now_s: float, upstream_id: str, attempt: Attempt
+    load_tracker: LoadTracker, now_s: float, run: UpstreamRun, attempt: Attempt
 ) -> float:
     """Record whether an upstream answered; return for how many seconds it is avoided."""
     if attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
-        load_tracker.on_answer(upstream_id, attempt.answer.status >= 500)
+        load_tracker.on_answer(run, attempt.answer.status >= 500)
     elif attempt.outcome is Outcome.UNKNOWN or attempt.reason in (
         Reason.CONNECT_FAILED,
         Reason.UPSTREAM_SHED,
     ):
-        return load_tracker.on_no_answer(now_s, upstream_id)
+        return load_tracker.on_no_answer(now_s, run)
     return 0.0
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -349,7 +349,7 @@
         while True:
             await asyncio.sleep(self._rules.cleanup_interval_s)
             self._last_hop.remove_gone_queues()
-            known = {each.run.upstream_id for each in self._state.upstreams}
+            known = {each.run for each in self._state.upstreams}
             self._load_tracker.retain(known)
             self._last_hop.retain(known)
 
