Avoid an upstream whose address another one has

Callers could be refused, with the retries of all VMs used up: each request went first to an upstream that had ended.

Cause: an upstream that crashed stays listed for some seconds, and another one may have its address before the store lists it. That one refuses each request for the earlier one at once. In a pool without keys such a refusal had no effect on the choice, and the upstream looked faster than the others.

Change: in a pool without keys, the refusal counts like a failed connection, so the upstream is avoided for a time that grows. With a key it is normal while keys move, and counts as before.

--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -224,7 +224,7 @@
         avoided_s = 0.0
         # A last hop that chooses among upstreams records their failures itself.
         if not self._state.shares_last_hop(target.upstream):
-            avoided_s = record_attempt(self._load_tracker, now_s, run, attempt)
+            avoided_s = record_attempt(self._load_tracker, now_s, call, run, attempt)
         if attempt.outcome is not Outcome.ANSWERED:
             _LOG.info(
                 "attempt_failed",
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -159,7 +159,7 @@
             return self._refuse_waited(queue, ticket)
         attempt = await self._send(call, upstream, queue)
         ended_s = self._clock.monotonic_s()
-        record_attempt(self._load_tracker, ended_s, upstream.run, attempt)
+        record_attempt(self._load_tracker, ended_s, call, upstream.run, attempt)
         return attempt
 
     def _refuse_waited(self, queue: SlotQueue, ticket: Ticket) -> Attempt:
--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -1,21 +1,32 @@
 """Processes that have the id or the address of an earlier one, of which they prove nothing."""
 
 import asyncio
+import random
 
 import attrs
 import pytest
 
-from fireflyferry.balancing import EntryVm, Upstream, VmDirectory
+from fireflyferry.balancing import EntryVm, LoadTracker, SelectionRules, Upstream, VmDirectory
 from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway import documents
-from fireflyferry.gateway.calls import Call
+from fireflyferry.gateway.calls import Call, not_run
 from fireflyferry.gateway.envelopes import EnvelopeCodec
+from fireflyferry.gateway.learning import record_attempt
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.registration import Registration
-from fireflyferry.gateway.tests.support import HEADER_NAMES, FakeStore, reserve_free_port, run_with
+from fireflyferry.gateway.tests.support import (
+    HEADER_NAMES,
+    FakeStore,
+    ScriptedUpstream,
+    reply,
+    request,
+    reserve_free_port,
+    run_with,
+    upstream_content,
+)
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import UpstreamRun
-from fireflyferry.telemetry import Outcome
+from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport import CurlTransport
 
 THIS_VM = EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1")
@@ -125,6 +136,47 @@
     run_with(None, scenario)
 
 
+# Requests to upstreams
+
+
+def test_upstream_whose_address_another_one_has_is_avoided():
+    """Guards against retries of most requests while a listed upstream has ended.
+
+    Load pattern: an upstream crashed, and another one that the store does not list yet has its
+    address. It refuses each request for the earlier one at once, faster than others answer.
+    """
+
+    async def refuse(seen, writer):
+        writer.write(reply(seen, b"", "421 Misdirected Request", f"{HEADER_NAMES.not_run}: 1\r\n"))
+
+    async def answer_slowly(seen, writer):
+        await asyncio.sleep(0.3)
+        writer.write(reply(seen))
+
+    async def scenario(running, upstream, store):
+        # One refusal is enough, however long this test takes.
+        rules = SelectionRules(first_avoid_s=1e6, max_avoid_s=1e6)
+        running.program._load_tracker._rules = rules
+        async with ScriptedUpstream(answer_slowly) as other:
+            content = upstream_content("u2", other.port, data_centre="dc-2")
+            await store.put("upstreams", "u2", content)
+            await running.wait_until(lambda: len(list(running.program._state.upstreams)) == 2)
+            for number in range(6):
+                got = await request(running.port, "/write/", "POST", request_id=f"r{number}")
+                assert got.status == 200
+            assert len(upstream.seen) <= 1
+
+    run_with(refuse, scenario)
+
+
+def test_owner_that_moved_its_keys_is_not_avoided():
+    """Guards against refusals by former owners that count as failures of the upstream."""
+    tracker = LoadTracker(SelectionRules(), random.Random(1))
+    refusal = not_run(Reason.NOT_OWNER, reached=True)
+    assert record_attempt(tracker, 10.0, make_call(key=7), UPSTREAM.run, refusal) == 0.0
+    assert record_attempt(tracker, 10.0, make_call(), UPSTREAM.run, refusal) > 0.0
+
+
 # Entries in the store
 
 
