Rank listed upstreams before gone ones at the same address

A new upstream could get no requests and no keys for up to 30 s, while the store listed it.

Cause: of two entries with one address the one that started later counted, even if the store listed it no longer. Each upstream writes its start by the clock of its own host, so a clock that was ahead hid the next upstream at the address until the earlier entry was dropped.

Change: of the newest incarnations of each id, a listed one counts before one that is missing.

Evidence: the first test failed before the change. The second passed; it guards against a rank by listing alone, which would end an upstream whose entry shows its earlier incarnation once more.

--- a/fireflyferry/balancing/directory.py
+++ b/fireflyferry/balancing/directory.py
@@ -43,6 +43,14 @@
     missing_since_s: float | None = None
     is_lapsed: bool = False
 
+    @property
+    def rank(self) -> tuple[bool, int]:
+        """Rank among the entries with one address; the process of the highest one is there.
+
+        Upstreams write `born` by the clocks of their own hosts, so listed entries come first.
+        """
+        return self.missing_since_s is None, self.upstream.run.born
+
 
 @attrs.define
 class UpstreamDirectory:
@@ -148,19 +156,15 @@
         ]
         for run in expired:
             del self._entries[run]
-        newest_born: dict[str, int] = {}
-        for run, entry in self._entries.items():
-            for id_or_address in (run.upstream_id, entry.upstream.address):
-                newest_born[id_or_address] = max(newest_born.get(id_or_address, 0), run.born)
-        superseded = frozenset(
-            run
-            for run, entry in self._entries.items()
-            if run.born < max(newest_born[run.upstream_id], newest_born[entry.upstream.address])
-        )
         by_start = sorted(self._entries.values(), key=lambda entry: entry.upstream.run.born)
-        self._addresses = {
-            entry.upstream.run.upstream_id: entry.upstream.address for entry in by_start
-        }
+        newest = {entry.upstream.run.upstream_id: entry for entry in by_start}
+        self._addresses = {name: entry.upstream.address for name, entry in newest.items()}
+        highest_ranks: dict[str, tuple[bool, int]] = {}
+        for entry in newest.values():
+            address = entry.upstream.address
+            highest_ranks[address] = max(highest_ranks.get(address, entry.rank), entry.rank)
         self._by_id = {
-            run.upstream_id: entry for run, entry in self._entries.items() if run not in superseded
+            name: entry
+            for name, entry in newest.items()
+            if entry.rank == highest_ranks[entry.upstream.address]
         }
--- a/fireflyferry/balancing/tests/test_directories.py
+++ b/fireflyferry/balancing/tests/test_directories.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-from fireflyferry.balancing import EntryVm, LoadTracker, SelectionRules, Upstream, VmDirectory
+from fireflyferry.balancing import (
+    EntryVm,
+    LoadTracker,
+    SelectionRules,
+    Standing,
+    Upstream,
+    UpstreamDirectory,
+    VmDirectory,
+)
 from fireflyferry.keyranges import UpstreamRun
 
 THIS_VM = EntryVm("vm-1", "i1", "10.1.0.1:1", "dc-1")
@@ -85,3 +93,30 @@
         tracker.on_no_answer(10.0, earlier)
     choice = tracker.choose(10.0, upstreams, lambda _: 0, 0.6, lambda _: None)
     assert choice.upstream.run == later
+
+
+def test_listed_upstream_is_used_although_an_earlier_one_at_its_address_started_later():
+    """Guards against a new upstream that gets nothing because the clock of another host is ahead.
+
+    `born` is written by each upstream's own host.
+    """
+    upstreams = UpstreamDirectory(leaving_grace_s=1.6)
+    gone = Upstream(UpstreamRun("u1", 9_000), "p", "10.0.0.1:80", "dc-1", 2)
+    listed = attrs.evolve(gone, run=UpstreamRun("u2", 4_000), pool="q")
+    upstreams.apply(0.0, [gone], False)
+    upstreams.apply(1.0, [], False)
+    upstreams.apply(4.0, [listed], False)
+    assert upstreams.ready(4.0, "q") == [listed]
+    assert upstreams.standing(4.0, "u1") is Standing.GONE
+
+
+def test_late_write_of_an_earlier_incarnation_does_not_end_the_next():
+    """Guards against keys without an owner since the entry shows an earlier process once more."""
+    upstreams = UpstreamDirectory(leaving_grace_s=1.6)
+    earlier = Upstream(UpstreamRun("u1", 1), "p", "10.0.0.1:80", "dc-1", 2)
+    later = attrs.evolve(earlier, run=UpstreamRun("u1", 2))
+    upstreams.apply(0.0, [later], False)
+    upstreams.apply(1.0, [earlier], False)
+    assert upstreams.get("u1") == later and upstreams.standing(1.0, "u1", 2) is Standing.LEAVING
+    upstreams.apply(1.5, [later], False)
+    assert upstreams.standing(1.5, "u1", 2) is Standing.READY
