Name the incarnation in log lines on owners, attempts and other VMs

A line such as "key went to u1, earlier holder u1" did not say whether one process or two were meant, and an upstream that restarted with the same standing left no line at all.

Change: lines name `born` of an upstream or `incarnation` of a VM next to each id: attempts, waits for owners, moves and new fences, cleared holders, the lease, relays, load reports. The standing is logged for each incarnation. Fields that were there keep their names and values.

Evidence: the three tests on the log failed before the change.

--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -245,7 +245,12 @@
             self._mirror.put(documents.LEASE_KIND, document)
             _LOG.info(
                 "lease_holder_seen",
-                extra={"vm": record.vm_id, "counter": record.counter, "revision": revision},
+                extra={
+                    "vm": record.vm_id,
+                    "incarnation": record.incarnation,
+                    "counter": record.counter,
+                    "revision": revision,
+                },
             )
 
     def _update_lease_held(self) -> None:
@@ -353,8 +358,10 @@
                     "first": each.first,
                     "last": each.last,
                     "to": each.owner.upstream_id,
+                    "to_born": each.owner.born,
                     "fence": each.fence,
                     "earlier": ",".join(run.upstream_id for run in each.earlier_holders),
+                    "earlier_born": ",".join(str(run.born) for run in each.earlier_holders),
                 },
             )
 
@@ -375,6 +382,7 @@
                         "first": each.first,
                         "last": each.last,
                         "owner": each.owner.upstream_id,
+                        "born": each.owner.born,
                         "fence": each.fence,
                         "earlier_fence": earlier,
                     },
@@ -387,7 +395,9 @@
             self._log_order("grant_not_accepted", call, result.answer)
         elif call.cleared:
             cleared = ",".join(f"{run.upstream_id}:{why.name.lower()}" for run, why in call.cleared)
-            self._log_order("moved_range_granted", call, result.answer, cleared=cleared)
+            born = ",".join(str(run.born) for run, _ in call.cleared)
+            fields = {"cleared": cleared, "cleared_born": born}
+            self._log_order("moved_range_granted", call, result.answer, **fields)
         control.granter.on_grant(self._clock.monotonic_s(), call, result)
 
     async def _release(self, control: _PoolControl, call: ReleaseCall) -> None:
--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -206,7 +206,14 @@
     async def _switch_to_store(self) -> None:
         """Stop following a relay, and resume the sources if the store responds."""
         if self._relay is not None:
-            _LOG.info("relay_left", extra={"vm": self._relay.vm_id, "age_s": self._rounded_age()})
+            _LOG.info(
+                "relay_left",
+                extra={
+                    "vm": self._relay.vm_id,
+                    "incarnation": self._relay.incarnation,
+                    "age_s": self._rounded_age(),
+                },
+            )
             self._relay = None
         if self.direct:
             return
@@ -229,6 +236,7 @@
                 "relay_not_usable",
                 extra={
                     "vm": relay.vm_id,
+                    "incarnation": relay.incarnation,
                     "answered": answer is not None,
                     "relay_age_s": None if answer is None else round(answer.age_s, 3),
                     "age_s": self._rounded_age(),
@@ -242,7 +250,11 @@
             self._relay = relay
             _LOG.info(
                 "relay_followed",
-                extra={"vm": relay.vm_id, "relay_age_s": round(answer.age_s, 3)},
+                extra={
+                    "vm": relay.vm_id,
+                    "incarnation": relay.incarnation,
+                    "relay_age_s": round(answer.age_s, 3),
+                },
             )
         for source in self._sources:
             source.pause()
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -159,6 +159,7 @@
                 "request_id": call.request_id,
                 "pool": call.pool,
                 "upstream": other.upstream.run.upstream_id,
+                "born": other.upstream.run.born,
                 "instead_of": target.upstream.run.upstream_id,
             },
         )
@@ -233,7 +234,9 @@
                     "pool": call.pool,
                     "key": call.key,
                     "upstream": attempt.upstream_id or run.upstream_id,
+                    "born": run.born if attempt.upstream_id in ("", run.upstream_id) else None,
                     "last_hop": target.vm.vm_id,
+                    "last_hop_incarnation": target.vm.incarnation,
                     "outcome": str(attempt.outcome),
                     "reason": str(attempt.reason),
                     "reached": attempt.reached,
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -160,6 +160,7 @@
                     "pool": call.pool,
                     "key": call.key,
                     "upstream": target.upstream.run.upstream_id,
+                    "born": target.upstream.run.born,
                     "waited_s": round(waited_s, 3),
                 },
             )
--- a/fireflyferry/gateway/reporting.py
+++ b/fireflyferry/gateway/reporting.py
@@ -73,5 +73,9 @@
         elif not await self._peers.report_loads(vm, report):
             _LOG.info(
                 "load_report_not_taken",
-                extra={"vm": vm.vm_id, "samples": len(report.samples)},
+                extra={
+                    "vm": vm.vm_id,
+                    "incarnation": vm.incarnation,
+                    "samples": len(report.samples),
+                },
             )
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -9,7 +9,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, PlatformCodec, UnreadableDocumentError
-from fireflyferry.keyranges import OwnedRange, OwnerTable
+from fireflyferry.keyranges import OwnedRange, OwnerTable, UpstreamRun
 from fireflyferry.routing.hosts import HostRoutes, RoutingConfig
 
 __all__ = ["GatewayState", "OwnerTables"]
@@ -92,7 +92,7 @@
         self.on_config: list[Callable[[RoutingConfig], None]] = []
         self._unreadable: dict[tuple[str, str], int] = {}
         self._upstreams: Mapping[str, Document] | None = None
-        self._standings: dict[str, str] = {}
+        self._standings: dict[UpstreamRun, str] = {}
 
     @property
     def complete(self) -> bool:
@@ -209,21 +209,21 @@
             return None
 
     def _log_standings(self, now_s: float, store_failed: bool) -> None:
-        standings: dict[str, str] = {}
+        standings: dict[UpstreamRun, str] = {}
         for upstream in self.upstreams:
-            upstream_id = upstream.run.upstream_id
-            standing = self.upstreams.standing(now_s, upstream_id).name.lower()
-            standings[upstream_id] = standing
-            if self._standings.get(upstream_id) != standing:
+            run = upstream.run
+            standing = self.upstreams.standing(now_s, run.upstream_id).name.lower()
+            standings[run] = standing
+            if self._standings.get(run) != standing:
                 fields: dict[str, Any] = {
-                    "upstream": upstream_id,
+                    "upstream": run.upstream_id,
                     "pool": upstream.pool,
-                    "born": upstream.run.born,
+                    "born": run.born,
                     "standing": standing,
                     "draining": upstream.draining,
                     "store_disturbed": store_failed,
                 }
                 _LOG.info("upstream_standing", extra=fields)
-        for upstream_id in self._standings.keys() - standings.keys():
-            _LOG.info("upstream_forgotten", extra={"upstream": upstream_id})
+        for run in self._standings.keys() - standings.keys():
+            _LOG.info("upstream_forgotten", extra={"upstream": run.upstream_id, "born": run.born})
         self._standings = standings
--- a/fireflyferry/gateway/tests/test_first_hop.py
+++ b/fireflyferry/gateway/tests/test_first_hop.py
@@ -11,6 +11,7 @@
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
 from fireflyferry.gateway.locating import Locator
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
 
 
@@ -39,7 +40,7 @@
         return self.locate_unkeyed(call, search)
 
     def locate_unkeyed(self, call, search):
-        upstream = types.SimpleNamespace(run=types.SimpleNamespace(upstream_id="u1"))
+        upstream = types.SimpleNamespace(run=UpstreamRun("u1", 1))
         return types.SimpleNamespace(upstream=upstream)
 
 
--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import attrs
 import pytest
@@ -25,7 +26,7 @@
     upstream_content,
 )
 from fireflyferry.gateway.watching import StoreHealth
-from fireflyferry.keyranges import UpstreamRun
+from fireflyferry.keyranges import Clearance, GrantCall, OwnedRange, UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport import CurlTransport
 
@@ -264,3 +265,69 @@
         assert store.vm == attrs.evolve(THIS_VM, leaving=True)
 
     asyncio.run(run())
+
+
+# Log
+
+
+def test_log_tells_incarnations_of_an_upstream_apart(caplog):
+    """Guards against an incident in which the log does not say which process a line is about."""
+    caplog.set_level("INFO")
+
+    async def shed(seen, writer):
+        writer.write(reply(seen, b"", "503 Service Unavailable", f"{HEADER_NAMES.not_run}: 1\r\n"))
+
+    def lines(event):
+        found = [record for record in caplog.records if record.message == event]
+        return [(record.upstream, record.born) for record in found]
+
+    async def scenario(running, upstream, store):
+        await request(running.port, "/write/", "POST")
+        restarted = upstream_content("u1", upstream.port, run=UpstreamRun("u1", 2))
+        await store.put("upstreams", "u1", restarted)
+        await running.wait_until(lambda: running.program._state.upstreams.get("u1").run.born == 2)
+        await request(running.port, "/write/", "POST")
+        assert lines("upstream_standing") == [("u1", 1), ("u1", 2)]
+        assert lines("upstream_forgotten") == [("u1", 1)]
+        assert set(lines("attempt_failed")) == {("u1", 1), ("u1", 2)}
+
+    run_with(shed, scenario)
+
+
+def test_log_tells_incarnations_of_owners_apart(caplog):
+    """Guards against a move of keys between two processes with one id that looks like none."""
+    caplog.set_level("INFO")
+    earlier, later, next_owner = (UpstreamRun(*each) for each in (("u8", 1), ("u8", 2), ("u9", 3)))
+
+    def line(event):
+        return next(each for each in caplog.records if each.message == event)
+
+    async def scenario(running, upstream, store):
+        control = running.program._control_loop
+        moving = OwnedRange(0, 9, next_owner, 7, (earlier, later))
+        served = OwnedRange(0, 9, later, 7, (), True)
+        control._log_moves("p", (OwnedRange(0, 9, later, 6),), (moving,))
+        moved = line("range_moves")
+        assert (moved.to, moved.to_born, moved.earlier_born) == ("u9", 3, "1,2")
+        control._log_moves("p", (OwnedRange(0, 9, later, 6),), (served,))
+        assert (line("fence_raised").owner, line("fence_raised").born) == ("u8", 2)
+        cleared = ((earlier, Clearance.RESTARTED), (later, Clearance.EXPIRED))
+        call = GrantCall(next_owner, "127.0.0.1:1", 0, 9, 7, 1.0, cleared=cleared)
+        granter = types.SimpleNamespace(on_grant=lambda *_: None)
+        await control._grant(types.SimpleNamespace(granter=granter), call)
+        assert line("moved_range_granted").cleared_born == "1,2"
+
+    run_with(None, scenario)
+
+
+def test_log_tells_incarnations_of_the_lease_holder_apart(caplog):
+    """Guards against a takeover by the next incarnation of a VM that looks like a renewal."""
+    caplog.set_level("INFO")
+
+    async def scenario(running, upstream, store):
+        await running.wait_until(lambda: running.program._control_loop.holds_lease)
+        seen = [each for each in caplog.records if each.message == "lease_holder_seen"]
+        incarnation = running.program._this_vm.incarnation
+        assert [(each.vm, each.incarnation) for each in seen] == [("vm-1", incarnation)]
+
+    run_with(None, scenario)
