Number a relay's changes from a random position in each process

A VM could miss a change of the tables, of a group or of the list of VMs until the object changed again, on the project's own interface.

Cause: a follower keeps its position by the id of its relay, and each process of a relay counted its changes from 0. If no poll failed between the end of one process and the first answer of the next, the position of the earlier one hid objects that arrived first in the next one.

Change: each process counts from a random position. A position of an earlier one is then unknown or before all objects, and both lead to a complete answer.

Evidence: the new test, a relay that restarts between two polls, failed before the change.

--- a/fireflyferry/entry/state.py
+++ b/fireflyferry/entry/state.py
@@ -1,6 +1,7 @@
 """State of an entry VM, from its mirror of the store: tables, groups, placements and VM list."""
 
 import logging
+import secrets
 from collections.abc import Callable
 
 import attrs
@@ -21,6 +22,7 @@
 GROUPS_PREFIX = "groups/"
 PLACEMENTS_PREFIX = "placements/"
 VM_LIST_OBJECT = "vms"
+FIRST_POSITION_BITS = 48
 # Number of findings of a rejected revision that the status reports.
 MAX_FINDINGS = 5
 
@@ -54,7 +56,7 @@
         self.region = region
         self.data_centre = data_centre
         self.seed_peers: tuple[str, ...] = tuple(seed_peers)
-        self.mirror = ObjectMirror()
+        self.mirror = ObjectMirror(secrets.randbits(FIRST_POSITION_BITS))
         self.vm_table = VmTable()
         self.placements: dict[str, PlacementMap] = {}
         self.records: dict[GroupId, RecordView] = {}
--- a/fireflyferry/entry/tests/test_feed.py
+++ b/fireflyferry/entry/tests/test_feed.py
@@ -107,6 +107,33 @@
     assert next(since for address, since in peers.requests if address == second) == 0
 
 
+def test_follower_of_a_restarted_relay_misses_no_change():
+    """Guards against a change that a follower never gets, since its relay counts from 0 again.
+
+    The relay has the id and the address that it had, and no poll failed in between.
+    """
+    first, *_, follower = (vm.vm_id for vm in relays_in_order())
+
+    def start_relay(*objects):
+        state, _ = make_feed(first, store, MirrorPeers({}), entries=())
+        state.apply(objects)
+        return state.mirror
+
+    store = FakeStore()
+    store.unavailable = True
+    others = [StoredObject(f"other/{number}", 1, None) for number in range(3)]
+    peers = MirrorPeers({first: start_relay(*others)})
+    state, feed = make_feed(follower, store, peers)
+
+    async def scenario():
+        await run_until(feed, lambda: state.mirror.get("other/2") is not None)
+        peers.mirrors[first] = start_relay(StoredObject(TABLES_NAME, 9, TABLES), *others)
+        await run_until(feed, lambda: state.revision == 3)
+
+    asyncio.run(scenario())
+    assert {address for address, _ in peers.requests} == {first}
+
+
 def test_follower_reads_the_store_when_both_relays_fail():
     store = FakeStore()
     store.table.put(TABLES_NAME, TABLES, 0)
--- a/fireflyferry/membership/mirror.py
+++ b/fireflyferry/membership/mirror.py
@@ -28,13 +28,14 @@
 
     Each change gets a position in this order. Positions are valid for this mirror only: a
     follower, which polls another VM (its relay) for changes, starts again at 0 when it changes
-    its relay.
+    its relay. Positions count from `first_position`; if that is random, a position in the mirror
+    of an earlier process is unknown or before all objects, so that the follower gets all of them.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_position: int = 0) -> None:
         self._objects: dict[str, T] = {}
         self._positions: dict[str, int] = {}
-        self._sequence = 0
+        self._sequence = first_position
 
     @property
     def sequence(self) -> int:
