Count a reply to a grant only for the upstream that sent it

On the project's own interface an upstream could lose its units because another one, which was draining, had its former address.

Cause: the grants compared the id in a reply with the expected one, but the table of upstreams took `draining` from any reply.

Change: a reply by another upstream is logged as wrong_upstream and not used, like one to a hello.

Evidence: the new test failed before the change.

--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -260,6 +260,8 @@
             reply = await self._upstream_control.grant(row.entry.address, action.message)
         except EdgeError:
             return
+        if self._is_from_other(reply.upstream_id, action.upstream_id):
+            return
         now_s = self._clock.monotonic_s()
         runtime.grants.on_grant_reply(now_s, action.upstream_id, sent_at_s, reply)
         self._upstreams.on_grant_reply(action.upstream_id, reply.draining)
@@ -274,6 +276,13 @@
                 },
             )
 
+    @staticmethod
+    def _is_from_other(found: str, expected: str) -> bool:
+        """Return whether another upstream than the expected one has answered, and log it."""
+        if found != expected:
+            _LOG.error("wrong_upstream", extra={"expected": expected, "found": found})
+        return found != expected
+
     def _send_hellos(self, now_s: float, led: list[GroupRuntime]) -> None:
         """Send a hello, which returns a token, to upstreams that do not answer a group's grants."""
         unresponsive: dict[str, list[GroupRuntime]] = {}
@@ -295,10 +304,7 @@
         except EdgeError:
             return
         now_s = self._clock.monotonic_s()
-        if hello.upstream_id != row.upstream_id:
-            _LOG.error(
-                "wrong_upstream", extra={"expected": row.upstream_id, "found": hello.upstream_id}
-            )
+        if self._is_from_other(hello.upstream_id, row.upstream_id):
             return
         self._upstreams.on_hello(now_s, row.upstream_id, hello)
         for runtime in runtimes:
--- a/fireflyferry/entry/tests/test_control.py
+++ b/fireflyferry/entry/tests/test_control.py
@@ -6,7 +6,7 @@
 from fireflyferry.entry.owner_system import ASSIGNMENTS_PREFIX
 from fireflyferry.entry.tests.fakes import GROUP, SimulatedWorld, entry_vm, upstream_vm
 from fireflyferry.membership import preferred_leader
-from fireflyferry.messages import OwnerSet, decode
+from fireflyferry.messages import GrantReply, OwnerSet, decode
 from fireflyferry.placement import bucket_of, key_unit, parse_unit
 
 ENTRIES = (
@@ -211,3 +211,24 @@
         await world.run_until(lambda: all_owned(world), 3)
 
     run(scenario)
+
+
+def test_reply_of_another_upstream_at_an_address_does_not_drain_the_expected_one():
+    """Guards against an upstream that loses its units since a draining one has its address."""
+
+    async def scenario(world):
+        leader = world.vms[record_of(world).leader.vm_id]
+        grant = world.upstreams.grant
+        drained = []
+
+        async def grant_at_reused_address(address, message):
+            drained.append(leader.upstreams.get("u-1").draining)
+            if address == "u-1":
+                return GrantReply("u-9", "token", False, draining=True)
+            return await grant(address, message)
+
+        world.upstreams.grant = grant_at_reused_address
+        await world.run_for(1)
+        assert drained and not any(drained)
+
+    run(scenario)
