Send requests that wait for an ended upstream elsewhere at once

Callers could wait up to 1 s longer than needed, or be refused as if the upstream were full, when an upstream restarted under its id while requests waited for its slots.

Cause: slot queues belong to an incarnation, but those of ended ones were emptied by a cleanup once a second, and their requests were refused as queue_full, after which a request with a key is not sent again.

Change: each change of the list of upstreams empties the queues of ended ones, and such a request is refused as upstream_draining, after which the first hop looks for the next upstream or owner.

Evidence: the new test, in which no cleanup runs, failed before the change.

--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -156,17 +156,19 @@
         if not isinstance(decision, Admitted) and not await self._wait_for_slot(
             queue, ticket, call
         ):
-            return self._refuse_waited(queue, ticket)
+            return self._refuse_waited(call, upstream, queue)
         attempt = await self._send(call, upstream, queue)
         ended_s = self._clock.monotonic_s()
         record_attempt(self._load_tracker, ended_s, call, upstream.run, attempt)
         return attempt
 
-    def _refuse_waited(self, queue: SlotQueue, ticket: Ticket) -> Attempt:
+    def _refuse_waited(self, call: Call, upstream: Upstream, queue: SlotQueue) -> Attempt:
         """Return the refusal of a request that waited in vain."""
         now_s = self._clock.monotonic_s()
+        if now_s < call.deadline_s and not self._may_send(call, upstream):
+            return not_run(Reason.UPSTREAM_DRAINING)
         wait_s = queue.wait_s(now_s)
-        has_time_left = now_s + wait_s + queue.service_s < ticket.deadline_s
+        has_time_left = now_s + wait_s + queue.service_s < call.deadline_s
         reason = Reason.QUEUE_FULL if has_time_left else Reason.DEADLINE_PASSED_IN_QUEUE
         return not_run(reason, wait_s)
 
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -242,6 +242,7 @@
             codec.headers,
             self._metrics,
         )
+        state.on_upstreams.append(self._last_hop.remove_gone_queues)
         self._load_tracker = LoadTracker(SelectionRules(), self._rng)
         self._first_hop = FirstHop(
             clock,
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -90,6 +90,7 @@
         self.routes = HostRoutes(())
         self.on_outdated_owners: Callable[[], None] = lambda: None
         self.on_config: list[Callable[[RoutingConfig], None]] = []
+        self.on_upstreams: list[Callable[[], None]] = []
         self._unreadable: dict[tuple[str, str], int] = {}
         self._upstreams: Mapping[str, Document] | None = None
         self._standings: dict[UpstreamRun, str] = {}
@@ -160,6 +161,8 @@
         listed = (each for each in parsed if each is not None and each.pool in pools)
         self.upstreams.apply(now_s, listed, store_failed, self._upstreams_unobserved_s())
         self._log_standings(now_s, store_failed)
+        for callback in self.on_upstreams:
+            callback()
 
     def apply_vms(self, documents_by_name: Mapping[str, Document]) -> None:
         """Apply the list of entry VMs."""
--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -14,11 +14,15 @@
 from fireflyferry.gateway.envelopes import EnvelopeCodec
 from fireflyferry.gateway.learning import record_attempt
 from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.program import ProgramRules
 from fireflyferry.gateway.registration import Registration
 from fireflyferry.gateway.tests.support import (
     HEADER_NAMES,
     FakeStore,
     ScriptedUpstream,
+    gateway,
+    make_config,
+    make_route,
     reply,
     request,
     reserve_free_port,
@@ -27,6 +31,7 @@
 )
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import Clearance, GrantCall, OwnedRange, UpstreamRun
+from fireflyferry.messages.codec import unstructure
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport import CurlTransport
 
@@ -170,6 +175,46 @@
     run_with(refuse, scenario)
 
 
+def test_request_that_waits_for_an_ended_process_is_sent_elsewhere_at_once():
+    """Guards against requests that wait for a slot of a process that has ended.
+
+    Load pattern: an upstream with a queue crashes and starts again under its id.
+    """
+
+    release = asyncio.Event()
+
+    async def answer_later(seen, writer):
+        await release.wait()
+        writer.write(reply(seen))
+
+    async def run():
+        store = FakeStore()
+        limits = {"idempotent": False, "timeout_s": 60.0, "target_latency_s": 30.0}
+        config = make_config(routes=(make_route("write", "plain", **limits),))
+        await store.put("configs", "main", unstructure(config))
+        async with ScriptedUpstream(answer_later) as ended, ScriptedUpstream() as other:
+            await store.put("upstreams", "u1", upstream_content("u1", ended.port, slots=1))
+            far = upstream_content("u2", other.port, data_centre="dc-3")
+            await store.put("upstreams", "u2", far)
+            rules = ProgramRules(accept_while_stopping_s=0.1, cleanup_interval_s=3600.0)
+            async with gateway(store, rules=rules) as running:
+                last_hop, headers = running.program._last_hop, {HEADER_NAMES.deadline_ms: "60000"}
+                sent = [
+                    asyncio.ensure_future(
+                        request(running.port, "/write/", "POST", headers, request_id=f"r{number}")
+                    )
+                    for number in range(3)
+                ]
+                await running.wait_until(lambda: last_hop.waiting == 1)
+                restarted = upstream_content("u1", 1, run=UpstreamRun("u1", 2))
+                await store.put("upstreams", "u1", restarted)
+                await running.wait_until(lambda: len(other.seen) == 1)
+                release.set()
+                assert [each.status for each in await asyncio.gather(*sent)] == [200] * 3
+
+    asyncio.run(run())
+
+
 def test_owner_that_moved_its_keys_is_not_avoided():
     """Guards against refusals by former owners that count as failures of the upstream."""
     tracker = LoadTracker(SelectionRules(), random.Random(1))
