--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -63,9 +63,17 @@
         return self._regions.get(data_centre, data_centre)
 
     def apply(self, listed: Iterable[EntryVm]) -> None:
-        """Replace the VMs that the store lists; this VM is always included."""
-        self._vms = {each.vm_id: each for each in listed}
-        self._vms[self._this_vm.vm_id] = self._this_vm
+        """Replace the VMs that the store lists, in the order in which they were written.
+
+        This VM is always included. Entries of VMs that crashed stay in the store, so of several
+        with one address only the last that is not leaving is kept.
+        """
+        by_address: dict[str, EntryVm] = {}
+        others = [vm for vm in listed if vm.vm_id != self._this_vm.vm_id]
+        for vm in sorted(others, key=lambda vm: not vm.leaving):
+            by_address[vm.address] = vm
+        by_address[self._this_vm.address] = self._this_vm
+        self._vms = {vm.vm_id: vm for vm in by_address.values()}
         self._suspected = {
             vm_id: incarnation
             for vm_id, incarnation in self._suspected.items()
@@ -75,15 +83,24 @@
         self._is_large_cache.clear()
 
     def suspect(self, vm: EntryVm) -> bool:
-        """Suspect a VM; return whether it was not suspected before."""
-        if vm.vm_id == self._this_vm.vm_id or self._suspected.get(vm.vm_id) == vm.incarnation:
+        """Suspect a listed incarnation of a VM; return whether it was not suspected before."""
+        listed = self._vms.get(vm.vm_id)
+        if (
+            vm.vm_id == self._this_vm.vm_id
+            or listed is None
+            or listed.incarnation != vm.incarnation
+            or vm.vm_id in self._suspected
+        ):
             return False
         self._suspected[vm.vm_id] = vm.incarnation
         return True
 
     def trust(self, vm: EntryVm) -> bool:
-        """Stop suspecting a VM; return whether it was suspected."""
-        return self._suspected.pop(vm.vm_id, None) is not None
+        """Stop suspecting an incarnation of a VM; return whether it was suspected."""
+        if self._suspected.get(vm.vm_id) != vm.incarnation:
+            return False
+        del self._suspected[vm.vm_id]
+        return True
 
     @property
     def suspected(self) -> list[EntryVm]:
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -23,6 +23,7 @@
     "LOADS_PATH",
     "OWNERS_PATH",
     "PING_PATH",
+    "VM_HEADER",
     "PeerClient",
     "PeerRules",
 ]
@@ -35,6 +36,11 @@
 LOADS_PATH = "/peer/loads"
 OWNERS_PATH = "/peer/owners"
 FEED_PATH = "/peer/feed"
+VM_HEADER = "Firefly-Vm"  # id of the VM that answers a ping
+
+# Answers of a VM that has not passed a forwarded request on: it cannot read it, or it is of an
+# earlier revision and knows no envelopes. Other servers pass none on.
+_UNREAD_STATUSES = (400, 404)
 
 
 @attrs.frozen
@@ -71,7 +77,7 @@
         self._vms = vms
         self._envelopes = envelopes
         self._rules = rules or PeerRules()
-        self._pings: dict[str, asyncio.Task[bool]] = {}
+        self._pings: dict[EntryVm, asyncio.Task[bool]] = {}
         self._tasks = BackgroundTasks()
 
     async def forward(self, call: Call, upstream: Upstream, vm: EntryVm) -> Attempt:
@@ -160,7 +166,14 @@
         try:
             return self._read_result(result, call, upstream)
         except (EnvelopeError, peer_messages.PeerMessageError) as error:
-            _LOG.warning("peer_answer_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
+            _LOG.warning(
+                "peer_answer_unreadable",
+                extra={"vm": vm.vm_id, "incarnation": vm.incarnation, "error": str(error)},
+            )
+            # Another server may have the address of a VM that has ended.
+            self._suspect(vm, "unreadable answer")
+            if result.status in _UNREAD_STATUSES:
+                return not_run(Reason.SHUTTING_DOWN)
             return outcome_unknown(Reason.WRONG_ANSWER)
 
     def _read_result(self, result: FetchResult, call: Call, upstream: Upstream) -> Attempt:
@@ -169,9 +182,6 @@
         refusal = result.header(peer_messages.RESULT_HEADER)
         if refusal is not None:
             return peer_messages.read_result(refusal, None, upstream_id)
-        if result.status == 404:
-            # A VM of an earlier revision knows no envelopes, so it has not passed the request on.
-            return not_run(Reason.SHUTTING_DOWN)
         if result.status != 200:
             raise peer_messages.PeerMessageError(f"status {result.status}")
         envelope = self._envelopes.unpack(result.body)
@@ -184,30 +194,37 @@
 
     def _suspect(self, vm: EntryVm, detail: str) -> None:
         if self._vms.suspect(vm):
-            _LOG.warning("peer_lost", extra={"vm": vm.vm_id, "detail": detail})
+            _LOG.warning(
+                "peer_lost",
+                extra={"vm": vm.vm_id, "incarnation": vm.incarnation, "detail": detail},
+            )
             self._tasks.start(self._ping_until_answered(vm))
 
     async def _ping_until_answered(self, vm: EntryVm) -> None:
         """Ping a suspected VM until it answers or its entry in the list of VMs changes."""
         while self._vms.get(vm.vm_id) == vm and vm in self._vms.suspected:
             if await self._is_alive(vm):
-                self._vms.trust(vm)
-                _LOG.info("peer_regained", extra={"vm": vm.vm_id})
+                if self._vms.trust(vm):
+                    _LOG.info(
+                        "peer_regained", extra={"vm": vm.vm_id, "incarnation": vm.incarnation}
+                    )
                 return
             await asyncio.sleep(self._rules.recheck_interval_s)
 
     async def _is_alive(self, vm: EntryVm) -> bool:
         """Return whether a VM answers a ping; concurrent callers share one ping."""
-        ping = self._pings.get(vm.vm_id)
+        ping = self._pings.get(vm)
         if ping is None:
             ping = asyncio.ensure_future(self._ping(vm))
-            self._pings[vm.vm_id] = ping
-            ping.add_done_callback(lambda _: self._pings.pop(vm.vm_id, None))
+            self._pings[vm] = ping
+            ping.add_done_callback(lambda _: self._pings.pop(vm, None))
         return await asyncio.shield(ping)
 
     async def _ping(self, vm: EntryVm) -> bool:
         exchange = Exchange(vm.address, "GET", PING_PATH, [], None, self._rules.ping_timeout_s)
-        alive = (await fetch(self._transport, exchange)).status == 204
+        result = await fetch(self._transport, exchange)
+        # A VM of an earlier revision does not name itself.
+        alive = result.status == 204 and result.header(VM_HEADER) in (None, vm.vm_id)
         if not alive:
-            self._suspect(vm, "no answer to a ping")
+            self._suspect(vm, "no answer of this VM to a ping")
         return alive
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -23,6 +23,7 @@
     LOADS_PATH,
     OWNERS_PATH,
     PING_PATH,
+    VM_HEADER,
 )
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.telemetry import Outcome, Reason
@@ -37,8 +38,9 @@
 
 @attrs.define(eq=False)
 class PeerServices:
-    """Dependencies that all exchanges with other VMs share."""
+    """Dependencies that all exchanges with other VMs share; `vm_id` is the id of this VM."""
 
+    vm_id: str
     clock: Clock
     upstreams: UpstreamDirectory
     last_hop: LastHop
@@ -70,7 +72,7 @@
         """Send a forwarded request to its upstream, or answer another request by its path."""
         is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
         if self._line.path == PING_PATH:
-            self.answer(204, [], b"")
+            self.answer(204, [(VM_HEADER, self._services.vm_id)], b"")
         elif self._in_flight.closed or is_of_earlier_revision:
             self._refuse(not_run(Reason.SHUTTING_DOWN))
         elif self._line.path == FORWARD_PATH:
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -228,6 +228,7 @@
             self._metrics,
             stop_plan=self._stop_plan,
         )
+        state.on_upstreams.append(self._last_hop.remove_gone_queues)
         self._load_tracker = LoadTracker(SelectionRules(), self._rng)
         self._first_hop = FirstHop(
             clock,
@@ -261,6 +262,7 @@
             self._closing,
         )
         self._peer_services = PeerServices(
+            self._this_vm.vm_id,
             clock,
             state.upstreams,
             self._last_hop,
@@ -336,7 +338,7 @@
         while True:
             await asyncio.sleep(self._rules.cleanup_interval_s)
             self._last_hop.remove_gone_queues()
-            known = {each.run.upstream_id for each in self._state.upstreams}
+            known = {each.run for each in self._state.upstreams}
             self._load_tracker.retain(known)
             self._last_hop.retain(known)
 
