Soak: let processes start at the address of an ended one, listed later

An upstream is now a process: its end closes its connections and forgets its grants, and another process may start at its address, under the same id or another one, of the same pool or another one, and be listed seconds later. Entries go after three missed heartbeats.

- The expected upstream is checked for grants and releases too; another one answers 421.
- Fences and holders are compared between all processes, also under one id.
- New faults: restarts as above, an upstream cut off from the store, refused connections, grants that are carried out late, answers written once more, answers broken off inside the head.
- Callers that keep a connection until the VM closes it.
- A few seeds run 60 VMs.

--- a/fireflyferry/platform/soak/__main__.py
+++ b/fireflyferry/platform/soak/__main__.py
@@ -8,7 +8,10 @@
 import tempfile
 import time
 
-from fireflyferry.platform.soak.run import Soak, SoakPlan, SoakResult
+import attrs
+
+from fireflyferry.platform.soak.run import Soak, SoakResult
+from fireflyferry.platform.soak.schedule import make_plan
 
 __all__ = ["main"]
 
@@ -29,7 +32,7 @@
     parser.add_argument(
         "--seconds", type=float, default=12.0, help="time for which faults are injected"
     )
-    parser.add_argument("--vms", type=int, default=8, help="number of entry VMs")
+    parser.add_argument("--vms", type=int, help="number of entry VMs; drawn by default")
     parser.add_argument("--logs", help="folder for settings and logs, kept after the run")
     options = parser.parse_args(argv)
     folder = pathlib.Path(options.logs or tempfile.mkdtemp(prefix="soak-"))
@@ -37,7 +40,9 @@
     for seed in _seeds(options.seeds, options.count):
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        plan = SoakPlan(seed, options.seconds, options.vms)
+        plan = make_plan(seed, options.seconds)
+        if options.vms:
+            plan = attrs.evolve(plan, vms=options.vms)
         result = asyncio.run(Soak(plan, seed_folder).run())
         _print_result(result, seed_folder)
         failed_seeds += bool(result.findings)
@@ -55,6 +60,13 @@
 def _print_result(result: SoakResult, seed_folder: pathlib.Path) -> None:
     statuses = " ".join(f"{status}:{count}" for status, count in sorted(result.statuses.items()))
     print(f"seed {result.seed}: {sum(result.faults.values())} faults, answers {statuses}")
+    effects = " ".join(f"{name}:{count}" for name, count in sorted(result.effects.items()))
+    print(f"  faults {' '.join(f'{n}:{c}' for n, c in sorted(result.faults.items()))}")
+    print(f"  effects {effects or 'none'}")
+    print(
+        f"  {result.processes} VMs, {result.memory_mb:.0f} MB, stalls up to "
+        f"{result.longest_stall_s:.2f} s"
+    )
     violations = collections.Counter(each.invariant for each in result.findings)
     for invariant, count in violations.items():
         first = next(each for each in result.findings if each.invariant == invariant)
--- a/fireflyferry/platform/soak/audit.py
+++ b/fireflyferry/platform/soak/audit.py
@@ -46,12 +46,17 @@
         """Record that an upstream began to execute a request."""
         self._executions[request_id].append(upstream_id)
 
+    def was_executed(self, request_id: str) -> bool:
+        """Return whether an upstream began to execute a request."""
+        return request_id in self._executions
+
     def record_answer(self, request_id: str, status: int, body: bytes, signed: bool) -> None:
         """Record a complete answer that a caller got."""
         self._statuses[request_id] = status
         if status != 200:
             return
-        if not signed or body.partition(b" ")[0] != request_id.encode():
+        bodies = [f"{request_id} {each}".encode() for each in self._executions.get(request_id, [])]
+        if not signed or body not in bodies:
             self.report("whole answer to its own request", f"{request_id} got {body[:60]!r}")
         if request_id not in self._executions:
             self.report("an answered request has run", request_id)
--- a/fireflyferry/platform/soak/links.py
+++ b/fireflyferry/platform/soak/links.py
@@ -41,6 +41,7 @@
         """Stop listening and forwarding."""
         self._server.close()
         self._tasks.cancel()
+        self.reset()
 
     def reset(self) -> None:
         """Reset all connections that are open now."""
--- a/fireflyferry/platform/soak/schedule.py
+++ b/fireflyferry/platform/soak/schedule.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Fault", "FaultKind", "make_schedule"]
+__all__ = ["Fault", "FaultKind", "SoakPlan", "make_plan", "make_schedule"]
 
 
 class FaultKind(StrEnum):
@@ -28,9 +28,19 @@
     STORE_LOSES_ANSWERS = "store_loses_answers"
     STORE_FORGETS = "store_forgets"  # the store drops its history of changes
     UPSTREAM_SILENT = "upstream_silent"
-    UPSTREAM_RESTART = "upstream_restart"
+    UPSTREAM_RESTART = "upstream_restart"  # listed at once
+    # Another process at the same address, listed seconds later.
+    UPSTREAM_RESTART_UNLISTED = "upstream_restart_unlisted"
+    UPSTREAM_OTHER_ID = "upstream_other_id"
+    UPSTREAM_OTHER_POOL = "upstream_other_pool"
+    UPSTREAM_PARTITION = "upstream_partition"  # its entry goes, it serves on
+    UPSTREAM_REFUSES = "upstream_refuses"  # refuses connections, and keeps its keys
     UPSTREAM_DRAIN = "upstream_drain"
     UPSTREAM_LOSES_ANSWERS = "upstream_loses_answers"
+    UPSTREAM_DELAYS_GRANTS = "upstream_delays_grants"  # carries them out without an answer
+    UPSTREAM_REPEATS_ORDER_ANSWERS = "upstream_repeats_order_answers"
+    UPSTREAM_REPEATS_REFUSALS = "upstream_repeats_refusals"
+    UPSTREAM_BREAKS_HEADS = "upstream_breaks_heads"
     CONFIG_CHANGE = "config_change"
 
 
@@ -47,10 +57,30 @@
     for_s: float
 
 
+@attrs.frozen
+class SoakPlan:
+    """Size and length of a run; a data centre with at least four VMs has a relay."""
+
+    seed: int
+    length_s: float = 12.0
+    vms: int = 8
+    upstreams: int = 4
+    callers: int = 8
+
+
 MAX_INTERVAL_S = 1.5
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
 REPEAT_PROBABILITY = 0.3  # probability that a fault is injected again right after it ended
 
+LARGE_FLEET_PROBABILITY = 0.04
+LARGE_FLEET_VMS = 60  # with the runner within the limit of a few hundred processes
+
+
+def make_plan(seed: int, length_s: float) -> SoakPlan:
+    """Return the plan of a seed; a few seeds have as many VMs as a machine may run."""
+    is_large = random.Random(f"plan/{seed}").random() < LARGE_FLEET_PROBABILITY
+    return SoakPlan(seed, length_s, LARGE_FLEET_VMS) if is_large else SoakPlan(seed, length_s)
+
 
 def make_schedule(seed: int, length_s: float) -> list[Fault]:
     """Return the random faults of a seed, in the order of their start times."""
--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -6,10 +6,10 @@
 import pytest
 
 from fireflyferry.platform.soak.audit import Audit
-from fireflyferry.platform.soak.run import Soak, SoakPlan
-from fireflyferry.platform.soak.schedule import FaultKind, make_schedule
+from fireflyferry.platform.soak.run import Soak
+from fireflyferry.platform.soak.schedule import FaultKind, SoakPlan, make_schedule
 from fireflyferry.platform.soak.store import StoreStandin
-from fireflyferry.platform.soak.upstreams import UpstreamStandin
+from fireflyferry.platform.soak.upstreams import UpstreamStandin, UpstreamWorld
 
 # Seeds that once violated an invariant, each with a line on the cause.
 REGRESSION_SEEDS: tuple[int, ...] = ()
@@ -64,14 +64,9 @@
 
 def run_upstreams(scenario):
     async def main():
-        store, audit, upstreams = StoreStandin(random.Random(1)), Audit(), []
-        for number in range(2):
-            upstreams.append(
-                UpstreamStandin(
-                    number, "p", "dc", True, store, audit, random.Random(1), lambda: upstreams
-                )
-            )
-        await scenario(*upstreams)
+        store, audit = StoreStandin(random.Random(1)), Audit()
+        world = UpstreamWorld(store, audit, random.Random(1))
+        await scenario(*(UpstreamStandin(name, "p", "dc", True, world) for name in ("a", "b")))
         return {each.invariant for each in audit.findings}
 
     return asyncio.run(main())
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -1,264 +1,230 @@
 """Stand-in for the platform's instances: slots, key grants with fences, entries in the store."""
 
 import asyncio
+import collections
 import itertools
 import random
-import secrets
 import time
-from collections.abc import Callable
+import weakref
 
 import attrs
-import orjson
 import tornado.httpserver
+import tornado.iostream
+import tornado.netutil
 import tornado.web
 
 from fireflyferry.platform import names
 from fireflyferry.platform.soak.audit import Audit
+from fireflyferry.platform.soak.grants import HeldKeys, fence_conflicts
+from fireflyferry.platform.soak.misbehaviour import PROBABILITIES, Misbehaviour
 from fireflyferry.platform.soak.store import StoreStandin
+from fireflyferry.platform.soak.upstream_handlers import GrantHandler, ReleaseHandler, RunHandler
 from fireflyferry.standins.http_base import Broadcast
 
-__all__ = ["UpstreamStandin"]
+__all__ = ["UpstreamStandin", "UpstreamWorld"]
 
 SLOTS = 4
-SERVICE_TIME_S = 0.02
-ANSWER_LOSS_PROBABILITY = 0.3
-SLOWEST_CLOCK_FACTOR = 1.02  # seconds that pass during one second of the slowest allowed clock
-MAX_OVERLAP_S = 0.5  # time for which two instances may both hold a key
+REFUSAL_PROBABILITY = 0.2
+MAX_OVERLAP_S = 0.5  # time for which two upstreams may both hold a key without a request
 
 
-@attrs.frozen
-class HeldRange:
-    """Range of keys that an instance holds until `until_s` on the clock of this process."""
+@attrs.define(eq=False)
+class UpstreamWorld:
+    """What the upstreams of a run share.
 
-    first: int
-    last: int
-    fence: int
-    until_s: float
+    `processes` has all that were ever started, `effects` how often each misbehaviour took effect.
+    """
+
+    store: StoreStandin
+    audit: Audit
+    rng: random.Random
+    processes: list["UpstreamStandin"] = attrs.field(factory=list)
+    effects: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+
+class _Server(tornado.httpserver.HTTPServer):
+    """HTTP server that keeps its open connections in `streams`."""
 
-    def overlaps(self, first: int, last: int) -> bool:
-        """Return whether a range shares a key with this one."""
-        return self.first <= last and first <= self.last
+    streams: weakref.WeakSet[tornado.iostream.IOStream]
+
+    def handle_stream(self, stream: tornado.iostream.IOStream, address: tuple) -> None:
+        """Serve a new connection."""
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
 
 
 class UpstreamStandin:
-    """Stand-in for one instance.
+    """Stand-in for the process of one instance, from its start to its end.
 
-    A restart keeps the id and the address and loses the grants. While `silent`, the instance
-    answers nothing; with `loses_answers`, it closes the connection of some requests that it ran.
+    While `silent`, the process is frozen: it answers nothing and sends no heartbeat. Until
+    `unlisted_until_s`, it serves without reaching the store.
     """
 
     def __init__(
-        self,
-        number: int,
-        pool: str,
-        data_centre: str,
-        keyed: bool,
-        store: StoreStandin,
-        audit: Audit,
-        rng: random.Random,
-        all_upstreams: Callable[[], list["UpstreamStandin"]],
+        self, upstream_id: str, pool: str, data_centre: str, keyed: bool, world: UpstreamWorld
     ):
-        self.upstream_id = f"i-{number:04d}"
+        self.upstream_id = upstream_id
         self.pool = pool
         self.keyed = keyed
-        self.audit = audit
-        self._data_centre = data_centre
-        self._store = store
-        self._rng = rng
-        self._all_upstreams = all_upstreams
+        self.data_centre = data_centre
+        self.world = world
+        self.born = time.time_ns() // 1_000_000
+        self.keys = HeldKeys()
+        self.port = 0
+        self.up = True
+        self.silent = False
+        self.draining = False
+        self.unlisted_until_s = 0.0
+        self.misbehaviour = Misbehaviour.NONE
+        self.running = 0
+        self._server: _Server | None = None
+        self._streams: weakref.WeakSet[tornado.iostream.IOStream] = weakref.WeakSet()
+        self._answers: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
         self._resumed = Broadcast()
         self._sequence = itertools.count(1)
-        self.address = ""
+        world.processes.append(self)
+
+    @property
+    def label(self) -> str:
+        """Name of the process in findings."""
+        return f"{self.upstream_id}/{self.born}"
+
+    @property
+    def audit(self) -> Audit:
+        """Record of the run."""
+        return self.world.audit
+
+    def is_full(self) -> bool:
+        """Return whether a request is refused; one that repeats refusals is full at times."""
+        refuses = Misbehaviour.REPEATS_REFUSALS in self.misbehaviour
+        if refuses and self.world.rng.random() < REFUSAL_PROBABILITY:
+            return True
+        return self.running >= 2 * SLOTS
+
+    # Process
+
+    def serve(self, port: int) -> None:
+        """Serve on a port of the loopback address."""
+        self.port = port
+        handlers = [
+            (names.GRANT_PATH, GrantHandler, {"upstream": self}),
+            (names.RELEASE_PATH, ReleaseHandler, {"upstream": self}),
+            (r".*", RunHandler, {"upstream": self}),
+        ]
+        self._application = tornado.web.Application(handlers, log_function=lambda handler: None)
+        self.listen()
+
+    def listen(self) -> None:
+        """Accept connections, unless the process has ended or does already."""
+        if self.up and self._server is None:
+            self._server = _Server(self._application)
+            self._server.streams = self._streams
+            self._server.add_sockets(tornado.netutil.bind_sockets(self.port, "127.0.0.1"))
+
+    def refuse_connections(self) -> None:
+        """Refuse new connections; open ones are served on."""
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
+
+    def end(self) -> None:
+        """End the process: its connections are closed, and nothing that it began goes on."""
+        self.up = False
+        self.refuse_connections()
+        for stream in list(self._streams):
+            stream.close()
+        self.resume()
+
+    def resume(self) -> None:
+        """Answer again, also the calls that arrived while the process was silent."""
         self.silent = False
-        self.loses_answers = False
-        self.up = True
-        self.draining = False
-        self._start_incarnation()
+        self._resumed.notify()
 
-    def _start_incarnation(self) -> None:
-        self.born = time.time_ns() // 1_000_000
-        self.running = 0
-        self.held_ranges: list[HeldRange] = []
-        self._seen_fences: list[tuple[int, int, int]] = []  # keys and fences of grants and releases
-        self.granted_fences: list[tuple[int, int, int]] = []
-
-    def start(self, sockets: list) -> None:
-        """Serve on listening sockets."""
-        application = tornado.web.Application(
-            [
-                (names.GRANT_PATH, _Grant, {"upstream": self}),
-                (names.RELEASE_PATH, _Release, {"upstream": self}),
-                (r".*", _Request, {"upstream": self}),
-            ],
-            log_function=lambda handler: None,
-        )
-        self._server = tornado.httpserver.HTTPServer(application)
-        self._server.add_sockets(sockets)
-        self.register()
+    async def wait_until_responsive(self) -> None:
+        """Wait while the process is silent."""
+        while self.silent:
+            await self._resumed.wait()
+
+    def misbehaves(self, kind: Misbehaviour) -> bool:
+        """Return whether the process does something wrong this time."""
+        if kind not in self.misbehaviour or self.world.rng.random() >= PROBABILITIES[kind]:
+            return False
+        self.world.effects[kind.name.lower()] += 1
+        return True
+
+    def earlier_answers(self, stream: tornado.iostream.IOStream, kind: Misbehaviour) -> list[bytes]:
+        """Return the answers on a connection that a misbehaviour may write once more."""
+        return self._answers.setdefault(stream, {}).setdefault(kind, [])
+
+    # Entry in the store
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the process sends heartbeats."""
+        return self.up and not self.silent and time.monotonic() >= self.unlisted_until_s
 
     def register(self) -> None:
-        """Write the instance's entry to the store."""
+        """Write the entry of the process to the store."""
         state = "draining" if self.draining else "ready"
         entry = {
-            "address": self.address,
+            "address": f"127.0.0.1:{self.port}",
             "born": self.born,
             "info": {
                 "service": self.pool,
                 "version": "v1",
-                "zone": self._data_centre,
+                "zone": self.data_centre,
                 "slots": SLOTS,
             },
             "status": {"state": state, "sequence": next(self._sequence), "warmupLeftS": 0},
         }
-        self._store.write(names.UPSTREAM_KIND, self.upstream_id, entry)
+        self.world.store.write(names.UPSTREAM_KIND, self.upstream_id, entry)
 
-    def restart(self) -> None:
-        """Start a new incarnation under the same id."""
-        self._start_incarnation()
-        self.register()
-
-    def resume(self) -> None:
-        """Answer again, also the calls that arrived while the instance was silent."""
-        self.silent = False
-        self._resumed.notify()
-
-    async def wait_until_responsive(self) -> None:
-        """Wait while the instance is silent."""
-        while self.silent:
-            await self._resumed.wait()
-
-    def shut_down(self) -> None:
-        """Stop serving and remove the entry from the store."""
-        self.up = False
-        self.held_ranges.clear()
-        self._store.remove(names.UPSTREAM_KIND, self.upstream_id)
-        self._server.stop()
+    # Keys
 
     def holds_key(self, key: int) -> bool:
-        """Return whether the instance holds a key now."""
-        now_s = time.monotonic()
-        return any(each.overlaps(key, key) and now_s < each.until_s for each in self.held_ranges)
+        """Return whether the process holds a key now."""
+        return self.keys.holds(key, time.monotonic())
 
     def apply_grant(self, message: dict, arrived_s: float) -> bool:
         """Apply a grant; return False if a higher fence arrived earlier for one of its keys."""
-        first, last, fence = message["from"], message["target"], message["fence"]
-        if any(
-            seen_first <= last and first <= seen_last and fence < seen_fence
-            for seen_first, seen_last, seen_fence in self._seen_fences
-        ):
+        now_s = time.monotonic()
+        if not self.keyed:
+            self.audit.report("grants go to pools with keys", f"{self.label} {message}")
+        grant = self.keys.grant(message, arrived_s, now_s)
+        if grant is None:
             return False
-        for other in self._all_upstreams():
-            highest_fence = max(
-                (
-                    granted_fence
-                    for granted_first, granted_last, granted_fence in other.granted_fences
-                    if granted_first <= last and first <= granted_last
-                ),
-                default=0,
-            )
-            if other is not self and other.pool == self.pool and fence <= highest_fence:
-                detail = f"{self.upstream_id} {first}-{last} fence {fence}, other {highest_fence}"
+        for other in self._others():
+            for earlier in fence_conflicts(grant, [other.keys], now_s):
+                detail = f"{self.label} {grant}, {other.label} {earlier}"
                 self.audit.report("a fence is above all earlier ones", detail)
-        self._seen_fences.append((first, last, fence))
-        self.granted_fences.append((first, last, fence))
-        self._remove_range(first, last)
-        until_s = arrived_s + message["holdS"] * SLOWEST_CLOCK_FACTOR
-        self.held_ranges.append(HeldRange(first, last, fence, until_s))
-        asyncio.get_running_loop().call_later(MAX_OVERLAP_S, self._check_overlap, first, last)
+        self._check_holders("after a grant")
+        asyncio.get_running_loop().call_later(
+            MAX_OVERLAP_S, self._check_holders, "for half a second"
+        )
         return True
 
     def apply_release(self, message: dict) -> None:
         """Apply a release."""
-        self._seen_fences.append((message["from"], message["target"], message["fence"]))
-        self._remove_range(message["from"], message["target"])
-
-    def _remove_range(self, first: int, last: int) -> None:
-        """Remove a range from the held ranges."""
-        kept = []
-        for each in self.held_ranges:
-            if not each.overlaps(first, last):
-                kept.append(each)
-                continue
-            if each.first < first:
-                kept.append(attrs.evolve(each, last=first - 1))
-            if each.last > last:
-                kept.append(attrs.evolve(each, first=last + 1))
-        now_s = time.monotonic()
-        self.held_ranges = [each for each in kept if now_s < each.until_s]
-
-    def _check_overlap(self, first: int, last: int) -> None:
-        for key in (first, last):
-            if self.holds_key(key):
-                self.check_single_holder(key, "for half a second")
+        self.keys.release(message, time.monotonic())
 
     def check_single_holder(self, key: int, when: str) -> None:
-        """Report every other instance that holds a key as well."""
-        for other in self._all_upstreams():
-            if other is not self and other.up and other.pool == self.pool and other.holds_key(key):
-                detail = f"key {key}: {self.upstream_id} and {other.upstream_id} {when}"
-                self.audit.report("a key has one owner", detail)
-
-
-class _Handler(tornado.web.RequestHandler):
-    def initialize(self, upstream: UpstreamStandin) -> None:
-        """Set the instance that answers the call."""
-        self._upstream = upstream
+        """Report every other live process that holds a key as well."""
+        for other in self._others():
+            if other.up and other.holds_key(key):
+                self._report_holder(key, other, when)
 
-    def _close_connection(self) -> None:
-        self.detach().close()
-
-
-class _Grant(_Handler):
-    async def post(self) -> None:
-        """Apply a grant; its hold time counts from its arrival even if the instance was silent."""
-        arrived_s, born = time.monotonic(), self._upstream.born
-        await self._upstream.wait_until_responsive()
-        if born != self._upstream.born or not self._upstream.up:
-            self._close_connection()
-            return
-        accepted = self._upstream.apply_grant(orjson.loads(self.request.body), arrived_s)
-        self.set_status(200 if accepted else 409)
-
-
-class _Release(_Handler):
-    async def post(self) -> None:
-        """Apply a release."""
-        await self._upstream.wait_until_responsive()
-        self._upstream.apply_release(orjson.loads(self.request.body))
-        self.set_header(names.HANDOVER_HEADER, secrets.token_hex(8))
-
-
-class _Request(_Handler):
-    async def _run(self) -> None:
-        upstream, headers = self._upstream, self.request.headers
-        await upstream.wait_until_responsive()
-        request_id = headers.get(names.HEADERS.request_id, "")
-        self.set_header(names.HEADERS.request_id, request_id)
-        refusal = self._refusal_status()
-        if refusal:
-            self.set_status(refusal)
-            self.set_header(names.HEADERS.not_run, "1")
-            return
-        if upstream.keyed:
-            upstream.check_single_holder(int(headers[names.HEADERS.key]), "at a request")
-        upstream.audit.record_execution(request_id, upstream.upstream_id)
-        upstream.running += 1
-        await asyncio.sleep(SERVICE_TIME_S)
-        upstream.running -= 1
-        if upstream.loses_answers and upstream._rng.random() < ANSWER_LOSS_PROBABILITY:
-            self._close_connection()
-            return
-        self.set_header(names.HEADERS.signature, "s")
-        self.write(f"{request_id} {upstream.upstream_id}")
-
-    get = post = _run
-
-    def _refusal_status(self) -> int:
-        """Return the status with which a request is refused, 0 if it runs."""
-        upstream, headers = self._upstream, self.request.headers
-        expected = headers.get(names.HEADERS.expected_upstream, upstream.upstream_id)
-        if expected != upstream.upstream_id or not upstream.up:
-            return 421
-        if upstream.keyed and not upstream.holds_key(int(headers[names.HEADERS.key])):
-            return 421
-        return 503 if upstream.running >= 2 * SLOTS else 0
+    def _check_holders(self, when: str) -> None:
+        """Report every other live process that holds a key of this one."""
+        now_s = time.monotonic()
+        for other in self._others():
+            if self.up and other.up:
+                key = self.keys.shared_key(other.keys, now_s)
+                if key is not None:
+                    self._report_holder(key, other, when)
+
+    def _report_holder(self, key: int, other: "UpstreamStandin", when: str) -> None:
+        detail = f"key {key}: {self.label} and {other.label} {when}"
+        self.audit.report("a key has one owner", detail)
+
+    def _others(self) -> list["UpstreamStandin"]:
+        return [p for p in self.world.processes if p is not self and p.pool == self.pool]
--- a/fireflyferry/platform/soak/vms.py
+++ b/fireflyferry/platform/soak/vms.py
@@ -113,6 +113,15 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """Peak of the resident memory of the running process."""
+        if not self.running:
+            return 0.0
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        peak_kb = next(line.split()[1] for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(peak_kb) / 1024
+
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.running:
