Soak: test the stand-ins for upstreams and the callers, and play restarts at one address

A run of four restarts at the address of an ended upstream, listed 4 s later, under the same id and under another one.

--- a/fireflyferry/platform/soak/faults.py
+++ b/fireflyferry/platform/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from fireflyferry.platform.soak.fleet import Restart, UpstreamFleet
 from fireflyferry.platform.soak.links import LinkMode
@@ -60,7 +60,7 @@
         self._tasks = BackgroundTasks()
         self.counts: dict[str, int] = {}
 
-    async def run(self, schedule: list[Fault], length_s: float) -> None:
+    async def run(self, schedule: Iterable[Fault], length_s: float) -> None:
         """Inject the faults of a schedule, which takes `length_s` seconds."""
         loop = asyncio.get_running_loop()
         start_s = loop.time()
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -70,16 +70,17 @@
 
     async def run(self) -> SoakResult:
         """Run the plan and return the result."""
+        plan = self._plan
         self._transport = CurlTransport(force_instance=True, connect_timeout_s=1.0)
-        self._callers = Callers(self._plan.seed, self._vms, self._audit, self._transport)
+        self._callers = Callers(plan.seed, self._vms, self._audit, self._transport)
         try:
             await self._start()
             await self._wait_until(self._all_ready, START_TIMEOUT_S, "all VMs start")
-            for number in range(self._plan.callers):
+            for number in range(plan.callers):
                 self._tasks.start(self._callers.send_requests(number))
                 self._tasks.start(self._callers.keep_connections(number))
-            schedule = make_schedule(self._plan.seed, self._plan.length_s)
-            await self._faults.run(schedule, self._plan.length_s)
+            schedule = plan.faults or make_schedule(plan.seed, plan.length_s)
+            await self._faults.run(schedule, plan.length_s)
             self._faults.end_faults()
             await self._wait_until(
                 self._all_serving, RECOVERY_TIMEOUT_S, "everything is served after faults"
@@ -89,7 +90,7 @@
         finally:
             await self._close()
         return SoakResult(
-            self._plan.seed,
+            plan.seed,
             self._faults.counts,
             self._audit.statuses,
             self._audit.findings,
--- a/fireflyferry/platform/soak/schedule.py
+++ b/fireflyferry/platform/soak/schedule.py
@@ -59,13 +59,17 @@
 
 @attrs.frozen
 class SoakPlan:
-    """Size and length of a run; a data centre with at least four VMs has a relay."""
+    """Size and length of a run; a data centre with at least four VMs has a relay.
+
+    The schedule of the faults is that of the seed, unless `faults` has another one.
+    """
 
     seed: int
     length_s: float = 12.0
     vms: int = 8
     upstreams: int = 4
     callers: int = 8
+    faults: tuple[Fault, ...] | None = None
 
 
 MAX_INTERVAL_S = 1.5
--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 from fireflyferry.platform.soak.audit import Audit
 from fireflyferry.platform.soak.run import Soak
-from fireflyferry.platform.soak.schedule import FaultKind, SoakPlan, make_schedule
+from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_plan, make_schedule
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamStandin, UpstreamWorld
 
@@ -24,6 +24,11 @@
     assert drawn == set(FaultKind)
 
 
+def test_some_seeds_have_many_vms():
+    sizes = {make_plan(seed, 12.0).vms for seed in range(1, 51)}
+    assert sizes == {8, 60} and make_plan(20, 1.0) == make_plan(20, 1.0)
+
+
 def violated_invariants(audit):
     audit.finish()
     return {each.invariant for each in audit.findings}
@@ -105,3 +110,19 @@
     result = asyncio.run(Soak(SoakPlan(seed, length_s=4.0), tmp_path).run())
     assert result.findings == []
     assert result.statuses[200] > 0
+
+
+RESTARTS = (
+    Fault(0.0, FaultKind.UPSTREAM_RESTART_UNLISTED, 0, 4.0),
+    Fault(1.5, FaultKind.UPSTREAM_OTHER_ID, 2, 4.0),
+    Fault(3.0, FaultKind.UPSTREAM_RESTART_UNLISTED, 4, 4.0),
+    Fault(4.5, FaultKind.UPSTREAM_OTHER_ID, 6, 4.0),
+)
+
+
+def test_process_at_an_address_takes_no_grant_of_the_one_before_it(tmp_path):
+    """Guards against a fence, or keys, at two processes when one starts at the other's address."""
+    plan = SoakPlan(1, length_s=9.0, vms=4, faults=RESTARTS)
+    result = asyncio.run(Soak(plan, tmp_path).run())
+    assert result.findings == []
+    assert result.statuses[200] > 0
