Soak: check the VMs of a large fleet eight at a time at the end

The check sent 300 calls at once to the four upstreams of each pool, 60 of them per key, so it filled the queues itself. A run of eight VMs is checked as before; in a larger one, each VM still has to answer all its calls in one pass.

--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -28,6 +28,8 @@
 KEYED, PLAIN = "keyed-pool", "plain-pool"
 DATA_CENTRES = ("dc-1", "dc-2")
 RESTART_CHECK_INTERVAL_S = 0.3
+CHECKED_VMS = 8  # VMs that are checked at the same time at the end
+END_KEYS = (0, 30_000, 65_535)
 # Long, since the result must not depend on how busy the machine is.
 START_TIMEOUT_S, RECOVERY_TIMEOUT_S = 60.0, 60.0
 
@@ -178,11 +180,16 @@
 
     async def _all_serving(self) -> bool:
         """Return whether every VM serves keys, writes and the newest route."""
+        # All VMs of a large fleet at once would fill the queues of the few upstreams.
+        for first in range(0, len(self._vms), CHECKED_VMS):
+            if not await self._are_serving(self._vms[first : first + CHECKED_VMS]):
+                return False
+        return True
+
+    async def _are_serving(self, vms: list[VmProcess]) -> bool:
         calls: list[Awaitable[int]] = []
-        for vm in self._vms:
-            calls += [
-                self._callers.call(vm, "GET", "/keyed/end", key=key) for key in (0, 30_000, 65_535)
-            ]
+        for vm in vms:
+            calls += [self._callers.call(vm, "GET", "/keyed/end", key) for key in END_KEYS]
             calls.append(self._callers.call(vm, "POST", "/write/end"))
             calls.append(self._callers.request_version(vm, self._callers.version))
         return all(status == 200 for status in await asyncio.gather(*calls))
