--- a/fireflyferry/platform/soak/audit.py
+++ b/fireflyferry/platform/soak/audit.py
@@ -51,7 +51,8 @@
         self._statuses[request_id] = status
         if status != 200:
             return
-        if not signed or body.partition(b" ")[0] != request_id.encode():
+        bodies = [f"{request_id} {each}".encode() for each in self._executions.get(request_id, [])]
+        if not signed or body not in bodies:
             self.report("whole answer to its own request", f"{request_id} got {body[:60]!r}")
         if request_id not in self._executions:
             self.report("an answered request has run", request_id)
--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -6,10 +6,10 @@
 import pytest
 
 from fireflyferry.platform.soak.audit import Audit
-from fireflyferry.platform.soak.run import Soak, SoakPlan
-from fireflyferry.platform.soak.schedule import FaultKind, make_schedule
+from fireflyferry.platform.soak.run import Soak
+from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_plan, make_schedule
 from fireflyferry.platform.soak.store import StoreStandin
-from fireflyferry.platform.soak.upstreams import UpstreamStandin
+from fireflyferry.platform.soak.upstreams import UpstreamStandin, UpstreamWorld
 
 # Seeds that once violated an invariant, each with a line on the cause.
 REGRESSION_SEEDS: tuple[int, ...] = ()
@@ -24,6 +24,11 @@
     assert drawn == set(FaultKind)
 
 
+def test_some_seeds_have_many_vms():
+    sizes = {make_plan(seed, 12.0).vms for seed in range(1, 51)}
+    assert sizes == {8, 60} and make_plan(20, 1.0) == make_plan(20, 1.0)
+
+
 def violated_invariants(audit):
     audit.finish()
     return {each.invariant for each in audit.findings}
@@ -79,14 +84,9 @@
 
 def run_upstreams(scenario):
     async def main():
-        store, audit, upstreams = StoreStandin(random.Random(1)), Audit(), []
-        for number in range(2):
-            upstreams.append(
-                UpstreamStandin(
-                    number, "p", "dc", True, store, audit, random.Random(1), lambda: upstreams
-                )
-            )
-        await scenario(*upstreams)
+        store, audit = StoreStandin(random.Random(1)), Audit()
+        world = UpstreamWorld(store, audit, random.Random(1))
+        await scenario(*(UpstreamStandin(name, "p", "dc", True, world) for name in ("a", "b")))
         return {each.invariant for each in audit.findings}
 
     return asyncio.run(main())
@@ -120,8 +120,24 @@
     assert run_upstreams(scenario) == set()
 
 
-@pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
+@pytest.mark.parametrize("seed", [1, 4, 9, *REGRESSION_SEEDS])
 def test_short_run_violates_no_invariant(seed, tmp_path):
     result = asyncio.run(Soak(SoakPlan(seed, length_s=4.0), tmp_path).run())
     assert result.findings == []
     assert result.statuses[200] > 0
+
+
+RESTARTS = (
+    Fault(0.0, FaultKind.UPSTREAM_RESTART_UNLISTED, 0, 4.0),
+    Fault(1.5, FaultKind.UPSTREAM_OTHER_ID, 2, 4.0),
+    Fault(3.0, FaultKind.UPSTREAM_RESTART_UNLISTED, 4, 4.0),
+    Fault(4.5, FaultKind.UPSTREAM_OTHER_ID, 6, 4.0),
+)
+
+
+def test_process_at_an_address_takes_no_grant_of_the_one_before_it(tmp_path):
+    """Guards against a fence, or keys, at two processes when one starts at the other's address."""
+    plan = SoakPlan(1, length_s=9.0, vms=4, faults=RESTARTS)
+    result = asyncio.run(Soak(plan, tmp_path).run())
+    assert result.findings == []
+    assert result.statuses[200] > 0
