Compare the request that an upstream cancelled with the one meant

A faulty upstream that wrote an earlier answer once more on a kept connection could confirm a cancellation that it had not read. The slot of the request was freed, and its unit could move, while the request still ran.

Cause: the answer to a cancellation names its request, but the client took any answer with status 200 for a confirmation.

The client now reads the answer and compares the id; another one is no usable answer, so the cancellation is sent again.

Evidence: test_cancellation_is_not_confirmed_by_an_earlier_answer fails without the change and passes with it.

--- a/fireflyferry/edges/http_upstream.py
+++ b/fireflyferry/edges/http_upstream.py
@@ -1,5 +1,6 @@
 """HTTP client for the control endpoints of upstreams."""
 
+import attrs
 import orjson
 
 from fireflyferry.edges.base import UpstreamControl, UpstreamUnavailableError
@@ -10,6 +11,14 @@
 __all__ = ["HttpUpstreamControl"]
 
 
+@attrs.frozen
+class _CancelReply:
+    """An upstream's answer to a cancellation."""
+
+    request_id: str
+    state: str
+
+
 class HttpUpstreamControl(UpstreamControl):
     """Control endpoints of upstreams; `address` is `IP:PORT`."""
 
@@ -39,7 +48,10 @@
         Returns once the request no longer runs. Raises UpstreamUnavailableError.
         """
         body = orjson.dumps({"request_id": request_id})
-        await self._call("POST", address, "cancel", body, self._cancel_timeout_s)
+        answer = await self._call("POST", address, "cancel", body, self._cancel_timeout_s)
+        cancelled = self._decode_body(answer, _CancelReply).request_id
+        if cancelled != request_id:
+            raise UpstreamUnavailableError(f"{address} cancelled {cancelled}, not {request_id}")
 
     async def _call(
         self,
--- a/fireflyferry/edges/tests/test_unusable_answers.py
+++ b/fireflyferry/edges/tests/test_unusable_answers.py
@@ -54,12 +54,17 @@
 
     async def __aexit__(self, *_):
         self._server.close()
-        await asyncio.gather(*self._tasks)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
         self.connections += 1
         self._tasks.append(asyncio.current_task())
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 lengths = [
@@ -71,9 +76,8 @@
                 self.paths.append(head.split()[1])
                 answer = self._answers.pop(0)
                 writer.write(answer)
-                if answer != WHOLE:
+                if not answer.endswith(b"}"):
                     break
-        writer.close()
 
 
 @CUT
@@ -93,3 +97,26 @@
             client.close()
 
     asyncio.run(scenario())
+
+
+def test_cancellation_is_not_confirmed_by_an_earlier_answer():
+    """Guards against an earlier answer, written once more, that frees the slot of a request."""
+
+    def cancelled(request_id):
+        body = f'{{"request_id": "{request_id}", "state": "stopped"}}'
+        return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+
+    async def scenario():
+        client = HttpClient("vm-1", connect_timeout_s=30.0, timeout_s=30.0)
+        control = HttpUpstreamControl(client)
+        answers = (WHOLE, cancelled("a"), cancelled("a"), cancelled("b"))
+        async with Server(*answers) as server:
+            with pytest.raises(UpstreamUnavailableError):
+                await control.cancel(server.address, "a")
+            await control.cancel(server.address, "a")
+            with pytest.raises(UpstreamUnavailableError):
+                await control.cancel(server.address, "b")
+            await control.cancel(server.address, "b")
+            client.close()
+
+    asyncio.run(scenario())
