Do not take the answer to a request for the answer to a grant

A faulty upstream that wrote an earlier answer once more on a kept connection could have a grant counted as accepted that it had not read, so that requests for its keys were sent to an upstream which refused them, or could have a grant refused and its keys taken out of service.

Cause: requests and orders share the connections to an upstream, and the client of orders read only the status.

Answers to requests carry the id of their request, and orders have none. An answer with an id now ends the transfer and its connection, and the order counts as sent, outcome unknown.

Evidence: test_answer_to_a_request_is_none_to_an_order fails without the change for 200, 409 and 421 and passes with it. Also adds tests that a cut answer to an order neither confirms a release nor hides a grant.

An earlier answer to a grant, sent once more, can still be counted for a later grant: it has nothing to tell them apart. It proves nothing about earlier holders, which count as holders from the moment of sending.

--- a/fireflyferry/platform/orders.py
+++ b/fireflyferry/platform/orders.py
@@ -16,6 +16,7 @@
 from fireflyferry.platform import names
 from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
 from fireflyferry.transport.fetch import complete_body
+from fireflyferry.transport.headers import HeaderList, find_header
 
 __all__ = ["HttpKeyOrders"]
 
@@ -34,7 +35,7 @@
     An upstream may send an earlier answer once more on a connection that is in use again, and
     answers to orders carry nothing that says to which order they belong. An answer that would end
     the wait for an upstream counts if it came over a connection without earlier answers; otherwise
-    the next call to the address opens a connection.
+    the next call to the address opens a connection. One that names a request is none to an order.
     """
 
     def __init__(self, transport: CurlTransport, timing: GrantTiming):
@@ -103,7 +104,7 @@
             max_connection=max_connection,
         )
         self._needs_connection.discard(call.address)
-        return await fetch(self._transport, exchange, may_send)
+        return await fetch(self._transport, exchange, may_send, _names_no_request)
 
     def _answer(self, call: GrantCall | ReleaseCall, result: FetchResult) -> GrantAnswer:
         if result.connection_refused and not result.sent:
@@ -119,3 +120,7 @@
         self._handovers[handover] = None
         if len(self._handovers) > MAX_HANDOVERS:
             del self._handovers[next(iter(self._handovers))]
+
+
+def _names_no_request(_status: int, headers: HeaderList) -> bool:
+    return not find_header(headers, names.HEADERS.request_id)
--- a/fireflyferry/platform/tests/test_orders.py
+++ b/fireflyferry/platform/tests/test_orders.py
@@ -24,6 +24,7 @@
     status: int
     handover: str = ""
     closes: bool = False
+    request_id: str = ""
 
 
 class UpstreamServer:
@@ -45,6 +46,8 @@
                 self.set_status(answer.status)
                 if answer.handover:
                     self.set_header("Fireflyferry-Handover", answer.handover)
+                if answer.request_id:
+                    self.set_header("Fireflyferry-Request-Id", answer.request_id)
                 if answer.closes:
                     self.set_header("Connection", "close")
 
@@ -141,3 +144,57 @@
         assert result.answer is GrantAnswer.HIGHER_FENCE and result.opened_connections == 1
 
     run_with_server(scenario, Answer(409))
+
+
+@pytest.mark.parametrize("status", [200, 409, 421])
+def test_answer_to_a_request_is_none_to_an_order(status):
+    """Guards against an earlier answer to a request, sent once more, that confirms a grant.
+
+    Requests and orders share the connections to an upstream.
+    """
+
+    async def scenario(server, orders):
+        assert (await grant(orders, server)).answer is GrantAnswer.UNKNOWN
+        assert (await release(orders, server))[0] is GrantAnswer.UNKNOWN
+        assert (await grant(orders, server)).answer is GrantAnswer.ACCEPTED
+        assert len(set(server.ports)) == 3, "the connection is used again"
+
+    answers = [Answer(status, "t", request_id="r1") for _ in range(2)]
+    run_with_server(scenario, *answers, Answer(200))
+
+
+RAW_ANSWERS = pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nFireflyferry-Handover: t\r\nContent-Length: 0\r\n",
+        b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n",
+        b"HTTP/1.1 421 Misdirected Request\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    ],
+)
+
+
+@RAW_ANSWERS
+def test_order_with_a_cut_answer_may_have_taken_effect(answer):
+    """Guards against a cut answer that confirms a release or denies that a grant was sent."""
+
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"}")
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        transport = CurlTransport(force_instance=True)
+        orders = HttpKeyOrders(transport, GrantTiming(call_timeout_s=20.0, release_timeout_s=20.0))
+        address = f"127.0.0.1:{port}"
+        result = await orders.grant(GrantCall(RUN, address, 1, 9, 12, 4.0), lambda: True)
+        assert result.answer is GrantAnswer.UNKNOWN and result.opened_connections is not None
+        released = await orders.release(ReleaseCall(RUN, address, 1, 9, 13), lambda: True)
+        assert released[0] is GrantAnswer.UNKNOWN
+        transport.close()
+        server.close()
+
+    asyncio.run(main())
