--- a/fireflyferry/platform/tests/test_orders.py
+++ b/fireflyferry/platform/tests/test_orders.py
@@ -180,7 +180,10 @@
     """Guards against a cut answer that confirms a release or denies that a grant was sent."""
 
     async def main():
+        tasks = []
+
         async def serve(reader, writer):
+            tasks.append(asyncio.current_task())
             await reader.readuntil(b"}")
             writer.write(answer)
             writer.close()
@@ -196,5 +199,6 @@
         assert released[0] is GrantAnswer.UNKNOWN
         transport.close()
         server.close()
+        await asyncio.gather(*tasks)
 
     asyncio.run(main())
--- a/fireflyferry/transport/tests/test_cut_answers.py
+++ b/fireflyferry/transport/tests/test_cut_answers.py
@@ -90,10 +90,11 @@
     With `reused`, the connection has carried a complete answer before. Without `ends`, the server
     waits for the client to close the connection.
     """
-    requests = 0
+    requests, tasks = 0, []
 
     async def serve(reader, writer):
         nonlocal requests
+        tasks.append(asyncio.current_task())
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
@@ -123,6 +124,7 @@
     finally:
         transport.close()
         server.close()
+        await asyncio.gather(*tasks)
     assert requests == 1 + reused, "sent again"
     return result
 
