Compare the store's answers with the calls they answer

A store, or what stands in front of it, that wrote an earlier answer once more on a kept connection could confirm a write of the lease or of an owner table that the store did not have, or report a conflict for a write that it was about to make.

Cause: of an answer to a write, only the revision was read, and a conflict was believed although the object still had the expected revision. No report says that the store does so; reads and writes carry enough to notice it.

A write is now confirmed only by its own object, with a later revision or with the written content, and a conflict only by an object with another revision. Everything else is an unknown outcome, after which callers read again. A read returns only the object that was asked for. Lists and watches have nothing to compare.

--- a/fireflyferry/platform/store.py
+++ b/fireflyferry/platform/store.py
@@ -48,7 +48,10 @@
         )
         if result.status == 404:
             return None
-        return _document(self._content(result))
+        document = _document(self._content(result))
+        if document.name != name:
+            raise StoreCallError(f"answer to a read of {name} has {document.name}")
+        return document
 
     async def list(self, kind: str, stale: bool = False) -> DocumentBatch:
         """List all objects of a kind, page by page; `stale` as for `read`.
@@ -99,7 +102,8 @@
     async def write(self, kind: str, name: str, content: Any, revision: int) -> int | Conflict:
         """Write an object if its revision is the given one (0: it does not exist).
 
-        Returns the new revision, or a Conflict if the revision is another. Raises StoreCallError.
+        Returns the new revision, or a Conflict if the revision is another. Raises StoreCallError,
+        also if the answer belongs to another call.
         """
         if revision == 0:
             body = {"metadata": {"name": name}, "spec": content}
@@ -110,8 +114,16 @@
         if result.status == 404:
             return Conflict(None)
         if result.status == 409:
-            return Conflict(await self.read(kind, name))
-        return _document(self._content(result)).revision
+            found = await self.read(kind, name)
+            if found is not None and found.revision == revision:
+                raise StoreCallError(f"conflict over {name}, which has revision {revision}")
+            return Conflict(found)
+        written = _document(self._content(result))
+        # A write that changes nothing keeps the revision.
+        is_later = written.revision > revision or written.content == _as_stored(content)
+        if written.name != name or not is_later:
+            raise StoreCallError(f"answer to a write of {name} has {written}")
+        return written.revision
 
     async def _call(
         self,
@@ -159,6 +171,10 @@
     return f"{path}/{quote(name, safe='')}" if name else path
 
 
+def _as_stored(content: Any) -> Any:
+    return orjson.loads(orjson.dumps(content))
+
+
 def _document(value: Any) -> Document:
     """Read an object's name and revision; the codec decodes its content."""
     metadata = _field(value, "metadata", dict)
