Test late, surplus and repeated refusals between VMs and on the own interface

Neither path tells a caller "not run" because of an earlier refusal, and the tests show what each relies on.

Forwards between VMs of the gateway carry no request id in their answers.

The own interface compares the id of each attempt; its guard is shown to be needed. The retry of a non-idempotent request, which keeps the id of the refused attempt, uses a connection of its own.

--- a/fireflyferry/entry/tests/test_curl_hazards.py
+++ b/fireflyferry/entry/tests/test_curl_hazards.py
@@ -306,6 +306,58 @@
     run_with(script, requests)
 
 
+REFUSED = "Firefly-Outcome: not-run\r\nFirefly-Reason: upstream_shed\r\n"
+
+
+@GUARDED
+@pytest.mark.parametrize("first_hop", [0, 1])
+def test_earlier_refusal_written_again_is_not_the_answer(first_hop, guarded, monkeypatch):
+    """Guards against a false `not-run` because of the refusal of an earlier request.
+
+    Load pattern: an upstream refuses a request, then runs the next one on the same connection and
+    writes the refusal again before its answer.
+    """
+    if not guarded:
+        skip_id_check(monkeypatch)
+    refusals, ran = [], []
+
+    async def refuse_then_run(request, writer):
+        if not refusals:
+            refusals.append(answer(request, b"", "503 Service Unavailable", REFUSED))
+            writer.write(refusals[0])
+        elif request.connection == 1:
+            ran.append(request.request_id)
+            writer.write(refusals[0] + answer(request))
+        else:
+            writer.write(answer(request, b"retried"))
+
+    async def requests(port, cluster, upstream):
+        reply = await send_request(cluster.public_ports[first_hop])
+        assert len(ran) == 1 and (reply.status, reply.body) == (200, b"retried")
+        retries = {"wrong_answer": 1, "upstream_shed": 1} if guarded else {"upstream_shed": 2}
+        assert cluster.paths[first_hop].snapshot().retries == retries
+
+    run_with(refuse_then_run, requests, RequestLimits(backoff_base_s=0.001))
+
+
+def test_retry_of_a_refused_non_idempotent_request_uses_another_connection():
+    """Guards against the first attempt's refusal, written again, that has the id of the retry."""
+
+    async def refuse_on_first_connection(request, writer):
+        if request.connection == 1:
+            writer.write(answer(request, b"", "503 Service Unavailable", REFUSED))
+        else:
+            writer.write(answer(request, b"ran"))
+
+    async def requests(port, cluster, upstream):
+        reply = await send_request(port, "/write/key", "POST", body=b"1")
+        assert (reply.status, reply.body) == (200, b"ran")
+        assert [request.connection for request in upstream.received] == [1, 2]
+        assert len({request.request_id for request in upstream.received}) == 1
+
+    run_with(refuse_on_first_connection, requests, RequestLimits(backoff_base_s=0.001))
+
+
 def test_not_run_is_not_claimed_after_an_attempt_that_may_have_run():
     """Guards against `not-run` if only the retry was refused and the first attempt may have run."""
 
