Let the shutdown test's queued request wait as long as the machine takes

test_shutdown_loses_no_request[0] failed once on a busy machine (load 27): a queued request was refused with deadline_passed_in_queue instead of being answered.

Cause: the test holds two requests for 0.4 s while a third waits in the queue of a pool that allows 0.5 s, so it had a bound of 0.1 s on wall time. What it checks is unchanged: all three requests are answered completely, and the drain waits for them.

--- a/fireflyferry/entry/tests/test_streaming.py
+++ b/fireflyferry/entry/tests/test_streaming.py
@@ -238,6 +238,9 @@
         writer.write(answer(request, b"complete"))
 
     async def requests(cluster, upstream):
+        # The third request waits in the queue for as long as the machine takes.
+        pool = attrs.evolve(LARGE_BODY_TABLES.pools[0], queue_wait_ms=30_000)
+        cluster.tables = attrs.evolve(LARGE_BODY_TABLES, pools=(pool,))
         port, path = cluster.public_ports[first_hop], cluster.paths[first_hop]
         idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", port)
         running = [asyncio.ensure_future(send_request(port, f"/write/{n}")) for n in range(3)]
