--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import attrs
@@ -19,25 +19,23 @@
     StoreCallError,
     UnreadableDocumentError,
 )
+from fireflyferry.gateway.grant_log import log_grant, log_moves, log_release
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.mirror import DocumentMirror
 from fireflyferry.gateway.planning import PlanProgress, RangePlanner
 from fireflyferry.gateway.state import GatewayState
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import (
-    GrantAnswer,
     GrantCall,
     GrantingLeaseTiming,
     GrantTiming,
     LeaseRecord,
     ListedRun,
-    OwnedRange,
     RangeGranter,
     ReadLease,
     ReleaseCall,
     SaveTable,
     StoreLease,
-    UpstreamRun,
     WriteLease,
 )
 from fireflyferry.tasks import BackgroundTasks
@@ -343,81 +341,17 @@
         document = Document(pool, result, content)
         self._mirror.put(documents.OWNER_KIND, document)
         self._tasks.start(self._announce(document))
-        self._log_moves(pool, before.ranges if before is not None else (), save.table.ranges)
-
-    def _log_moves(self, pool: str, before: Sequence[Any], after: Sequence[Any]) -> None:
-        moved = [each for each in set(after) - set(before) if not each.serving]
-        fences = {(each.first, each.last, each.owner): each.fence for each in before}
-        self._log_new_fences(pool, fences, [each for each in after if each.serving])
-        self._metrics.count_owner_changes(pool, len(moved))
-        for each in sorted(moved, key=lambda r: r.first):
-            _LOG.info(
-                "range_moves",
-                extra={
-                    "pool": pool,
-                    "first": each.first,
-                    "last": each.last,
-                    "to": each.owner.upstream_id,
-                    "to_born": each.owner.born,
-                    "fence": each.fence,
-                    "earlier": ",".join(run.upstream_id for run in each.earlier_holders),
-                    "earlier_born": ",".join(str(run.born) for run in each.earlier_holders),
-                },
-            )
-
-    def _log_new_fences(
-        self,
-        pool: str,
-        fences: Mapping[tuple[int, int, UpstreamRun], int],
-        serving: Sequence[OwnedRange],
-    ) -> None:
-        """Log ranges whose owner stays and gets them under a new fence."""
-        for each in serving:
-            earlier = fences.get((each.first, each.last, each.owner), each.fence)
-            if earlier != each.fence:
-                _LOG.info(
-                    "fence_raised",
-                    extra={
-                        "pool": pool,
-                        "first": each.first,
-                        "last": each.last,
-                        "owner": each.owner.upstream_id,
-                        "born": each.owner.born,
-                        "fence": each.fence,
-                        "earlier_fence": earlier,
-                    },
-                )
+        moves = log_moves(pool, before.ranges if before is not None else (), save.table.ranges)
+        self._metrics.count_owner_changes(pool, moves)
 
     async def _grant(self, control: _PoolControl, call: GrantCall) -> None:
         result = await self._orders.grant(call, lambda: self._is_current(control))
         self._metrics.order("grant", result.answer.name.lower())
-        if result.answer is not GrantAnswer.ACCEPTED:
-            self._log_order("grant_not_accepted", call, result.answer)
-        elif call.cleared:
-            cleared = ",".join(f"{run.upstream_id}:{why.name.lower()}" for run, why in call.cleared)
-            born = ",".join(str(run.born) for run, _ in call.cleared)
-            fields = {"cleared": cleared, "cleared_born": born}
-            self._log_order("moved_range_granted", call, result.answer, **fields)
+        log_grant(call, result.answer)
         control.granter.on_grant(self._clock.monotonic_s(), call, result)
 
     async def _release(self, control: _PoolControl, call: ReleaseCall) -> None:
         answer, handover = await self._orders.release(call, lambda: self._is_current(control))
         self._metrics.order("release", answer.name.lower())
-        self._log_order("release_answered", call, answer)
+        log_release(call, answer)
         control.granter.on_release(self._clock.monotonic_s(), call, answer, handover)
-
-    def _log_order(
-        self, event: str, call: GrantCall | ReleaseCall, answer: GrantAnswer, **fields: str
-    ) -> None:
-        _LOG.info(
-            event,
-            extra={
-                "upstream": call.run.upstream_id,
-                "born": call.run.born,
-                "first": call.first,
-                "last": call.last,
-                "fence": call.fence,
-                "answer": answer.name.lower(),
-                **fields,
-            },
-        )
--- a/fireflyferry/gateway/tests/test_incarnations.py
+++ b/fireflyferry/gateway/tests/test_incarnations.py
@@ -12,6 +12,7 @@
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.calls import Call, not_run
 from fireflyferry.gateway.envelopes import EnvelopeCodec
+from fireflyferry.gateway.grant_log import log_moves
 from fireflyferry.gateway.learning import record_attempt
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.program import ProgramRules
@@ -351,10 +352,10 @@
         control = running.program._control_loop
         moving = OwnedRange(0, 9, next_owner, 7, (earlier, later))
         served = OwnedRange(0, 9, later, 7, (), True)
-        control._log_moves("p", (OwnedRange(0, 9, later, 6),), (moving,))
+        log_moves("p", (OwnedRange(0, 9, later, 6),), (moving,))
         moved = line("range_moves")
         assert (moved.to, moved.to_born, moved.earlier_born) == ("u9", 3, "1,2")
-        control._log_moves("p", (OwnedRange(0, 9, later, 6),), (served,))
+        log_moves("p", (OwnedRange(0, 9, later, 6),), (served,))
         assert (line("fence_raised").owner, line("fence_raised").born) == ("u8", 2)
         cleared = ((earlier, Clearance.RESTARTED), (later, Clearance.EXPIRED))
         call = GrantCall(next_owner, "127.0.0.1:1", 0, 9, 7, 1.0, cleared=cleared)
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -10,6 +10,7 @@
 import attrs
 
 from fireflyferry.keyranges.division import Move
+from fireflyferry.keyranges.grant_state import Grant, Release, TableChanges
 from fireflyferry.keyranges.orders import (
     Clearance,
     GrantAnswer,
@@ -29,37 +30,6 @@
 _KeyRange = tuple[int, int]
 
 
-@attrs.define
-class _Grant:
-    """Grant of one range to its owner in the current term.
-
-    `higher_fence_seen` means that the owner refused the grant, and `needs_new_fence` that it
-    cannot be renewed, since the process that has the fence may have ended.
-    """
-
-    fence: int
-    acknowledged: bool = False
-    call_in_flight: bool = False
-    higher_fence_seen: bool = False
-    needs_new_fence: bool = False
-    next_call_s: float = 0.0
-
-
-@attrs.define
-class _Release:
-    """Release of one range by an earlier holder.
-
-    `grant_expiry_s` is None while grant calls to the holder are in flight. `called_fence` is the
-    fence of the last call.
-    """
-
-    grant_expiry_s: float | None
-    done: bool = False
-    call_in_flight: bool = False
-    called_fence: int = 0
-    next_call_s: float = 0.0
-
-
 class RangeGranter:
     """Grants the ranges of one pool during one term.
 
@@ -77,8 +47,8 @@
         self._save_in_flight: SaveTable | None = None
         self._listed: dict[UpstreamRun, ListedRun] = {}
         self._addresses: Mapping[str, str] = {}
-        self._grants: dict[_KeyRange, _Grant] = {}
-        self._releases: dict[tuple[_KeyRange, UpstreamRun], _Release] = {}
+        self._grants: dict[_KeyRange, Grant] = {}
+        self._releases: dict[tuple[_KeyRange, UpstreamRun], Release] = {}
         self._sent_grants = SentGrants(timing, began_s)
         self._handovers: dict[_KeyRange, str] = {}
         self._requested_moves: list[Move] = []
@@ -197,7 +167,7 @@
         table = self._table
         if table is None:
             return self._first_table()
-        changes = _TableChanges(table.last_fence)
+        changes = TableChanges(table.last_fence)
         if not self._is_table_of_this_term:
             # The processes that have the fences of the earlier term may have ended.
             changes.ranges = [attrs.evolve(r, fence=changes.next_fence()) for r in table.ranges]
@@ -219,7 +189,7 @@
         table = OwnerTable(self._pool, 1, 1, ranges)
         return table if table.is_complete() else None
 
-    def _next_ranges(self, owned: OwnedRange, changes: "_TableChanges") -> Iterator[OwnedRange]:
+    def _next_ranges(self, owned: OwnedRange, changes: TableChanges) -> Iterator[OwnedRange]:
         """Return the ranges that replace one range in the next table."""
         moves = [
             m for m in self._requested_moves if owned.first <= m.first and m.last <= owned.last
@@ -236,9 +206,7 @@
         else:
             yield owned
 
-    def _with_new_fence(
-        self, owned: OwnedRange, grant: _Grant, changes: "_TableChanges"
-    ) -> OwnedRange:
+    def _with_new_fence(self, owned: OwnedRange, grant: Grant, changes: TableChanges) -> OwnedRange:
         """Return a range that its owner, which may hold it already, gets under a new fence."""
         changes.has_changes = True
         fence = changes.next_fence()
@@ -248,7 +216,7 @@
         )
 
     def _split_by_moves(
-        self, owned: OwnedRange, moves: list[Move], changes: "_TableChanges"
+        self, owned: OwnedRange, moves: list[Move], changes: TableChanges
     ) -> Iterator[OwnedRange]:
         """Split a range into the parts that move and the parts that stay."""
         next_first = owned.first
@@ -267,7 +235,7 @@
         """Return a part that keeps its owner; its grant is renewed separately from now on."""
         grant = self._grants.get((owned.first, owned.last))
         if grant is not None and (first, last) != (owned.first, owned.last):
-            self._grants[first, last] = _Grant(owned.fence, grant.acknowledged)
+            self._grants[first, last] = Grant(owned.fence, grant.acknowledged)
         return attrs.evolve(owned, first=first, last=last)
 
     def _moved_part(self, owned: OwnedRange, move: Move, fence: int) -> OwnedRange:
@@ -287,7 +255,7 @@
             grant_expiry_s = (
                 release.grant_expiry_s if release is not None else self._sent_grants.expiry_s(run)
             )
-            self._releases[key_range, run] = _Release(grant_expiry_s)
+            self._releases[key_range, run] = Release(grant_expiry_s)
         return OwnedRange(move.first, move.last, move.new_owner, fence, tuple(earlier_holders))
 
     def _never_granted(self, owned: OwnedRange) -> bool:
@@ -323,7 +291,7 @@
         release = self._releases.get((key_range, run))
         if release is None:
             # The VM that granted before may have sent grants until this term began.
-            release = self._releases[key_range, run] = _Release(self._sent_grants.expiry_s(run))
+            release = self._releases[key_range, run] = Release(self._sent_grants.expiry_s(run))
         if release.done:
             return Clearance.RELEASED
         if release.grant_expiry_s is not None and now_s >= release.grant_expiry_s:
@@ -351,7 +319,7 @@
         self, now_s: float, owned: OwnedRange, cleared: tuple[tuple[UpstreamRun, Clearance], ...]
     ) -> Iterator[GrantCall]:
         key_range = (owned.first, owned.last)
-        grant = self._grants.setdefault(key_range, _Grant(owned.fence))
+        grant = self._grants.setdefault(key_range, Grant(owned.fence))
         if not self._may_grant(now_s, owned, grant):
             return
         grant.call_in_flight = True
@@ -368,7 +336,7 @@
         self._sent_grants.on_sent(call)
         yield call
 
-    def _may_grant(self, now_s: float, owned: OwnedRange, grant: _Grant) -> bool:
+    def _may_grant(self, now_s: float, owned: OwnedRange, grant: Grant) -> bool:
         if owned.owner not in self._listed or self.has_ended(owned.owner):
             return False
         if grant.call_in_flight or grant.higher_fence_seen or grant.needs_new_fence:
@@ -404,17 +372,3 @@
 def _is_replaced_by(run: UpstreamRun, owner: UpstreamRun) -> bool:
     """Return whether an owner is the same incarnation or a later one under the same id."""
     return run.upstream_id == owner.upstream_id and run.born <= owner.born
-
-
-@attrs.define
-class _TableChanges:
-    """Ranges of the next table."""
-
-    last_fence: int
-    has_changes: bool = False
-    ranges: list[OwnedRange] = attrs.field(factory=list)
-
-    def next_fence(self) -> int:
-        """Return a fence above all earlier ones."""
-        self.last_fence += 1
-        return self.last_fence
