--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -141,3 +141,21 @@
     result = asyncio.run(Soak(plan, tmp_path).run())
     assert result.findings == []
     assert result.statuses[200] > 0
+
+
+# Cut off from the store from 0.5 s on, so that the store drops its entry; the port refuses and the
+# open connections close from 1.2 s on, while the process holds its keys. Then the same elsewhere.
+REFUSED = (
+    Fault(0.5, FaultKind.UPSTREAM_PARTITION, 0, 4.0),
+    Fault(1.2, FaultKind.UPSTREAM_REFUSES, 8, 5.0),
+    Fault(7.0, FaultKind.UPSTREAM_PARTITION, 4, 4.0),
+    Fault(7.7, FaultKind.UPSTREAM_REFUSES, 12, 5.0),
+)
+
+
+def test_upstream_whose_port_refuses_keeps_its_keys_until_its_grants_expire(tmp_path):
+    """Guards against two holders of a key when an unlisted upstream refuses connections."""
+    plan = SoakPlan(1, length_s=13.0, vms=4, faults=REFUSED)
+    result = asyncio.run(Soak(plan, tmp_path).run())
+    assert result.findings == []
+    assert result.statuses[200] > 0
