Do not send requests to a VM that has refused one because it stops

Callers could get refusals for the upstreams whose slots a stopping VM allots, for up to two seconds, while the store was away and its list did not show the stop.

Cause: a stopping VM refuses forwarded requests as not run. The next attempt went to the same VM.

Change: a refusal with the reason shutting_down marks that incarnation of the VM as leaving, as its own entry in the store does, so the next attempt goes over another last hop.

--- a/fireflyferry/balancing/tests/test_directories.py
+++ b/fireflyferry/balancing/tests/test_directories.py
@@ -120,3 +120,19 @@
     assert upstreams.get("u1") == later and upstreams.standing(1.0, "u1", 2) is Standing.LEAVING
     upstreams.apply(1.5, [later], False)
     assert upstreams.standing(1.5, "u1", 2) is Standing.READY
+
+
+def test_vm_that_refuses_because_it_stops_is_no_last_hop_any_more():
+    """Guards against refusals of a stopping VM one after the other, while the store is away."""
+    this_vm, other = (EntryVm(f"vm-{n}", "i1", f"10.0.0.{n}:80", "dc-1") for n in (1, 2))
+    names = [f"u{number}" for number in range(20)]
+    vms = VmDirectory(this_vm, {})
+    vms.apply([this_vm, other])
+    assert any(vms.last_hop(name, "dc-1") == other for name in names)
+    assert not vms.mark_leaving(attrs.evolve(other, incarnation="i0"))
+    assert vms.mark_leaving(other) and not vms.mark_leaving(other)
+    vms.apply([this_vm, other])
+    assert all(vms.last_hop(name, "dc-1") == this_vm for name in names)
+    restarted = attrs.evolve(other, incarnation="i2")
+    vms.apply([this_vm, restarted])
+    assert any(vms.last_hop(name, "dc-1") == restarted for name in names)
--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -40,6 +40,7 @@
         self._regions = dict(regions)
         self._vms: dict[str, EntryVm] = {this_vm.vm_id: this_vm}
         self._suspected: dict[str, str] = {}
+        self._leaving: dict[str, str] = {}
         self._candidates: dict[tuple[str, str, bool], tuple[EntryVm, ...]] = {}
         self._is_large_cache: dict[str, bool] = {}
 
@@ -74,13 +75,33 @@
             by_address[vm.address] = vm
         by_address[self._this_vm.address] = self._this_vm
         self._vms = {vm.vm_id: vm for vm in by_address.values()}
-        self._suspected = {
+        self._suspected = self._listed_only(self._suspected)
+        self._leaving = self._listed_only(self._leaving)
+        for vm_id in self._leaving:
+            self._vms[vm_id] = attrs.evolve(self._vms[vm_id], leaving=True)
+        self._candidates.clear()
+        self._is_large_cache.clear()
+
+    def _listed_only(self, incarnations: Mapping[str, str]) -> dict[str, str]:
+        return {
             vm_id: incarnation
-            for vm_id, incarnation in self._suspected.items()
+            for vm_id, incarnation in incarnations.items()
             if vm_id in self._vms and self._vms[vm_id].incarnation == incarnation
         }
+
+    def mark_leaving(self, vm: EntryVm) -> bool:
+        """Mark a VM as leaving that says so itself; return whether it was not marked before.
+
+        While the store is away, its list of VMs does not show it.
+        """
+        listed = self._vms.get(vm.vm_id)
+        if listed is None or listed.incarnation != vm.incarnation or listed.leaving:
+            return False
+        self._leaving[vm.vm_id] = vm.incarnation
+        self._vms[vm.vm_id] = attrs.evolve(listed, leaving=True)
         self._candidates.clear()
         self._is_large_cache.clear()
+        return True
 
     def suspect(self, vm: EntryVm) -> bool:
         """Suspect a listed incarnation of a VM; return whether it was not suspected before."""
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -164,7 +164,7 @@
                 return not_run(Reason.CONNECT_FAILED)
             return outcome_unknown(Reason.TIMED_OUT if result.timed_out else Reason.CONNECTION_LOST)
         try:
-            return self._read_result(result, call, upstream)
+            attempt = self._read_result(result, call, upstream)
         except (EnvelopeError, peer_messages.PeerMessageError) as error:
             _LOG.warning(
                 "peer_answer_unreadable",
@@ -175,6 +175,9 @@
             if result.status in _UNREAD_STATUSES:
                 return not_run(Reason.SHUTTING_DOWN)
             return outcome_unknown(Reason.WRONG_ANSWER)
+        if attempt.reason is Reason.SHUTTING_DOWN and self._vms.mark_leaving(vm):
+            _LOG.info("peer_leaving", extra={"vm": vm.vm_id, "incarnation": vm.incarnation})
+        return attempt
 
     def _read_result(self, result: FetchResult, call: Call, upstream: Upstream) -> Attempt:
         """Parse an answer; a VM that did not read the request refuses it in a header."""
--- a/fireflyferry/gateway/tests/test_peer_answers.py
+++ b/fireflyferry/gateway/tests/test_peer_answers.py
@@ -40,6 +40,8 @@
     forwards: int = 0
     connections: int = 0
     tasks: list = attrs.field(factory=list)
+    # VMs that the forwarding VM knows.
+    vms: VmDirectory = None
 
     async def serve(self, reader, writer):
         self.tasks.append(asyncio.current_task())
@@ -66,7 +68,8 @@
         server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
         vm = EntryVm("vm-2", "i2", f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "dc-1")
         clock, transport = BootClock(), CurlTransport(force_instance=True)
-        vms = VmDirectory(EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1"), {})
+        peer.vms = vms = VmDirectory(EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1"), {})
+        vms.apply([vm])
         client = PeerClient(clock, transport, vms, EnvelopeCodec(HEADER_NAMES))
 
         def forward(left_s=20.0):
@@ -156,3 +159,18 @@
         assert peer.connections == 3
 
     run_with_peer(answer_and_refuse, scenario)
+
+
+def test_vm_that_refuses_a_forward_because_it_stops_is_marked_as_leaving():
+    """Guards against forwards to a stopping VM one after the other, while the store is away."""
+
+    async def refuse(_, writer):
+        writer.write(REFUSAL)
+
+    async def scenario(forward, peer):
+        assert not peer.vms.get("vm-2").leaving
+        attempt = await forward()
+        assert (attempt.outcome, attempt.reason) == (Outcome.NOT_RUN, Reason.SHUTTING_DOWN)
+        assert peer.vms.get("vm-2").leaving
+
+    run_with_peer(refuse, scenario)
