Answer requests in flight also when the grace period is short

With a grace period below 3.6 s, callers whose requests were in flight at the exit got a closed connection without an answer.

Cause: the phase in which a stopping VM takes requests lasted up to the exit, so no time was left between breaking requests off and closing the connections.

Change: that phase ends in time for the final answers.

Evidence: found by a reader of the change; the test fails before it.

--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -359,13 +359,14 @@
         ]
         for work in announcements:
             self._tasks.start(work)
-        while clock.monotonic_s() < min(stop_began_s + rules.accept_while_stopping_s, exit_by_s):
+        break_off_s = exit_by_s - rules.final_answers_s
+        while clock.monotonic_s() < min(stop_began_s + rules.accept_while_stopping_s, break_off_s):
             await asyncio.sleep(0.05)
         # From now on new requests are refused; those in flight are still answered. The server for
         # other VMs goes on listening, since they ping this VM while they wait for its answers.
         self._callers_server.stop()
         self._caller_services.in_flight.closed = self._peer_services.in_flight.closed = True
-        await self._wait_until_idle(exit_by_s - rules.final_answers_s)
+        await self._wait_until_idle(break_off_s)
         broken_off = self._caller_services.in_flight.break_off()
         broken_off += self._peer_services.in_flight.break_off()
         await self._wait_until_idle(exit_by_s)
--- a/fireflyferry/gateway/tests/test_stopping.py
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -334,3 +334,17 @@
             assert (await read_reply(reader)).status == 200
 
     run_stopping(scenario, slow)
+
+
+def test_request_is_answered_although_the_grace_period_ends_before_the_accept_phase():
+    """Guards against a connection cut without an answer when the grace period is short."""
+
+    async def scenario(running, upstream):
+        async with connection(running.port) as (reader, writer):
+            writer.write(request_bytes("/write/", "POST", LONG_DEADLINE, b"1"))
+            await running.wait_until(lambda: upstream.seen)
+            running.program.stop()
+            got = await read_reply(reader)
+            assert (got.status, got.complete, got.headers["connection"]) == (504, True, "close")
+
+    run_stopping(scenario, rules=ProgramRules(accept_while_stopping_s=9.0))
