Limit hedged attempts of a stopping VM, and do not avoid upstreams for its refusals

A hedged attempt over another VM that began after the signal got the caller's whole deadline, so its outcome could be open at the exit. And a refusal by a stopping last hop excluded the upstream, which had not seen the request, from the next attempts.

Cause: only the search for the first attempt asked the stop plan; and all refusals that may be retried counted against the upstream.

Change: a hedged attempt asks the plan as well; a refusal with shutting_down excludes nothing, since the VM is marked as leaving.

Evidence: found by a reader of the change. The test fails before it, with a deadline of 1e9 s.

--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -169,7 +169,10 @@
         """Start a hedged attempt at another upstream, if there is one and the budget allows it."""
         tried = {*search.tried, target.upstream.run.upstream_id}
         other = self._locator.locate_unkeyed(call, attrs.evolve(search, tried=tried))
-        if isinstance(other, Attempt) or not self._take_retry(call, search):
+        if isinstance(other, Attempt):
+            return []
+        hedged_call = attrs.evolve(call, repeated=True, tried=frozenset(tried))
+        if not self._ends_before_exit(hedged_call, other) or not self._take_retry(call, search):
             return []
         search.tried, search.hops = tried, search.hops + 1
         search.reached += 1
@@ -183,8 +186,7 @@
                 "instead_of": target.upstream.run.upstream_id,
             },
         )
-        call.passed_on = True
-        hedged_call = attrs.evolve(call, repeated=True, tried=frozenset(tried))
+        call.passed_on = hedged_call.passed_on = True
         return [asyncio.ensure_future(self._attempt(hedged_call, other))]
 
     @staticmethod
@@ -293,7 +295,7 @@
             and self._state.shares_last_hop(target.upstream)
         ):
             search.full_data_centres.add(target.upstream.data_centre)
-        elif retry:
+        elif retry and attempt.reason is not Reason.SHUTTING_DOWN:
             search.tried.add(attempt.upstream_id or target.upstream.run.upstream_id)
         return retry
 
--- a/fireflyferry/gateway/tests/test_first_hop.py
+++ b/fireflyferry/gateway/tests/test_first_hop.py
@@ -1,11 +1,13 @@
 """Guards against retries above the shared limit, and against attempts cancelled too early."""
 
 import asyncio
+import random
 import types
 
 import pytest
 
-from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.admission import StopPlan
+from fireflyferry.balancing import EntryVm, LoadTracker, SelectionRules, VmDirectory
 from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
@@ -104,3 +106,36 @@
     hop, bodies = run_slow_attempts(5, has_room=False)
     assert bodies == [b"first"] * 5
     assert hop.second_attempts == 5
+
+
+def test_hedged_attempt_that_begins_while_the_vm_stops_ends_before_its_exit():
+    """Guards against a hedged attempt over another VM whose outcome is open at the exit."""
+
+    class RecordingFirstHop(SlowFirstHop):
+        async def _attempt(self, call, target):
+            self.deadlines_s.append(call.deadline_s)
+            await asyncio.sleep(0.1)
+            return answered(b"")
+
+    class OtherVmLocator(FixedLocator):
+        def locate_unkeyed(self, call, search):
+            upstream = types.SimpleNamespace(run=UpstreamRun("u1", 1), slots=1)
+            return types.SimpleNamespace(upstream=upstream, vm=vm(1))
+
+    clock, plan = BootClock(), StopPlan()
+    upstreams = types.SimpleNamespace(ready=lambda now_s, pool: [1, 2, 3])
+    state = types.SimpleNamespace(vms=VmDirectory(vm(0), {}), upstreams=upstreams)
+    tracker = LoadTracker(SelectionRules(), random.Random(1))
+    parts = (state, None, None, tracker, GatewayMetrics(), OtherVmLocator())
+    hop = RecordingFirstHop(clock, *parts, FirstHopRules(), plan)
+    hop.deadlines_s = []
+
+    async def main():
+        task = asyncio.ensure_future(hop.run(idempotent_call(1)))
+        await asyncio.sleep(0)
+        now_s = clock.monotonic_s()
+        plan.cut_until_s, plan.answer_by_s = now_s + 25.0, now_s + 50.0
+        await task
+
+    asyncio.run(main())
+    assert hop.deadlines_s == [1e9, plan.answer_by_s]
