Announce the close of a broken-off request once

An answer of the own interface to a request that began during a drain and was broken off carried Connection: close twice, since both steps added it. Found by a reader of the change.

--- a/fireflyferry/entry/exchange.py
+++ b/fireflyferry/entry/exchange.py
@@ -169,6 +169,7 @@
             self._sink.abort()
             return
         self._sink.drop_header(router_headers.OUTCOME)
+        self._sink.drop_header("Connection")
         self._sink.add_header("Connection", "close")
         self.answer_broken_off()
 
