Log and count a new fence of a range that is not served yet as such

The counter of owner changes and range_moves took a range that only got a new fence, before its owner had accepted it, for a move to another owner. Found by a reader of the change.

--- a/fireflyferry/gateway/grant_log.py
+++ b/fireflyferry/gateway/grant_log.py
@@ -25,8 +25,13 @@
                 "earlier_fence": earlier_fence,
             },
         )
-    moved = [each for each in set(after) - set(before) if not each.serving]
-    for each in sorted(moved, key=lambda owned: owned.first):
+    owners = {(each.first, each.last, each.owner) for each in before}
+    moved = [
+        each
+        for each in after
+        if not each.serving and (each.first, each.last, each.owner) not in owners
+    ]
+    for each in moved:
         _LOG.info(
             "range_moves",
             extra={
@@ -65,7 +70,7 @@
     fences = {(each.first, each.last, each.owner): each.fence for each in before}
     for each in after:
         earlier_fence = fences.get((each.first, each.last, each.owner), each.fence)
-        if each.serving and earlier_fence != each.fence:
+        if earlier_fence != each.fence:
             yield each, earlier_fence
 
 
