--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -86,30 +86,31 @@
         return {
             vm_id: incarnation
             for vm_id, incarnation in incarnations.items()
-            if vm_id in self._vms and self._vms[vm_id].incarnation == incarnation
+            if self._is_listed(vm_id, incarnation)
         }
 
+    def _is_listed(self, vm_id: str, incarnation: str) -> bool:
+        listed = self._vms.get(vm_id)
+        return listed is not None and listed.incarnation == incarnation
+
     def mark_leaving(self, vm: EntryVm) -> bool:
         """Mark a VM as leaving that says so itself; return whether it was not marked before.
 
         While the store is away, its list of VMs does not show it.
         """
-        listed = self._vms.get(vm.vm_id)
-        if listed is None or listed.incarnation != vm.incarnation or listed.leaving:
+        if not self._is_listed(vm.vm_id, vm.incarnation) or self._vms[vm.vm_id].leaving:
             return False
         self._leaving[vm.vm_id] = vm.incarnation
-        self._vms[vm.vm_id] = attrs.evolve(listed, leaving=True)
+        self._vms[vm.vm_id] = attrs.evolve(self._vms[vm.vm_id], leaving=True)
         self._candidates.clear()
         self._is_large_cache.clear()
         return True
 
     def suspect(self, vm: EntryVm) -> bool:
         """Suspect a listed incarnation of a VM; return whether it was not suspected before."""
-        listed = self._vms.get(vm.vm_id)
         if (
             vm.vm_id == self._this_vm.vm_id
-            or listed is None
-            or listed.incarnation != vm.incarnation
+            or not self._is_listed(vm.vm_id, vm.incarnation)
             or vm.vm_id in self._suspected
         ):
             return False
--- a/fireflyferry/keyranges/grant_state.py
+++ b/fireflyferry/keyranges/grant_state.py
@@ -37,6 +37,10 @@
     called_fence: int = 0
     next_call_s: float = 0.0
 
+    def has_expired(self, now_s: float) -> bool:
+        """Return whether the grants of the earlier holder have expired; time in seconds."""
+        return self.grant_expiry_s is not None and now_s >= self.grant_expiry_s
+
 
 @attrs.define
 class TableChanges:
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -294,7 +294,7 @@
             release = self._releases[key_range, run] = Release(self._sent_grants.expiry_s(run))
         if release.done:
             return Clearance.RELEASED
-        if release.grant_expiry_s is not None and now_s >= release.grant_expiry_s:
+        if release.has_expired(now_s):
             return Clearance.EXPIRED
         return None
 
@@ -356,7 +356,7 @@
             and not self.has_ended(holder)
             and not (each.done or each.call_in_flight)
             and now_s >= each.next_call_s
-            and not (each.grant_expiry_s is not None and now_s >= each.grant_expiry_s)
+            and not each.has_expired(now_s)
             for (_, holder), each in self._releases.items()
         )
 
