--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -1,8 +1,10 @@
 """Requests that are routed to upstreams, and the results of attempts to send them."""
 
+from collections.abc import Callable
+
 import attrs
 
-from fireflyferry.admission import StopPlan
+from fireflyferry.admission import StopPlan, is_probably_answered
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport.headers import HeaderList
 
@@ -41,14 +43,19 @@
     passed_on: bool = False
     deadline_cut: bool = False
 
-    def limit_deadline(self, plan: StopPlan) -> bool:
-        """Cut the deadline to a time before this VM stops; return whether to pass it on."""
+    def ends_before_exit(
+        self, now_s: float, plan: StopPlan, forecast: Callable[[], tuple[float, float]]
+    ) -> bool:
+        """Return whether an attempt ends before a stopping VM exits; cut the deadline to that.
+
+        `forecast` returns the expected wait and service time in seconds.
+        """
         deadline_s = plan.deadline_s(self.received_s, self.deadline_s)
         if deadline_s is None:
             return False
         self.deadline_cut = self.deadline_cut or deadline_s < self.deadline_s
         self.deadline_s = deadline_s
-        return True
+        return not self.deadline_cut or is_probably_answered(deadline_s - now_s, *forecast())
 
     def result_if_broken_off(self) -> "Attempt":
         """Return the result for a caller whose request ends now, with the exit of this VM."""
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fireflyferry.admission import StopPlan, is_probably_answered
+from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import LoadTracker, SlidingRetryBudget
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
@@ -132,17 +132,15 @@
 
     def _ends_before_exit(self, call: Call, target: Target) -> bool:
         """Return whether an attempt ends before a stopping VM exits; cut its deadline to that."""
-        if not call.limit_deadline(self._stop_plan):
-            return False
-        if not call.deadline_cut:
-            return True
         now_s, upstream = self._clock.monotonic_s(), target.upstream
-        if target.vm.vm_id == self._state.vms.this_vm.vm_id:
-            wait_s, service_s = self._last_hop.forecast(upstream)
-        else:
-            wait_s = self._load_tracker.wait_s(now_s, upstream)
-            service_s = self._load_tracker.service_s(upstream.run)
-        return is_probably_answered(call.deadline_s - now_s, wait_s, service_s)
+
+        def forecast() -> tuple[float, float]:
+            if target.vm.vm_id == self._state.vms.this_vm.vm_id:
+                return self._last_hop.forecast(upstream)
+            tracker = self._load_tracker
+            return tracker.wait_s(now_s, upstream), tracker.service_s(upstream.run)
+
+        return call.ends_before_exit(now_s, self._stop_plan, forecast)
 
     async def _attempt_hedged(self, call: Call, search: Search, target: Target) -> Attempt:
         """Make an attempt, and a hedged one in parallel if the first is not answered soon enough.
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fireflyferry.admission import StopPlan, is_probably_answered
+from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import (
     Admitted,
     LoadTracker,
@@ -214,19 +214,12 @@
             if not self._end_wait(ticket, in_time) or not in_time:
                 queue.finish(now_s, None)
 
-    def _ends_before_exit(self, call: Call, service_s: float) -> bool:
-        """Return whether an attempt ends before a stopping VM exits; cut its deadline to that."""
-        if not call.limit_deadline(self._stop_plan):
-            return False
-        left_s = call.deadline_s - self._clock.monotonic_s()
-        return not call.deadline_cut or is_probably_answered(left_s, 0.0, service_s)
-
     async def _send(self, call: Call, upstream: Upstream, queue: SlotQueue) -> Attempt:
         sent_s = self._clock.monotonic_s()
         busy = queue.busy
         service_s: float | None = None
         try:
-            if not self._ends_before_exit(call, queue.service_s):
+            if not call.ends_before_exit(sent_s, self._stop_plan, lambda: (0.0, queue.service_s)):
                 return not_run(Reason.SHUTTING_DOWN)
             attempt = await self._exchange(call, upstream)
             took_s = self._clock.monotonic_s() - sent_s
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -6,7 +6,7 @@
 import attrs
 from tornado.http1connection import HTTP1Connection
 
-from fireflyferry.admission import StopPlan, is_probably_answered
+from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import Standing, UpstreamDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import peer_messages
@@ -159,13 +159,12 @@
         standing = services.upstreams.standing(now_s, peer_call.upstream_id, peer_call.born)
         if upstream is None or standing is Standing.GONE:
             return not_run(Reason.UPSTREAM_DRAINING)
-        if not call.limit_deadline(services.stop_plan):
-            return not_run(Reason.SHUTTING_DOWN)
-        if call.deadline_cut and not is_probably_answered(
-            call.deadline_s - now_s, *services.last_hop.forecast(upstream)
+        last_hop = services.last_hop
+        if not call.ends_before_exit(
+            now_s, services.stop_plan, lambda: last_hop.forecast(upstream)
         ):
             return not_run(Reason.SHUTTING_DOWN)
-        return await services.last_hop.run(call, upstream)
+        return await last_hop.run(call, upstream)
 
     def _make_call(
         self, peer_call: peer_messages.PeerCall, envelope: Envelope, now_s: float
