Keep the readable objects of a list or watch beside an odd one

What operators saw elsewhere: another writer left one entry that was nested very deeply, or held a number too large, and the VMs that read the list stopped following it. It could happen here. The answer was decoded whole, so one part that the JSON decoder rejects (more than 1,024 levels, a number beyond a double, bytes that are not UTF-8) failed the whole list or watch. The list was repeated for ever, and a watch stayed at its position. An object without a readable name or revision did the same. Content of 255 to 1,024 levels was read but could not be encoded again, so a relay failed to answer its followers.

An answer that cannot be decoded whole is now split at its brackets, and each object's parts are decoded on their own. Content that cannot be decoded, or is nested deeper than 64 levels, makes its object unreadable; an object without a readable name is left out and logged. If no object of a list is readable, the call still fails, since an empty list would remove all upstreams.

--- a/fireflyferry/messages/__init__.py
+++ b/fireflyferry/messages/__init__.py
@@ -11,6 +11,7 @@
     VmIncarnation,
     parse_group_id,
 )
+from fireflyferry.messages.partial import decode_readable_parts, is_nested_deeper
 from fireflyferry.messages.vms import VmEntry
 
 __all__ = [
@@ -26,6 +27,8 @@
     "VmEntry",
     "VmIncarnation",
     "decode",
+    "decode_readable_parts",
     "encode",
+    "is_nested_deeper",
     "parse_group_id",
 ]
--- a/fireflyferry/platform/store.py
+++ b/fireflyferry/platform/store.py
@@ -1,5 +1,8 @@
 """Client of the platform's store."""
 
+import logging
+import reprlib
+from collections.abc import Iterable, Iterator
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -14,6 +17,7 @@
     StoreCallError,
 )
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.messages import decode_readable_parts, is_nested_deeper
 from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
 from fireflyferry.transport.fetch import complete_body
 
@@ -22,6 +26,11 @@
 CALL_TIMEOUT_S = 1.5  # the store answers in 4 ms, and takes up to 60 times as long when slow
 WATCH_MARGIN_S = 1.0  # time for the answer to arrive after a watch without changes
 JSON_HEADERS = [("Content-Type", "application/json")]
+MAX_NESTING = 64  # of an object's content; it must be possible to encode it within a longer message
+LIST_LEVELS = 3  # answer, list, object; a part of an object is decoded whole or not at all
+WATCH_LEVELS = 4  # answer, list, event, object
+
+_LOG = logging.getLogger(__name__)
 
 
 class HttpMetadataStore(MetadataStore):
@@ -31,6 +40,7 @@
         self._address = address
         self._transport = transport
         self._metrics = metrics
+        self._last_dropped: dict[str, str] = {}
 
     def set_address(self, address: str) -> None:
         """Use another address from now on."""
@@ -64,9 +74,14 @@
         after = ""
         while True:
             query = {**base_query, "after": after} if after else base_query
-            page = self._content(await self._call(label, "GET", _path(kind), query))
+            result = await self._call(label, "GET", _path(kind), query)
+            page = self._content(result, LIST_LEVELS)
             items = _field(page, "items", list)
-            documents.extend(map(_document, items))
+            readable = list(self._readable(kind, items))
+            documents.extend(readable)
+            if items and not (readable if page.get("hasMore") else documents):
+                # Without a name the next page is unknown; an empty list would remove all objects.
+                raise StoreCallError(f"no object of {kind} after {after!r} is readable")
             if position is None:
                 # A watch from the first page's position returns again the changes that were made
                 # while the other pages were read.
@@ -86,17 +101,18 @@
         )
         if result.status == 410:
             raise HistoryLostError(f"changes of {kind} after position {position}")
-        content = self._content(result)
+        content = self._content(result, WATCH_LEVELS)
         changed: dict[str, Document] = {}
         removed: dict[str, None] = {}
         for event in _field(content, "events", list):
-            document = _document(_field(event, "object", dict))
-            if event.get("removed"):
-                changed.pop(document.name, None)
-                removed[document.name] = None
-            else:
-                changed[document.name] = document
-                removed.pop(document.name, None)
+            fields = event if isinstance(event, dict) else {}
+            for document in self._readable(kind, [fields.get("object")]):
+                if fields.get("removed"):
+                    changed.pop(document.name, None)
+                    removed[document.name] = None
+                else:
+                    changed[document.name] = document
+                    removed.pop(document.name, None)
         return DocumentBatch(_field(content, "asOf", int), tuple(changed.values()), tuple(removed))
 
     async def write(self, kind: str, name: str, content: Any, revision: int) -> int | Conflict:
@@ -157,14 +173,25 @@
             raise StoreCallError(f"{method} {target}: status {result.status}")
         return result
 
-    def _content(self, result: FetchResult) -> Any:
+    def _content(self, result: FetchResult, levels: int = 0) -> Any:
+        """Decode an answer; containers down to `levels` levels may have unreadable parts."""
         if result.status not in (200, 201):
             raise StoreCallError(f"unexpected status {result.status}")
         try:
-            return orjson.loads(result.body)
-        except orjson.JSONDecodeError as error:
+            return decode_readable_parts(result.body, levels)
+        except ValueError as error:
             raise StoreCallError(f"answer is not JSON: {error}") from error
 
+    def _readable(self, kind: str, objects: Iterable[Any]) -> Iterator[Document]:
+        """Return the objects whose name can be read; other writers may store any others."""
+        for each in objects:
+            try:
+                yield _document(each)
+            except StoreCallError as error:
+                if self._last_dropped.get(kind) != str(error):
+                    self._last_dropped[kind] = str(error)
+                    _LOG.warning("object_dropped", extra={"kind": kind, "error": str(error)})
+
 
 def _path(kind: str, name: str = "") -> str:
     path = f"/objects/{quote(kind, safe='')}"
@@ -176,10 +203,14 @@
 
 
 def _document(value: Any) -> Document:
-    """Read an object's name and revision; the codec decodes its content."""
+    """Read an object's name and revision; the codec decodes its content.
+
+    The content is None if it cannot be read. Raises StoreCallError.
+    """
     metadata = _field(value, "metadata", dict)
     name, revision = _field(metadata, "name", str), _field(metadata, "revision", int)
-    return Document(name, revision, value.get("spec"))
+    content = value.get("spec")
+    return Document(name, revision, None if is_nested_deeper(content, MAX_NESTING) else content)
 
 
 def _field(content: Any, name: str, kind: type) -> Any:
@@ -189,5 +220,6 @@
     """
     value = content.get(name) if isinstance(content, dict) else None
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise StoreCallError(f"answer has {name} {value!r}, not of type {kind.__name__}")
+        found = reprlib.repr(value)
+        raise StoreCallError(f"answer has {name} {found}, not of type {kind.__name__}")
     return value
