Leave out upstreams whose id, slots or start cannot be used

An id goes into a header of each request and into a line between VMs, whose values are separated by spaces. Such an entry now names no upstream. Values in error texts are shortened, since a log line held the whole value.

--- a/fireflyferry/platform/decoding.py
+++ b/fireflyferry/platform/decoding.py
@@ -1,5 +1,8 @@
 """Decodes the platform's documents into the router's types."""
 
+import re
+import reprlib
+import sys
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -18,6 +21,11 @@
 
 __all__ = ["Codec"]
 
+UPSTREAM_ID = re.compile(r"[!-+\--~]{1,200}")  # fits into a header and into a line between VMs
+MAX_BORN_MS = 2**53 - 1  # the largest integer that all JSON implementations keep exactly
+MAX_SLOTS = 1_000_000
+MAX_WARMUP_S = 86_400.0
+
 
 class Codec(PlatformCodec):
     """Decoder of the documents in the platform's store."""
@@ -36,22 +44,24 @@
         info, status = _dict(content.get("info"), "info"), _dict(content.get("status"), "status")
         state = _string(status, "state")
         if state not in ("ready", "draining"):
-            raise UnreadableDocumentError(f"state is {state!r}")
+            raise UnreadableDocumentError(f"state is {reprlib.repr(state)}")
+        if UPSTREAM_ID.fullmatch(document.name) is None:
+            raise UnreadableDocumentError(f"id is {reprlib.repr(document.name)}")
         # `born` is the start of the process in milliseconds since the epoch.
-        run = UpstreamRun(document.name, _integer(content, "born", 0))
+        run = UpstreamRun(document.name, _integer(content, "born", 0, MAX_BORN_MS))
         address = _string(content, "address")
         try:
             Endpoint().convert(address)
         except ValueError as error:
-            raise UnreadableDocumentError(f"address is {address!r}") from error
+            raise UnreadableDocumentError(f"address is {reprlib.repr(address)}") from error
         return Upstream(
             run=run,
             pool=_string(info, "service"),
             address=address,
             data_centre=_string(info, "zone"),
-            slots=_integer(info, "slots", 1),
+            slots=_integer(info, "slots", 1, MAX_SLOTS),
             draining=state == "draining",
-            warmup_left_s=_number(status, "warmupLeftS"),
+            warmup_left_s=_number(status, "warmupLeftS", MAX_WARMUP_S),
         )
 
     def config(self, document: Document) -> RoutingConfig:
@@ -88,7 +98,7 @@
     try:
         return int(text, 16)
     except ValueError as error:
-        raise UnreadableDocumentError(f"version is {text!r}") from error
+        raise UnreadableDocumentError(f"version is {reprlib.repr(text)}") from error
 
 
 def _route(name: str, spec: Mapping[str, Any]) -> HostRoute:
@@ -148,19 +158,23 @@
 def _string(fields: Mapping[str, Any], name: str) -> str:
     value = fields.get(name)
     if not isinstance(value, str) or not value:
-        raise UnreadableDocumentError(f"{name} is {value!r}, not a non-empty string")
+        raise _unreadable(name, value, "a non-empty string")
     return value
 
 
-def _integer(fields: Mapping[str, Any], name: str, minimum: int) -> int:
+def _integer(fields: Mapping[str, Any], name: str, minimum: int, maximum: int = 2**63 - 1) -> int:
     value = fields.get(name)
-    if type(value) is not int or value < minimum:
-        raise UnreadableDocumentError(f"{name} is {value!r}, not an integer from {minimum}")
+    if type(value) is not int or not minimum <= value <= maximum:
+        raise _unreadable(name, value, f"an integer from {minimum} to {maximum}")
     return value
 
 
-def _number(fields: Mapping[str, Any], name: str) -> float:
+def _number(fields: Mapping[str, Any], name: str, maximum: float = sys.float_info.max) -> float:
     value = fields.get(name)
-    if type(value) not in (int, float) or not 0 <= value < float("inf"):
-        raise UnreadableDocumentError(f"{name} is {value!r}, not a finite number from 0")
+    if type(value) not in (int, float) or not 0 <= value <= maximum:
+        raise _unreadable(name, value, f"a number from 0 to {maximum}")
     return float(value)
+
+
+def _unreadable(name: str, value: Any, allowed: str) -> UnreadableDocumentError:
+    return UnreadableDocumentError(f"{name} is {reprlib.repr(value)}, not {allowed}")
