--- a/fireflyferry/platform/tests/test_store_answers.py
+++ b/fireflyferry/platform/tests/test_store_answers.py
@@ -61,6 +61,7 @@
     pytest.param(b"1e999", id="infinite"),
     pytest.param(b"-1e999", id="negative infinite"),
     pytest.param(b"9" * 30, id="30 digits"),
+    pytest.param(b"9" * 400, id="400 digits"),
     pytest.param(b"NaN", id="not a number"),
     pytest.param(b'"\xff,]}"', id="bytes that are not UTF-8"),
     pytest.param(b'"\\ud800"', id="half of a surrogate pair"),
