Leave out upstreams with more slots than connections

The slots of an upstream decide which share of its pool's keys and requests it gets. An odd entry with very many of them would draw most of the pool, to an address where nothing may listen. An upstream works on one request at a time on each connection, so slots beyond the connections that the configuration allows its pool cannot be meant. Such an entry now names no upstream. Where the configuration gives no number of connections, nothing changes.

Before: the cases 131 and 1,000,000 of test_upstream_has_no_more_slots_than_connections failed.

--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -154,7 +154,7 @@
         pools = self.config.pools if self.config is not None else {}
         kind = self._codec.upstream_kind
         parsed = (
-            self._parse(kind, each, self._codec.upstream) for each in documents_by_name.values()
+            self._parse(kind, each, self._read_upstream) for each in documents_by_name.values()
         )
         now_s = self._clock.monotonic_s()
         store_failed = self._store_failed_recently()
@@ -164,6 +164,15 @@
         for callback in self.on_upstreams:
             callback()
 
+    def _read_upstream(self, document: Document) -> Upstream:
+        """Parse the entry of an upstream; its slots decide which share of the keys it gets."""
+        upstream = self._codec.upstream(document)
+        spec = self.config.pools.get(upstream.pool) if self.config is not None else None
+        limit = spec.max_connections if spec is not None else None
+        if limit is not None and upstream.slots > limit:  # a connection carries one request
+            raise UnreadableDocumentError(f"{upstream.slots} slots on {limit} connections")
+        return upstream
+
     def apply_vms(self, documents_by_name: Mapping[str, Document]) -> None:
         """Apply the list of entry VMs."""
         listed = [
--- a/fireflyferry/gateway/tests/test_documents.py
+++ b/fireflyferry/gateway/tests/test_documents.py
@@ -1,12 +1,18 @@
-"""Owner tables in the store: what was written is read, and damaged tables are turned down."""
+"""Documents in the store: what was written is read, and damaged ones are turned down."""
 
 import copy
 
 import pytest
 
+from fireflyferry.balancing import EntryVm, UpstreamDirectory, VmDirectory
+from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, UnreadableDocumentError
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.tests.support import FakeCodec, make_config, upstream_content
 from fireflyferry.keyranges import OwnedRange, OwnerTable, UpstreamRun
+from fireflyferry.messages.codec import unstructure
+from fireflyferry.routing.hosts import PoolSpec
 
 A, B = UpstreamRun("a", 1), UpstreamRun("b", 2)
 TABLE = OwnerTable(
@@ -53,3 +59,17 @@
     content = documents.table_content(TABLE)
     with pytest.raises(UnreadableDocumentError):
         read({**content, "ranges": rows})
+
+
+# Guards against an entry with too many slots that draws most keys and requests of its pool.
+@pytest.mark.parametrize(("slots", "used"), [(2, True), (130, True), (131, False), (10**6, False)])
+def test_upstream_has_no_more_slots_than_connections(slots, used):
+    vms = VmDirectory(EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1"), {})
+    state = GatewayState(
+        BootClock(), FakeCodec(), UpstreamDirectory(2.0), vms, lambda: False, lambda: 0.0
+    )
+    config = make_config(pools={"plain": PoolSpec("plain", False, max_connections=130)})
+    state.apply_config({"main": Document("main", 1, unstructure(config))})
+    contents = {"a": upstream_content("a", 80), "b": upstream_content("b", 81, slots=slots)}
+    state.apply_upstreams({name: Document(name, 1, each) for name, each in contents.items()})
+    assert {each.run.upstream_id for each in state.upstreams} == ({"a", "b"} if used else {"a"})
--- a/fireflyferry/platform/decoding.py
+++ b/fireflyferry/platform/decoding.py
@@ -79,9 +79,7 @@
         if len(limits) != 1:
             raise UnreadableDocumentError(f"{len(limits)} resources of kind limits instead of one")
         pools = {
-            _resource_name(resource): PoolSpec(
-                _resource_name(resource), keyed=_spec(resource).get("sharded") is True
-            )
+            _resource_name(resource): _pool(_resource_name(resource), _spec(resource))
             for resource in resources
             if resource.get("resourceKind") == "services"
         }
@@ -101,6 +99,12 @@
         raise UnreadableDocumentError(f"version is {reprlib.repr(text)}") from error
 
 
+def _pool(name: str, spec: Mapping[str, Any]) -> PoolSpec:
+    limit = spec.get("maxConnections")
+    has_limit = type(limit) is int and limit > 0
+    return PoolSpec(name, spec.get("sharded") is True, limit if has_limit else None)
+
+
 def _route(name: str, spec: Mapping[str, Any]) -> HostRoute:
     return HostRoute(
         name=name,
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -146,7 +146,8 @@
     assert [(each.pool, each.weight) for each in single.shares] == [("s", 1.0)]
     assert [(each.pool, each.weight) for each in several.shares] == [("s", 90.0), ("t", 10.0)]
     assert not writes.idempotent
-    assert decoded.pools["s"].keyed and decoded.limits.idle_timeout_s == 15.0
+    assert decoded.pools["s"].keyed and decoded.pools["s"].max_connections == 130
+    assert decoded.limits.idle_timeout_s == 15.0
 
 
 @pytest.mark.parametrize(
--- a/fireflyferry/routing/hosts.py
+++ b/fireflyferry/routing/hosts.py
@@ -36,10 +36,14 @@
 
 @attrs.frozen
 class PoolSpec:
-    """Properties that all upstreams of a pool share; `keyed` means that each key has one owner."""
+    """Properties that all upstreams of a pool share; `keyed` means that each key has one owner.
+
+    Each upstream accepts `max_connections` connections; None if that is unknown.
+    """
 
     name: str
     keyed: bool
+    max_connections: int | None = None
 
 
 @attrs.frozen
