Tell connections apart by both of their ends

What callers saw: nothing wrong, but owners got new fences without a reason (`fence_raised`), and each costs a write of the owner table and a step without renewals.

Cause: connections were numbered by their local address alone. The kernel gives one local port to several connections at a time if they go to different addresses, so a newer connection to another upstream took over the number of an older one, which then counted as too new for a renewal. The fault was on the safe side: a number could only be too high.

The new test failed before with CONNECTION_TOO_NEW.

Why the fix works: remote and local end together are unique among open connections. The oldest entries are dropped above a limit, and a dropped one counts as new.

--- a/fireflyferry/platform/tests/test_orders.py
+++ b/fireflyferry/platform/tests/test_orders.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Callable
 
 import attrs
+import pycurl
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -12,7 +14,7 @@
 
 from fireflyferry.keyranges import GrantAnswer, GrantCall, GrantTiming, ReleaseCall, UpstreamRun
 from fireflyferry.platform.orders import HttpKeyOrders
-from fireflyferry.transport import CurlTransport, Exchange, fetch
+from fireflyferry.transport import CurlTransport, Exchange, curl, fetch
 
 RUN = UpstreamRun("i-1", 1)
 
@@ -109,6 +111,46 @@
     run_with_server(scenario, Answer(200), Answer(200, closes=True), Answer(200))
 
 
+def use_local_port(monkeypatch, port):
+    """Open all further connections from one local port, as the kernel does now and then.
+
+    It gives a port to several connections at a time if they go to different addresses.
+    """
+    prepare, on_socket = curl._Transfer.prepare, curl._Transfer._on_socket
+
+    def prepare_with_port(transfer, *args):
+        prepare(transfer, *args)
+        transfer.curl.setopt(pycurl.LOCALPORT, port)
+
+    def allow_shared_port(transfer, descriptor, purpose):
+        with socket.socket(fileno=descriptor) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.detach()
+        return on_socket(transfer, descriptor, purpose)
+
+    monkeypatch.setattr(curl._Transfer, "prepare", prepare_with_port)
+    monkeypatch.setattr(curl._Transfer, "_on_socket", allow_shared_port)
+
+
+def test_connections_to_two_upstreams_may_have_one_local_port(monkeypatch):
+    """Guards against a known connection that counts as new, which costs its owner the fence."""
+
+    async def scenario(server, orders):
+        other = UpstreamServer(Answer(200))
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            local_port = free.getsockname()[1]
+        use_local_port(monkeypatch, local_port)
+        first = await grant(orders, server)
+        await grant(orders, other)
+        renewed = await grant(orders, server, first.opened_connections)
+        assert renewed.answer is GrantAnswer.ACCEPTED
+        assert [*server.ports, *other.ports] == [local_port] * 3
+        await other.close()
+
+    run_with_server(scenario, Answer(200), Answer(200))
+
+
 def test_refusal_on_a_connection_in_use_proves_no_end():
     """Guards against an earlier refusal, sent once more, that ends the wait for a holder."""
 
--- a/fireflyferry/transport/connections.py
+++ b/fireflyferry/transport/connections.py
@@ -1,6 +1,11 @@
 """Numbers that tell the connections of a transport apart."""
 
-__all__ = ["ConnectionNumbers"]
+__all__ = ["ConnectionNumbers", "Endpoints"]
+
+# Remote IP and port, local IP and port. Connections to different addresses may have one local port.
+Endpoints = tuple[str, int, str, int]
+
+MAX_KEPT = 65_536  # the oldest are dropped; one that is still open then counts as new
 
 
 class ConnectionNumbers:
@@ -11,19 +16,22 @@
 
     def __init__(self) -> None:
         self._opened = 0
-        self._by_local_address: dict[tuple[str, int], int] = {}
+        self._by_endpoints: dict[Endpoints, int] = {}
 
     @property
     def opened(self) -> int:
         """How many connections have been opened so far."""
         return self._opened
 
-    def on_opened(self, local_address: tuple[str, int]) -> int:
-        """Number a new connection; its address may have belonged to one that was closed."""
+    def on_opened(self, endpoints: Endpoints) -> int:
+        """Number a new connection; its endpoints may have been those of one that was closed."""
         self._opened += 1
-        self._by_local_address[local_address] = self._opened
+        self._by_endpoints.pop(endpoints, None)
+        self._by_endpoints[endpoints] = self._opened
+        if len(self._by_endpoints) > MAX_KEPT:
+            del self._by_endpoints[next(iter(self._by_endpoints))]
         return self._opened
 
-    def number(self, local_address: tuple[str, int]) -> int:
+    def number(self, endpoints: Endpoints) -> int:
         """Return the number of an open connection."""
-        return self._by_local_address.get(local_address) or self.on_opened(local_address)
+        return self._by_endpoints.get(endpoints) or self.on_opened(endpoints)
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -323,13 +323,14 @@
         self._is_connection_new = True
         return pycurl.SOCKOPT_OK
 
-    def _before_send(self, _address: str, local_ip: str, _port: int, local_port: int) -> int:
-        connections, local_address = self._transport.connections, (local_ip, local_port)
+    def _before_send(self, remote_ip: str, local_ip: str, remote_port: int, local_port: int) -> int:
+        connections = self._transport.connections
+        endpoints = (remote_ip, remote_port, local_ip, local_port)
         if self._is_connection_new:
             self._is_connection_new = False
-            number = connections.on_opened(local_address)
+            number = connections.on_opened(endpoints)
         else:
-            number = connections.number(local_address)
+            number = connections.number(endpoints)
         # At a second call curl is about to send the request again, but only the first hop decides
         # about retries.
         if self.sent:
