Give a restarted upstream its units under higher fences

What callers saw: nothing known; this is the interface of the project's own upstreams. A process that started again under the id of an ended one got the same units under the same fences, so a store behind the upstream could not tell a late write of the ended process from a new one.

Cause: a fence was given to an upstream id, while a restarted upstream only showed itself by a refused token or set, after which the same set was sent once more, or by the token of a hello, under which the next set was accepted at once. The invariant of the simulation compared ids.

Why the fix works: after a hello, or a refusal that shows that the upstream lacks what was sent, a new set version grants its units under new fences before they are usable again. A live upstream gets a hello only if it has not answered for the length of a grant.

--- a/fireflyferry/ownership/book.py
+++ b/fireflyferry/ownership/book.py
@@ -98,6 +98,7 @@
     def on_hello(self, now_s: float, sent_at_s: float, hello: Hello) -> None:
         """Add an upstream, or update the token and state of a known one."""
         self._upstreams.on_hello(now_s, sent_at_s, hello)
+        self._raise_fences_after_restart(self._upstreams.rows[hello.upstream_id])
 
     def on_grant_reply(
         self, now_s: float, upstream_id: str, sent_at_s: float, reply: GrantReply
@@ -105,8 +106,11 @@
         """Process a reply; `sent_at_s` is the time of the tick that returned the message."""
         if reply.upstream_id != upstream_id:
             return
-        if self._upstreams.on_reply(now_s, sent_at_s, self._term, reply):
-            row = self._upstreams.rows[upstream_id]
+        is_acknowledged = self._upstreams.on_reply(now_s, sent_at_s, self._term, reply)
+        row = self._upstreams.rows.get(upstream_id)
+        if row is not None:
+            self._raise_fences_after_restart(row)
+        if is_acknowledged:
             for unit, version in list(row.unacked.items()):
                 if version <= row.acked_version:
                     del row.unacked[unit]
@@ -310,12 +314,19 @@
             upstream = self._upstreams.rows[holder]
             self._add_pending_release(unit, upstream, upstream.version)
 
-    def _regrant(self, bucket: str) -> None:
-        """Grant a bucket to its holder again because its excluded keys changed."""
-        row = self._units[bucket]
+    def _regrant(self, unit: str) -> None:
+        """Grant a unit to its holder again, with a higher fence and the current excluded keys."""
+        row = self._units[unit]
         upstream = self._upstreams.rows[row.holder]
-        row.grant = self._new_grant(bucket)
-        upstream.unacked[bucket] = self._upstreams.begin_set_version(upstream)
+        row.grant = self._new_grant(unit)
+        upstream.unacked[unit] = self._upstreams.begin_set_version(upstream)
+
+    def _raise_fences_after_restart(self, upstream: UpstreamRow) -> None:
+        """Grant the units of an upstream again if another process may have their fences."""
+        if upstream.may_have_restarted:
+            upstream.may_have_restarted = False
+            for unit in upstream.units:
+                self._regrant(unit)
 
     def _remove_if_released(self, unit: str, row: UnitRow) -> None:
         """Remove a released unit without a desired owner; a key is merged into its bucket first."""
--- a/fireflyferry/ownership/rows.py
+++ b/fireflyferry/ownership/rows.py
@@ -107,6 +107,7 @@
     `token` between `token_after_s` and `token_before_s`. `until_s` is the latest end of any grant
     sent to it, `usable_until_s` the earliest end of the acknowledged one. `changed` is true if set
     `version` is still to be sent, and `refused` if the last reply was a refusal.
+    `may_have_restarted` is true if the process that answered may not be the one with the fences.
     `unanswered_since_s` is when the first message without any later reply was sent. `units` lists
     the units of the current set, and `unacked` the set version that grants each unacknowledged
     one. `busy` lists released units with running requests, as reported in the reply to a message
@@ -128,6 +129,7 @@
     acked_version: int = 0
     changed: bool = True
     refused: bool = False
+    may_have_restarted: bool = False
     unanswered_since_s: float | None = None
     next_send_s: float = -math.inf
     units: dict[str, None] = attrs.Factory(dict)
--- a/fireflyferry/ownership/tests/mutants.py
+++ b/fireflyferry/ownership/tests/mutants.py
@@ -182,7 +182,7 @@
 
 # Class, seed and faults for `run_random_faults`, and a part of the failure's message.
 MUTANTS = (
-    (FenceReused, 3, FAULTS, "fence of"),
+    (FenceReused, 4, FAULTS, "fence of"),
     (FenceWithoutTerm, 2, FAULTS, "fence of"),
     (SaveSkipped, 2, FAULTS, "not saved"),
     (ReleasingNotSaved, 0, FAULTS, "not saved"),
@@ -192,14 +192,14 @@
     (GrantedBeforeRelease, 12, FAULTS, "is held by"),
     (AnyAcknowledgedSetAccepted, 12, FAULTS, "is held by"),
     (ReleaseEndedEarly, 28, FAULTS, "not saved"),
-    (UncheckedGrantExpires, 3, FAULTS, "is held by"),
+    (UncheckedGrantExpires, 20, FAULTS, "is held by"),
     (BusyIgnored, 1, REQUEST_FAULTS, "is held by"),
     (ForwardsIgnored, 9, REQUEST_FAULTS, "is held by"),
     (BucketForwardsIgnored, 24, REQUEST_FAULTS, "is held by"),
     (EarlierLeaderForwardsIgnored, 9, REQUEST_FAULTS, "is held by"),
     (PreviousGrantsIgnored, 30, FAULTS, "is held by"),
     (SplitWithoutRelease, 2, FAULTS, "is held by"),
-    (MergedTooEarly, 3, FAULTS, "is held by"),
+    (MergedTooEarly, 57, FAULTS, "is held by"),
     (LongerThanAuthority, 256, TAKEOVER_FAULTS, "is held by"),
     (GrantEndTooEarly, 28, FAULTS, "not saved"),
     (UsableUntilLatestEnd, 22, FAULTS, "may not be forwarded"),
--- a/fireflyferry/ownership/tests/test_grant_book.py
+++ b/fireflyferry/ownership/tests/test_grant_book.py
@@ -172,6 +172,24 @@
     assert grants.owner(0.1, "b:0") is Reason.OWNER_UNAVAILABLE
 
 
+@pytest.mark.parametrize("moves_unit", [False, True])
+def test_restarted_upstream_gets_its_units_under_higher_fences(moves_unit):
+    """Guards against a fence at two processes, the second of which has the id of the first.
+
+    If a unit moves to the upstream at that time, its next message is a full set in any case.
+    """
+    world = _settled_world(b2="u1")
+    node = world.nodes["u0"]
+    before = node.holder.held_units(node.clock_s(world.now_s))
+    world.restart("u0")
+    if moves_unit:
+        world.move("b:2", "u0")
+    world.settle(3.0)
+    after = node.holder.held_units(node.clock_s(world.now_s))
+    assert before.keys() <= after.keys()
+    assert all(after[unit].fence > grant.fence for unit, grant in before.items())
+
+
 def test_term_must_rise():
     """Guards against fences that are reused under the same term."""
     grants = GrantManager(GROUP, LeaseTiming())
--- a/fireflyferry/ownership/tests/world.py
+++ b/fireflyferry/ownership/tests/world.py
@@ -349,12 +349,13 @@
         for node in self.nodes.values():
             held = node.holder.held_units(node.clock_s(self.now_s))
             for unit, grant in held.items() if node.holder.checks else ():
-                newest = self.newest_fences.setdefault(unit, (grant.fence, node.name))
-                if newest[1] != node.name and grant.fence <= newest[0]:
+                process = (node.name, node.restarts)
+                newest = self.newest_fences.setdefault(unit, (grant.fence, process))
+                if newest[1] != process and grant.fence <= newest[0]:
                     raise ViolationError(
-                        f"fence of {unit} at {node.name} is not above the newest: {grant}, {newest}"
+                        f"fence of {unit} at {process} is not above the newest: {grant}, {newest}"
                     )
-                self.newest_fences[unit] = max(newest, (grant.fence, node.name))
+                self.newest_fences[unit] = max(newest, (grant.fence, process))
 
     # Settling
 
--- a/fireflyferry/ownership/upstreams.py
+++ b/fireflyferry/ownership/upstreams.py
@@ -73,6 +73,8 @@
     def on_hello(self, now_s: float, sent_at_s: float, hello: Hello) -> None:
         """Add an upstream, or update the token and state of a known one."""
         row = self.get_or_add(hello.upstream_id)
+        # The token may be that of a restarted upstream, which then takes the next set at once.
+        row.may_have_restarted = True
         # An upstream that once ran without checks counts as unchecked until it is gone, because
         # an earlier incarnation of it may still execute delayed requests.
         row.checks = row.checks and hello.checks == "grants"
@@ -173,3 +175,4 @@
             # The upstream was restarted or never received the set, so it needs the full set.
             row.acked_version = 0
             row.usable_until_s = -math.inf
+            row.may_have_restarted = True
