Keep the readable records of messages between VMs beside an odd one

Callers saw: followers of a relay got no answer, since one document that was nested 255 levels deep made the encoding of all of them fail. One odd row in a relay's answer cost all rows, and a position that was a string or an age of 400 digits ended the loop that follows a relay with an unexpected error, again after each restart. One odd sample cost the load of all upstreams and VMs in a report. An upstream's id with a space or a comma made the last hop answer 400, so that the first hop suspected a healthy VM; an id outside of Latin-1 failed while the message was written.

Cause: messages were encoded and decoded as a whole, most values were used without a check of their type, and the line of a forwarded request held ids as they are.

Each document is now encoded by itself and sent without its content if that fails; rows, removals, samples and service times go through `read_each`, the rest of each message through the codec. Ids are percent-encoded in lines, so that usual ids look as before and VMs of the earlier revision read them. Integers are limited to 64 bits, and compressed bodies to 100 MB after their expansion.

--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -1,8 +1,10 @@
 """Messages between entry VMs."""
 
+import logging
 import zlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator
 from typing import Any
+from urllib.parse import quote, unquote
 
 import attrs
 import orjson
@@ -11,8 +13,17 @@
 from fireflyferry.gateway.edges import Document
 from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
 from fireflyferry.gateway.mirror import FeedChanges, KindChanges
-from fireflyferry.gateway.sampling import LoadReport
-from fireflyferry.messages.codec import MessageError, structure, unstructure
+from fireflyferry.gateway.sampling import LoadReport, PoolSample
+from fireflyferry.keyranges import LAST_KEY
+from fireflyferry.messages.codec import (
+    MAX_INTEGER,
+    MessageError,
+    decode,
+    loads,
+    read_each,
+    structure,
+    unstructure,
+)
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = [
@@ -36,6 +47,8 @@
     "write_result",
 ]
 
+_LOG = logging.getLogger(__name__)
+
 EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
@@ -43,7 +56,10 @@
 EMPTY = "-"  # stands for an empty value, since values are separated by spaces
 # Each change of the configuration sends all of it again, for example 1,500 routes.
 FAST_COMPRESSION_LEVEL = 1
-
+# A compressed body may expand to at most this, so that a short message cannot fill the memory.
+MAX_BODY_BYTES = 100 << 20
+# Characters that stand for themselves in a value; those that separate values do not.
+_PLAIN_CHARACTERS = "!#$&'()*+/:;=?@[]"
 
 _OUTCOMES_BY_LETTER = {"a": Outcome.ANSWERED, "n": Outcome.NOT_RUN, "u": Outcome.UNKNOWN}
 _OUTCOME_LETTERS = {outcome: letter for letter, outcome in _OUTCOMES_BY_LETTER.items()}
@@ -77,11 +93,14 @@
     @property
     def tried_upstreams(self) -> frozenset[str]:
         """Upstreams that must not be tried again."""
-        return frozenset() if self.tried == EMPTY else frozenset(self.tried.split(","))
+        return (
+            frozenset() if self.tried == EMPTY else frozenset(map(unquote, self.tried.split(",")))
+        )
 
     def line(self) -> str:
-        """Return the line to send."""
-        return " ".join(str(value) for value in attrs.astuple(self))
+        """Return the line to send; ids are escaped, since other systems choose them."""
+        escaped = attrs.evolve(self, upstream_id=_escape(self.upstream_id), pool=_escape(self.pool))
+        return " ".join(str(value) for value in attrs.astuple(escaped))
 
 
 def write_call(call: Call, upstream_id: str, born: int, now_s: float) -> str:
@@ -95,7 +114,7 @@
         call.priority,
         call.max_attempts,
         int(call.repeated),
-        ",".join(sorted(call.tried)) or EMPTY,
+        ",".join(map(_escape, sorted(call.tried))) or EMPTY,
         round((now_s - call.started_s) * 1000),
         round((call.target_time_s - now_s) * 1000),
         round((call.deadline_s - now_s) * 1000),
@@ -112,14 +131,15 @@
     if len(parts) != len(fields):
         raise PeerMessageError(f"line has {len(parts)} values instead of {len(fields)}")
     try:
-        return PeerCall(
+        call = PeerCall(
             *(
-                int(part) if field.type is int else part
+                _integer(part) if field.type is int else part
                 for part, field in zip(parts, fields, strict=True)
             )
         )
     except ValueError as error:
         raise PeerMessageError(str(error)) from error
+    return attrs.evolve(call, upstream_id=unquote(call.upstream_id), pool=unquote(call.pool))
 
 
 def write_result(attempt: Attempt, upstream_id: str = "") -> str:
@@ -134,7 +154,7 @@
         round(attempt.retry_after_s * 1000),
         -1 if attempt.wait_s is None else round(attempt.wait_s * 1000),
         round(attempt.service_s * 1000),
-        EMPTY if attempt.upstream_id == upstream_id else attempt.upstream_id or EMPTY,
+        EMPTY if attempt.upstream_id in ("", upstream_id) else _escape(attempt.upstream_id),
     )
     return " ".join(str(value) for value in values)
 
@@ -155,13 +175,13 @@
             None if reason == EMPTY else Reason(reason),
             answer if outcome is Outcome.ANSWERED else None,
             reached == "1",
-            int(retry_after_ms) / 1000,
-            None if wait_ms == "-1" else int(wait_ms) / 1000,
-            int(service_ms) / 1000,
-            named_upstream if upstream_id == EMPTY else upstream_id,
+            _integer(retry_after_ms) / 1000,
+            None if wait_ms == "-1" else _integer(wait_ms) / 1000,
+            _integer(service_ms) / 1000,
+            named_upstream if upstream_id == EMPTY else unquote(upstream_id),
         )
     except (KeyError, ValueError) as error:
-        raise PeerMessageError(f"{line!r}: {error}") from error
+        raise PeerMessageError(f"{line[:200]!r}: {error}") from error
 
 
 def write_owners(document: Document) -> bytes:
@@ -175,8 +195,8 @@
     Raises PeerMessageError.
     """
     try:
-        return _document(orjson.loads(zlib.decompress(body)))
-    except (zlib.error, orjson.JSONDecodeError, TypeError, ValueError) as error:
+        return _document(loads(_decompress(body)))
+    except MessageError as error:
         raise PeerMessageError(f"owner table: {error}") from error
 
 
@@ -186,14 +206,34 @@
 
 
 def read_loads(body: bytes) -> LoadReport:
-    """Parse the body of a load report.
+    """Parse the body of a load report, without samples and service times that cannot be used.
 
     Raises PeerMessageError.
     """
     try:
-        return structure(orjson.loads(body), LoadReport)
-    except (orjson.JSONDecodeError, MessageError) as error:
+        fields = decode(body, dict[str, Any])
+        samples = structure(fields.get("samples"), list[Any])
+        service_s = structure(fields.get("service_s"), dict[str, Any])
+    except MessageError as error:
         raise PeerMessageError(f"load report: {error}") from error
+    return LoadReport(
+        tuple(read_each(samples, _sample, "load report")),
+        dict(read_each(service_s.items(), _service_time, "load report")),
+    )
+
+
+def _sample(value: Any) -> PoolSample:
+    sample = structure(value, PoolSample)
+    if sample.weight <= 0 or not all(0 <= key <= LAST_KEY for key in sample.keys):
+        raise MessageError(f"sample with weight {sample.weight} and {len(sample.keys)} keys")
+    return sample
+
+
+def _service_time(item: tuple[str, Any]) -> tuple[str, float]:
+    upstream_id, service_s = item[0], structure(item[1], float)
+    if service_s < 0:
+        raise MessageError(f"service time {service_s}")
+    return upstream_id, service_s
 
 
 def write_feed_request(request: FeedRequest) -> bytes:
@@ -207,9 +247,8 @@
     Raises PeerMessageError.
     """
     try:
-        incarnation, sequence, outdated_kinds = orjson.loads(body)
-        return FeedRequest(str(incarnation), int(sequence), tuple(map(str, outdated_kinds)))
-    except (orjson.JSONDecodeError, TypeError, ValueError) as error:
+        return FeedRequest(*decode(body, tuple[str, int, tuple[str, ...]]))
+    except MessageError as error:
         raise PeerMessageError(f"feed request: {error}") from error
 
 
@@ -220,9 +259,12 @@
 
 
 def write_feed_body(changes: FeedChanges) -> bytes:
-    """Return the body of an answer to a follower."""
+    """Return the body of an answer to a follower.
+
+    A document that JSON cannot represent is sent without its content, which no VM can use.
+    """
     kinds = {
-        kind: [each.position, list(map(_row, each.documents)), list(each.removed)]
+        kind: [each.position, list(_encoded_rows(kind, each.documents)), list(each.removed)]
         for kind, each in changes.kinds.items()
     }
     return zlib.compress(
@@ -230,25 +272,41 @@
     )
 
 
+def _encoded_rows(kind: str, documents: Iterable[Document]) -> Iterator[orjson.Fragment]:
+    for document in documents:
+        try:
+            yield orjson.Fragment(orjson.dumps(_row(document)))
+        except orjson.JSONEncodeError as error:
+            extra = {"kind": kind, "document": document.name, "error": str(error)}
+            _LOG.warning("document_sent_without_content", extra=extra)
+            yield orjson.Fragment(orjson.dumps(_row(attrs.evolve(document, content=None))))
+
+
 def read_feed(header: str | None, body: bytes) -> FeedAnswer:
-    """Parse the header and the body of a relay's answer.
+    """Parse the header and the body of a relay's answer, without rows that cannot be read.
 
     Raises PeerMessageError.
     """
     try:
         incarnation, age_ms, last_failure_age_ms = (header or "").split(" ")
-        sequence, is_snapshot, kinds = orjson.loads(zlib.decompress(body))
+        sequence, is_snapshot, kinds = decode(
+            _decompress(body), tuple[int, bool, dict[str, tuple[int, list[Any], list[Any]]]]
+        )
         changes = {
-            kind: KindChanges(position, tuple(map(_document, rows)), tuple(removed))
+            kind: KindChanges(
+                position,
+                tuple(read_each(rows, _document, kind)),
+                tuple(read_each(removed, _name, kind)),
+            )
             for kind, (position, rows, removed) in kinds.items()
         }
         return FeedAnswer(
             incarnation,
-            int(age_ms) / 1000,
-            int(last_failure_age_ms) / 1000,
+            _integer(age_ms) / 1000,
+            _integer(last_failure_age_ms) / 1000,
             FeedChanges(sequence, is_snapshot, changes),
         )
-    except (zlib.error, orjson.JSONDecodeError, TypeError, ValueError, AttributeError) as error:
+    except (MessageError, ValueError) as error:
         raise PeerMessageError(f"feed: {error}") from error
 
 
@@ -256,6 +314,44 @@
     return document.name, document.revision, document.content
 
 
-def _document(row: Sequence[Any]) -> Document:
-    name, revision, content = row
-    return Document(name, revision, content)
+def _document(row: Any) -> Document:
+    """Parse a row.
+
+    Raises MessageError.
+    """
+    return Document(*structure(row, tuple[str, int, Any]))
+
+
+def _name(value: Any) -> str:
+    return structure(value, str)
+
+
+def _decompress(body: bytes) -> bytes:
+    """Return the decompressed body.
+
+    Raises MessageError.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(body, MAX_BODY_BYTES)
+    except zlib.error as error:
+        raise MessageError(str(error)) from error
+    if not decompressor.eof:
+        raise MessageError("compressed data is cut short or too long")
+    return data
+
+
+def _integer(text: str) -> int:
+    """Parse an integer of 64 bits, which a float can represent.
+
+    Raises ValueError.
+    """
+    value = int(text)
+    if abs(value) > MAX_INTEGER:
+        raise ValueError(f"integer of {len(text)} characters")
+    return value
+
+
+def _escape(text: str) -> str:
+    """Return text as one value of a line; `EMPTY` itself is escaped too."""
+    return "%2D" if text == EMPTY else quote(text, safe=_PLAIN_CHARACTERS)
