Reject odd VM entries and owner tables, and apply the documents beside them

Callers saw: a VM forwarded to addresses such as 10.0.0.1:65536, and ordered VMs by a capacity of NaN. An owner table with a deeply nested range ended its reader, since the message about it had the range in full. An error that a decoder does not expect ended the watch of its kind at every later change, because the mirror keeps the document.

Cause: only the types of a VM entry were checked, documents could describe something other than their name, and `GatewayState` caught only UnreadableDocumentError.

VM entries now need an address with a port, a capacity above 0 and the id that they are named after; owner tables the pool that they are named after. Messages name the position of a range. `GatewayState` treats every error of a decoder as an unreadable document, which it logs once per revision.

--- a/fireflyferry/gateway/documents.py
+++ b/fireflyferry/gateway/documents.py
@@ -9,6 +9,7 @@
 from fireflyferry.gateway.edges import Document, UnreadableDocumentError
 from fireflyferry.keyranges import LAST_KEY, LeaseRecord, OwnedRange, OwnerTable, UpstreamRun
 from fireflyferry.messages.codec import MessageError, structure, unstructure
+from fireflyferry.settings.values import Endpoint
 
 __all__ = [
     "LEASE_KIND",
@@ -51,11 +52,19 @@
 
 
 def read_vm(document: Document) -> EntryVm:
-    """Parse a VM entry.
+    """Parse a VM entry, whose name is the VM's id.
 
     Raises UnreadableDocumentError.
     """
-    return _read(document, EntryVm)
+    vm = _read(document, EntryVm)
+    _check_name(document, vm.vm_id)
+    try:
+        Endpoint().convert(vm.address)
+    except ValueError as error:
+        raise UnreadableDocumentError(f"{document.name!r}: address is not {error}") from error
+    if vm.capacity <= 0:
+        raise UnreadableDocumentError(f"{document.name!r}: capacity is {vm.capacity}")
+    return vm
 
 
 def lease_content(record: LeaseRecord) -> Any:
@@ -96,16 +105,17 @@
 
 
 def read_table(document: Document) -> OwnerTable:
-    """Parse an owner table.
+    """Parse an owner table, whose name is that of the pool.
 
     Raises UnreadableDocumentError, also if the ranges do not cover each key exactly once or if a
     fence is above `last_fence`.
     """
     stored = _read(document, _StoredTable)
+    _check_name(document, stored.pool)
     runs = [UpstreamRun(upstream_id, born) for upstream_id, born in stored.runs]
-    for row in stored.ranges:
+    for position, row in enumerate(stored.ranges):
         if not _is_row(row, len(runs)):
-            raise UnreadableDocumentError(f"{document.name!r} has the range {row!r}")
+            raise UnreadableDocumentError(f"{document.name!r}: range {position} is not valid")
     ranges = tuple(_ranges(stored.ranges, runs))
     table = OwnerTable(stored.pool, stored.term, stored.last_fence, ranges)
     if not table.is_complete():
@@ -135,6 +145,12 @@
         )
 
 
+def _check_name(document: Document, name: str) -> None:
+    """Check that a document describes what it is named after, and so replaces nothing else."""
+    if name != document.name or not name:
+        raise UnreadableDocumentError(f"{document.name!r} describes {name!r}")
+
+
 def _read(document: Document, target_type: type) -> Any:
     try:
         return structure(document.content, target_type)
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -198,18 +198,22 @@
             )
 
     def _parse(self, kind: str, document: Document, parse: Callable[[Document], T]) -> T | None:
-        """Parse a document; return None if it is unreadable, and logs that once per revision."""
+        """Parse a document; return None if it is unreadable, and log that once per revision."""
         try:
             return parse(document)
         except UnreadableDocumentError as error:
-            key = (kind, document.name)
-            if self._unreadable.get(key) != document.revision:
-                self._unreadable[key] = document.revision
-                _LOG.warning(
-                    "document_unreadable",
-                    extra={"kind": kind, "document": document.name, "error": str(error)},
-                )
-            return None
+            reason = str(error)
+        except Exception as error:
+            # An error that a parser does not expect must not hide the other documents either.
+            reason = f"{type(error).__name__}: {error}"
+        key = (kind, document.name)
+        if self._unreadable.get(key) != document.revision:
+            self._unreadable[key] = document.revision
+            _LOG.warning(
+                "document_unreadable",
+                extra={"kind": kind, "document": document.name, "error": reason},
+            )
+        return None
 
     def _log_standings(self, now_s: float, store_failed: bool) -> None:
         standings: dict[UpstreamRun, str] = {}
--- a/fireflyferry/gateway/tests/test_documents.py
+++ b/fireflyferry/gateway/tests/test_documents.py
@@ -2,8 +2,10 @@
 
 import copy
 
+import orjson
 import pytest
 
+from fireflyferry.balancing import EntryVm
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, UnreadableDocumentError
 from fireflyferry.keyranges import OwnedRange, OwnerTable, UpstreamRun
@@ -53,3 +55,47 @@
     content = documents.table_content(TABLE)
     with pytest.raises(UnreadableDocumentError):
         read({**content, "ranges": rows})
+
+
+VM = EntryVm("vm-1", "i1", "10.0.0.1:80", "dc-1", False, 2.0)
+NESTED = orjson.loads("[" * 1000 + "]" * 1000)
+
+
+def test_stored_vm_entry_is_read_back():
+    assert documents.read_vm(Document("vm-1", 1, documents.vm_content(VM))) == VM
+
+
+# Guards against a VM that forwards to an address that does not exist, or orders VMs by NaN.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *(
+            ("address", f"10.0.0.1:{port}")
+            for port in (0, 65_536, -1, "", "80\r\n", "\uff18\uff10")
+        ),
+        *(("address", odd) for odd in ("", ":80", "雪:80", None, 80, NESTED)),
+        *(("capacity", odd) for odd in (0, -1.0, float("nan"), float("inf"), "1", True, None)),
+        *(("leaving", odd) for odd in ("false", 0, None)),
+        *(("vm_id", odd) for odd in ("", "vm-2", 1, NESTED)),
+        *(("incarnation", odd) for odd in (None, 5, NESTED)),
+    ],
+    ids=lambda each: type(each).__name__ if isinstance(each, list) else ascii(each),
+)
+def test_vm_entry_with_an_odd_field_is_rejected(field, value):
+    content = {**documents.vm_content(VM), field: value}
+    with pytest.raises(UnreadableDocumentError):
+        documents.read_vm(Document("vm-1", 1, content))
+
+
+# Guards against an unexpected error while the message about an odd owner table is written.
+@pytest.mark.parametrize("row", [NESTED, [0, 0, NESTED, True, []], [0, 0, 1, True, NESTED]])
+def test_deeply_nested_owner_table_is_rejected(row):
+    content = documents.table_content(TABLE)
+    with pytest.raises(UnreadableDocumentError):
+        read({**content, "ranges": [row]})
+
+
+# Guards against an odd object that replaces the owner table of another pool.
+def test_owner_table_under_the_name_of_another_pool_is_rejected():
+    with pytest.raises(UnreadableDocumentError):
+        documents.read_table(Document("other", 9, documents.table_content(TABLE)))
--- a/fireflyferry/gateway/tests/test_odd_records.py
+++ b/fireflyferry/gateway/tests/test_odd_records.py
@@ -6,12 +6,17 @@
 import orjson
 import pytest
 
+from fireflyferry.balancing import EntryVm, UpstreamDirectory, VmDirectory
+from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway import peer_messages
 from fireflyferry.gateway.calls import Call, not_run
-from fireflyferry.gateway.edges import Document
+from fireflyferry.gateway.edges import Document, DocumentBatch
 from fireflyferry.gateway.feed import FeedAnswer
-from fireflyferry.gateway.mirror import FeedChanges, KindChanges
+from fireflyferry.gateway.mirror import DocumentMirror, FeedChanges, KindChanges
 from fireflyferry.gateway.sampling import LoadReport, PoolSample
+from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.tests.support import FakeCodec, make_config, upstream_content
+from fireflyferry.messages.codec import MessageError, unstructure
 from fireflyferry.telemetry import Reason
 
 
@@ -130,3 +135,36 @@
     call = Call("r1", "GET", "/", [], b"", "p", None, True, 1, 1, 0.0, 1.0, 1.0, tried=tried)
     line = peer_messages.write_call(call, "u1", 1, 0.0)
     assert peer_messages.read_call(line).tried_upstreams == tried
+
+
+class RaisingCodec(FakeCodec):
+    """Codec whose decoder fails in an unexpected way on the document `odd`."""
+
+    def __init__(self, error):
+        self._error = error
+
+    def upstream(self, document):
+        if document.name == "odd":
+            raise self._error
+        return super().upstream(document)
+
+
+# Guards against a list of upstreams that no VM can apply any more, and a watch that ends with it.
+@pytest.mark.parametrize(
+    "error", [RecursionError(), OverflowError(), KeyError("x"), MemoryError(), MessageError("x")]
+)
+def test_state_keeps_the_upstreams_beside_an_odd_one(error):
+    codec = RaisingCodec(error)
+    this_vm = EntryVm("vm-1", "i1", "127.0.0.1:1", "dc-1")
+    directory = UpstreamDirectory(1.5)
+    vms = VmDirectory(this_vm, {})
+    state = GatewayState(BootClock(), codec, directory, vms, lambda: False, lambda: 0.0)
+    config = Document("main", 1, unstructure(make_config()))
+    mirror = DocumentMirror(
+        {codec.config_kind: state.apply_config, codec.upstream_kind: state.apply_upstreams}
+    )
+    mirror.put(codec.config_kind, config)
+    good = tuple(Document(name, 1, upstream_content(name, 80)) for name in ("u1", "u2"))
+    odd = Document("odd", 1, None)
+    mirror.replace(codec.upstream_kind, DocumentBatch(2, (good[0], odd, good[1])))
+    assert {each.run.upstream_id for each in directory} == {"u1", "u2"}
