Fail an exchange that cannot be sent as HTTP instead of raising or splitting it

Callers saw: an id or address of another system outside of Latin-1 ended the task that made the call with UnicodeEncodeError, an infinite timeout with OverflowError. An id with a line break was sent as further headers of the request, a target with one as another request line.

Cause: `_Transfer.prepare` formatted headers and target as they were given and let every error through to the caller.

`request_lines` and `request_target` reject line breaks, NUL and characters outside of Latin-1, and the transport ends an exchange that cannot be prepared like one that was not sent, which every caller handles already. Tornado rejects line breaks and NUL in heads of callers before they get here.

--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -14,7 +14,7 @@
 from fireflyferry.transport.bodies import RequestBody
 from fireflyferry.transport.connections import ConnectionNumbers
 from fireflyferry.transport.headers import HeaderList
-from fireflyferry.transport.heads import HeadError, read_head, request_lines
+from fireflyferry.transport.heads import HeadError, read_head, request_lines, request_target
 
 __all__ = ["CurlTransport", "Exchange", "Receiver", "TransferResult"]
 
@@ -137,9 +137,16 @@
             raise
 
     def start(self, exchange: Exchange, receiver: Receiver) -> "_Transfer":
-        """Start a transfer."""
+        """Start a transfer; it ends at once if the exchange cannot be sent as HTTP.
+
+        Parts of an exchange come from other systems, such as ids in headers.
+        """
         transfer = self._idle.pop() if self._idle else _Transfer(self, self._connect_timeout_ms)
-        transfer.prepare(exchange, receiver)
+        try:
+            transfer.prepare(exchange, receiver)
+        except (ValueError, OverflowError, pycurl.error) as error:
+            transfer.fail(str(error))
+            return transfer
         self._active[transfer.curl] = transfer
         self._multi.add_handle(transfer.curl)
         return transfer
@@ -268,6 +275,14 @@
         self.head_error = ""
         self._read_paused = self._write_paused = False
 
+    def fail(self, message: str) -> None:
+        """End an exchange that was not started, and close the handle."""
+        done = self.done
+        self.clear()
+        self.curl.close()
+        self.done = done
+        done.set_result(TransferResult(pycurl.E_URL_MALFORMAT, False, message))
+
     def prepare(self, exchange: Exchange, receiver: Receiver) -> None:
         """Set every option that differs between exchanges."""
         self.done = asyncio.get_running_loop().create_future()
@@ -277,7 +292,7 @@
         self._max_connection = exchange.max_connection
         curl = self.curl
         curl.setopt(pycurl.URL, f"http://{exchange.address}/")
-        curl.setopt(pycurl.REQUEST_TARGET, exchange.target.encode("latin-1"))
+        curl.setopt(pycurl.REQUEST_TARGET, request_target(exchange.target))
         curl.setopt(pycurl.HTTPHEADER, request_lines(exchange.headers))
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms(exchange.timeout_s))
         # curl sends a request again if a reused connection closes before the answer's first byte.
--- a/fireflyferry/transport/heads.py
+++ b/fireflyferry/transport/heads.py
@@ -7,7 +7,7 @@
 
 from fireflyferry.transport.headers import HeaderList
 
-__all__ = ["Head", "HeadError", "read_head", "request_lines"]
+__all__ = ["Head", "HeadError", "read_head", "request_lines", "request_target"]
 
 # "Expect:" removes the header that curl adds to long bodies. A 417 answer to it would make curl
 # send the request again.
@@ -16,6 +16,7 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9][0-9]{2})(?=[ \r\n])")
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_LINE_BREAK = re.compile(r"[\r\n\0]")
 _LENGTH = re.compile(r"[0-9]{1,18}")  # curl ignores a length of more than 63 bits
 
 
@@ -73,8 +74,11 @@
 
 
 def request_lines(headers: HeaderList) -> list[bytes]:
-    """Format headers for curl, which sends an empty value for `Name;` and nothing for `Name:`."""
-    lines = [f"{n}: {v}".encode("latin-1") if v else f"{n};".encode("latin-1") for n, v in headers]
+    """Format headers for curl, which sends an empty value for `Name;` and nothing for `Name:`.
+
+    Raises HeadError for a header that does not fit in one line of Latin-1.
+    """
+    lines = [_encode_line(f"{n}: {v}" if v else f"{n};") for n, v in headers]
     lines.extend(ADDED_HEADERS)
     names = {name.lower() for name, _ in headers}
     if "accept" not in names:
@@ -82,3 +86,20 @@
     if "content-type" not in names:
         lines.append(b"Content-Type:")
     return lines
+
+
+def request_target(target: str) -> bytes:
+    """Encode the target of a request.
+
+    Raises HeadError for one that does not fit in the request line.
+    """
+    return _encode_line(target)
+
+
+def _encode_line(text: str) -> bytes:
+    if _LINE_BREAK.search(text):
+        raise HeadError("line break inside a line of the head")
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise HeadError(f"line of the head is not Latin-1 at character {error.start}") from error
