Report deeply nested values in tables as findings

Callers saw: tables with a value that is nested about 1,000 levels deep ended the check with RecursionError, in a VM as well as in an operator's program. A VM had then stored the objects of the same batch, but did not apply them.

Cause: findings show the value with `ascii`, which has no limit for lists and objects; JSON decodes up to 1,024 levels, and Python's limit of calls is 1,000.

`show_value` describes such a value by its type, and every finding uses it.

--- a/fireflyferry/settings/values.py
+++ b/fireflyferry/settings/values.py
@@ -22,6 +22,7 @@
     "Weights",
     "field",
     "one_line",
+    "show_value",
     "value_type_of",
 ]
 
@@ -48,8 +49,16 @@
 
     def describe(self, value: Any) -> str:
         """Describe an invalid value for an error message, on one line."""
+        return show_value(value)
+
+
+def show_value(value: Any, max_characters: int = 120) -> str:
+    """Describe a value in ASCII on one line, also one that is nested too deeply for `ascii`."""
+    try:
         shown = ascii(value)
-        return shown if len(shown) <= 120 else f"{shown[:117]}..."
+    except RecursionError:
+        shown = f"a deeply nested {type(value).__name__}"
+    return shown if len(shown) <= max_characters else f"{shown[: max_characters - 3]}..."
 
 
 def one_line(text: str, max_characters: int = 2000) -> str:
--- a/fireflyferry/tables/rows.py
+++ b/fireflyferry/tables/rows.py
@@ -6,7 +6,7 @@
 import attrs
 import orjson
 
-from fireflyferry.settings.values import ValueType, value_type_of
+from fireflyferry.settings.values import ValueType, show_value, value_type_of
 from fireflyferry.tables.findings import Finding, InvalidTablesError
 from fireflyferry.tables.model import Pool, Route, Tables
 from fireflyferry.tables.validation import validate
@@ -79,7 +79,9 @@
 
 def _row_from_json(row_type: type, table: str, index: int, raw: Any) -> tuple[Any | None, list]:
     if not isinstance(raw, dict):
-        return None, [Finding(table, f"#{index}", "", ascii(raw)[:80], "an object with columns")]
+        return None, [
+            Finding(table, f"#{index}", "", show_value(raw, 80), "an object with columns")
+        ]
     name = raw.get("name")
     row_label = (table, name if isinstance(name, str) else f"#{index}")
     # A store object may come from a newer version of the program, so unknown columns are ignored.
@@ -94,7 +96,7 @@
 def _rows_from_json(kind: str, raw: Any) -> tuple[tuple, list[Finding]]:
     table = _TABLE_NAMES[kind]
     if not isinstance(raw, list):
-        return (), [Finding(table, "", "", ascii(raw)[:80], "a list of rows")]
+        return (), [Finding(table, "", "", show_value(raw, 80), "a list of rows")]
     pairs = [_row_from_json(ROW_TYPES[kind], table, index, row) for index, row in enumerate(raw)]
     rows = tuple(row for row, _ in pairs if row is not None)
     return rows, [finding for _, findings in pairs for finding in findings]
@@ -114,7 +116,7 @@
         **dict.fromkeys(texts, "a string"),
     }
     return [
-        Finding("tables", "", name, ascii(raw.get(name))[:80], allowed[name])
+        Finding("tables", "", name, show_value(raw.get(name), 80), allowed[name])
         for name, passed in checks.items()
         if not passed
     ]
@@ -136,7 +138,7 @@
     except orjson.JSONDecodeError as error:
         raise InvalidTablesError([Finding("tables", "", "", str(error), "JSON")]) from error
     if not isinstance(raw, dict):
-        raise InvalidTablesError([Finding("tables", "", "", ascii(raw)[:80], "a JSON object")])
+        raise InvalidTablesError([Finding("tables", "", "", show_value(raw, 80), "a JSON object")])
     routes, route_findings = _rows_from_json("route", raw.get("routes"))
     pools, pool_findings = _rows_from_json("pool", raw.get("pools"))
     findings = _metadata_findings(raw) + route_findings + pool_findings
