Keep the entries of the VM list, objects and pledges beside an odd one

Callers saw: one entry of another writer in the VM list, one object of a list or watch with a missing field, or one reply to heartbeats made the whole answer unusable, each time it was read, so that VMs no longer followed the list or the store, and lost the pledges of all groups. `data` with a character outside of ASCII ended the watch with ValueError. Entries with a port out of range were used.

Cause: answers were decoded as a whole, and the addresses of VMs were not checked.

Objects, entries, heartbeats and replies are now read one by one with `read_each`. An object that cannot be read leaves its earlier version in force. Entries need an id and addresses that name an endpoint or are empty.

--- a/fireflyferry/edges/http_peer.py
+++ b/fireflyferry/edges/http_peer.py
@@ -7,7 +7,7 @@
 from fireflyferry.edges.peer_auth import PeerSigner
 from fireflyferry.edges.wire import decode_batch
 from fireflyferry.messages import Heartbeat, HeartbeatReply, VmIncarnation, decode, encode
-from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.codec import MessageError, decode_each
 
 __all__ = ["HttpPeerLink"]
 
@@ -30,12 +30,12 @@
     async def heartbeat(
         self, address: str, heartbeats: tuple[Heartbeat, ...]
     ) -> tuple[HeartbeatReply, ...]:
-        """Send heartbeats to a standby and return its replies, which hold its pledges.
+        """Send heartbeats to a standby and return its readable replies, which hold its pledges.
 
         Raises PeerUnavailableError.
         """
         body = await self._call("POST", address, "/peer/v1/heartbeat", encode(heartbeats))
-        return _decode_body(body, lambda data: decode(data, tuple[HeartbeatReply, ...]))
+        return _decode_body(body, lambda data: decode_each(data, HeartbeatReply, "pledges"))
 
     async def feed(
         self, address: str, since: int, revision: int, vm_id: str, timeout_s: float
--- a/fireflyferry/edges/http_store.py
+++ b/fireflyferry/edges/http_store.py
@@ -11,7 +11,7 @@
     WatchBatch,
 )
 from fireflyferry.edges.http_client import HttpAnswer, HttpClient, NoAnswerError
-from fireflyferry.edges.wire import VmListBody, WriteResult, decode_batch, decode_object
+from fireflyferry.edges.wire import WriteResult, decode_batch, decode_object, decode_vm_list
 from fireflyferry.messages import VmEntry, decode
 from fireflyferry.messages.codec import MessageError
 
@@ -121,7 +121,7 @@
 
         Raises StoreUnavailableError.
         """
-        return _decode(await self._call("GET", "/v1/vms", (200,)), decode, VmListBody).vms
+        return _decode(await self._call("GET", "/v1/vms", (200,)), decode_vm_list)
 
 
 def _object_path(name: str) -> str:
--- a/fireflyferry/edges/wire.py
+++ b/fireflyferry/edges/wire.py
@@ -1,19 +1,21 @@
 """JSON bodies for stored objects, watch batches and VM lists."""
 
 import base64
-import binascii
+from typing import Any
 
 import attrs
 
 from fireflyferry.edges.base import StoredObject, WatchBatch
 from fireflyferry.messages import VmEntry, decode, encode
-from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.codec import MessageError, read_each, structure
+from fireflyferry.settings.values import Endpoint
 
 __all__ = [
     "VmListBody",
     "WriteResult",
     "decode_batch",
     "decode_object",
+    "decode_vm_list",
     "encode_batch",
     "encode_object",
 ]
@@ -30,10 +32,10 @@
 
 @attrs.frozen
 class BatchBody:
-    """A watch batch or a listing."""
+    """A watch batch or a listing; each of `changes` is an ObjectBody."""
 
     sequence: int
-    changes: tuple[ObjectBody, ...]
+    changes: list[Any]
     reset: bool = False
 
 
@@ -71,19 +73,45 @@
 
 def encode_batch(batch: WatchBatch) -> bytes:
     """Encode a watch batch."""
-    changes = tuple(_object_body(change) for change in batch.changes)
+    changes = [_object_body(change) for change in batch.changes]
     return encode(BatchBody(batch.sequence, changes, batch.reset))
 
 
 def decode_batch(data: bytes) -> WatchBatch:
-    """Decode a watch batch.
+    """Decode a watch batch, without the objects that cannot be read.
 
     Raises MessageError.
     """
     body = decode(data, BatchBody)
-    return WatchBatch(
-        body.sequence, tuple(_stored_object(item) for item in body.changes), body.reset
+    changes = read_each(
+        body.changes, lambda value: _stored_object(structure(value, ObjectBody)), "objects"
     )
+    return WatchBatch(body.sequence, tuple(changes), body.reset)
+
+
+def decode_vm_list(data: bytes) -> tuple[VmEntry, ...]:
+    """Decode a VM list, without the entries that cannot be used.
+
+    Raises MessageError.
+    """
+    entries = structure(decode(data, dict[str, Any]).get("vms"), list[Any])
+    return tuple(read_each(entries, _vm_entry, "VM list"))
+
+
+def _vm_entry(value: Any) -> VmEntry:
+    """Read an entry of the VM list.
+
+    Raises MessageError, also for an address that names no endpoint.
+    """
+    entry = structure(value, VmEntry)
+    if not entry.vm_id:
+        raise MessageError("VM without an id")
+    try:
+        for address in (entry.address, entry.peer_address):
+            Endpoint(optional=True).convert(address)
+    except ValueError as error:
+        raise MessageError(f"address of {entry.vm_id} is not {error}") from error
+    return entry
 
 
 def _object_body(item: StoredObject) -> ObjectBody:
@@ -96,5 +124,5 @@
         return StoredObject(body.name, body.version, None)
     try:
         return StoredObject(body.name, body.version, base64.b64decode(body.data, validate=True))
-    except binascii.Error as error:
+    except ValueError as error:
         raise MessageError(f"data of {body.name} is not base64: {error}") from error
--- a/fireflyferry/entry/peer_server.py
+++ b/fireflyferry/entry/peer_server.py
@@ -18,7 +18,7 @@
 from fireflyferry.entry.feed import LONG_POLL_TIMEOUT_S, Feed
 from fireflyferry.errors import FireflyferryError
 from fireflyferry.messages import Heartbeat, decode, encode
-from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.codec import MessageError, decode_each
 from fireflyferry.messages.control import AssignRequest, DrainRequest, VmStatus
 
 __all__ = ["PeerServices", "make_peer_router"]
@@ -97,7 +97,7 @@
 
     def post(self) -> None:
         """Handle the heartbeats of all groups that the sender leads and this VM is standby for."""
-        heartbeats = decode(self.request.body, tuple[Heartbeat, ...])
+        heartbeats = decode_each(self.request.body, Heartbeat, "heartbeats")
         self.reply(self._services.control_loop.on_heartbeats(heartbeats))
 
 
