Apply the objects of a batch after one that cannot be applied

Callers saw: an error other than MessageError while one object was applied, also in a callback, ended the batch. The mirror had stored the other objects already, so that they never came again. A placement without runs or with 0 buckets made requests fail, and a record under the name of another group replaced that group's record. One odd entry in the VM list of the feed cost all entries.

Cause: `VmState.apply` expected one type of error, and objects were used without a comparison with their name.

Every error of an object is now logged, and the next object applied. Records and placements need the name under which they are stored, placements every bucket in one run, and the entries of the VM list are read one by one.

--- a/fireflyferry/entry/state.py
+++ b/fireflyferry/entry/state.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -10,7 +11,7 @@
 from fireflyferry.entry.interfaces import TablesSource
 from fireflyferry.membership import ObjectMirror, PlacementMap, VmTable
 from fireflyferry.messages import GroupId, GroupRecord, VmEntry, VmIncarnation, decode, encode
-from fireflyferry.messages.codec import MessageError
+from fireflyferry.messages.codec import MessageError, read_each, structure
 from fireflyferry.messages.control import LOST_PREFIX
 from fireflyferry.tables import InvalidTablesError, Tables, load_tables
 
@@ -29,9 +30,9 @@
 
 @attrs.frozen
 class VmListing:
-    """The VM list as an object that relays distribute."""
+    """The VM list as an object that relays distribute; each of `entries` is a VmEntry."""
 
-    entries: tuple[VmEntry, ...]
+    entries: list[Any]
 
 
 @attrs.frozen
@@ -93,6 +94,9 @@
                 self._apply_object(item.name, item.version, item.data)
             except MessageError as error:
                 _LOG.error("bad_object", extra={"object": item.name, "error": str(error)})
+            except Exception:
+                # The mirror has stored all objects already, so the others would not come again.
+                _LOG.exception("object_not_applied", extra={"object": item.name})
         if newer:
             for callback in self.on_change:
                 callback()
@@ -100,24 +104,31 @@
 
     def vm_list_object(self, version: int, entries: tuple[VmEntry, ...]) -> StoredObject:
         """Return the VM list as an object that relays distribute."""
-        return StoredObject(VM_LIST_OBJECT, version, encode(VmListing(entries)))
+        return StoredObject(VM_LIST_OBJECT, version, encode(VmListing(list(entries))))
 
     def _apply_object(self, name: str, version: int, data: bytes) -> None:
         if name == TABLES_OBJECT:
             self._apply_tables(data)
         elif name.startswith(GROUPS_PREFIX):
             view = RecordView(decode(data, GroupRecord), version, self._clock.monotonic_s())
+            _check_name(name, f"{GROUPS_PREFIX}{view.record.group}")
             self.records[view.record.group] = view
             for callback in self.on_record:
                 callback(view)
         elif name.startswith(PLACEMENTS_PREFIX):
             placement = decode(data, PlacementMap)
+            _check_name(name, f"{PLACEMENTS_PREFIX}{placement.pool}")
+            if not placement.is_complete():
+                raise MessageError("buckets are not covered exactly once")
             self.placements[placement.pool] = placement
         elif name.startswith(LOST_PREFIX):
             for callback in self.on_declared_lost:
                 callback(StoredObject(name, version, data))
         elif name == VM_LIST_OBJECT:
-            self._apply_vm_list(decode(data, VmListing).entries)
+            entries = decode(data, VmListing).entries
+            self._apply_vm_list(
+                tuple(read_each(entries, lambda each: structure(each, VmEntry), name))
+            )
 
     def _apply_tables(self, data: bytes) -> None:
         """Apply a higher revision, or keep the current one if the new one is invalid."""
@@ -141,3 +152,9 @@
         for entry in gone:
             for callback in self.on_vm_gone:
                 callback(entry)
+
+
+def _check_name(name: str, described: str) -> None:
+    """Check that an object describes what it is named after, and so replaces nothing else."""
+    if name != described:
+        raise MessageError(f"describes {described}")
--- a/fireflyferry/membership/placements.py
+++ b/fireflyferry/membership/placements.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fireflyferry.messages import GroupId
+from fireflyferry.tables.model import MAX_BUCKETS
 
 __all__ = ["BucketRun", "PlacementMap", "bootstrap_placement"]
 
@@ -25,6 +26,12 @@
     buckets: int
     runs: tuple[BucketRun, ...]
 
+    def is_complete(self) -> bool:
+        """Return whether every bucket is in exactly one run."""
+        firsts = [run.first for run in self.runs]
+        in_order = firsts == sorted(set(firsts)) and firsts[:1] == [0]
+        return in_order and firsts[-1] < self.buckets <= MAX_BUCKETS
+
     def group_of(self, bucket: int) -> GroupId:
         """Return the group of a bucket."""
         index = bisect.bisect_right(self.runs, bucket, key=lambda run: run.first) - 1
