Begin a term beside odd saved owners, and wait for readable ones

Callers saw: a group had no owners for the whole term of its leader after one read of owners that could not be decoded, and after one unit with an id such as `b:x` among them. Each read of a group's record that could not be decoded failed its task with a traceback. A record of another group under the group's name, or the owners of another group, were used as its own.

Cause: the task that loads the owners expected only failed calls, and the loaded owners and records were used without a check of their ids and group.

Owners that cannot be read, or are those of another group, count as not loaded, so no unit is granted, and are read again after the usual delay. Units whose id names neither a bucket nor a key are left out; no request has such a unit. A record that cannot be read or is not the group's is logged, and does not reach the group's authority.

--- a/fireflyferry/entry/lease_system.py
+++ b/fireflyferry/entry/lease_system.py
@@ -16,6 +16,7 @@
 from fireflyferry.entry.state import GROUPS_PREFIX, VmState
 from fireflyferry.leases import ReadRecord, SendHeartbeat, WriteOutcome, WriteRecord
 from fireflyferry.messages import GroupId, GroupRecord, Heartbeat, decode, encode
+from fireflyferry.messages.codec import MessageError
 from fireflyferry.tasks import BackgroundTasks
 
 __all__ = ["LeaseSystem"]
@@ -94,7 +95,14 @@
         if stored is None or stored.data is None:
             runtime.authority.observe_record(now_s, sent_at_s, None, 0)
             return
-        record = decode(stored.data, GroupRecord)
+        try:
+            record = decode(stored.data, GroupRecord)
+        except MessageError as error:
+            _LOG.warning("record_unreadable", extra={"object": name, "error": str(error)})
+            return
+        if record.group != runtime.group:
+            _LOG.warning("record_of_another_group", extra={"object": name})
+            return
         runtime.authority.observe_record(now_s, sent_at_s, record, stored.version)
 
     async def _write_record(self, runtime: GroupRuntime, action: WriteRecord) -> None:
--- a/fireflyferry/entry/owner_system.py
+++ b/fireflyferry/entry/owner_system.py
@@ -11,9 +11,11 @@
 from fireflyferry.entry.earlier_leaders import earlier_leaders, leaders_to_save
 from fireflyferry.entry.group_runtime import GroupRuntime
 from fireflyferry.entry.placing import PlacementPlanner
+from fireflyferry.entry.saved_owners import read_owner_set, without_odd_units
 from fireflyferry.entry.state import VmState
 from fireflyferry.entry.upstream_table import UpstreamRow, UpstreamTable
-from fireflyferry.messages import OwnerSet, VmIncarnation, decode, encode
+from fireflyferry.messages import OwnerSet, VmIncarnation, encode
+from fireflyferry.messages.codec import MessageError
 from fireflyferry.ownership import SaveOwners, SendGrant
 from fireflyferry.placement import parse_unit
 from fireflyferry.tasks import BackgroundTasks
@@ -113,13 +115,13 @@
         while runtime.term == term:
             try:
                 stored = await self._store.get(name)
-                stored_owners = decode(stored.data, OwnerSet) if stored and stored.data else None
-                newest = self._newest_owners(runtime, stored_owners)
+                # While the saved owners cannot be read, no unit may be granted.
+                newest = self._newest_owners(runtime, read_owner_set(stored, runtime.group))
                 earlier = earlier_leaders(newest, self._state.this_vm)
                 owners = self._owners_for_term(runtime, newest, term, earlier)
                 version = stored.version if stored else 0
                 runtime.assignments_version = await self._store.put(name, encode(owners), version)
-            except EdgeError as error:
+            except (EdgeError, MessageError) as error:
                 _LOG.warning(
                     "owners_not_loaded", extra={"group": str(runtime.group), "error": error.code}
                 )
@@ -142,7 +144,7 @@
     ) -> OwnerSet:
         leaders = tuple(sorted({self._state.this_vm, *earlier}))
         known = newest or OwnerSet(runtime.group, term, 0, {})
-        return attrs.evolve(known, term=term, sequence=0, leaders=leaders)
+        return attrs.evolve(without_odd_units(known), term=term, sequence=0, leaders=leaders)
 
     def _begin_term(
         self, runtime: GroupRuntime, term: int, owners: OwnerSet, earlier: set[VmIncarnation]
@@ -204,12 +206,10 @@
         """Read the owners to find out whether a write with an unknown result took effect."""
         try:
             stored = await self._store.get(name)
-        except EdgeError:
-            return
-        if stored is None or stored.data is None:
+            stored_owners = read_owner_set(stored, runtime.group)
+        except (EdgeError, MessageError):
             return
-        stored_owners = decode(stored.data, OwnerSet)
-        if stored_owners.term > action.owners.term:
+        if stored_owners is None or stored_owners.term > action.owners.term:
             return
         runtime.assignments_version = stored.version
         if stored_owners == action.owners:
