Run the feed of an entry VM again after an unexpected error

Callers saw: the process ended whenever a record made the feed raise an error other than EdgeError, and again after its next start, since the record was still in the list.

Cause: `Feed.run` gathered its two loops, and `EntryProgram.run` ends the process when the feed ends.

Each of the two loops is supervised, like the loops of the platform program: an error is logged, and the loop starts again with a complete list.

Evidence: the 6 cases of test_feed_outlasts_an_unexpected_error failed before.

--- a/fireflyferry/entry/feed.py
+++ b/fireflyferry/entry/feed.py
@@ -11,6 +11,7 @@
 from fireflyferry.messages import VmEntry
 from fireflyferry.messages.control import LOST_PREFIX
 from fireflyferry.placement import bucket_of
+from fireflyferry.tasks import BackgroundTasks
 
 __all__ = ["Feed"]
 
@@ -66,8 +67,13 @@
         return "relay" if self._is_relay() else "follower"
 
     async def run(self) -> None:
-        """Update the mirror until cancelled."""
-        await asyncio.gather(self._run_object_feed(), self._poll_vm_list())
+        """Update the mirror until cancelled, also after unexpected errors."""
+        tasks = BackgroundTasks()
+        loops = [tasks.supervise(self._run_object_feed), tasks.supervise(self._poll_vm_list)]
+        try:
+            await asyncio.gather(*loops)
+        finally:
+            tasks.cancel()
 
     async def wait_for_changes(self, since: int, timeout_s: float) -> WatchBatch:
         """Return the changes after position `since`, waiting for at most `timeout_s` seconds.
--- a/fireflyferry/entry/tests/test_feed.py
+++ b/fireflyferry/entry/tests/test_feed.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fireflyferry import tasks as tasks_module
 from fireflyferry.edges import PeerLink, StoredObject
 from fireflyferry.edges.base import PeerUnavailableError
 from fireflyferry.entry import feed as feed_module
@@ -150,3 +151,41 @@
     state, feed = make_feed("e-9", store, peers, entries=(), seeds=("seed-1", "seed-2"))
     asyncio.run(run_until(feed, lambda: state.revision == 3))
     assert [address for address, _ in peers.requests[:2]] == ["seed-1", "seed-2"]
+
+
+# Guards against a process that ends with its feed, after an error that no edge expects.
+@pytest.mark.parametrize("call", ["list", "watch", "fetch"])
+@pytest.mark.parametrize("error", [RecursionError(), UnicodeEncodeError("ascii", "é", 0, 1, "")])
+def test_feed_outlasts_an_unexpected_error(monkeypatch, call, error):
+    monkeypatch.setattr(tasks_module, "RESTART_DELAY_S", 0.01)
+    monkeypatch.setattr(feed_module, "VM_LIST_INTERVAL_S", 0.01)
+    store = FakeStore()
+    # A VM without a VM list is a relay.
+    state, feed = make_feed("e-0", store, MirrorPeers({}), entries=())
+    feed._vm_list.entries = (entry_vm("e-0", "natal-1"),)
+    edge = feed._vm_list if call == "fetch" else store
+    original = getattr(edge, call)
+    failures = []
+
+    async def fail_once(*arguments):
+        if not failures:
+            failures.append(error)
+            raise error
+        return await original(*arguments)
+
+    monkeypatch.setattr(edge, call, fail_once)
+
+    async def scenario():
+        task = asyncio.ensure_future(feed.run())
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                while not failures:
+                    await asyncio.sleep(0.005)
+                store.table.put(TABLES_NAME, TABLES, 0)
+                while not (state.revision == 3 and state.vm_table.entries):
+                    assert not task.done(), "the feed has ended"
+                    await asyncio.sleep(0.005)
+        finally:
+            task.cancel()
+
+    asyncio.run(scenario())
