Print the timeline of a request beside odd log lines

Callers saw: `fireflyferryctl explain` ended with an error, or left out causes, because of one line among the lines of all VMs: deeply nested JSON, an unknown escape, a time or a number that is none, or `took_s=nan`.

Cause: only JSON lines with a fault of syntax were skipped, and numbers were parsed when the timeline was made.

A line whose fields or time cannot be parsed is now skipped, and numbers in the others fall back to 0 seconds or to no key.

Evidence: 8 of the 9 new cases in test_explain.py failed before.

--- a/fireflyferry/operators/explain.py
+++ b/fireflyferry/operators/explain.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import math
 import re
 import sys
 from collections.abc import Iterable, Iterator
@@ -17,6 +18,7 @@
 CONTEXT_BEFORE_S = 3.0
 
 _FIELD = re.compile(r'([A-Za-z_]\w*)=("(?:[^"\\]|\\.)*"|\S*)')
+_KEY = re.compile(r"[0-9]{1,18}")
 _COMMON_FIELDS = ("time", "level", "logger", "event")
 # Maps a field of a request's log lines that names an upstream, a VM or a pool to the field that has
 # the same value in log lines about changes.
@@ -42,18 +44,18 @@
 def parse_line(line: str) -> Event | None:
     """Parse a log line in key=value or JSON format; return None for any other line."""
     start = line.find("time=")
-    if start < 0:
-        return _parse_json(line)
-    fields = {name: _unquote(text) for name, text in _FIELD.findall(line[start:])}
-    return _make_event(fields, line[:start])
+    try:
+        if start < 0:
+            return _parse_json(line)
+        fields = {name: _unquote(text) for name, text in _FIELD.findall(line[start:])}
+        return _make_event(fields, line[:start])
+    except (RecursionError, ValueError):
+        return None
 
 
 def _parse_json(line: str) -> Event | None:
     start = line.find("{")
-    try:
-        fields = json.loads(line[start:]) if start >= 0 else None
-    except json.JSONDecodeError:
-        return None
+    fields = json.loads(line[start:]) if start >= 0 else None
     if not isinstance(fields, dict):
         return None
     return _make_event({name: str(value) for name, value in fields.items()}, line[:start])
@@ -68,7 +70,8 @@
         return None
     source = prefix.split()[-1] if prefix.split() else ""
     rest = {name: value for name, value in fields.items() if name not in _COMMON_FIELDS}
-    return Event(fields["time"], fields["event"], source, rest)
+    event = Event(fields["time"], fields["event"], source, rest)
+    return event if math.isfinite(event.seconds) else None
 
 
 def request_timeline(events: Iterable[Event], request_id: str) -> Iterator[Event]:
@@ -78,7 +81,7 @@
     if not own_events:
         return
     start_s, end_s = own_events[0].seconds - CONTEXT_BEFORE_S, own_events[-1].seconds
-    took_s = max(float(event.fields.get("took_s", 0.0)) for event in own_events)
+    took_s = max(_seconds(event.fields.get("took_s", "")) for event in own_events)
     subjects = {
         (change_field, event.fields[request_field])
         for event in own_events
@@ -92,6 +95,20 @@
             yield event
 
 
+def _seconds(text: str) -> float:
+    """Return a duration from a log line; 0 if it is not a finite number."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if math.isfinite(seconds) else 0.0
+
+
+def _key(text: str) -> int:
+    """Return a key from a log line; -1 if it is not one."""
+    return int(text) if _KEY.fullmatch(text) else -1
+
+
 def _is_related(event: Event, subjects: set[tuple[str, str]], own_events: list[Event]) -> bool:
     """Return whether a line that belongs to no request is about something that this request used.
 
@@ -102,9 +119,9 @@
     if event.name in ("store_lost", "store_regained", "lease_gained", "lease_lost"):
         return True
     if "first" in event.fields and "last" in event.fields:
-        keys = [int(e.fields["key"]) for e in own_events if e.fields.get("key", "").isdigit()]
-        low, high = int(event.fields["first"]), int(event.fields["last"])
-        return any(low <= key <= high for key in keys)
+        keys = [_key(own.fields.get("key", "")) for own in own_events]
+        low, high = _key(event.fields["first"]), _key(event.fields["last"])
+        return any(low <= key <= high for key in keys if key >= 0)
     return any(event.fields.get(field) == name for field, name in subjects if field != "pool")
 
 
--- a/fireflyferry/operators/tests/test_explain.py
+++ b/fireflyferry/operators/tests/test_explain.py
@@ -46,3 +46,29 @@
 def test_other_lines_are_skipped(monkeypatch, capsys, line):
     code, output = run(monkeypatch, capsys, "r1", LINES + line + "\n")
     assert code == 0 and output.err == ""
+
+
+TIME = "time=2026-01-01T10:00:01.500Z"
+
+
+# Guards against a timeline that ends in an error because of one odd line among those of all VMs.
+@pytest.mark.parametrize(
+    "line",
+    [
+        '{"time": ' + "[" * 5000 + "]" * 5000 + ', "event": "x"}',
+        '{"time": "2026-01-01T10:00:01Z", "event": ' + "[" * 900 + "]" * 900 + "}",
+        f'{TIME} event="\\q"',
+        "time=2026-01-01T10:00:00odd event=store_lost",
+        f"{TIME} event=range_moves first=x last=9",
+        f"{TIME} event=range_moves first=1 last={'9' * 5000}",
+        f"{TIME} event=x request_id=r1 took_s=soon",
+        f"{TIME} event=x request_id=r1 took_s=nan",
+        f"{TIME} event=x request_id=r1 key=²",
+    ],
+    ids=lambda line: line[:40],
+)
+def test_timeline_is_printed_beside_an_odd_line(monkeypatch, capsys, line):
+    code, output = run(monkeypatch, capsys, "r1", line + "\n" + LINES)
+    assert (code, output.err) == (0, "")
+    names = [line.split()[2] for line in output.out.splitlines()]
+    assert {"range_moves", "attempt_failed", "request_not_answered"} <= set(names)
