Soak: list odd entries of another writer among those of the upstreams

The soak had only entries that the stand-ins for upstreams wrote themselves, so a VM that stops following the list because of somebody else's entry passed.

Faults now come in groups, each with a schedule of its own, so that the seeds of the existing kinds stay as they are (`--groups`). No call may name an odd entry. In all groups, no VM process may end by itself.

The upstreams that join have a pool of their own since in a pool that has room an upstream that joins gets no request for 12 s, with or without odd entries: a last hop assumes 0.17 s for its service time, while the others have measured 0.02 s.

--- a/fireflyferry/platform/soak/__main__.py
+++ b/fireflyferry/platform/soak/__main__.py
@@ -11,7 +11,7 @@
 import attrs
 
 from fireflyferry.platform.soak.run import Soak, SoakResult
-from fireflyferry.platform.soak.schedule import make_plan
+from fireflyferry.platform.soak.schedule import DEFAULT_GROUPS, FaultGroup, make_plan
 
 __all__ = ["main"]
 
@@ -33,6 +33,13 @@
         "--seconds", type=float, default=12.0, help="time for which faults are injected"
     )
     parser.add_argument("--vms", type=int, help="number of entry VMs; drawn by default")
+    parser.add_argument(
+        "--groups",
+        type=FaultGroup,
+        nargs="+",
+        default=DEFAULT_GROUPS,
+        help=f"groups of faults, of {', '.join(FaultGroup)}; default: {', '.join(DEFAULT_GROUPS)}",
+    )
     parser.add_argument("--logs", help="folder for settings and logs, kept after the run")
     options = parser.parse_args(argv)
     folder = pathlib.Path(options.logs or tempfile.mkdtemp(prefix="soak-"))
@@ -40,7 +47,7 @@
     for seed in _seeds(options.seeds, options.count):
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        plan = make_plan(seed, options.seconds)
+        plan = make_plan(seed, options.seconds, tuple(options.groups))
         if options.vms:
             plan = attrs.evolve(plan, vms=options.vms)
         result = asyncio.run(Soak(plan, seed_folder).run())
--- a/fireflyferry/platform/soak/faults.py
+++ b/fireflyferry/platform/soak/faults.py
@@ -52,14 +52,22 @@
         store: StoreStandin,
         fleet: UpstreamFleet,
         change_config: Callable[[], None],
+        start_odd_entry: Callable[[Fault], None],
     ):
         self._vms = vms
         self._store = store
         self._fleet = fleet
+        self._start_odd_entry = start_odd_entry
         self._change_config = change_config
         self._tasks = BackgroundTasks()
+        self._disturbances = 0
         self.counts: dict[str, int] = {}
 
+    @property
+    def disturbs_vms(self) -> bool:
+        """Whether a fault of a VM, of its path to the store or of the store is active."""
+        return self._disturbances > 0
+
     async def run(self, schedule: Iterable[Fault], length_s: float) -> None:
         """Inject the faults of a schedule, which takes `length_s` seconds."""
         loop = asyncio.get_running_loop()
@@ -91,19 +99,27 @@
 
     async def _inject(self, fault: Fault) -> None:
         vm = self._vms[fault.target % len(self._vms)]
-        if fault.kind.startswith("vm_"):
-            await self._inject_vm_fault(fault, vm)
-        elif fault.kind.startswith("link_"):
-            await self._inject_link_fault(fault, vm)
-        elif fault.kind.startswith("store_"):
-            await self._inject_store_fault(fault)
+        if fault.kind.startswith(("vm_", "link_", "store_")):
+            self._disturbances += 1
+            await self._disturb_vms(fault, vm)
+            self._disturbances -= 1
         elif fault.kind.startswith("upstream_"):
             upstream = self._upstream(fault)
             if upstream is not None:
                 await self._inject_upstream_fault(fault, upstream)
+        elif fault.kind.startswith("odd_"):
+            self._start_odd_entry(fault)
         else:
             self._change_config()
 
+    async def _disturb_vms(self, fault: Fault, vm: VmProcess) -> None:
+        if fault.kind.startswith("vm_"):
+            await self._inject_vm_fault(fault, vm)
+        elif fault.kind.startswith("link_"):
+            await self._inject_link_fault(fault, vm)
+        else:
+            await self._inject_store_fault(fault)
+
     def _upstream(self, fault: Fault) -> UpstreamStandin | None:
         """Return the upstream of a fault; only those with keys get calls on keys."""
         running = self._fleet.running
--- a/fireflyferry/platform/soak/fleet.py
+++ b/fireflyferry/platform/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Mapping
 
 import attrs
 
@@ -31,11 +32,11 @@
 
 
 class UpstreamFleet:
-    """Upstreams of a pool with keys and of one without."""
+    """Upstreams of some pools; `pools` has whether each one has keys."""
 
-    def __init__(self, world: UpstreamWorld, keyed_pool: str, plain_pool: str):
+    def __init__(self, world: UpstreamWorld, pools: Mapping[str, bool]):
         self._world = world
-        self._pools = {keyed_pool: True, plain_pool: False}
+        self._pools = pools
         self._ports: list[socket.socket] = []
         self._heard_s: dict[str, float] = {}
         self._started = 0
@@ -75,6 +76,10 @@
     async def drain(self, upstream: UpstreamStandin, for_s: float) -> None:
         """Start another process; then let one drain, leave the store and end."""
         self.add(upstream.pool, upstream.data_centre)
+        await self.retire(upstream, for_s)
+
+    async def retire(self, upstream: UpstreamStandin, for_s: float) -> None:
+        """Let a process drain, leave the store and end."""
         upstream.draining = True
         self._register(upstream)
         await asyncio.sleep(for_s)
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import pathlib
 import random
 from collections.abc import Awaitable, Callable
@@ -16,7 +17,8 @@
 from fireflyferry.platform.soak.faults import FaultInjector
 from fireflyferry.platform.soak.fleet import UpstreamFleet
 from fireflyferry.platform.soak.links import Link
-from fireflyferry.platform.soak.schedule import SoakPlan, make_schedule
+from fireflyferry.platform.soak.odd_entries import ODD_FORMS, OddEntries
+from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_schedule
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamWorld
 from fireflyferry.platform.soak.vms import VmProcess
@@ -25,7 +27,7 @@
 
 __all__ = ["Soak", "SoakResult"]
 
-KEYED, PLAIN = "keyed-pool", "plain-pool"
+KEYED, PLAIN, JOINING = "keyed-pool", "plain-pool", "joining-pool"
 DATA_CENTRES = ("dc-1", "dc-2")
 RESTART_CHECK_INTERVAL_S = 0.3
 CHECKED_VMS = 8  # VMs that are checked at the same time at the end
@@ -64,8 +66,11 @@
         self._tasks = BackgroundTasks()
         self._vms: list[VmProcess] = []
         self._world = UpstreamWorld(self._store, self._audit, random.Random(plan.seed))
-        self._fleet = UpstreamFleet(self._world, KEYED, PLAIN)
-        self._faults = FaultInjector(self._vms, self._store, self._fleet, self._change_config)
+        self._fleet = UpstreamFleet(self._world, {KEYED: True, PLAIN: False, JOINING: False})
+        self._odd_entries = OddEntries(self._world, self._fleet, JOINING, self._is_calm)
+        self._faults = FaultInjector(
+            self._vms, self._store, self._fleet, self._change_config, self._start_odd_entry
+        )
 
     async def run(self) -> SoakResult:
         """Run the plan and return the result."""
@@ -78,9 +83,10 @@
             for number in range(plan.callers):
                 self._tasks.start(self._callers.send_requests(number))
                 self._tasks.start(self._callers.keep_connections(number))
-            schedule = plan.faults or make_schedule(plan.seed, plan.length_s)
+            schedule = plan.faults or make_schedule(plan.seed, plan.length_s, plan.groups)
             await self._faults.run(schedule, plan.length_s)
             self._faults.end_faults()
+            await self._odd_entries.finish()
             await self._wait_until(
                 self._all_serving, RECOVERY_TIMEOUT_S, "everything is served after faults"
             )
@@ -104,6 +110,7 @@
             vm.close()
             vm.link.close()
         self._faults.close()
+        self._odd_entries.close()
         self._tasks.cancel()
         self._store_server.stop()
         self._fleet.close()
@@ -139,6 +146,11 @@
             await asyncio.sleep(RESTART_CHECK_INTERVAL_S)
             for vm in self._vms:
                 if not vm.running:
+                    if vm.ended_by_itself:
+                        self._audit.report(
+                            "no VM process ends by itself",
+                            f"{vm.vm_id} with exit code {vm.process.returncode}",
+                        )
                     vm.start()
 
     def _change_config(self) -> None:
@@ -148,16 +160,36 @@
         routes = [
             _route("keyed", "safe", KEYED),
             _route("write", "unsafe", PLAIN),
+            _route("joining", "safe", JOINING),
             *(_route(f"v{number}", "safe", PLAIN) for number in range(1, version + 1)),
         ]
         services = [
-            _resource("services", name, {"sharded": name == KEYED}) for name in (KEYED, PLAIN)
+            _resource("services", name, {"sharded": name == KEYED})
+            for name in (KEYED, PLAIN, JOINING)
         ]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutS": 15}
         resources = [*routes, *services, _resource("limits", "limits", limits)]
         spec = {"version": f"{version:08x}", "resources": resources}
         self._store.write(names.CONFIG_KIND, names.CONFIG_NAME, spec)
 
+    def _is_calm(self) -> bool:
+        return not self._faults.disturbs_vms and all(
+            vm.running and not vm.stopping for vm in self._vms
+        )
+
+    def _start_odd_entry(self, fault: Fault) -> None:
+        running = self._fleet.running
+        upstream = running[fault.target % len(running)]
+        form = ODD_FORMS[fault.target // len(running) % len(ODD_FORMS)]
+        if fault.kind is FaultKind.ODD_OVERWRITE:
+            self._odd_entries.overwrite(form, upstream)
+            return
+        calls = {
+            vm.vm_id: functools.partial(self._callers.call, vm, "GET", "/joining/")
+            for vm in self._vms
+        }
+        self._odd_entries.start(form, upstream, calls)
+
     # End of the run
 
     async def _all_ready(self) -> bool:
--- a/fireflyferry/platform/soak/schedule.py
+++ b/fireflyferry/platform/soak/schedule.py
@@ -1,12 +1,21 @@
 """Random schedule of faults; the same seed gives the same schedule."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import StrEnum
 
 import attrs
 
-__all__ = ["Fault", "FaultKind", "SoakPlan", "make_plan", "make_schedule"]
+__all__ = [
+    "BASE_KINDS",
+    "DEFAULT_GROUPS",
+    "Fault",
+    "FaultGroup",
+    "FaultKind",
+    "SoakPlan",
+    "make_plan",
+    "make_schedule",
+]
 
 
 class FaultKind(StrEnum):
@@ -42,6 +51,25 @@
     UPSTREAM_REPEATS_REFUSALS = "upstream_repeats_refusals"
     UPSTREAM_BREAKS_HEADS = "upstream_breaks_heads"
     CONFIG_CHANGE = "config_change"
+    ODD_ENTRY = "odd_entry"  # another writer lists an entry that names no upstream
+    ODD_OVERWRITE = "odd_overwrite"  # it overwrites the entry of a live upstream
+
+
+class FaultGroup(StrEnum):
+    """Kinds of faults that are drawn together; each group has a schedule of its own."""
+
+    BASE = "base"
+    ODD_ENTRIES = "odd-entries"
+
+
+GROUP_KINDS = {
+    FaultGroup.ODD_ENTRIES: (FaultKind.ODD_ENTRY, FaultKind.ODD_OVERWRITE),
+}
+BASE_KINDS = tuple(
+    kind for kind in FaultKind if not any(kind in kinds for kinds in GROUP_KINDS.values())
+)
+# Groups of the command line and of the run in CI.
+DEFAULT_GROUPS = (FaultGroup.BASE, FaultGroup.ODD_ENTRIES)
 
 
 @attrs.frozen
@@ -61,7 +89,7 @@
 class SoakPlan:
     """Size and length of a run; a data centre with at least four VMs has a relay.
 
-    The schedule of the faults is that of the seed, unless `faults` has another one.
+    The schedule of the faults is that of the seed and the groups, unless `faults` has another one.
     """
 
     seed: int
@@ -69,10 +97,12 @@
     vms: int = 8
     upstreams: int = 4
     callers: int = 8
+    groups: tuple[FaultGroup, ...] = (FaultGroup.BASE,)
     faults: tuple[Fault, ...] | None = None
 
 
 MAX_INTERVAL_S = 1.5
+MAX_GROUP_INTERVAL_S = 3.0  # in the schedules of the other groups
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
 OVERLAP_PROBABILITY = 0.3  # probability that an upstream gets another fault in the same time
 REPEAT_PROBABILITY = 0.3  # probability that a fault is injected again right after it ended
@@ -81,26 +111,45 @@
 LARGE_FLEET_VMS = 60  # with the runner within the limit of a few hundred processes
 
 
-def make_plan(seed: int, length_s: float) -> SoakPlan:
+def make_plan(
+    seed: int, length_s: float, groups: tuple[FaultGroup, ...] = (FaultGroup.BASE,)
+) -> SoakPlan:
     """Return the plan of a seed; a few seeds have as many VMs as a machine may run."""
+    plan = SoakPlan(seed, length_s, groups=groups)
     is_large = random.Random(f"plan/{seed}").random() < LARGE_FLEET_PROBABILITY
-    return SoakPlan(seed, length_s, LARGE_FLEET_VMS) if is_large else SoakPlan(seed, length_s)
+    return attrs.evolve(plan, vms=LARGE_FLEET_VMS) if is_large else plan
 
 
-def make_schedule(seed: int, length_s: float) -> list[Fault]:
+def make_schedule(
+    seed: int, length_s: float, groups: Iterable[FaultGroup] = (FaultGroup.BASE,)
+) -> list[Fault]:
     """Return the random faults of a seed, in the order of their start times."""
-    return sorted(_faults(random.Random(seed), length_s), key=lambda each: each.at_s)
+    faults = (fault for group in groups for fault in _group_faults(group, seed, length_s))
+    return sorted(faults, key=lambda each: each.at_s)
+
 
+def _group_faults(group: FaultGroup, seed: int, length_s: float) -> Iterator[Fault]:
+    if group is FaultGroup.BASE:
+        return _base_faults(random.Random(seed), length_s)
+    return _faults(random.Random(f"{group}/{seed}"), length_s, GROUP_KINDS[group])
 
-def _faults(rng: random.Random, length_s: float) -> Iterator[Fault]:
+
+def _base_faults(rng: random.Random, length_s: float) -> Iterator[Fault]:
+    others = [kind for kind in BASE_KINDS if kind.startswith("upstream_")]
     at_s = 0.0
     while (at_s := at_s + MAX_INTERVAL_S * rng.random()) < length_s:
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(BASE_KINDS)
         target = rng.randrange(1 << 16)
         for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
         yield Fault(at_s, kind, target, for_s)
-        if kind.startswith("upstream_") and rng.random() < OVERLAP_PROBABILITY:
-            others = [each for each in FaultKind if each.startswith("upstream_")]
+        if kind in others and rng.random() < OVERLAP_PROBABILITY:
             yield Fault(at_s + for_s * rng.random(), rng.choice(others), target, for_s)
         if rng.random() < REPEAT_PROBABILITY:
             yield Fault(at_s + for_s + 0.1, kind, target, for_s / 2)
+
+
+def _faults(rng: random.Random, length_s: float, kinds: tuple[FaultKind, ...]) -> Iterator[Fault]:
+    at_s = 0.0
+    while (at_s := at_s + MAX_GROUP_INTERVAL_S * rng.random()) < length_s:
+        for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield Fault(at_s, rng.choice(kinds), rng.randrange(1 << 16), for_s)
--- a/fireflyferry/platform/soak/store.py
+++ b/fireflyferry/platform/soak/store.py
@@ -60,7 +60,10 @@
         return {"items": items, "hasMore": len(names) > PAGE_SIZE, "asOf": self._revision}
 
     def write(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
-        """Write an object without checking its revision; unchanged content causes no event."""
+        """Write an object without checking its revision; unchanged content causes no event.
+
+        An `orjson.Fragment` in the content is answered as it is, even if it is no valid JSON.
+        """
         current = self.get(kind, name)
         if current is not None and current["spec"] == spec:
             return current
--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -7,7 +7,16 @@
 
 from fireflyferry.platform.soak.audit import Audit
 from fireflyferry.platform.soak.run import Soak
-from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_plan, make_schedule
+from fireflyferry.platform.soak.schedule import (
+    BASE_KINDS,
+    DEFAULT_GROUPS,
+    Fault,
+    FaultGroup,
+    FaultKind,
+    SoakPlan,
+    make_plan,
+    make_schedule,
+)
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamStandin, UpstreamWorld
 
@@ -20,10 +29,16 @@
 
 
 def test_all_kinds_of_faults_are_drawn():
-    drawn = {fault.kind for seed in range(20) for fault in make_schedule(seed, 12.0)}
+    drawn = {fault.kind for seed in range(20) for fault in make_schedule(seed, 12.0, FaultGroup)}
     assert drawn == set(FaultKind)
 
 
+def test_groups_leave_the_faults_of_each_other_as_they_are():
+    base = make_schedule(7, 30.0)
+    assert set(base) < set(make_schedule(7, 30.0, FaultGroup))
+    assert {fault.kind for fault in base} <= set(BASE_KINDS)
+
+
 def test_some_seeds_have_many_vms():
     sizes = {make_plan(seed, 12.0).vms for seed in range(1, 51)}
     assert sizes == {8, 60} and make_plan(20, 1.0) == make_plan(20, 1.0)
@@ -127,6 +142,13 @@
     assert result.statuses[200] > 0
 
 
+@pytest.mark.parametrize("group", [each for each in DEFAULT_GROUPS if each is not FaultGroup.BASE])
+def test_short_run_of_a_group_violates_no_invariant(group, tmp_path):
+    result = asyncio.run(Soak(make_plan(1, 4.0, (group,)), tmp_path).run())
+    assert result.findings == []
+    assert result.statuses[200] > 0
+
+
 RESTARTS = (
     Fault(0.0, FaultKind.UPSTREAM_RESTART_UNLISTED, 0, 4.0),
     Fault(1.5, FaultKind.UPSTREAM_OTHER_ID, 2, 4.0),
--- a/fireflyferry/platform/soak/tests/test_upstreams.py
+++ b/fireflyferry/platform/soak/tests/test_upstreams.py
@@ -77,7 +77,7 @@
         self.store, self.audit = StoreStandin(random.Random(1)), Audit()
         world = UpstreamWorld(self.store, self.audit, random.Random(1))
         self.processes = world.processes
-        self.fleet = UpstreamFleet(world, "keyed", "plain")
+        self.fleet = UpstreamFleet(world, {"keyed": True, "plain": False})
         self.first, self.second = (self.fleet.add("keyed", "dc") for _ in range(2))
         self.fleet.add("plain", "dc")
 
--- a/fireflyferry/platform/soak/upstream_handlers.py
+++ b/fireflyferry/platform/soak/upstream_handlers.py
@@ -43,6 +43,8 @@
 
     def _is_expected_upstream(self) -> bool:
         expected = self.request.headers.get(names.HEADERS.expected_upstream)
+        if expected in self._upstream.world.odd_ids:
+            self._upstream.audit.report("an odd entry names no upstream", expected)
         return expected is None or expected == self._upstream.upstream_id
 
     def _refuse(self, status: int) -> None:
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -6,6 +6,7 @@
 import random
 import time
 import weakref
+from typing import Any
 
 import attrs
 import tornado.httpserver
@@ -33,7 +34,8 @@
 class UpstreamWorld:
     """What the upstreams of a run share.
 
-    `processes` has all that were ever started, `effects` how often each misbehaviour took effect.
+    `processes` has all that were ever started, `effects` how often each misbehaviour took effect,
+    and `odd_ids` the ids of entries that name no upstream.
     """
 
     store: StoreStandin
@@ -41,6 +43,7 @@
     rng: random.Random
     processes: list["UpstreamStandin"] = attrs.field(factory=list)
     stalls: StallMonitor = attrs.field(factory=StallMonitor)
+    odd_ids: set[str] = attrs.field(factory=set)
     effects: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
 
@@ -169,10 +172,19 @@
         """Whether the process sends heartbeats."""
         return self.up and not self.silent and time.monotonic() >= self.unlisted_until_s
 
+    @property
+    def calm(self) -> bool:
+        """Whether the process serves, answers properly and reaches the store."""
+        return self.reaches_store and self._server is not None and not self.misbehaviour
+
     def register(self) -> None:
         """Write the entry of the process to the store."""
+        self.world.store.write(names.UPSTREAM_KIND, self.upstream_id, self.entry())
+
+    def entry(self) -> dict[str, Any]:
+        """Return the next entry of the process."""
         state = "draining" if self.draining else "ready"
-        entry = {
+        return {
             "address": f"127.0.0.1:{self.port}",
             "born": self.born,
             "info": {
@@ -183,7 +195,6 @@
             },
             "status": {"state": state, "sequence": next(self._sequence), "warmupLeftS": 0},
         }
-        self.world.store.write(names.UPSTREAM_KIND, self.upstream_id, entry)
 
     # Keys
 
--- a/fireflyferry/platform/soak/vms.py
+++ b/fireflyferry/platform/soak/vms.py
@@ -113,6 +113,16 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether the process has ended, and not by a signal or a graceful shutdown.
+
+        A process that starts does not handle SIGHUP yet.
+        """
+        if self.process is None or self.running or self.stopping:
+            return False
+        return self.process.returncode not in (-signal.SIGKILL, -signal.SIGHUP)
+
     @property
     def peak_memory_mb(self) -> float:
         """Peak of the resident memory of the running process."""
