Soak: let upstreams say in their answers that they leave

Upstreams will say `Server-Leaving: 1` in all answers before they report it to the store, or without ever reporting it. The soak had no such upstream, and no way to tell which VM a call at an upstream comes from.

The check takes the time at which a caller gets such an answer: from the drain timeout after it on, no request may be sent and reach that process from the first or last hop of that answer. A VM that was started or paused since is excused. In runs of this group each VM reads the store on a port of its own, which lists the address of a proxy for each VM and upstream; the proxy knows the VM of a connection. Followers of a relay would get the addresses of their relay, so these runs have six VMs.

To turn it on, add FaultGroup.LEAVING to GROUPS in platform/soak/tests/test_soak.py.

--- a/fireflyferry/platform/soak/callers.py
+++ b/fireflyferry/platform/soak/callers.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 import random
+import time
+from collections.abc import Iterable
 
 import attrs
 
 from fireflyferry.platform import names
 from fireflyferry.platform.soak.audit import Audit
+from fireflyferry.platform.soak.promises import Promise
 from fireflyferry.platform.soak.vms import VmProcess
 from fireflyferry.transport import CurlTransport, Exchange, fetch
 from fireflyferry.transport.fetch import complete_body
@@ -60,11 +63,19 @@
 class Callers:
     """Callers of all VMs; what they see goes into the audit."""
 
-    def __init__(self, seed: int, vms: list[VmProcess], audit: Audit, transport: CurlTransport):
+    def __init__(
+        self,
+        seed: int,
+        vms: list[VmProcess],
+        audit: Audit,
+        transport: CurlTransport,
+        promises: Iterable[Promise] = (),
+    ):
         self._seed = seed
         self._vms = vms
         self._audit = audit
         self._transport = transport
+        self._promises = tuple(promises)
         self._request_numbers = iter(range(1 << 30))
         self._served_version: dict[tuple[str, int], int] = {}
         self.version = 0
@@ -97,7 +108,7 @@
 
     async def call(self, vm: VmProcess, method: str, path: str, key: int | None = None) -> int:
         """Send a request over the transport; return the status, 0 without an answer."""
-        request = self._new_request(method, path, key)
+        request = self._new_request(vm, method, path, key)
         body = complete_body(b"x") if method == "POST" else None
         starts, undisturbed, was_stopping = vm.starts, not vm.disturbed, vm.stopping
         exchange = Exchange(
@@ -106,9 +117,9 @@
         result = await fetch(self._transport, exchange)
         if result.complete:
             signed = result.header(names.HEADERS.signature) is not None
-            self._audit.record_answer(request.request_id, result.status, result.body, signed)
+            self._record_answer(request, result.status, result.body, signed)
             return result.status
-        self._audit.record_no_answer(request.request_id)
+        self._record_no_answer(request)
         was_cut = result.sent and not result.timed_out
         if was_cut and undisturbed and _only_stopping(vm, starts):
             may_be_unread = result.reused or was_stopping
@@ -146,9 +157,9 @@
         closes = False
         while not closes and not reader.at_eof():
             if rng.random() < 0.5:
-                request = self._new_request("GET", "/keyed/kept", rng.randrange(KEY_COUNT))
+                request = self._new_request(vm, "GET", "/keyed/kept", rng.randrange(KEY_COUNT))
             else:
-                request = self._new_request("POST", "/write/kept")
+                request = self._new_request(vm, "POST", "/write/kept")
             writer.write(request.encode())
             try:
                 async with asyncio.timeout(2 * DEADLINE_S):
@@ -157,25 +168,41 @@
                 self._record_cut(request, vm, starts)
                 raise
             except TimeoutError:
-                self._audit.record_no_answer(request.request_id)
+                self._record_no_answer(request)
                 raise
             signed = names.HEADERS.signature.lower() in headers
-            self._audit.record_answer(request.request_id, status, body, signed)
+            self._record_answer(request, status, body, signed)
             closes = headers.get("connection", "").lower() == "close"
             await asyncio.sleep(rng.uniform(0.0, max_pause_s))
         await reader.read()
 
+    def _record_answer(self, request: _Request, status: int, body: bytes, signed: bool) -> None:
+        self._audit.record_answer(request.request_id, status, body, signed)
+        self._tell_ended(request, status)
+
+    def _record_no_answer(self, request: _Request) -> None:
+        self._audit.record_no_answer(request.request_id)
+        self._tell_ended(request, 0)
+
+    def _tell_ended(self, request: _Request, status: int) -> None:
+        for each in self._promises:
+            each.on_ended(time.monotonic(), request.request_id, status)
+
     def _record_cut(self, request: _Request, vm: VmProcess, starts: int) -> None:
         """Record a request whose connection ended before its answer."""
-        self._audit.record_no_answer(request.request_id)
+        self._record_no_answer(request)
         if _only_stopping(vm, starts):
             # The request may have crossed the close; then its caller sends it again.
             self._audit.record_cut(request.request_id, f"at {vm.vm_id}", may_be_unread=True)
 
-    def _new_request(self, method: str, path: str, key: int | None = None) -> _Request:
+    def _new_request(
+        self, vm: VmProcess, method: str, path: str, key: int | None = None
+    ) -> _Request:
         request_id = f"{self._seed:x}-{next(self._request_numbers):x}"
         request = _Request(request_id, method, path, key)
         self._audit.record_sent(request_id, request.is_idempotent)
+        for each in self._promises:
+            each.on_sent(time.monotonic(), request_id, vm)
         return request
 
 
--- a/fireflyferry/platform/soak/fleet.py
+++ b/fireflyferry/platform/soak/fleet.py
@@ -44,8 +44,8 @@
 
     @property
     def running(self) -> list[UpstreamStandin]:
-        """Live processes that do not drain."""
-        return [each for each in self._running if each.up and not each.draining]
+        """Live processes that neither drain nor leave."""
+        return [e for e in self._running if e.up and not e.draining and not e.leaving]
 
     def add(self, pool: str, data_centre: str) -> UpstreamStandin:
         """Start a process at a new address."""
@@ -78,9 +78,21 @@
         self.add(upstream.pool, upstream.data_centre)
         await self.retire(upstream, for_s)
 
-    async def retire(self, upstream: UpstreamStandin, for_s: float) -> None:
+    async def announce_leave(self, upstream: UpstreamStandin, for_s: float, reports: bool) -> None:
+        """Start another process; then let one say in its answers that it leaves, and end.
+
+        If it reports that to the store as well, it does so half of the time later.
+        """
+        self.add(upstream.pool, upstream.data_centre)
+        upstream.leaving = True
+        if reports:
+            await asyncio.sleep(for_s / 2)
+            for_s /= 2
+        await self.retire(upstream, for_s, reports)
+
+    async def retire(self, upstream: UpstreamStandin, for_s: float, reports: bool = True) -> None:
         """Let a process drain, leave the store and end."""
-        upstream.draining = True
+        upstream.draining = reports
         self._register(upstream)
         await asyncio.sleep(for_s)
         upstream.end()
--- a/fireflyferry/platform/soak/links.py
+++ b/fireflyferry/platform/soak/links.py
@@ -52,9 +52,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            server_reader, server_writer = await asyncio.open_connection(
-                "127.0.0.1", self._server_port
-            )
+            server_reader, server_writer = await self._connect()
         except OSError:
             writer.transport.abort()
             return
@@ -62,6 +60,9 @@
         self._tasks.start(self._pump(reader, server_writer, towards_server=True))
         self._tasks.start(self._pump(server_reader, writer, towards_server=False))
 
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self._server_port)
+
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, towards_server: bool
     ) -> None:
--- /dev/null
+++ b/fireflyferry/platform/soak/promises.py
@@ -0,0 +1,111 @@
+"""Checks of promises with a time bound, from what callers and upstreams see."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from fireflyferry.platform.soak.audit import Audit
+from fireflyferry.platform.soak.vms import DRAIN_TIMEOUT_S, VmProcess
+
+if TYPE_CHECKING:
+    from fireflyferry.platform.soak.upstreams import UpstreamStandin
+
+__all__ = ["LeavingPromise", "Promise", "make_promises"]
+
+
+@attrs.frozen
+class VmRun:
+    """A VM from one start of its process to its end."""
+
+    vm_id: str
+    starts: int
+
+
+def run_of(vm: VmProcess) -> VmRun:
+    """Return the present run of a VM."""
+    return VmRun(vm.vm_id, vm.starts)
+
+
+class Promise:
+    """Sees the requests of callers and what upstreams do with them; times in seconds."""
+
+    def __init__(self, audit: Audit):
+        self._audit = audit
+
+    def on_sent(self, now_s: float, request_id: str, vm: VmProcess) -> None:
+        """Record a request that a caller is about to send to a VM."""
+
+    def on_ended(self, now_s: float, request_id: str, status: int) -> None:
+        """Record the answer that a caller got; status 0 if it got none."""
+
+    def on_arrival(
+        self, now_s: float, request_id: str, upstream: "UpstreamStandin", vm: VmProcess
+    ) -> None:
+        """Record a request that reaches an upstream from a VM."""
+
+    def on_answer(
+        self,
+        now_s: float,
+        request_id: str,
+        upstream: "UpstreamStandin",
+        vm: VmProcess,
+        retry_after_s: float | None,
+    ) -> None:
+        """Record the answer of an upstream to a VM; `retry_after_s` if it asks for quiet."""
+
+
+class LeavingPromise(Promise):
+    """A VM sends nothing to an upstream that has said in an answer that it leaves.
+
+    That holds for requests sent later than the drain timeout after the VM passed the answer on,
+    unless the VM was started or paused since.
+    """
+
+    def __init__(self, audit: Audit, drain_timeout_s: float):
+        super().__init__(audit)
+        self._drain_timeout_s = drain_timeout_s
+        self._sent: dict[str, tuple[float, VmRun]] = {}
+        self._announced: dict[str, list[tuple[UpstreamStandin, VmRun]]] = {}
+        self._passed_s: dict[tuple[VmRun, UpstreamStandin], float] = {}
+
+    def on_sent(self, now_s: float, request_id: str, vm: VmProcess) -> None:
+        """Record the time of a request and the VM that takes it."""
+        self._sent[request_id] = (now_s, run_of(vm))
+
+    def on_answer(
+        self,
+        now_s: float,
+        request_id: str,
+        upstream: "UpstreamStandin",
+        vm: VmProcess,
+        retry_after_s: float | None,
+    ) -> None:
+        """Record an answer that says that its upstream leaves."""
+        if upstream.leaving:
+            self._announced.setdefault(request_id, []).append((upstream, run_of(vm)))
+
+    def on_ended(self, now_s: float, request_id: str, status: int) -> None:
+        """Record that the VMs on the way of an answer have passed it on."""
+        announced = self._announced.pop(request_id, [])
+        if status != 200:
+            return
+        for upstream, last_hop in announced:
+            for run in (last_hop, self._sent[request_id][1]):
+                self._passed_s.setdefault((run, upstream), now_s)
+
+    def on_arrival(
+        self, now_s: float, request_id: str, upstream: "UpstreamStandin", vm: VmProcess
+    ) -> None:
+        """Report a request that was sent too late after the VM passed such an answer on."""
+        passed_s = self._passed_s.get((run_of(vm), upstream))
+        if passed_s is None or vm.disturbed or request_id not in self._sent:
+            return
+        late_s = self._sent[request_id][0] - passed_s - self._drain_timeout_s
+        if late_s > 0.0:
+            detail = f"{request_id} from {vm.vm_id} at {upstream.label}, {late_s:.2f} s late"
+            self._audit.report("an upstream that says it leaves is left", detail)
+
+
+def make_promises(audit: Audit) -> tuple[Promise, ...]:
+    """Return the checks of all promises."""
+    return (LeavingPromise(audit, DRAIN_TIMEOUT_S),)
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -18,6 +18,8 @@
 from fireflyferry.platform.soak.fleet import UpstreamFleet
 from fireflyferry.platform.soak.links import Link
 from fireflyferry.platform.soak.odd_entries import ODD_FORMS, OddEntries
+from fireflyferry.platform.soak.paths import UpstreamPaths
+from fireflyferry.platform.soak.promises import make_promises
 from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_schedule
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamWorld
@@ -64,8 +66,12 @@
         self._audit = Audit()
         self._store = StoreStandin(random.Random(plan.seed))
         self._tasks = BackgroundTasks()
+        self._store_servers: list[tornado.httpserver.HTTPServer] = []
         self._vms: list[VmProcess] = []
+        self._paths = UpstreamPaths()
+        self._promises = make_promises(self._audit) if plan.vm_paths else ()
         self._world = UpstreamWorld(self._store, self._audit, random.Random(plan.seed))
+        self._world.promises, self._world.vm_at = self._promises, self._vm_at
         self._fleet = UpstreamFleet(self._world, {KEYED: True, PLAIN: False, JOINING: False})
         self._odd_entries = OddEntries(self._world, self._fleet, JOINING, self._is_calm)
         self._faults = FaultInjector(
@@ -76,7 +82,7 @@
         """Run the plan and return the result."""
         plan = self._plan
         self._transport = CurlTransport(force_instance=True, connect_timeout_s=1.0)
-        self._callers = Callers(plan.seed, self._vms, self._audit, self._transport)
+        self._callers = Callers(plan.seed, self._vms, self._audit, self._transport, self._promises)
         try:
             await self._start()
             await self._wait_until(self._all_ready, START_TIMEOUT_S, "all VMs start")
@@ -112,28 +118,28 @@
         self._faults.close()
         self._odd_entries.close()
         self._tasks.cancel()
-        self._store_server.stop()
+        for server in self._store_servers:
+            server.stop()
         self._fleet.close()
+        self._paths.close()
         self._transport.close()
-        await self._store_server.close_all_connections()
+        for server in self._store_servers:
+            await server.close_all_connections()
 
     # Fleet
 
     async def _start(self) -> None:
-        store_sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
-        self._store_server = tornado.httpserver.HTTPServer(self._store.application())
-        self._store_server.add_sockets(store_sockets)
-        store_port = store_sockets[0].getsockname()[1]
         self._change_config()
         for number in range(self._plan.upstreams):
             for pool in (KEYED, PLAIN):
                 self._fleet.add(pool, DATA_CENTRES[number % len(DATA_CENTRES)])
         regions = ",".join(f"{name}:r-1" for name in DATA_CENTRES)
         for number in range(self._plan.vms):
-            link = Link(store_port)
+            vm_id = f"vm-{number}"
+            link = Link(self._serve_store(vm_id))
             await link.start()
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            vm = VmProcess(f"vm-{number}", data_centre, link, self._folder, 1.0 + number % 3)
+            vm = VmProcess(vm_id, data_centre, link, self._folder, 1.0 + number % 3)
             vm.write_settings(regions)
             vm.start()
             self._vms.append(vm)
@@ -141,6 +147,24 @@
         self._tasks.start(self._restart_exited())
         self._tasks.start(self._world.stalls.run())
 
+    def _serve_store(self, vm_id: str) -> int:
+        """Serve the store to a VM and return the port."""
+        has_paths = self._plan.vm_paths
+        application = (
+            self._store.application(self._paths.view_of(vm_id))
+            if has_paths
+            else self._store.application()
+        )
+        server = tornado.httpserver.HTTPServer(application)
+        sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        self._store_servers.append(server)
+        return sockets[0].getsockname()[1]
+
+    def _vm_at(self, source_port: int) -> VmProcess | None:
+        vm_id = self._paths.vm_at(source_port)
+        return next((vm for vm in self._vms if vm.vm_id == vm_id), None)
+
     async def _restart_exited(self) -> None:
         while True:
             await asyncio.sleep(RESTART_CHECK_INTERVAL_S)
--- a/fireflyferry/platform/soak/schedule.py
+++ b/fireflyferry/platform/soak/schedule.py
@@ -53,6 +53,7 @@
     CONFIG_CHANGE = "config_change"
     ODD_ENTRY = "odd_entry"  # another writer lists an entry that names no upstream
     ODD_OVERWRITE = "odd_overwrite"  # it overwrites the entry of a live upstream
+    UPSTREAM_SAYS_LEAVING = "upstream_says_leaving"  # in all answers; it reports that later, or not
 
 
 class FaultGroup(StrEnum):
@@ -60,15 +61,19 @@
 
     BASE = "base"
     ODD_ENTRIES = "odd-entries"
+    LEAVING = "leaving"
 
 
 GROUP_KINDS = {
     FaultGroup.ODD_ENTRIES: (FaultKind.ODD_ENTRY, FaultKind.ODD_OVERWRITE),
+    FaultGroup.LEAVING: (FaultKind.UPSTREAM_SAYS_LEAVING,),
 }
 BASE_KINDS = tuple(
     kind for kind in FaultKind if not any(kind in kinds for kinds in GROUP_KINDS.values())
 )
-# Groups of the command line and of the run in CI.
+# Groups whose checks need to know the VM of each call, hence paths of each VM of its own.
+PATH_GROUPS = (FaultGroup.LEAVING,)
+# Groups of the command line; one with paths of each VM leaves no large fleets and no relays.
 DEFAULT_GROUPS = (FaultGroup.BASE, FaultGroup.ODD_ENTRIES)
 
 
@@ -89,6 +94,8 @@
 class SoakPlan:
     """Size and length of a run; a data centre with at least four VMs has a relay.
 
+    With `vm_paths`, each VM has its own path to each upstream; then there must be no relay.
+
     The schedule of the faults is that of the seed and the groups, unless `faults` has another one.
     """
 
@@ -98,6 +105,7 @@
     upstreams: int = 4
     callers: int = 8
     groups: tuple[FaultGroup, ...] = (FaultGroup.BASE,)
+    vm_paths: bool = False
     faults: tuple[Fault, ...] | None = None
 
 
@@ -107,6 +115,8 @@
 OVERLAP_PROBABILITY = 0.3  # probability that an upstream gets another fault in the same time
 REPEAT_PROBABILITY = 0.3  # probability that a fault is injected again right after it ended
 
+PATH_VMS = 6
+PATH_CALLERS = 16
 LARGE_FLEET_PROBABILITY = 0.04
 LARGE_FLEET_VMS = 60  # with the runner within the limit of a few hundred processes
 
@@ -116,6 +126,8 @@
 ) -> SoakPlan:
     """Return the plan of a seed; a few seeds have as many VMs as a machine may run."""
     plan = SoakPlan(seed, length_s, groups=groups)
+    if not set(PATH_GROUPS).isdisjoint(groups):
+        return attrs.evolve(plan, vms=PATH_VMS, callers=PATH_CALLERS, vm_paths=True)
     is_large = random.Random(f"plan/{seed}").random() < LARGE_FLEET_PROBABILITY
     return attrs.evolve(plan, vms=LARGE_FLEET_VMS) if is_large else plan
 
--- a/fireflyferry/platform/soak/store.py
+++ b/fireflyferry/platform/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -16,6 +17,8 @@
 PAGE_SIZE = 50  # small, so that most lists have several pages
 ANSWER_LOSS_PROBABILITY = 0.5
 
+View = Callable[[str, dict[str, Any]], dict[str, Any]]
+
 
 @attrs.define
 class StoreStandin:
@@ -36,10 +39,10 @@
     _history_start: int = attrs.field(default=0, init=False)
     _changed: Broadcast = attrs.field(factory=Broadcast, init=False)
 
-    def application(self) -> tornado.web.Application:
-        """Return the HTTP interface."""
+    def application(self, view: View = lambda kind, value: value) -> tornado.web.Application:
+        """Return an HTTP interface, which answers `view(kind, object)` for each object."""
         return tornado.web.Application(
-            [(r"/objects/([^/]+)(?:/([^/]+))?", _Handler, {"store": self})],
+            [(r"/objects/([^/]+)(?:/([^/]+))?", _Handler, {"store": self, "view": view})],
             log_function=lambda handler: None,
         )
 
@@ -107,9 +110,10 @@
 class _Handler(tornado.web.RequestHandler):
     """HTTP handler of one call."""
 
-    def initialize(self, store: StoreStandin) -> None:
-        """Set the store that answers the call."""
+    def initialize(self, store: StoreStandin, view: View) -> None:
+        """Set the store that answers the call, and the view of its objects."""
         self._store = store
+        self._view = view
 
     async def prepare(self) -> None:
         """Apply the faults `silent` and `unavailable`."""
@@ -125,13 +129,17 @@
         store = self._store
         if name is not None:
             value = store.get(kind, name)
-            self._reply(404 if value is None else 200, value)
+            self._reply(404 if value is None else 200, value and self._view(kind, value))
         elif self.get_argument("watch", ""):
             wait_s = float(self.get_argument("waitMs", "0")) / 1000
             batch = await store.watch(kind, int(self.get_argument("watch")), wait_s)
+            for event in batch["events"] if batch is not None else ():
+                event["object"] = self._view(kind, event["object"])
             self._reply(410 if batch is None else 200, batch)
         else:
-            self._reply(200, store.page(kind, self.get_argument("after", "")))
+            page = store.page(kind, self.get_argument("after", ""))
+            page["items"] = [self._view(kind, each) for each in page["items"]]
+            self._reply(200, page)
 
     def post(self, kind: str, _name: str | None) -> None:
         """Create an object."""
--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -9,7 +9,6 @@
 from fireflyferry.platform.soak.run import Soak
 from fireflyferry.platform.soak.schedule import (
     BASE_KINDS,
-    DEFAULT_GROUPS,
     Fault,
     FaultGroup,
     FaultKind,
@@ -23,6 +22,9 @@
 # Seeds that once violated an invariant, each with a line on the cause.
 REGRESSION_SEEDS: tuple[int, ...] = ()
 
+# Groups of faults, beside the base, that the short runs play. The others are played by hand.
+GROUPS = (FaultGroup.ODD_ENTRIES,)
+
 
 def test_one_seed_gives_one_schedule():
     assert make_schedule(7, 30.0) == make_schedule(7, 30.0) != make_schedule(8, 30.0)
@@ -142,7 +144,7 @@
     assert result.statuses[200] > 0
 
 
-@pytest.mark.parametrize("group", [each for each in DEFAULT_GROUPS if each is not FaultGroup.BASE])
+@pytest.mark.parametrize("group", GROUPS)
 def test_short_run_of_a_group_violates_no_invariant(group, tmp_path):
     result = asyncio.run(Soak(make_plan(1, 4.0, (group,)), tmp_path).run())
     assert result.findings == []
--- a/fireflyferry/platform/soak/upstream_handlers.py
+++ b/fireflyferry/platform/soak/upstream_handlers.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import orjson
@@ -13,10 +14,13 @@
 from fireflyferry.platform.soak.misbehaviour import Misbehaviour
 
 if TYPE_CHECKING:
+    from fireflyferry.platform.soak.promises import Promise
     from fireflyferry.platform.soak.upstreams import UpstreamStandin
+    from fireflyferry.platform.soak.vms import VmProcess
 
 __all__ = ["GrantHandler", "ReleaseHandler", "RunHandler"]
 
+LEAVING_HEADER = "Server-Leaving"
 SERVICE_TIME_S = 0.02
 MIN_GRANT_DELAY_S, MAX_GRANT_DELAY_S = 2.0, 12.0
 
@@ -120,8 +124,13 @@
         request_id = self.request.headers.get(names.HEADERS.request_id, "")
         self.set_header(names.HEADERS.request_id, request_id)
         refusal = self._refusal_status()
+        if refusal != 421:
+            self._tell_promises(
+                lambda each, vm: each.on_arrival(self._arrived_s, request_id, upstream, vm)
+            )
         if refusal:
             self._refuse(refusal)
+            self._announce(request_id)
             self._send(Misbehaviour.REPEATS_REFUSALS)
             return
         if upstream.keyed:
@@ -137,10 +146,26 @@
             self._close_connection()
             return
         self.set_header(names.HEADERS.signature, "s")
+        self._announce(request_id)
         self._send(Misbehaviour.NONE, f"{request_id} {upstream.upstream_id}".encode())
 
     get = post = _run
 
+    def _announce(self, request_id: str) -> None:
+        """Say in the answer that the upstream leaves, if it does."""
+        upstream, now_s = self._upstream, time.monotonic()
+        if upstream.leaving:
+            self.set_header(LEAVING_HEADER, "1")
+        self._tell_promises(lambda each, vm: each.on_answer(now_s, request_id, upstream, vm, None))
+
+    def _tell_promises(self, tell: Callable[["Promise", "VmProcess"], None]) -> None:
+        stream, world = self.request.connection.stream, self._upstream.world
+        if not world.promises or stream is None or stream.closed():
+            return
+        vm = world.vm_at(stream.socket.getpeername()[1])
+        for each in world.promises if vm is not None else ():
+            tell(each, vm)
+
     def _refusal_status(self) -> int:
         """Return the status with which a request is refused, 0 if it runs."""
         upstream = self._upstream
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -6,6 +6,7 @@
 import random
 import time
 import weakref
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -18,9 +19,11 @@
 from fireflyferry.platform.soak.audit import Audit
 from fireflyferry.platform.soak.grants import HeldKeys, fence_conflicts
 from fireflyferry.platform.soak.misbehaviour import PROBABILITIES, Misbehaviour
+from fireflyferry.platform.soak.promises import Promise
 from fireflyferry.platform.soak.stalls import StallMonitor
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstream_handlers import GrantHandler, ReleaseHandler, RunHandler
+from fireflyferry.platform.soak.vms import VmProcess
 from fireflyferry.standins.http_base import Broadcast
 
 __all__ = ["UpstreamStandin", "UpstreamWorld"]
@@ -35,7 +38,8 @@
     """What the upstreams of a run share.
 
     `processes` has all that were ever started, `effects` how often each misbehaviour took effect,
-    and `odd_ids` the ids of entries that name no upstream.
+    and `odd_ids` the ids of entries that name no upstream. `vm_at` returns the VM whose connection
+    has a source port, if that is known.
     """
 
     store: StoreStandin
@@ -43,6 +47,8 @@
     rng: random.Random
     processes: list["UpstreamStandin"] = attrs.field(factory=list)
     stalls: StallMonitor = attrs.field(factory=StallMonitor)
+    promises: tuple[Promise, ...] = ()
+    vm_at: Callable[[int], VmProcess | None] = lambda source_port: None
     odd_ids: set[str] = attrs.field(factory=set)
     effects: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -62,7 +68,7 @@
     """Stand-in for the process of one instance, from its start to its end.
 
     While `silent`, the process is frozen: it answers nothing and sends no heartbeat. Until
-    `unlisted_until_s`, it serves without reaching the store.
+    `unlisted_until_s`, it serves without reaching the store. While `leaving`, all answers say so.
     """
 
     def __init__(
@@ -79,6 +85,7 @@
         self.up = True
         self.silent = False
         self.draining = False
+        self.leaving = False
         self.unlisted_until_s = 0.0
         self.misbehaviour = Misbehaviour.NONE
         self.running = 0
--- a/fireflyferry/platform/soak/vms.py
+++ b/fireflyferry/platform/soak/vms.py
@@ -11,8 +11,9 @@
 from fireflyferry.platform.soak.links import Link
 from fireflyferry.standins.ports import reserve_port
 
-__all__ = ["VmProcess"]
+__all__ = ["DRAIN_TIMEOUT_S", "VmProcess"]
 
+DRAIN_TIMEOUT_S = 2.0
 SETTINGS = """[vm]
 vm_id = {vm_id}
 data_centre = {data_centre}
@@ -30,7 +31,7 @@
 address = 127.0.0.1:{store}
 
 [bounds]
-drain_timeout_s = 2
+drain_timeout_s = {drain_timeout_s}
 grace_period_s = 6
 max_hold_s = 10
 retry_share = 0.2
@@ -84,6 +85,7 @@
         callers, readiness, peers, metrics = self.ports
         text = SETTINGS.format(
             vm_id=self.vm_id,
+            drain_timeout_s=DRAIN_TIMEOUT_S,
             data_centre=self.data_centre,
             capacity=self.capacity,
             callers=callers,
