Soak: let upstreams refuse for a time that they name

An upstream that refuses with 503 may say in Retry-After for how long it wants no request from that VM. The stand-ins never did.

The check counts the requests that reach one from a VM between half a second after such an answer to that VM and the end of its time; more than two are reported, unless the VM was started or paused since. A call that was read after a stall of the runner counts only if the time before the stall lies inside, too. Answers that may break off inside the head do not count as answers.

To turn it on, add FaultGroup.QUIET to GROUPS in platform/soak/tests/test_soak.py.

--- a/fireflyferry/platform/soak/faults.py
+++ b/fireflyferry/platform/soak/faults.py
@@ -20,6 +20,7 @@
 MAX_DOWN_S = 0.5  # between the end of a process and the start of the next one at its address
 DRAIN_S = 2.0
 LEAVE_S = 6.0
+QUIET_S = 1.0
 ORDER_FAULT_S = 3.0  # added to faults of grants, which are several seconds apart
 # Above the time after which the platform removes an entry without heartbeats.
 PARTITION_S = 1.6
@@ -182,6 +183,8 @@
             upstream.listen()
         elif fault.kind is FaultKind.UPSTREAM_DRAIN:
             await self._fleet.drain(upstream, DRAIN_S + fault.for_s)
+        elif fault.kind is FaultKind.UPSTREAM_ASKS_FOR_QUIET:
+            upstream.quiet_until_s = time.monotonic() + QUIET_S + fault.for_s
         elif fault.kind is FaultKind.UPSTREAM_SAYS_LEAVING:
             reports = fault.target // len(self._fleet.running) % 2 > 0
             await self._fleet.announce_leave(upstream, LEAVE_S + fault.for_s, reports)
--- a/fireflyferry/platform/soak/promises.py
+++ b/fireflyferry/platform/soak/promises.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from fireflyferry.platform.soak.upstreams import UpstreamStandin
 
-__all__ = ["LeavingPromise", "Promise", "make_promises"]
+__all__ = ["LeavingPromise", "Promise", "QuietPromise", "make_promises"]
 
 
 @attrs.frozen
@@ -39,9 +39,14 @@
         """Record the answer that a caller got; status 0 if it got none."""
 
     def on_arrival(
-        self, now_s: float, request_id: str, upstream: "UpstreamStandin", vm: VmProcess
+        self,
+        earliest_s: float,
+        now_s: float,
+        request_id: str,
+        upstream: "UpstreamStandin",
+        vm: VmProcess,
     ) -> None:
-        """Record a request that reaches an upstream from a VM."""
+        """Record a request that reached an upstream from a VM between two times."""
 
     def on_answer(
         self,
@@ -94,7 +99,12 @@
                 self._passed_s.setdefault((run, upstream), now_s)
 
     def on_arrival(
-        self, now_s: float, request_id: str, upstream: "UpstreamStandin", vm: VmProcess
+        self,
+        earliest_s: float,
+        now_s: float,
+        request_id: str,
+        upstream: "UpstreamStandin",
+        vm: VmProcess,
     ) -> None:
         """Report a request that was sent too late after the VM passed such an answer on."""
         passed_s = self._passed_s.get((run_of(vm), upstream))
@@ -106,6 +116,61 @@
             self._audit.report("an upstream that says it leaves is left", detail)
 
 
+@attrs.define
+class _QuietTime:
+    """Time in which an upstream wants nothing from a VM, and the requests that reached it then."""
+
+    start_s: float
+    end_s: float
+    requests: int = 0
+
+
+class QuietPromise(Promise):
+    """A VM sends hardly anything to an upstream that refused a request for some time.
+
+    At most MAX_REQUESTS reach it between REACTION_S after that answer and the end of the time,
+    unless the VM was started or paused since.
+    """
+
+    REACTION_S = 0.5
+    MAX_REQUESTS = 2
+
+    def __init__(self, audit: Audit):
+        super().__init__(audit)
+        self._times: dict[tuple[VmRun, UpstreamStandin], list[_QuietTime]] = {}
+
+    def on_answer(
+        self,
+        now_s: float,
+        request_id: str,
+        upstream: "UpstreamStandin",
+        vm: VmProcess,
+        retry_after_s: float | None,
+    ) -> None:
+        """Record the time for which an upstream refuses."""
+        if retry_after_s is not None and retry_after_s > self.REACTION_S:
+            time = _QuietTime(now_s + self.REACTION_S, now_s + retry_after_s)
+            self._times.setdefault((run_of(vm), upstream), []).append(time)
+
+    def on_arrival(
+        self,
+        earliest_s: float,
+        now_s: float,
+        request_id: str,
+        upstream: "UpstreamStandin",
+        vm: VmProcess,
+    ) -> None:
+        """Report the first request that is too many."""
+        for time in self._times.get((run_of(vm), upstream), ()):
+            if not time.start_s < earliest_s <= now_s < time.end_s or vm.disturbed:
+                continue
+            time.requests += 1
+            if time.requests == self.MAX_REQUESTS + 1:
+                left_s = time.end_s - now_s
+                detail = f"{request_id} from {vm.vm_id} at {upstream.label}, {left_s:.2f} s early"
+                self._audit.report("an upstream that asks for quiet is left alone", detail)
+
+
 def make_promises(audit: Audit) -> tuple[Promise, ...]:
     """Return the checks of all promises."""
-    return (LeavingPromise(audit, DRAIN_TIMEOUT_S),)
+    return (LeavingPromise(audit, DRAIN_TIMEOUT_S), QuietPromise(audit))
--- a/fireflyferry/platform/soak/schedule.py
+++ b/fireflyferry/platform/soak/schedule.py
@@ -54,6 +54,7 @@
     ODD_ENTRY = "odd_entry"  # another writer lists an entry that names no upstream
     ODD_OVERWRITE = "odd_overwrite"  # it overwrites the entry of a live upstream
     UPSTREAM_SAYS_LEAVING = "upstream_says_leaving"  # in all answers; it reports that later, or not
+    UPSTREAM_ASKS_FOR_QUIET = "upstream_asks_for_quiet"  # 503 with the time that is left
 
 
 class FaultGroup(StrEnum):
@@ -62,17 +63,19 @@
     BASE = "base"
     ODD_ENTRIES = "odd-entries"
     LEAVING = "leaving"
+    QUIET = "quiet"
 
 
 GROUP_KINDS = {
     FaultGroup.ODD_ENTRIES: (FaultKind.ODD_ENTRY, FaultKind.ODD_OVERWRITE),
     FaultGroup.LEAVING: (FaultKind.UPSTREAM_SAYS_LEAVING,),
+    FaultGroup.QUIET: (FaultKind.UPSTREAM_ASKS_FOR_QUIET,),
 }
 BASE_KINDS = tuple(
     kind for kind in FaultKind if not any(kind in kinds for kinds in GROUP_KINDS.values())
 )
 # Groups whose checks need to know the VM of each call, hence paths of each VM of its own.
-PATH_GROUPS = (FaultGroup.LEAVING,)
+PATH_GROUPS = (FaultGroup.LEAVING, FaultGroup.QUIET)
 # Groups of the command line; one with paths of each VM leaves no large fleets and no relays.
 DEFAULT_GROUPS = (FaultGroup.BASE, FaultGroup.ODD_ENTRIES)
 
--- a/fireflyferry/platform/soak/tests/test_promises.py
+++ b/fireflyferry/platform/soak/tests/test_promises.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fireflyferry.platform.soak.audit import Audit
-from fireflyferry.platform.soak.promises import LeavingPromise
+from fireflyferry.platform.soak.promises import LeavingPromise, QuietPromise
 
 FIRST_HOP, LAST_HOP, OTHER = "vm-1", "vm-2", "vm-3"
 
@@ -38,10 +38,33 @@
     promise = LeavingPromise(audit, drain_timeout_s=2.0)
     upstream = Upstream()
     promise.on_sent(9.0, "a", vms[FIRST_HOP])
-    promise.on_arrival(9.5, "a", upstream, vms[LAST_HOP])
+    promise.on_arrival(9.5, 9.5, "a", upstream, vms[LAST_HOP])
     promise.on_answer(9.9, "a", upstream, vms[LAST_HOP], None)
     promise.on_ended(10.0, "a", status)
     vars(vms[arrives_from]).update(change)
     promise.on_sent(sent_s, "b", vms[OTHER])
-    promise.on_arrival(sent_s + 0.1, "b", upstream, vms[arrives_from])
+    promise.on_arrival(sent_s, sent_s + 0.1, "b", upstream, vms[arrives_from])
+    assert bool(audit.findings) is reported
+
+
+@pytest.mark.parametrize(
+    ("retry_after_s", "arrivals_s", "change", "reported"),
+    [
+        (3.0, (10.6, 11.0, 12.9), {}, True),
+        (3.0, (10.6, 12.9), {}, False),
+        (3.0, (10.1, 10.2, 10.4, 13.1, 13.2, 13.3), {}, False),
+        (3.0, (10.6, 11.0, 12.9), {"starts": 2}, False),
+        (3.0, (10.6, 11.0, 12.9), {"disturbed": True}, False),
+        (0.4, (10.6, 11.0, 12.9), {}, False),
+        (None, (10.6, 11.0, 12.9), {}, False),
+    ],
+)
+def test_requests_to_an_upstream_that_asked_for_quiet(retry_after_s, arrivals_s, change, reported):
+    audit, vms, upstream = Audit(), make_vms(), Upstream()
+    promise = QuietPromise(audit)
+    promise.on_answer(10.0, "a", upstream, vms[LAST_HOP], retry_after_s)
+    vars(vms[LAST_HOP]).update(change)
+    for arrival_s in arrivals_s:
+        promise.on_arrival(arrival_s, arrival_s, "b", upstream, vms[OTHER])
+        promise.on_arrival(arrival_s, arrival_s, "b", upstream, vms[LAST_HOP])
     assert bool(audit.findings) is reported
--- a/fireflyferry/platform/soak/upstream_handlers.py
+++ b/fireflyferry/platform/soak/upstream_handlers.py
@@ -125,12 +125,13 @@
         self.set_header(names.HEADERS.request_id, request_id)
         refusal = self._refusal_status()
         if refusal != 421:
+            now_s = time.monotonic()
             self._tell_promises(
-                lambda each, vm: each.on_arrival(self._arrived_s, request_id, upstream, vm)
+                lambda each, vm: each.on_arrival(self._arrived_s, now_s, request_id, upstream, vm)
             )
         if refusal:
             self._refuse(refusal)
-            self._announce(request_id)
+            self._announce(request_id, upstream.quiet_left_s if refusal == 503 else 0.0)
             self._send(Misbehaviour.REPEATS_REFUSALS)
             return
         if upstream.keyed:
@@ -151,12 +152,18 @@
 
     get = post = _run
 
-    def _announce(self, request_id: str) -> None:
-        """Say in the answer that the upstream leaves, if it does."""
+    def _announce(self, request_id: str, quiet_s: float = 0.0) -> None:
+        """Say in the answer that the upstream leaves, or wants no request for some time."""
         upstream, now_s = self._upstream, time.monotonic()
         if upstream.leaving:
             self.set_header(LEAVING_HEADER, "1")
-        self._tell_promises(lambda each, vm: each.on_answer(now_s, request_id, upstream, vm, None))
+        retry_after_s = round(quiet_s, 2) or None
+        if retry_after_s is not None:
+            self.set_header("Retry-After", str(retry_after_s))
+        if Misbehaviour.BREAKS_HEADS not in upstream.misbehaviour:
+            self._tell_promises(
+                lambda each, vm: each.on_answer(now_s, request_id, upstream, vm, retry_after_s)
+            )
 
     def _tell_promises(self, tell: Callable[["Promise", "VmProcess"], None]) -> None:
         stream, world = self.request.connection.stream, self._upstream.world
@@ -173,4 +180,4 @@
             return 421
         if upstream.keyed and not upstream.holds_key(int(self.request.headers[names.HEADERS.key])):
             return 421
-        return 503 if upstream.is_full() else 0
+        return 503 if upstream.quiet_left_s or upstream.is_full() else 0
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -69,6 +69,7 @@
 
     While `silent`, the process is frozen: it answers nothing and sends no heartbeat. Until
     `unlisted_until_s`, it serves without reaching the store. While `leaving`, all answers say so.
+    Until `quiet_until_s`, it refuses all requests and says for how long.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self.draining = False
         self.leaving = False
         self.unlisted_until_s = 0.0
+        self.quiet_until_s = 0.0
         self.misbehaviour = Misbehaviour.NONE
         self.running = 0
         self._server: _Server | None = None
@@ -106,6 +108,11 @@
         """Record of the run."""
         return self.world.audit
 
+    @property
+    def quiet_left_s(self) -> float:
+        """Time for which the process goes on to refuse all requests, in seconds."""
+        return max(0.0, self.quiet_until_s - time.monotonic())
+
     def is_full(self) -> bool:
         """Return whether a request is refused; one that repeats refusals is full at times."""
         refuses = Misbehaviour.REPEATS_REFUSALS in self.misbehaviour
