--- a/fireflyferry/platform/soak/fleet.py
+++ b/fireflyferry/platform/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Mapping
 
 import attrs
 
@@ -31,11 +32,11 @@
 
 
 class UpstreamFleet:
-    """Upstreams of a pool with keys and of one without."""
+    """Upstreams of some pools; `pools` has whether each one has keys."""
 
-    def __init__(self, world: UpstreamWorld, keyed_pool: str, plain_pool: str):
+    def __init__(self, world: UpstreamWorld, pools: Mapping[str, bool]):
         self._world = world
-        self._pools = {keyed_pool: True, plain_pool: False}
+        self._pools = pools
         self._ports: list[socket.socket] = []
         self._heard_s: dict[str, float] = {}
         self._started = 0
@@ -43,8 +44,8 @@
 
     @property
     def running(self) -> list[UpstreamStandin]:
-        """Live processes that do not drain."""
-        return [each for each in self._running if each.up and not each.draining]
+        """Live processes that neither drain nor leave."""
+        return [e for e in self._running if e.up and not e.draining and not e.leaving]
 
     def add(self, pool: str, data_centre: str) -> UpstreamStandin:
         """Start a process at a new address."""
@@ -75,7 +76,23 @@
     async def drain(self, upstream: UpstreamStandin, for_s: float) -> None:
         """Start another process; then let one drain, leave the store and end."""
         self.add(upstream.pool, upstream.data_centre)
-        upstream.draining = True
+        await self.retire(upstream, for_s)
+
+    async def announce_leave(self, upstream: UpstreamStandin, for_s: float, reports: bool) -> None:
+        """Start another process; then let one say in its answers that it leaves, and end.
+
+        If it reports that to the store as well, it does so half of the time later.
+        """
+        self.add(upstream.pool, upstream.data_centre)
+        upstream.leaving = True
+        if reports:
+            await asyncio.sleep(for_s / 2)
+            for_s /= 2
+        await self.retire(upstream, for_s, reports)
+
+    async def retire(self, upstream: UpstreamStandin, for_s: float, reports: bool = True) -> None:
+        """Let a process drain, leave the store and end."""
+        upstream.draining = reports
         self._register(upstream)
         await asyncio.sleep(for_s)
         upstream.end()
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import pathlib
 import random
 from collections.abc import Awaitable, Callable
@@ -16,7 +17,10 @@
 from fireflyferry.platform.soak.faults import FaultInjector
 from fireflyferry.platform.soak.fleet import UpstreamFleet
 from fireflyferry.platform.soak.links import Link
-from fireflyferry.platform.soak.schedule import SoakPlan, make_schedule
+from fireflyferry.platform.soak.odd_entries import ODD_FORMS, OddEntries
+from fireflyferry.platform.soak.paths import UpstreamPaths
+from fireflyferry.platform.soak.promises import make_promises
+from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_schedule
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamWorld
 from fireflyferry.platform.soak.vms import VmProcess
@@ -25,7 +29,7 @@
 
 __all__ = ["Soak", "SoakResult"]
 
-KEYED, PLAIN = "keyed-pool", "plain-pool"
+KEYED, PLAIN, JOINING = "keyed-pool", "plain-pool", "joining-pool"
 DATA_CENTRES = ("dc-1", "dc-2")
 RESTART_CHECK_INTERVAL_S = 0.3
 CHECKED_VMS = 8  # VMs that are checked at the same time at the end
@@ -62,25 +66,33 @@
         self._audit = Audit()
         self._store = StoreStandin(random.Random(plan.seed))
         self._tasks = BackgroundTasks()
+        self._store_servers: list[tornado.httpserver.HTTPServer] = []
         self._vms: list[VmProcess] = []
+        self._paths = UpstreamPaths()
+        self._promises = make_promises(self._audit) if plan.vm_paths else ()
         self._world = UpstreamWorld(self._store, self._audit, random.Random(plan.seed))
-        self._fleet = UpstreamFleet(self._world, KEYED, PLAIN)
-        self._faults = FaultInjector(self._vms, self._store, self._fleet, self._change_config)
+        self._world.promises, self._world.vm_at = self._promises, self._vm_at
+        self._fleet = UpstreamFleet(self._world, {KEYED: True, PLAIN: False, JOINING: False})
+        self._odd_entries = OddEntries(self._world, self._fleet, JOINING, self._is_calm)
+        self._faults = FaultInjector(
+            self._vms, self._store, self._fleet, self._change_config, self._start_odd_entry
+        )
 
     async def run(self) -> SoakResult:
         """Run the plan and return the result."""
         plan = self._plan
         self._transport = CurlTransport(force_instance=True, connect_timeout_s=1.0)
-        self._callers = Callers(plan.seed, self._vms, self._audit, self._transport)
+        self._callers = Callers(plan.seed, self._vms, self._audit, self._transport, self._promises)
         try:
             await self._start()
             await self._wait_until(self._all_ready, START_TIMEOUT_S, "all VMs start")
             for number in range(plan.callers):
                 self._tasks.start(self._callers.send_requests(number))
                 self._tasks.start(self._callers.keep_connections(number))
-            schedule = plan.faults or make_schedule(plan.seed, plan.length_s)
+            schedule = plan.faults or make_schedule(plan.seed, plan.length_s, plan.groups)
             await self._faults.run(schedule, plan.length_s)
             self._faults.end_faults()
+            await self._odd_entries.finish()
             await self._wait_until(
                 self._all_serving, RECOVERY_TIMEOUT_S, "everything is served after faults"
             )
@@ -104,29 +116,30 @@
             vm.close()
             vm.link.close()
         self._faults.close()
+        self._odd_entries.close()
         self._tasks.cancel()
-        self._store_server.stop()
+        for server in self._store_servers:
+            server.stop()
         self._fleet.close()
+        self._paths.close()
         self._transport.close()
-        await self._store_server.close_all_connections()
+        for server in self._store_servers:
+            await server.close_all_connections()
 
     # Fleet
 
     async def _start(self) -> None:
-        store_sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
-        self._store_server = tornado.httpserver.HTTPServer(self._store.application())
-        self._store_server.add_sockets(store_sockets)
-        store_port = store_sockets[0].getsockname()[1]
         self._change_config()
         for number in range(self._plan.upstreams):
             for pool in (KEYED, PLAIN):
                 self._fleet.add(pool, DATA_CENTRES[number % len(DATA_CENTRES)])
         regions = ",".join(f"{name}:r-1" for name in DATA_CENTRES)
         for number in range(self._plan.vms):
-            link = Link(store_port)
+            vm_id = f"vm-{number}"
+            link = Link(self._serve_store(vm_id))
             await link.start()
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            vm = VmProcess(f"vm-{number}", data_centre, link, self._folder, 1.0 + number % 3)
+            vm = VmProcess(vm_id, data_centre, link, self._folder, 1.0 + number % 3)
             vm.write_settings(regions)
             vm.start()
             self._vms.append(vm)
@@ -134,11 +147,34 @@
         self._tasks.start(self._restart_exited())
         self._tasks.start(self._world.stalls.run())
 
+    def _serve_store(self, vm_id: str) -> int:
+        """Serve the store to a VM and return the port."""
+        has_paths = self._plan.vm_paths
+        application = (
+            self._store.application(self._paths.view_of(vm_id))
+            if has_paths
+            else self._store.application()
+        )
+        server = tornado.httpserver.HTTPServer(application)
+        sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        self._store_servers.append(server)
+        return sockets[0].getsockname()[1]
+
+    def _vm_at(self, source_port: int) -> VmProcess | None:
+        vm_id = self._paths.vm_at(source_port)
+        return next((vm for vm in self._vms if vm.vm_id == vm_id), None)
+
     async def _restart_exited(self) -> None:
         while True:
             await asyncio.sleep(RESTART_CHECK_INTERVAL_S)
             for vm in self._vms:
                 if not vm.running:
+                    if vm.ended_by_itself:
+                        self._audit.report(
+                            "no VM process ends by itself",
+                            f"{vm.vm_id} with exit code {vm.process.returncode}",
+                        )
                     vm.start()
 
     def _change_config(self) -> None:
@@ -148,16 +184,36 @@
         routes = [
             _route("keyed", "safe", KEYED),
             _route("write", "unsafe", PLAIN),
+            _route("joining", "safe", JOINING),
             *(_route(f"v{number}", "safe", PLAIN) for number in range(1, version + 1)),
         ]
         services = [
-            _resource("services", name, {"sharded": name == KEYED}) for name in (KEYED, PLAIN)
+            _resource("services", name, {"sharded": name == KEYED})
+            for name in (KEYED, PLAIN, JOINING)
         ]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutS": 15}
         resources = [*routes, *services, _resource("limits", "limits", limits)]
         spec = {"version": f"{version:08x}", "resources": resources}
         self._store.write(names.CONFIG_KIND, names.CONFIG_NAME, spec)
 
+    def _is_calm(self) -> bool:
+        return not self._faults.disturbs_vms and all(
+            vm.running and not vm.stopping for vm in self._vms
+        )
+
+    def _start_odd_entry(self, fault: Fault) -> None:
+        running = self._fleet.running
+        upstream = running[fault.target % len(running)]
+        form = ODD_FORMS[fault.target // len(running) % len(ODD_FORMS)]
+        if fault.kind is FaultKind.ODD_OVERWRITE:
+            self._odd_entries.overwrite(form, upstream)
+            return
+        calls = {
+            vm.vm_id: functools.partial(self._callers.call, vm, "GET", "/joining/")
+            for vm in self._vms
+        }
+        self._odd_entries.start(form, upstream, calls)
+
     # End of the run
 
     async def _all_ready(self) -> bool:
--- a/fireflyferry/platform/soak/upstream_handlers.py
+++ b/fireflyferry/platform/soak/upstream_handlers.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import orjson
@@ -13,10 +14,13 @@
 from fireflyferry.platform.soak.misbehaviour import Misbehaviour
 
 if TYPE_CHECKING:
+    from fireflyferry.platform.soak.promises import Promise
     from fireflyferry.platform.soak.upstreams import UpstreamStandin
+    from fireflyferry.platform.soak.vms import VmProcess
 
 __all__ = ["GrantHandler", "ReleaseHandler", "RunHandler"]
 
+LEAVING_HEADER = "Server-Leaving"
 SERVICE_TIME_S = 0.02
 MIN_GRANT_DELAY_S, MAX_GRANT_DELAY_S = 2.0, 12.0
 
@@ -43,6 +47,8 @@
 
     def _is_expected_upstream(self) -> bool:
         expected = self.request.headers.get(names.HEADERS.expected_upstream)
+        if expected in self._upstream.world.odd_ids:
+            self._upstream.audit.report("an odd entry names no upstream", expected)
         return expected is None or expected == self._upstream.upstream_id
 
     def _refuse(self, status: int) -> None:
@@ -118,8 +124,14 @@
         request_id = self.request.headers.get(names.HEADERS.request_id, "")
         self.set_header(names.HEADERS.request_id, request_id)
         refusal = self._refusal_status()
+        if refusal != 421:
+            now_s = time.monotonic()
+            self._tell_promises(
+                lambda each, vm: each.on_arrival(self._arrived_s, now_s, request_id, upstream, vm)
+            )
         if refusal:
             self._refuse(refusal)
+            self._announce(request_id, upstream.quiet_left_s if refusal == 503 else 0.0)
             self._send(Misbehaviour.REPEATS_REFUSALS)
             return
         if upstream.keyed:
@@ -135,10 +147,32 @@
             self._close_connection()
             return
         self.set_header(names.HEADERS.signature, "s")
+        self._announce(request_id)
         self._send(Misbehaviour.NONE, f"{request_id} {upstream.upstream_id}".encode())
 
     get = post = _run
 
+    def _announce(self, request_id: str, quiet_s: float = 0.0) -> None:
+        """Say in the answer that the upstream leaves, or wants no request for some time."""
+        upstream, now_s = self._upstream, time.monotonic()
+        if upstream.leaving:
+            self.set_header(LEAVING_HEADER, "1")
+        retry_after_s = round(quiet_s, 2) or None
+        if retry_after_s is not None:
+            self.set_header("Retry-After", str(retry_after_s))
+        if Misbehaviour.BREAKS_HEADS not in upstream.misbehaviour:
+            self._tell_promises(
+                lambda each, vm: each.on_answer(now_s, request_id, upstream, vm, retry_after_s)
+            )
+
+    def _tell_promises(self, tell: Callable[["Promise", "VmProcess"], None]) -> None:
+        stream, world = self.request.connection.stream, self._upstream.world
+        if not world.promises or stream is None or stream.closed():
+            return
+        vm = world.vm_at(stream.socket.getpeername()[1])
+        for each in world.promises if vm is not None else ():
+            tell(each, vm)
+
     def _refusal_status(self) -> int:
         """Return the status with which a request is refused, 0 if it runs."""
         upstream = self._upstream
@@ -146,4 +180,4 @@
             return 421
         if upstream.keyed and not upstream.holds_key(int(self.request.headers[names.HEADERS.key])):
             return 421
-        return 503 if upstream.is_full() else 0
+        return 503 if upstream.quiet_left_s or upstream.is_full() else 0
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -6,6 +6,8 @@
 import random
 import time
 import weakref
+from collections.abc import Callable
+from typing import Any
 
 import attrs
 import tornado.httpserver
@@ -17,9 +19,11 @@
 from fireflyferry.platform.soak.audit import Audit
 from fireflyferry.platform.soak.grants import HeldKeys, fence_conflicts
 from fireflyferry.platform.soak.misbehaviour import PROBABILITIES, Misbehaviour
+from fireflyferry.platform.soak.promises import Promise
 from fireflyferry.platform.soak.stalls import StallMonitor
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstream_handlers import GrantHandler, ReleaseHandler, RunHandler
+from fireflyferry.platform.soak.vms import VmProcess
 from fireflyferry.standins.http_base import Broadcast
 
 __all__ = ["UpstreamStandin", "UpstreamWorld"]
@@ -33,7 +37,9 @@
 class UpstreamWorld:
     """What the upstreams of a run share.
 
-    `processes` has all that were ever started, `effects` how often each misbehaviour took effect.
+    `processes` has all that were ever started, `effects` how often each misbehaviour took effect,
+    and `odd_ids` the ids of entries that name no upstream. `vm_at` returns the VM whose connection
+    has a source port, if that is known.
     """
 
     store: StoreStandin
@@ -41,6 +47,9 @@
     rng: random.Random
     processes: list["UpstreamStandin"] = attrs.field(factory=list)
     stalls: StallMonitor = attrs.field(factory=StallMonitor)
+    promises: tuple[Promise, ...] = ()
+    vm_at: Callable[[int], VmProcess | None] = lambda source_port: None
+    odd_ids: set[str] = attrs.field(factory=set)
     effects: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
 
@@ -59,7 +68,8 @@
     """Stand-in for the process of one instance, from its start to its end.
 
     While `silent`, the process is frozen: it answers nothing and sends no heartbeat. Until
-    `unlisted_until_s`, it serves without reaching the store.
+    `unlisted_until_s`, it serves without reaching the store. While `leaving`, all answers say so.
+    Until `quiet_until_s`, it refuses all requests and says for how long.
     """
 
     def __init__(
@@ -76,7 +86,9 @@
         self.up = True
         self.silent = False
         self.draining = False
+        self.leaving = False
         self.unlisted_until_s = 0.0
+        self.quiet_until_s = 0.0
         self.misbehaviour = Misbehaviour.NONE
         self.running = 0
         self._server: _Server | None = None
@@ -96,6 +108,11 @@
         """Record of the run."""
         return self.world.audit
 
+    @property
+    def quiet_left_s(self) -> float:
+        """Time for which the process goes on to refuse all requests, in seconds."""
+        return max(0.0, self.quiet_until_s - time.monotonic())
+
     def is_full(self) -> bool:
         """Return whether a request is refused; one that repeats refusals is full at times."""
         refuses = Misbehaviour.REPEATS_REFUSALS in self.misbehaviour
@@ -169,10 +186,19 @@
         """Whether the process sends heartbeats."""
         return self.up and not self.silent and time.monotonic() >= self.unlisted_until_s
 
+    @property
+    def calm(self) -> bool:
+        """Whether the process serves, answers properly and reaches the store."""
+        return self.reaches_store and self._server is not None and not self.misbehaviour
+
     def register(self) -> None:
         """Write the entry of the process to the store."""
+        self.world.store.write(names.UPSTREAM_KIND, self.upstream_id, self.entry())
+
+    def entry(self) -> dict[str, Any]:
+        """Return the next entry of the process."""
         state = "draining" if self.draining else "ready"
-        entry = {
+        return {
             "address": f"127.0.0.1:{self.port}",
             "born": self.born,
             "info": {
@@ -183,7 +209,6 @@
             },
             "status": {"state": state, "sequence": next(self._sequence), "warmupLeftS": 0},
         }
-        self.world.store.write(names.UPSTREAM_KIND, self.upstream_id, entry)
 
     # Keys
 
--- a/fireflyferry/platform/soak/vms.py
+++ b/fireflyferry/platform/soak/vms.py
@@ -11,8 +11,9 @@
 from fireflyferry.platform.soak.links import Link
 from fireflyferry.standins.ports import reserve_port
 
-__all__ = ["VmProcess"]
+__all__ = ["DRAIN_TIMEOUT_S", "VmProcess"]
 
+DRAIN_TIMEOUT_S = 2.0
 SETTINGS = """[vm]
 vm_id = {vm_id}
 data_centre = {data_centre}
@@ -30,7 +31,7 @@
 address = 127.0.0.1:{store}
 
 [bounds]
-drain_timeout_s = 2
+drain_timeout_s = {drain_timeout_s}
 grace_period_s = 6
 max_hold_s = 10
 retry_share = 0.2
@@ -84,6 +85,7 @@
         callers, readiness, peers, metrics = self.ports
         text = SETTINGS.format(
             vm_id=self.vm_id,
+            drain_timeout_s=DRAIN_TIMEOUT_S,
             data_centre=self.data_centre,
             capacity=self.capacity,
             callers=callers,
@@ -113,6 +115,16 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether the process has ended, and not by a signal or a graceful shutdown.
+
+        A process that starts does not handle SIGHUP yet.
+        """
+        if self.process is None or self.running or self.stopping:
+            return False
+        return self.process.returncode not in (-signal.SIGKILL, -signal.SIGHUP)
+
     @property
     def peak_memory_mb(self) -> float:
         """Peak of the resident memory of the running process."""
