Take an upstream out once an answer says that it is leaving

Users report that a leaving upstream says so in its answers, at times before or instead of its entry in the store. VMs went on sending to it until the store listed it as draining or left it out.

A whole answer to the request, a refusal included, that names the leaving now marks the incarnation in the directory of upstreams. It counts as leaving from then on, whatever the store lists later, also if its entry comes back after it was dropped; other incarnations under its id or at its address are not touched. The VM that forwarded the request learns the incarnation from a header beside the result, since a shared last hop may have chosen another upstream than the named one and VMs of an earlier revision read only lines with their own values.

The classification of answers moved unchanged from last_hop.py to answers.py.

--- a/fireflyferry/balancing/directory.py
+++ b/fireflyferry/balancing/directory.py
@@ -59,13 +59,16 @@
     An upstream that leaves may still get requests for `leaving_grace_s`. An entry that disappears
     during or soon after failures of the store counts as lapsed: its upstream stays ready for
     `lapse_grace_s`, since a live upstream writes its entry again. An entry is dropped when it has
-    been missing for `retention_s`.
+    been missing for `retention_s`, and the mark of an incarnation without an entry after
+    `mark_retention_s`.
     """
 
     leaving_grace_s: float
     lapse_grace_s: float = 1.4  # less than `leaving_grace_s`, after which no request may be sent
     retention_s: float = 30.0
+    mark_retention_s: float = 600.0
     _entries: dict[UpstreamRun, _Entry] = attrs.field(factory=dict, init=False)
+    _marked_since_s: dict[UpstreamRun, float] = attrs.field(factory=dict, init=False)
     _by_id: dict[str, _Entry] = attrs.field(factory=dict, init=False)
     _addresses: Mapping[str, str] = attrs.field(factory=dict, init=False)
 
@@ -102,6 +105,13 @@
                     entry.leaving_since_s = now_s if entry.is_lapsed else changed_s
         self._remove_expired(now_s)
 
+    def mark_leaving(self, now_s: float, run: UpstreamRun) -> bool:
+        """Mark an incarnation as leaving, whatever the store lists; return whether that is new."""
+        if run in self._marked_since_s:
+            return False
+        self._marked_since_s[run] = now_s
+        return True
+
     @property
     def addresses(self) -> Mapping[str, str]:
         """Last known address of each id, also of upstreams that are gone."""
@@ -140,10 +150,14 @@
         return (entry.upstream for entry in self._by_id.values())
 
     def _standing(self, now_s: float, entry: _Entry) -> Standing:
+        marked_since_s = self._marked_since_s.get(entry.upstream.run)
         since_s = entry.leaving_since_s
+        if marked_since_s is not None:
+            since_s = marked_since_s if since_s is None else min(since_s, marked_since_s)
         if since_s is None:
             return Standing.READY
-        if entry.is_lapsed and now_s < since_s + self.lapse_grace_s:
+        is_lapsed = entry.is_lapsed and marked_since_s is None
+        if is_lapsed and now_s < since_s + self.lapse_grace_s:
             return Standing.READY
         return Standing.LEAVING if now_s < since_s + self.leaving_grace_s else Standing.GONE
 
@@ -156,6 +170,11 @@
         ]
         for run in expired:
             del self._entries[run]
+        self._marked_since_s = {
+            run: since_s
+            for run, since_s in self._marked_since_s.items()
+            if run in self._entries or now_s <= since_s + self.mark_retention_s
+        }
         by_start = sorted(self._entries.values(), key=lambda entry: entry.upstream.run.born)
         newest = {entry.upstream.run.upstream_id: entry for entry in by_start}
         self._addresses = {name: entry.upstream.address for name, entry in newest.items()}
--- a/fireflyferry/balancing/tests/test_directories.py
+++ b/fireflyferry/balancing/tests/test_directories.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import pytest
 
 from fireflyferry.balancing import (
     EntryVm,
@@ -136,3 +137,64 @@
     restarted = attrs.evolve(other, incarnation="i2")
     vms.apply([this_vm, restarted])
     assert any(vms.last_hop(name, "dc-1") == restarted for name in names)
+
+
+# Upstreams that say in an answer that they leave
+
+GRACE_S = 1.6
+LISTED = Upstream(UpstreamRun("u1", 1), "p", "10.0.0.1:80", "dc-1", 2)
+
+
+@pytest.mark.parametrize(
+    "later_lists",
+    [
+        [],
+        [(0.5, [LISTED], False)],
+        [(0.5, [attrs.evolve(LISTED, draining=True)], False), (0.8, [LISTED], False)],
+        [(0.5, [], True)],
+        [(0.5, [], True), (0.9, [LISTED], False)],
+    ],
+    ids=["unchanged", "ready", "draining-ready", "lapsed", "lapsed-back"],
+)
+def test_marked_upstream_leaves_whatever_the_store_lists(later_lists):
+    """Guards against requests later than the grace after an answer that named the leaving."""
+    upstreams = UpstreamDirectory(leaving_grace_s=GRACE_S)
+    upstreams.apply(0.0, [LISTED], False)
+    assert upstreams.mark_leaving(0.4, LISTED.run)
+    for listed in later_lists:
+        upstreams.apply(*listed)
+    assert upstreams.standing(1.0, "u1") is Standing.LEAVING and not upstreams.ready(1.0, "p")
+    assert not upstreams.mark_leaving(1.9, LISTED.run)
+    assert upstreams.standing(0.4 + GRACE_S, "u1") is Standing.GONE
+
+
+def test_mark_ends_no_grace_later_than_the_store_does():
+    """Guards against an answer that prolongs the time since the store reported the leaving."""
+    upstreams = UpstreamDirectory(leaving_grace_s=GRACE_S)
+    upstreams.apply(0.0, [attrs.evolve(LISTED, draining=True)], False)
+    upstreams.mark_leaving(1.0, LISTED.run)
+    assert upstreams.standing(GRACE_S, "u1") is Standing.GONE
+
+
+def test_marked_upstream_that_is_listed_again_after_a_long_outage_is_gone():
+    """Guards against a mark that is forgotten together with the entry."""
+    upstreams = UpstreamDirectory(leaving_grace_s=GRACE_S)
+    upstreams.apply(0.0, [LISTED], False)
+    upstreams.mark_leaving(0.4, LISTED.run)
+    for now_s in (1.0, 40.0, 60.0):
+        upstreams.apply(now_s, [], True)
+    upstreams.apply(61.0, [LISTED], False)
+    assert upstreams.standing(61.0, "u1") is Standing.GONE
+
+
+@pytest.mark.parametrize(
+    "later", [UpstreamRun("u1", 2), UpstreamRun("u2", 2)], ids=["same-id", "same-address"]
+)
+def test_mark_says_nothing_about_the_next_incarnation(later):
+    """Guards against a new process that gets nothing since an earlier one left."""
+    upstreams = UpstreamDirectory(leaving_grace_s=GRACE_S)
+    upstreams.apply(0.0, [LISTED], False)
+    upstreams.mark_leaving(0.4, LISTED.run)
+    started = attrs.evolve(LISTED, run=later)
+    upstreams.apply(0.5, [started], False)
+    assert upstreams.ready(0.5, "p") == [started]
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fireflyferry.admission import StopPlan, is_probably_answered
+from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport.headers import HeaderList
 
@@ -79,7 +80,8 @@
 
     `reached` is set if an upstream may have received the request. `wait_s` is the wait for a slot
     and `service_s` the service time, in seconds, that the last hop expects for the next request;
-    `wait_s` is None without such a forecast. `upstream_id` is the upstream that the last hop chose.
+    `wait_s` is None without such a forecast. `upstream_id` is the upstream that the last hop chose,
+    `leaving` its incarnation if the answer says that it is leaving.
     """
 
     outcome: Outcome
@@ -90,6 +92,7 @@
     wait_s: float | None = None
     service_s: float = 0.0
     upstream_id: str = ""
+    leaving: UpstreamRun | None = None
 
 
 def not_run(reason: Reason, retry_after_s: float = 0.0, reached: bool = False) -> Attempt:
--- a/fireflyferry/gateway/edges.py
+++ b/fireflyferry/gateway/edges.py
@@ -120,7 +120,8 @@
     """Names of the headers that callers and upstreams use.
 
     `expected_upstream` holds the id of the upstream that a request is meant for. `not_run` marks
-    the answer of an upstream that did not execute the request.
+    the answer of an upstream that did not execute the request, `leaving` with value 1 the answers
+    of one that will exit.
     """
 
     request_id: str
@@ -129,6 +130,7 @@
     expected_upstream: str
     not_run: str
     key: str
+    leaving: str
 
 
 class PlatformCodec(abc.ABC):
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -11,7 +11,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
-from fireflyferry.gateway.learning import record_attempt
+from fireflyferry.gateway.learning import record_attempt, record_leaving
 from fireflyferry.gateway.locating import Locator, Search, Target
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.peer_client import PeerClient
@@ -241,6 +241,7 @@
 
     def _record_attempt(self, call: Call, target: Target, attempt: Attempt) -> None:
         now_s, run = self._clock.monotonic_s(), target.upstream.run
+        record_leaving(self._state.upstreams, now_s, attempt.leaving)
         if attempt.wait_s is not None:
             self._load_tracker.on_forecast(now_s, run, attempt.wait_s, attempt.service_s)
         avoided_s = 0.0
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -1,4 +1,4 @@
-"""Last hop: queues requests for upstreams' slots, sends them and classifies the answers."""
+"""Last hop: queues requests for upstreams' slots and sends them."""
 
 import asyncio
 import logging
@@ -19,20 +19,19 @@
     UpstreamDirectory,
 )
 from fireflyferry.edges import Clock
-from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run, outcome_unknown
+from fireflyferry.gateway.answers import classify
+from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.edges import HeaderNames
-from fireflyferry.gateway.learning import record_attempt
+from fireflyferry.gateway.learning import record_attempt, record_leaving
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
-from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
+from fireflyferry.transport import CurlTransport, Exchange, fetch
 from fireflyferry.transport.fetch import complete_body
 from fireflyferry.transport.headers import find_header
 
 __all__ = ["LastHop", "LastHopRules"]
 
-NOT_RUN_STATUSES = (408, 429, 503)  # promise callers that a request has not run and never will
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -263,7 +262,14 @@
         )
         if result.reused and result.sent and not (result.status or result.timed_out):
             self._on_kept_connection_lost(upstream)
-        return self._classify(call, upstream, result)
+        attempt = classify(names, call, upstream.run, result, lambda: self._unsent(call, upstream))
+        record_leaving(self._upstreams, self._clock.monotonic_s(), attempt.leaving)
+        return attempt
+
+    def _unsent(self, call: Call, upstream: Upstream) -> Attempt:
+        """Return the refusal of a request of which no byte was sent."""
+        may_send = self._may_send(call, upstream)
+        return not_run(Reason.CONNECT_FAILED if may_send else Reason.UPSTREAM_DRAINING)
 
     def _avoids_kept_connections(self, upstream: Upstream) -> bool:
         until_s = self._no_reuse_until_s.get(upstream.run, 0.0)
@@ -290,60 +296,3 @@
         if standing is Standing.GONE or now_s >= call.deadline_s:
             return False
         return standing is Standing.READY or call.key is not None
-
-    def _classify(self, call: Call, upstream: Upstream, result: FetchResult) -> Attempt:
-        """Return the result of an attempt, derived from its exchange with the upstream."""
-        names = self._names
-        if result.head_rejected:
-            problem = f"answer carries request id {result.header(names.request_id)}"
-            self._log_unusable_answer(call, upstream, Reason.WRONG_ANSWER, problem)
-            return outcome_unknown(Reason.WRONG_ANSWER)
-        if result.too_large:
-            problem = "answer exceeds the memory for answers"
-            self._log_unusable_answer(call, upstream, Reason.WRONG_ANSWER, problem)
-            return outcome_unknown(Reason.WRONG_ANSWER)
-        if not result.complete:
-            if not result.sent:
-                reason = Reason.CONNECT_FAILED
-                if not self._may_send(call, upstream):
-                    reason = Reason.UPSTREAM_DRAINING
-                return not_run(reason)
-            reason = Reason.TIMED_OUT if result.timed_out else Reason.CONNECTION_LOST
-            self._log_unusable_answer(
-                call, upstream, reason, f"curl {result.error} {result.message}"
-            )
-            return outcome_unknown(reason)
-        problem = self._answer_problem(result)
-        if problem:
-            self._log_unusable_answer(call, upstream, Reason.WRONG_ANSWER, problem)
-            return outcome_unknown(Reason.WRONG_ANSWER)
-        if result.status == 421:
-            return not_run(Reason.NOT_OWNER, reached=True)
-        if result.header(names.not_run) is not None:
-            return not_run(Reason.UPSTREAM_SHED, reached=True)
-        answer = Answer(result.status, result.headers, result.body)
-        return Attempt(Outcome.ANSWERED, None, answer, reached=True)
-
-    def _answer_problem(self, result: FetchResult) -> str:
-        """Return why a complete answer cannot be passed on, or an empty string."""
-        if result.header("Content-Encoding") is not None:
-            return "answer has a content encoding that was not requested"
-        if result.status in NOT_RUN_STATUSES and result.header(self._names.not_run) is None:
-            return f"status {result.status} of an upstream that may have run the request"
-        if 200 <= result.status < 300 and result.header(self._names.signature) is None:
-            return "successful answer has no signature"
-        return ""
-
-    def _log_unusable_answer(
-        self, call: Call, upstream: Upstream, reason: Reason, detail: str
-    ) -> None:
-        _LOG.info(
-            "upstream_answer_unusable",
-            extra={
-                "request_id": call.request_id,
-                "upstream": upstream.run.upstream_id,
-                "born": upstream.run.born,
-                "reason": str(reason),
-                "detail": detail,
-            },
-        )
--- a/fireflyferry/gateway/learning.py
+++ b/fireflyferry/gateway/learning.py
@@ -1,11 +1,15 @@
-"""Updates the load statistics of upstreams from the results of attempts."""
+"""Updates what this VM knows of upstreams from the results of attempts."""
 
-from fireflyferry.balancing import LoadTracker
+import logging
+
+from fireflyferry.balancing import LoadTracker, UpstreamDirectory
 from fireflyferry.gateway.calls import Attempt, Call
 from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
 
-__all__ = ["record_attempt"]
+__all__ = ["record_attempt", "record_leaving"]
+
+_LOG = logging.getLogger(__name__)
 
 
 def record_attempt(
@@ -23,3 +27,11 @@
     ):
         return load_tracker.on_no_answer(now_s, run)
     return 0.0
+
+
+def record_leaving(upstreams: UpstreamDirectory, now_s: float, run: UpstreamRun | None) -> None:
+    """Mark the incarnation that an answer named as leaving, if it named one."""
+    if run is not None and upstreams.mark_leaving(now_s, run):
+        _LOG.info(
+            "upstream_leaving_by_answer", extra={"upstream": run.upstream_id, "born": run.born}
+        )
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -193,7 +193,9 @@
         # The last hop has compared the id and left it out.
         headers = [*envelope.headers, (self._envelopes.request_id_header, call.request_id)]
         answer = Answer(int(envelope.start), headers, envelope.body)
-        return peer_messages.read_result(envelope.summary, answer, upstream_id)
+        attempt = peer_messages.read_result(envelope.summary, answer, upstream_id)
+        leaving = peer_messages.read_leaving(result.header(peer_messages.LEAVING_HEADER))
+        return attrs.evolve(attempt, leaving=leaving)
 
     def _suspect(self, vm: EntryVm, detail: str) -> None:
         if self._vms.suspect(vm):
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -12,18 +12,21 @@
 from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
 from fireflyferry.gateway.mirror import FeedChanges, KindChanges
 from fireflyferry.gateway.sampling import LoadReport
+from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.messages.codec import MessageError, structure, unstructure
 from fireflyferry.telemetry import Outcome, Reason
 
 __all__ = [
     "EARLIER_CALL_HEADER",
     "FEED_HEADER",
+    "LEAVING_HEADER",
     "RESULT_HEADER",
     "PeerCall",
     "PeerMessageError",
     "read_call",
     "read_feed",
     "read_feed_request",
+    "read_leaving",
     "read_loads",
     "read_owners",
     "read_result",
@@ -31,6 +34,7 @@
     "write_feed_body",
     "write_feed_header",
     "write_feed_request",
+    "write_leaving",
     "write_loads",
     "write_owners",
     "write_result",
@@ -39,6 +43,9 @@
 EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
+# Of the answer to a forward. It is not in the line of the result, since VMs of earlier revisions
+# read only lines with exactly their own values.
+LEAVING_HEADER = "Firefly-Leaving"
 
 EMPTY = "-"  # stands for an empty value, since values are separated by spaces
 # Each change of the configuration sends all of it again, for example 1,500 routes.
@@ -164,6 +171,25 @@
         raise PeerMessageError(f"{line!r}: {error}") from error
 
 
+def write_leaving(run: UpstreamRun) -> str:
+    """Return the header value that names a leaving incarnation."""
+    return f"{run.born} {run.upstream_id}"
+
+
+def read_leaving(value: str | None) -> UpstreamRun | None:
+    """Parse the header value that names a leaving incarnation; None if there is none.
+
+    Raises PeerMessageError.
+    """
+    if value is None:
+        return None
+    born, _, upstream_id = value.partition(" ")
+    try:
+        return UpstreamRun(upstream_id, int(born))
+    except ValueError as error:
+        raise PeerMessageError(f"{value!r}: {error}") from error
+
+
 def write_owners(document: Document) -> bytes:
     """Return the body that sends a stored owner table to another VM."""
     return zlib.compress(orjson.dumps(_row(document)))
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -150,7 +150,11 @@
                 pair for pair in answer_headers(answer.headers) if pair[0].lower() not in omitted
             ]
             result = Envelope(summary, str(answer.status), headers, answer.body)
-        self.answer(200, [], services.envelopes.pack(result))
+        outer_headers = []
+        if attempt.leaving is not None:
+            value = peer_messages.write_leaving(attempt.leaving)
+            outer_headers.append((peer_messages.LEAVING_HEADER, value))
+        self.answer(200, outer_headers, services.envelopes.pack(result))
 
     async def _run_call(self, call: Call, peer_call: peer_messages.PeerCall) -> Attempt:
         services = self._services
--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -46,7 +46,9 @@
 from fireflyferry.settings.model import LogSettings
 from fireflyferry.standins.ports import reserve_port
 
-HEADER_NAMES = HeaderNames("X-Id", "X-Deadline", "X-Signature", "X-Expected", "X-Not-Run", "X-Key")
+HEADER_NAMES = HeaderNames(
+    "X-Id", "X-Deadline", "X-Signature", "X-Expected", "X-Not-Run", "X-Key", "X-Leaving"
+)
 LIMITS = CallerLimits(16_384, 1_000_000, 15.0)
 
 
--- a/fireflyferry/platform/names.py
+++ b/fireflyferry/platform/names.py
@@ -22,6 +22,7 @@
     expected_upstream="Fireflyferry-Expected-Instance",
     not_run="Fireflyferry-Not-Executed",
     key="Fireflyferry-Shard-Key",
+    leaving="Server-Leaving",
 )
 HANDOVER_HEADER = "Fireflyferry-Handover"
 
