Send nothing to an upstream that asked for quiet with Retry-After

An upstream may refuse a request with 503 and Retry-After, and then wants no requests from the VM for that time. VMs ignored the value: the next request, a retry with a key at once, went to it again.

A whole 503 to the request that says it has not run now begins a quiet period of that incarnation, cut to 60 s; dates and values that are no number of seconds begin none, and a later refusal may prolong the period but not shorten it. The last hop refuses what waits and what arrives with the new reason upstream_quiet and the time left, chooses other upstreams where it may, and checks the period again right before the first byte. First hops learn the period from the refusal and offer the upstream to nobody: without a key other upstreams are tried, which costs no retry since none was reached; with a key, or if all of the pool are quiet, the caller is refused at once with the time left. Afterwards one request may be in flight, then twice as many with each answer, up to the slots. Grants, renewals and releases go on.

Between VMs the reason is written as upstream_shed that reached no upstream, which VMs of earlier revisions can read.

Guards were taken out one at a time: the status, the check of new and the end of waiting requests at the last hop, the second choice, the limit in flight, the checks in the locator with and without a key, what it learns, the longer of two periods, the start of the steps and the cut to 60 s. At least one case failed each time.

--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -1,6 +1,7 @@
 """Choice of upstreams and last hops, slot queues, retry budgets, traffic splits."""
 
 from fireflyferry.balancing.directory import Standing, Upstream, UpstreamDirectory
+from fireflyferry.balancing.quiet import QuietPeriods
 from fireflyferry.balancing.retry_window import SlidingRetryBudget
 from fireflyferry.balancing.selection import Choice, LoadTracker, SelectionRules
 from fireflyferry.balancing.shares import TrafficSplitter
@@ -21,6 +22,7 @@
     "EntryVm",
     "LoadTracker",
     "QueueRules",
+    "QuietPeriods",
     "Refused",
     "SelectionRules",
     "SlidingRetryBudget",
--- a/fireflyferry/balancing/slot_queue.py
+++ b/fireflyferry/balancing/slot_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 
 import attrs
 
@@ -70,12 +71,19 @@
     """Queue of tickets by priority, lowest value first, then by `started_s`.
 
     Among tickets of one priority, those that can still be answered by their target time go first.
-    Under overload the others would make them late as well; they wait for a limited time.
+    Under overload the others would make them late as well; they wait for a limited time. `limit`
+    returns how many requests may be in flight, None if only the slots limit them.
     """
 
-    def __init__(self, slots: int, rules: QueueRules | None = None):
+    def __init__(
+        self,
+        slots: int,
+        rules: QueueRules | None = None,
+        limit: Callable[[], int | None] = lambda: None,
+    ):
         self._slots = max(1, slots)
         self._rules = rules or QueueRules()
+        self._limit = limit
         self._busy = 0
         self._service_times = ServiceTimes()
         self._waiting: list[tuple[int, bool, float, int, Ticket]] = []
@@ -108,12 +116,13 @@
         if self.is_stalled(now_s):
             return self._rules.stall_s + self.service_s
         requests_before = self._busy + (self._waiting_count if ahead is None else ahead)
-        return max(0, requests_before + 1 - self._slots) * self.service_s / self._slots
+        usable = self._usable_slots()
+        return max(0, requests_before + 1 - usable) * self.service_s / usable
 
     def is_stalled(self, now_s: float) -> bool:
         """Return whether all slots are taken and no request has ended for too long."""
         limit_s = max(self._rules.stall_s, self._rules.stall_service_times * self.service_s)
-        return self._busy >= self._slots and now_s - self._last_progress_s > limit_s
+        return self._busy >= self._usable_slots() and now_s - self._last_progress_s > limit_s
 
     def offer(self, now_s: float, ticket: Ticket) -> Admitted | Waiting | Refused:
         """Admit a ticket, let it wait, or refuse it."""
@@ -176,7 +185,11 @@
         return now_s + self._service_times.low_s < ticket.deadline_s
 
     def _max_in_flight(self) -> int:
-        return self._slots + self._rules.prefetch
+        limit = self._limit()
+        return self._slots + self._rules.prefetch if limit is None else min(limit, self._slots)
+
+    def _usable_slots(self) -> int:
+        return min(self._slots, self._max_in_flight())
 
     def _admit(self, now_s: float) -> Admitted:
         if self._busy == 0:
@@ -206,11 +219,13 @@
         remaining_s = ticket.deadline_s - now_s
         if self._rules.wait_margin * wait_s + service_s > remaining_s:
             return self._refuse(now_s, Reason.DEADLINE_TOO_SHORT, wait_s)
-        if self._busy < self._slots and self._waiting_count == 0:
+        if self._busy < self._usable_slots() and self._waiting_count == 0:
             return None  # a refusal would leave the slot idle
         if now_s + service_s > ticket.target_time_s:
             # A late answer is worth less, so it waits only while the queue is short.
-            if wait_s > max(self._rules.late_wait_share * remaining_s, service_s / self._slots):
+            if wait_s > max(
+                self._rules.late_wait_share * remaining_s, service_s / self._usable_slots()
+            ):
                 return self._refuse(now_s, Reason.QUEUE_FULL, wait_s)
         elif now_s + self._rules.wait_margin * (wait_s + service_s) > ticket.target_time_s:
             return self._refuse(now_s, Reason.QUEUE_FULL, wait_s)
@@ -218,6 +233,6 @@
 
     def _refuse(self, now_s: float, reason: Reason, wait_s: float) -> Refused:
         """Refuse with an estimate of when a retry may succeed, a later one for each refusal."""
-        slot_interval_s = self.service_s / self._slots
+        slot_interval_s = self.service_s / self._usable_slots()
         self._last_retry_s = max(self._last_retry_s + slot_interval_s, now_s + wait_s)
         return Refused(reason, max(self._rules.min_retry_after_s, self._last_retry_s - now_s))
--- a/fireflyferry/gateway/answers.py
+++ b/fireflyferry/gateway/answers.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fireflyferry.balancing.quiet import read_retry_after
 from fireflyferry.gateway.calls import Answer, Attempt, Call, not_run, outcome_unknown
 from fireflyferry.gateway.edges import HeaderNames
 from fireflyferry.keyranges import UpstreamRun
@@ -75,7 +76,9 @@
     if result.status == 421:
         attempt = not_run(Reason.NOT_OWNER, reached=True)
     elif result.header(names.not_run) is not None:
-        attempt = not_run(Reason.UPSTREAM_SHED, reached=True)
+        retry_after = (value for name, value in result.headers if name.lower() == "retry-after")
+        quiet_s = read_retry_after(retry_after) if result.status == 503 else 0.0
+        attempt = not_run(Reason.UPSTREAM_SHED, quiet_s, reached=True)
     else:
         answer = Answer(result.status, result.headers, result.body)
         attempt = Attempt(Outcome.ANSWERED, None, answer, reached=True)
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -30,13 +30,14 @@
         Reason.DEADLINE_TOO_SHORT,
         Reason.CONNECT_FAILED,
         Reason.UPSTREAM_SHED,
+        Reason.UPSTREAM_QUIET,
         Reason.UPSTREAM_DRAINING,
         Reason.NOT_OWNER,
         Reason.SHUTTING_DOWN,
     }
 )
 
-_NO_ROOM_REASONS = frozenset({Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT})
+_NO_ROOM_REASONS = frozenset({Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT, Reason.UPSTREAM_QUIET})
 
 
 @attrs.frozen
@@ -237,7 +238,7 @@
         finally:
             self._load_tracker.on_ended(run)
         self._record_attempt(call, target, attempt)
-        return attempt
+        return self._locator.learn_quiet(call, target, attempt)
 
     def _record_attempt(self, call: Call, target: Target, attempt: Attempt) -> None:
         now_s, run = self._clock.monotonic_s(), target.upstream.run
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -11,6 +11,7 @@
     Admitted,
     LoadTracker,
     QueueRules,
+    QuietPeriods,
     Refused,
     SlotQueue,
     Standing,
@@ -70,6 +71,7 @@
         queue_rules: QueueRules | None = None,
         rules: LastHopRules | None = None,
         stop_plan: StopPlan | None = None,
+        quiet: QuietPeriods | None = None,
     ):
         self._clock = clock
         self._transport = transport
@@ -81,6 +83,7 @@
         self._queue_rules = queue_rules or QueueRules()
         self._rules = rules or LastHopRules()
         self._stop_plan = stop_plan or StopPlan()
+        self._quiet = quiet or QuietPeriods()
         self._queues: dict[UpstreamRun, SlotQueue] = {}
         self._no_reuse_until_s: dict[UpstreamRun, float] = {}
         # One future for each waiting request; its result is whether the request got a slot in time.
@@ -118,23 +121,41 @@
                     self._no_reuse_until_s.pop(run, None)
 
     def retain(self, known: Container[UpstreamRun]) -> None:
-        """Remove the load statistics of all upstreams but the known ones."""
+        """Remove what is kept of all upstreams but the known ones."""
         self._load_tracker.retain(known)
+        self._quiet.retain(known)
 
     async def run(self, call: Call, upstream: Upstream) -> Attempt:
         """Send a request to an upstream and return the result; cancelling closes the connection."""
-        now_s = self._clock.monotonic_s()
-        upstream = self._choose(now_s, call, upstream)
-        attempt = await self._queue_and_send(now_s, call, upstream)
+        while True:
+            now_s = self._clock.monotonic_s()
+            quiet_s = self._quiet_s(now_s, upstream)
+            if quiet_s > 0.0:
+                attempt = not_run(Reason.UPSTREAM_QUIET, quiet_s)
+                break
+            upstream = self._choose(now_s, call, upstream)
+            attempt = await self._queue_and_send(now_s, call, upstream)
+            # Another upstream may have room if the period began while the request waited.
+            if attempt.reason is not Reason.UPSTREAM_QUIET:
+                break
         wait_s, service_s = self.forecast(upstream)
         # The forecast is computed after the answer, since it is meant for the next request.
         return attrs.evolve(
             attempt, wait_s=wait_s, service_s=service_s, upstream_id=upstream.run.upstream_id
         )
 
+    def _quiet_s(self, now_s: float, upstream: Upstream) -> float:
+        """Return how long all upstreams that may be chosen want no requests, in seconds."""
+        candidates = self._candidates(now_s, upstream)
+        return min(self._quiet.left_s(now_s, each.run) for each in candidates)
+
     def _choose(self, now_s: float, call: Call, upstream: Upstream) -> Upstream:
         """Return the upstream that is expected to answer first, among those that may be chosen."""
-        candidates = self._candidates(now_s, upstream)
+        candidates = [
+            each
+            for each in self._candidates(now_s, upstream)
+            if self._quiet.left_s(now_s, each.run) == 0.0
+        ]
         if len(candidates) == 1:
             return candidates[0]
         choice = self._load_tracker.choose(
@@ -149,7 +170,7 @@
 
     def _exact_forecast(self, now_s: float, upstream: Upstream) -> tuple[float, float]:
         queue = self._queue(upstream)
-        return queue.wait_s(now_s), queue.service_s
+        return self._quiet.left_s(now_s, upstream.run) + queue.wait_s(now_s), queue.service_s
 
     async def _queue_and_send(self, now_s: float, call: Call, upstream: Upstream) -> Attempt:
         queue = self._queue(upstream)
@@ -169,8 +190,9 @@
     def _refuse_waited(self, call: Call, upstream: Upstream, queue: SlotQueue) -> Attempt:
         """Return the refusal of a request that waited in vain."""
         now_s = self._clock.monotonic_s()
-        if now_s < call.deadline_s and not self._may_send(call, upstream):
-            return not_run(Reason.UPSTREAM_DRAINING)
+        refusal = self._refusal(now_s, call, upstream)
+        if now_s < call.deadline_s and refusal is not None:
+            return refusal
         wait_s = queue.wait_s(now_s)
         has_time_left = now_s + wait_s + queue.service_s < call.deadline_s
         reason = Reason.QUEUE_FULL if has_time_left else Reason.DEADLINE_PASSED_IN_QUEUE
@@ -179,7 +201,9 @@
     def _queue(self, upstream: Upstream) -> SlotQueue:
         queue = self._queues.get(upstream.run)
         if queue is None:
-            queue = self._queues[upstream.run] = SlotQueue(upstream.slots, self._queue_rules)
+            queue = self._queues[upstream.run] = SlotQueue(
+                upstream.slots, self._queue_rules, lambda: self._quiet.limit(upstream.run)
+            )
         return queue
 
     async def _wait_for_slot(self, queue: SlotQueue, ticket: Ticket, call: Call) -> bool:
@@ -226,17 +250,37 @@
                 # If more requests are in flight than it has slots, some wait inside the upstream.
                 service_s = took_s * queue.slots / max(queue.slots, busy)
             self._metrics.upstream(upstream.pool, attempt, took_s)
+            self._update_quiet(upstream, queue, sent_s, attempt)
             return attempt
         finally:
             self._free_slot(queue, service_s)
 
+    def _update_quiet(
+        self, upstream: Upstream, queue: SlotQueue, sent_s: float, attempt: Attempt
+    ) -> None:
+        """Begin the quiet period that an answer asks for, or let more load return after one."""
+        run, now_s = upstream.run, self._clock.monotonic_s()
+        if attempt.outcome is Outcome.ANSWERED:
+            self._quiet.on_answer(run, sent_s, queue.slots)
+        elif attempt.reason is Reason.UPSTREAM_SHED and attempt.retry_after_s > 0.0:
+            if self._quiet.begin(now_s, run, attempt.retry_after_s):
+                extra = {
+                    "upstream": run.upstream_id,
+                    "born": run.born,
+                    "for_s": round(attempt.retry_after_s, 3),
+                }
+                _LOG.info("upstream_quiet", extra=extra)
+            for ticket in queue.drain():
+                self._end_wait(ticket, False)
+
     async def _exchange(self, call: Call, upstream: Upstream) -> Attempt:
         names, rules = self._names, self._rules
         left_s = call.deadline_s - self._clock.monotonic_s()
         if left_s < rules.min_left_s:
             return not_run(Reason.DEADLINE_PASSED_IN_QUEUE)
-        if not self._may_send(call, upstream):
-            return not_run(Reason.UPSTREAM_DRAINING)
+        refusal = self._refusal(self._clock.monotonic_s(), call, upstream)
+        if refusal is not None:
+            return refusal
         headers = [
             *call.headers,
             (names.expected_upstream, upstream.run.upstream_id),
@@ -257,7 +301,7 @@
         result = await fetch(
             self._transport,
             exchange,
-            lambda: self._may_send(call, upstream),
+            lambda: self._refusal(self._clock.monotonic_s(), call, upstream) is None,
             lambda _, headers: find_header(headers, names.request_id) == call.request_id,
         )
         if result.reused and result.sent and not (result.status or result.timed_out):
@@ -268,8 +312,8 @@
 
     def _unsent(self, call: Call, upstream: Upstream) -> Attempt:
         """Return the refusal of a request of which no byte was sent."""
-        may_send = self._may_send(call, upstream)
-        return not_run(Reason.CONNECT_FAILED if may_send else Reason.UPSTREAM_DRAINING)
+        refusal = self._refusal(self._clock.monotonic_s(), call, upstream)
+        return refusal or not_run(Reason.CONNECT_FAILED)
 
     def _avoids_kept_connections(self, upstream: Upstream) -> bool:
         until_s = self._no_reuse_until_s.get(upstream.run, 0.0)
@@ -289,10 +333,13 @@
         now_s = self._clock.monotonic_s()
         self._no_reuse_until_s[upstream.run] = now_s + self._rules.no_reuse_s
 
-    def _may_send(self, call: Call, upstream: Upstream) -> bool:
-        now_s = self._clock.monotonic_s()
+    def _refusal(self, now_s: float, call: Call, upstream: Upstream) -> Attempt | None:
+        """Return the refusal of a request that may not be sent now, or None if it may."""
         run = upstream.run
         standing = self._upstreams.standing(now_s, run.upstream_id, run.born)
         if standing is Standing.GONE or now_s >= call.deadline_s:
-            return False
-        return standing is Standing.READY or call.key is not None
+            return not_run(Reason.UPSTREAM_DRAINING)
+        if standing is not Standing.READY and call.key is None:
+            return not_run(Reason.UPSTREAM_DRAINING)
+        quiet_s = self._quiet.left_s(now_s, run)
+        return not_run(Reason.UPSTREAM_QUIET, quiet_s) if quiet_s > 0.0 else None
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fireflyferry.balancing import EntryVm, LoadTracker, Standing, Upstream
+from fireflyferry.balancing import EntryVm, LoadTracker, QuietPeriods, Standing, Upstream
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
@@ -71,6 +71,7 @@
         load_tracker: LoadTracker,
         rng: random.Random,
         rules: LocatorRules | None = None,
+        quiet: QuietPeriods | None = None,
     ):
         self._clock = clock
         self._state = state
@@ -78,6 +79,7 @@
         self._load_tracker = load_tracker
         self._rng = rng
         self._rules = rules or LocatorRules()
+        self._quiet = quiet or QuietPeriods()
 
     async def locate(self, call: Call, search: Search) -> Target | Attempt:
         """Return the target of a request, or the refusal if there is none."""
@@ -97,6 +99,9 @@
             self._exact_forecast,
         )
         if choice is None:
+            quiet_s = self._quiet_s(now_s, state.upstreams.ready(now_s, call.pool), 0.0)
+            if quiet_s > 0.0:
+                return not_run(Reason.UPSTREAM_QUIET, quiet_s)
             return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_after_s)
         upstream = choice.upstream
         return Target(upstream, state.last_hop(upstream), choice.age_s)
@@ -108,6 +113,7 @@
         for upstream in state.upstreams.ready(now_s, pool):
             if (
                 upstream.run.upstream_id in search.tried
+                or self._quiet.left_s(now_s, upstream.run) > 0.0
                 or upstream.data_centre in search.full_data_centres
             ):
                 continue
@@ -118,6 +124,31 @@
         for upstreams in by_data_centre.values():
             yield attrs.evolve(upstreams[0], slots=sum(each.slots for each in upstreams))
 
+    def learn_quiet(self, call: Call, target: Target, attempt: Attempt) -> Attempt:
+        """Learn from a result how long an upstream wants no requests; return it for the caller.
+
+        Without a key, the caller may return once any upstream of the pool wants requests.
+        """
+        if attempt.reason not in (Reason.UPSTREAM_SHED, Reason.UPSTREAM_QUIET):
+            return attempt
+        now_s, named = self._clock.monotonic_s(), target.upstream
+        # A shared last hop refuses so only if all upstreams that it chooses from are quiet.
+        all_quiet = attempt.reason is Reason.UPSTREAM_QUIET and self._state.shares_last_hop(named)
+        is_local = target.vm.vm_id == self._state.vms.this_vm.vm_id  # then the period is known
+        if not is_local and (all_quiet or attempt.upstream_id in ("", named.run.upstream_id)):
+            self._quiet.begin(now_s, named.run, attempt.retry_after_s)
+        if call.key is not None:
+            return attempt
+        ready = self._state.upstreams.ready(now_s, call.pool)
+        if all_quiet:
+            ready = [each for each in ready if each.data_centre != named.data_centre]
+        left_s = self._quiet_s(now_s, ready, attempt.retry_after_s)
+        return attrs.evolve(attempt, retry_after_s=min(attempt.retry_after_s, left_s))
+
+    def _quiet_s(self, now_s: float, upstreams: Iterable[Upstream], default_s: float) -> float:
+        """Return how many seconds it takes until one of the upstreams wants requests."""
+        return min((self._quiet.left_s(now_s, each.run) for each in upstreams), default=default_s)
+
     def _distance(self, upstream: Upstream) -> int:
         vms = self._state.vms
         if upstream.data_centre == vms.this_vm.data_centre:
@@ -141,7 +172,8 @@
             target, moving_since_s = self._find_owner(call)
             if target is not None and not table_outdated:
                 self._log_wait(call, target, started_s)
-                return target
+                quiet_s = self._quiet.left_s(self._clock.monotonic_s(), target.upstream.run)
+                return not_run(Reason.UPSTREAM_QUIET, quiet_s) if quiet_s > 0.0 else target
             since_s = started_s if table_outdated else moving_since_s
             until_s = min(since_s + self._rules.max_move_wait_s, call.deadline_s)
             left_s = until_s - self._clock.monotonic_s()
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -134,9 +134,14 @@
 
     The upstream is left out if it is the one that the first hop named.
     """
+    reason = attempt.reason
+    # VMs of earlier revisions drop a line with a reason that they do not know. An upstream that
+    # shed a request was reached, so `read_result` can tell the two apart.
+    if reason is Reason.UPSTREAM_QUIET:
+        reason = Reason.UPSTREAM_SHED
     values = (
         _OUTCOME_LETTERS[attempt.outcome],
-        attempt.reason or EMPTY,
+        reason or EMPTY,
         int(attempt.reached),
         round(attempt.retry_after_s * 1000),
         -1 if attempt.wait_s is None else round(attempt.wait_s * 1000),
@@ -157,6 +162,8 @@
         outcome = _OUTCOMES_BY_LETTER[letter]
         if outcome is Outcome.ANSWERED and answer is None:
             raise ValueError("no answer")
+        if reason == Reason.UPSTREAM_SHED and reached != "1":
+            reason = Reason.UPSTREAM_QUIET
         return Attempt(
             outcome,
             None if reason == EMPTY else Reason(reason),
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -15,6 +15,7 @@
 from fireflyferry.balancing import (
     EntryVm,
     LoadTracker,
+    QuietPeriods,
     SelectionRules,
     TrafficSplitter,
     UpstreamDirectory,
@@ -217,7 +218,7 @@
     def _make_hops(self) -> None:
         state, codec, clock = self._state, self._adapters.codec, self._clock
         bounds = self._settings.bounds
-        self._stop_plan = StopPlan()
+        self._stop_plan, self._quiet = StopPlan(), QuietPeriods()
         self._last_hop = LastHop(
             clock,
             self._transport,
@@ -227,6 +228,7 @@
             codec.headers,
             self._metrics,
             stop_plan=self._stop_plan,
+            quiet=self._quiet,
         )
         state.on_upstreams.append(self._last_hop.remove_gone_queues)
         self._load_tracker = LoadTracker(SelectionRules(), self._rng)
@@ -237,7 +239,7 @@
             self._peers,
             self._load_tracker,
             self._metrics,
-            Locator(clock, state, self._last_hop, self._load_tracker, self._rng),
+            Locator(clock, state, self._last_hop, self._load_tracker, self._rng, quiet=self._quiet),
             FirstHopRules(
                 retry_share=bounds.retry_share,
                 retry_least=bounds.retry_least,
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -39,6 +39,7 @@
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_PASSED_IN_QUEUE = "deadline_passed_in_queue"
     UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_QUIET = "upstream_quiet"
     UPSTREAM_DRAINING = "upstream_draining"
     CONNECT_FAILED = "connect_failed"
     SHUTTING_DOWN = "shutting_down"
@@ -93,6 +94,7 @@
     Reason.DEADLINE_TOO_SHORT: _refusal(503),
     Reason.DEADLINE_PASSED_IN_QUEUE: _refusal(503),
     Reason.UPSTREAM_SHED: _refusal(503, retryable=True),
+    Reason.UPSTREAM_QUIET: _refusal(503, retryable=True),
     Reason.UPSTREAM_DRAINING: _refusal(503, retryable=True),
     Reason.CONNECT_FAILED: _refusal(503, retryable=True),
     Reason.SHUTTING_DOWN: _refusal(503, retryable=True),
