--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -14,7 +14,7 @@
 from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
 from fireflyferry.gateway.mirror import FeedChanges, KindChanges
 from fireflyferry.gateway.sampling import LoadReport, PoolSample
-from fireflyferry.keyranges import LAST_KEY
+from fireflyferry.keyranges import LAST_KEY, UpstreamRun
 from fireflyferry.messages.codec import (
     MAX_INTEGER,
     MessageError,
@@ -29,12 +29,14 @@
 __all__ = [
     "EARLIER_CALL_HEADER",
     "FEED_HEADER",
+    "LEAVING_HEADER",
     "RESULT_HEADER",
     "PeerCall",
     "PeerMessageError",
     "read_call",
     "read_feed",
     "read_feed_request",
+    "read_leaving",
     "read_loads",
     "read_owners",
     "read_result",
@@ -42,6 +44,7 @@
     "write_feed_body",
     "write_feed_header",
     "write_feed_request",
+    "write_leaving",
     "write_loads",
     "write_owners",
     "write_result",
@@ -52,6 +55,9 @@
 EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
+# Of the answer to a forward. It is not in the line of the result, since VMs of earlier revisions
+# read only lines with exactly their own values.
+LEAVING_HEADER = "Firefly-Leaving"
 
 EMPTY = "-"  # stands for an empty value, since values are separated by spaces
 # Each change of the configuration sends all of it again, for example 1,500 routes.
@@ -147,9 +153,14 @@
 
     The upstream is left out if it is the one that the first hop named.
     """
+    reason = attempt.reason
+    # VMs of earlier revisions drop a line with a reason that they do not know. An upstream that
+    # shed a request was reached, so `read_result` can tell the two apart.
+    if reason is Reason.UPSTREAM_QUIET:
+        reason = Reason.UPSTREAM_SHED
     values = (
         _OUTCOME_LETTERS[attempt.outcome],
-        attempt.reason or EMPTY,
+        reason or EMPTY,
         int(attempt.reached),
         round(attempt.retry_after_s * 1000),
         -1 if attempt.wait_s is None else round(attempt.wait_s * 1000),
@@ -170,6 +181,8 @@
         outcome = _OUTCOMES_BY_LETTER[letter]
         if outcome is Outcome.ANSWERED and answer is None:
             raise ValueError("no answer")
+        if reason == Reason.UPSTREAM_SHED and reached != "1":
+            reason = Reason.UPSTREAM_QUIET
         return Attempt(
             outcome,
             None if reason == EMPTY else Reason(reason),
@@ -184,6 +197,25 @@
         raise PeerMessageError(f"{line[:200]!r}: {error}") from error
 
 
+def write_leaving(run: UpstreamRun) -> str:
+    """Return the header value that names a leaving incarnation."""
+    return f"{run.born} {_escape(run.upstream_id)}"
+
+
+def read_leaving(value: str | None) -> UpstreamRun | None:
+    """Parse the header value that names a leaving incarnation; None if there is none.
+
+    Raises PeerMessageError.
+    """
+    if value is None:
+        return None
+    born, _, upstream_id = value.partition(" ")
+    try:
+        return UpstreamRun(unquote(upstream_id), _integer(born))
+    except ValueError as error:
+        raise PeerMessageError(f"{value[:200]!r}: {error}") from error
+
+
 def write_owners(document: Document) -> bytes:
     """Return the body that sends a stored owner table to another VM."""
     return zlib.compress(orjson.dumps(_row(document)))
