Judge from connects whether this VM has lost the path to upstreams

Cause: a VM that is cut off from all upstreams cannot tell that from a failure of some of them, so it keeps requests that it cannot serve.

Change: a pure module with the time passed in. Silence beside a failed or overdue request, or connects that failed at two upstreams, only cause doubt. Then three connects without a request are tried, to upstreams of different pools and data centres; the path is lost if as many fail, and regained with the first connection that opens. Nothing uses it yet.

--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -1,6 +1,7 @@
 """Choice of upstreams and last hops, slot queues, retry budgets, traffic splits."""
 
 from fireflyferry.balancing.directory import Standing, Upstream, UpstreamDirectory
+from fireflyferry.balancing.reachability import Contact, InFlight, PathRules, UpstreamPath
 from fireflyferry.balancing.retry_window import SlidingRetryBudget
 from fireflyferry.balancing.selection import Choice, LoadTracker, SelectionRules
 from fireflyferry.balancing.shares import TrafficSplitter
@@ -18,8 +19,11 @@
     "LARGE_DATA_CENTRE_VMS",
     "Admitted",
     "Choice",
+    "Contact",
     "EntryVm",
+    "InFlight",
     "LoadTracker",
+    "PathRules",
     "QueueRules",
     "Refused",
     "SelectionRules",
@@ -30,6 +34,7 @@
     "TrafficSplitter",
     "Upstream",
     "UpstreamDirectory",
+    "UpstreamPath",
     "VmDirectory",
     "Waiting",
 ]
