Hand upstreams over to other VMs while this one reaches none

Cause: a VM without a network path to upstreams went on as their last hop, for its own callers and for requests that other VMs forwarded. If it chose among all upstreams of a pool, the pool failed in its data centre.

Change: PathMonitor watches the exchanges of the last hop, tries connects when the path is in doubt, and marks this VM as cut off. Such a VM refuses forwarded and waiting requests at once, before any send, and ends idempotent requests whose answers are overdue, so that the first hop tries them elsewhere inside the retry budget; requests that are not idempotent and may have been sent stay until their deadline. Others learn it from a header on refusals, on answers to forwards and pings, and from relays, and ping it until it reaches upstreams. The refusal on the wire is connect_failed, which earlier revisions understand. The mark changes nothing if no other VM is left.

Two failed connects now cause doubt even at one upstream: requests for its keys failed while others were answered over kept connections. After a check that opened, the next one waits for 2 s.

--- a/fireflyferry/balancing/reachability.py
+++ b/fireflyferry/balancing/reachability.py
@@ -27,9 +27,10 @@
 
     A request without an answer is overdue after `overdue_service_times` mean service times and at
     least `overdue_s`. The path is in doubt if there was no answer for `silence_s` although some
-    upstream failed, or if `doubtful_connects` upstreams could not be connected. Then connects to
-    `checks` other upstreams are tried, every `check_interval_s`; the path is lost if all fail.
-    Failures are forgotten after `memory_s`.
+    upstream failed, or if `doubtful_connects` connections could not be opened. Then connects to
+    `checks` upstreams are tried; the path is lost if all fail. They are repeated every
+    `check_interval_s`, or after `opened_interval_s` if one has opened. Failures are forgotten after
+    `memory_s`.
     """
 
     overdue_s: float = 0.5
@@ -38,6 +39,7 @@
     doubtful_connects: int = 2
     checks: int = 3
     check_interval_s: float = 0.5
+    opened_interval_s: float = 2.0
     memory_s: float = 3.0
 
 
@@ -63,7 +65,7 @@
         self._last_answer_s = float("-inf")
         self._in_flight: set[InFlight] = set()
         self._failed_s: dict[UpstreamRun, float] = {}
-        self._not_connected_s: dict[UpstreamRun, float] = {}
+        self._not_connected_s: list[float] = []
         self._failed_checks: dict[UpstreamRun, tuple[Upstream, float]] = {}
         self._checked_s: dict[UpstreamRun, float] = {}
         self._pending_checks: set[UpstreamRun] = set()
@@ -93,19 +95,25 @@
         elif contact is not Contact.ENDED:
             self._failed_s[run] = now_s
             if contact is Contact.NOT_CONNECTED:
-                self._not_connected_s[run] = now_s
+                self._not_connected_s.append(now_s)
 
     def overdue(self, now_s: float) -> list[InFlight]:
         """Return the requests whose answers are overdue."""
         return [each for each in self._in_flight if now_s >= each.overdue_at_s]
 
+    def is_check_due(self, now_s: float) -> bool:
+        """Return whether connects are to be tried now."""
+        if now_s < self._next_check_s or self._pending_checks:
+            return False
+        self._forget(now_s)
+        return self._lost or self._is_doubtful(now_s)
+
     def due_checks(self, now_s: float, known: Collection[Upstream]) -> list[Upstream]:
         """Return the upstreams to which a connect is to be tried now, out of the known ones."""
-        self._forget(now_s, known)
-        if now_s < self._next_check_s or self._pending_checks:
-            return []
-        if not self._lost and not self._is_doubtful(now_s):
+        if not self.is_check_due(now_s):
             return []
+        runs = {each.run for each in known}
+        self._checked_s = {run: at_s for run, at_s in self._checked_s.items() if run in runs}
         self._next_check_s = now_s + self._rules.check_interval_s
         checks: list[Upstream] = []
         for _ in range(1 if self._lost else self._rules.checks):
@@ -123,6 +131,8 @@
         """Note whether a connect to an upstream opened a connection."""
         self._pending_checks.discard(upstream.run)
         if opened:
+            if not self._lost:
+                self._next_check_s = now_s + self._rules.opened_interval_s
             self._on_opened(now_s)
         else:
             self._failed_checks[upstream.run] = (upstream, now_s)
@@ -159,7 +169,7 @@
 
     def _suffices(self, known: Collection[Upstream]) -> bool:
         """Return whether the failed checks are enough, and as varied as the known upstreams."""
-        failed = [upstream for upstream, _ in self._failed_checks.values() if upstream in known]
+        failed = [each for each in known if each.run in self._failed_checks]
         if not failed or len(failed) < min(self._rules.checks, len(known)):
             return False
         return all(
@@ -167,16 +177,12 @@
             for kind in (lambda each: each.pool, lambda each: each.data_centre)
         )
 
-    def _forget(self, now_s: float, known: Collection[Upstream]) -> None:
+    def _forget(self, now_s: float) -> None:
         since_s = now_s - self._rules.memory_s
-        runs = {each.run for each in known}
         self._failed_s = {run: at_s for run, at_s in self._failed_s.items() if at_s > since_s}
-        self._not_connected_s = {
-            run: at_s for run, at_s in self._not_connected_s.items() if at_s > since_s
-        }
+        self._not_connected_s = [at_s for at_s in self._not_connected_s if at_s > since_s]
         self._failed_checks = {
             run: (upstream, at_s)
             for run, (upstream, at_s) in self._failed_checks.items()
             if at_s > since_s
         }
-        self._checked_s = {run: at_s for run, at_s in self._checked_s.items() if run in runs}
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -33,11 +33,15 @@
         Reason.UPSTREAM_DRAINING,
         Reason.NOT_OWNER,
         Reason.SHUTTING_DOWN,
+        Reason.UPSTREAMS_UNREACHABLE,
     }
 )
 
 _NO_ROOM_REASONS = frozenset({Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT})
 
+# Reasons of a VM that says nothing about the upstream; another VM may send the request to it.
+_VM_REASONS = frozenset({Reason.SHUTTING_DOWN, Reason.UPSTREAMS_UNREACHABLE})
+
 
 @attrs.frozen
 class FirstHopRules:
@@ -293,7 +297,7 @@
             and self._state.shares_last_hop(target.upstream)
         ):
             search.full_data_centres.add(target.upstream.data_centre)
-        elif retry and attempt.reason is not Reason.SHUTTING_DOWN:
+        elif retry and attempt.reason not in _VM_REASONS:
             search.tried.add(attempt.upstream_id or target.upstream.run.upstream_id)
         return retry
 
--- a/fireflyferry/gateway/gauges.py
+++ b/fireflyferry/gateway/gauges.py
@@ -9,6 +9,7 @@
 from fireflyferry.gateway.knowledge import DocumentSync
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.upstream_path import PathMonitor
 
 __all__ = ["make_gauges"]
 
@@ -20,6 +21,7 @@
     control_loop: ControlLoop,
     first_hop: FirstHop,
     last_hop: LastHop,
+    path: PathMonitor,
 ) -> Mapping[str, tuple[str, Callable[[], float]]]:
     """Return a description and a reader for each gauge, by name."""
     return {
@@ -35,6 +37,7 @@
             "Requests that wait for a slot at this last hop.",
             lambda: last_hop.waiting,
         ),
+        "cut_off": ("Whether this VM reaches no upstream.", lambda: float(path.lost)),
         "holds_lease": (
             "Whether this VM may grant keys.",
             lambda: float(control_loop.holds_lease),
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -23,6 +23,7 @@
 from fireflyferry.gateway.edges import HeaderNames
 from fireflyferry.gateway.learning import record_attempt
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.upstream_path import PathMonitor
 from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
@@ -68,6 +69,7 @@
         load_tracker: LoadTracker,
         names: HeaderNames,
         metrics: GatewayMetrics,
+        path: PathMonitor,
         queue_rules: QueueRules | None = None,
         rules: LastHopRules | None = None,
         stop_plan: StopPlan | None = None,
@@ -79,6 +81,8 @@
         self._load_tracker = load_tracker
         self._names = names
         self._metrics = metrics
+        self._path = path
+        path.on_hand_over = self.refuse_waiting
         self._queue_rules = queue_rules or QueueRules()
         self._rules = rules or LastHopRules()
         self._stop_plan = stop_plan or StopPlan()
@@ -118,12 +122,20 @@
                     del self._queues[run]
                     self._no_reuse_until_s.pop(run, None)
 
+    def refuse_waiting(self) -> None:
+        """Refuse all requests that wait for a slot."""
+        for queue in self._queues.values():
+            for ticket in queue.drain():
+                self._end_wait(ticket, False)
+
     def retain(self, known: Container[UpstreamRun]) -> None:
         """Remove the load statistics of all upstreams but the known ones."""
         self._load_tracker.retain(known)
 
     async def run(self, call: Call, upstream: Upstream) -> Attempt:
         """Send a request to an upstream and return the result; cancelling closes the connection."""
+        if (refusal := self._path.refusal()) is not None:
+            return refusal
         now_s = self._clock.monotonic_s()
         upstream = self._choose(now_s, call, upstream)
         attempt = await self._queue_and_send(now_s, call, upstream)
@@ -162,13 +174,15 @@
             queue, ticket, call
         ):
             return self._refuse_waited(call, upstream, queue)
-        attempt = await self._send(call, upstream, queue)
+        attempt = self._path.explain(await self._send(call, upstream, queue))
         ended_s = self._clock.monotonic_s()
         record_attempt(self._load_tracker, ended_s, call, upstream.run, attempt)
         return attempt
 
     def _refuse_waited(self, call: Call, upstream: Upstream, queue: SlotQueue) -> Attempt:
         """Return the refusal of a request that waited in vain."""
+        if (refusal := self._path.refusal()) is not None:
+            return refusal
         now_s = self._clock.monotonic_s()
         if now_s < call.deadline_s and not self._may_send(call, upstream):
             return not_run(Reason.UPSTREAM_DRAINING)
@@ -255,11 +269,17 @@
             max_idle_s=rules.idempotent_idle_s if call.idempotent else rules.non_idempotent_idle_s,
         )
         call.passed_on = True
-        result = await fetch(
-            self._transport,
-            exchange,
+        result = await self._path.watch(
+            call,
+            upstream,
+            self._queue(upstream).service_s,
+            lambda may_send: fetch(
+                self._transport,
+                exchange,
+                may_send,
+                lambda _, headers: find_header(headers, names.request_id) == call.request_id,
+            ),
             lambda: self._may_send(call, upstream),
-            lambda _, headers: find_header(headers, names.request_id) == call.request_id,
         )
         if result.reused and result.sent and not (result.status or result.timed_out):
             self._on_kept_connection_lost(upstream)
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -125,6 +125,7 @@
         result = await fetch(self._transport, exchange)
         if result.status != 200 or not result.complete:
             return None
+        self._note_path(vm, result)
         try:
             return peer_messages.read_feed(result.header(peer_messages.FEED_HEADER), result.body)
         except peer_messages.PeerMessageError as error:
@@ -175,6 +176,8 @@
             if result.status in _UNREAD_STATUSES:
                 return not_run(Reason.SHUTTING_DOWN)
             return outcome_unknown(Reason.WRONG_ANSWER)
+        if self._note_path(vm, result) == peer_messages.PATH_REFUSED:
+            return not_run(Reason.UPSTREAMS_UNREACHABLE)
         if attempt.reason is Reason.SHUTTING_DOWN and self._vms.mark_leaving(vm):
             _LOG.info("peer_leaving", extra={"vm": vm.vm_id, "incarnation": vm.incarnation})
         return attempt
@@ -195,6 +198,23 @@
         answer = Answer(int(envelope.start), headers, envelope.body)
         return peer_messages.read_result(envelope.summary, answer, upstream_id)
 
+    def _note_path(self, vm: EntryVm, result: FetchResult) -> str | None:
+        """Note whether a VM that has answered reaches upstreams; return what it says."""
+        path = result.header(peer_messages.PATH_HEADER)
+        fields = {"vm": vm.vm_id, "incarnation": vm.incarnation}
+        if path is None:
+            if self._vms.clear_cut_off(vm):
+                _LOG.info("peer_reaches_upstreams", extra=fields)
+        elif self._vms.mark_cut_off(vm):
+            _LOG.warning("peer_cut_off", extra=fields)
+            self._tasks.start(self._ping_while_cut_off(vm))
+        return path
+
+    async def _ping_while_cut_off(self, vm: EntryVm) -> None:
+        while self._vms.is_cut_off(vm):
+            await asyncio.sleep(self._rules.recheck_interval_s)
+            await self._is_alive(vm)
+
     def _suspect(self, vm: EntryVm, detail: str) -> None:
         if self._vms.suspect(vm):
             _LOG.warning(
@@ -228,6 +248,8 @@
         result = await fetch(self._transport, exchange)
         # A VM of an earlier revision does not name itself.
         alive = result.status == 204 and result.header(VM_HEADER) in (None, vm.vm_id)
-        if not alive:
+        if alive:
+            self._note_path(vm, result)
+        else:
             self._suspect(vm, "no answer of this VM to a ping")
         return alive
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -18,6 +18,7 @@
 __all__ = [
     "EARLIER_CALL_HEADER",
     "FEED_HEADER",
+    "PATH_HEADER",
     "RESULT_HEADER",
     "PeerCall",
     "PeerMessageError",
@@ -39,6 +40,9 @@
 EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
+PATH_HEADER = "Firefly-Path"  # of a VM that reaches no upstream
+PATH_LOST = "lost"
+PATH_REFUSED = "refused"  # and so has refused the forwarded request
 
 EMPTY = "-"  # stands for an empty value, since values are separated by spaces
 # Each change of the configuration sends all of it again, for example 1,500 routes.
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -26,8 +26,9 @@
     VM_HEADER,
 )
 from fireflyferry.gateway.sampling import LoadReport
+from fireflyferry.gateway.upstream_path import PathMonitor
 from fireflyferry.telemetry import Outcome, Reason
-from fireflyferry.transport.headers import find_header
+from fireflyferry.transport.headers import HeaderList, find_header
 
 __all__ = ["PeerExchange", "PeerServices"]
 
@@ -49,6 +50,7 @@
     on_owners: Callable[[Document], None]
     feed: Feed
     stop_plan: StopPlan
+    path: PathMonitor
     in_flight: InFlightRequests = attrs.field(factory=InFlightRequests)
 
 
@@ -72,7 +74,7 @@
         """Send a forwarded request to its upstream, or answer another request by its path."""
         is_of_earlier_revision = peer_messages.EARLIER_CALL_HEADER in self._headers
         if self._line.path == PING_PATH:
-            self.answer(204, [(VM_HEADER, self._services.vm_id)], b"")
+            self.answer(204, [(VM_HEADER, self._services.vm_id), *self._path_headers()], b"")
         elif self._in_flight.closed or is_of_earlier_revision:
             self._refuse(not_run(Reason.SHUTTING_DOWN))
         elif self._line.path == FORWARD_PATH:
@@ -91,10 +93,15 @@
         no_call = not_run(Reason.SHUTTING_DOWN)
         self._refuse(self._call.result_if_broken_off() if self._call is not None else no_call)
 
-    def _refuse(self, attempt: Attempt) -> None:
+    def _refuse(self, attempt: Attempt, headers: HeaderList = ()) -> None:
         """Answer with a result without an upstream's answer."""
         result = peer_messages.write_result(attempt)
-        self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, result)], b"")
+        self.answer(REFUSAL_STATUS, [(peer_messages.RESULT_HEADER, result), *headers], b"")
+
+    def _path_headers(self) -> HeaderList:
+        """Return the headers that say whether this VM is cut off from upstreams."""
+        lost = self._services.path.lost
+        return [(peer_messages.PATH_HEADER, peer_messages.PATH_LOST)] if lost else []
 
     def _accept_loads(self) -> None:
         try:
@@ -127,7 +134,8 @@
             self.answer(REFUSAL_STATUS, [], b"")
             return
         feed_header = (peer_messages.FEED_HEADER, peer_messages.write_feed_header(answer))
-        self.answer(200, [feed_header], peer_messages.write_feed_body(answer.changes))
+        headers = [feed_header, *self._path_headers()]
+        self.answer(200, headers, peer_messages.write_feed_body(answer.changes))
 
     async def _answer_forward(self) -> None:
         services = self._services
@@ -141,6 +149,11 @@
             self.answer(400, [], b"")
             return
         attempt = await self._run_call(call, peer_call)
+        if attempt.reason is Reason.UPSTREAMS_UNREACHABLE:
+            # VMs of an earlier revision do not know the reason.
+            refused = (peer_messages.PATH_HEADER, peer_messages.PATH_REFUSED)
+            self._refuse(not_run(Reason.CONNECT_FAILED), [refused])
+            return
         summary = peer_messages.write_result(attempt, peer_call.upstream_id)
         result = Envelope(summary, str(REFUSAL_STATUS), [], b"")
         if attempt.answer is not None and attempt.outcome is Outcome.ANSWERED:
@@ -150,7 +163,7 @@
                 pair for pair in answer_headers(answer.headers) if pair[0].lower() not in omitted
             ]
             result = Envelope(summary, str(answer.status), headers, answer.body)
-        self.answer(200, [], services.envelopes.pack(result))
+        self.answer(200, self._path_headers(), services.envelopes.pack(result))
 
     async def _run_call(self, call: Call, peer_call: peer_messages.PeerCall) -> Attempt:
         services = self._services
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -43,6 +43,7 @@
 from fireflyferry.gateway.sampling import KeySampler
 from fireflyferry.gateway.settings import GatewaySettings
 from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.upstream_path import make_path_monitor
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import GrantTiming
 from fireflyferry.routing.hosts import RoutingConfig
@@ -106,6 +107,7 @@
                 self._control_loop,
                 self._first_hop,
                 self._last_hop,
+                self._path,
             )
         )
 
@@ -144,6 +146,7 @@
         for work in (
             *self._document_sync.background_work(),
             self._control_loop.run,
+            self._path.run,
             self._registration.run,
             self._reporter.run,
             self._remove_stale_state,
@@ -218,6 +221,7 @@
         state, codec, clock = self._state, self._adapters.codec, self._clock
         bounds = self._settings.bounds
         self._stop_plan = StopPlan()
+        self._path = make_path_monitor(clock, state, self._rules.connect_timeout_s)
         self._last_hop = LastHop(
             clock,
             self._transport,
@@ -226,6 +230,7 @@
             LoadTracker(SelectionRules(), self._rng),
             codec.headers,
             self._metrics,
+            self._path,
             stop_plan=self._stop_plan,
         )
         state.on_upstreams.append(self._last_hop.remove_gone_queues)
@@ -271,6 +276,7 @@
             self._document_sync.put_owner_table,
             self._document_sync.feed,
             self._stop_plan,
+            self._path,
         )
 
     # Servers
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -41,6 +41,7 @@
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_DRAINING = "upstream_draining"
     CONNECT_FAILED = "connect_failed"
+    UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     SHUTTING_DOWN = "shutting_down"
     DUPLICATE_IN_FLIGHT = "duplicate_in_flight"
     OUTCOME_NOT_RECORDED = "outcome_not_recorded"
@@ -95,6 +96,7 @@
     Reason.UPSTREAM_SHED: _refusal(503, retryable=True),
     Reason.UPSTREAM_DRAINING: _refusal(503, retryable=True),
     Reason.CONNECT_FAILED: _refusal(503, retryable=True),
+    Reason.UPSTREAMS_UNREACHABLE: _refusal(503, retryable=True),
     Reason.SHUTTING_DOWN: _refusal(503, retryable=True),
     Reason.DUPLICATE_IN_FLIGHT: ReasonInfo(Outcome.UNKNOWN, 409, False),
     Reason.OUTCOME_NOT_RECORDED: ReasonInfo(Outcome.UNKNOWN, 409, False),
