--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyferry.balancing.directory import Standing, Upstream, UpstreamDirectory
 from fireflyferry.balancing.quiet import QuietPeriods
+from fireflyferry.balancing.reachability import Contact, InFlight, PathRules, UpstreamPath
 from fireflyferry.balancing.retry_window import SlidingRetryBudget
 from fireflyferry.balancing.selection import Choice, LoadTracker, SelectionRules
 from fireflyferry.balancing.shares import TrafficSplitter
@@ -19,8 +20,11 @@
     "LARGE_DATA_CENTRE_VMS",
     "Admitted",
     "Choice",
+    "Contact",
     "EntryVm",
+    "InFlight",
     "LoadTracker",
+    "PathRules",
     "QueueRules",
     "QuietPeriods",
     "Refused",
@@ -32,6 +36,7 @@
     "TrafficSplitter",
     "Upstream",
     "UpstreamDirectory",
+    "UpstreamPath",
     "VmDirectory",
     "Waiting",
 ]
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -30,6 +30,7 @@
     "EARLIER_CALL_HEADER",
     "FEED_HEADER",
     "LEAVING_HEADER",
+    "PATH_HEADER",
     "RESULT_HEADER",
     "PeerCall",
     "PeerMessageError",
@@ -58,6 +59,9 @@
 # Of the answer to a forward. It is not in the line of the result, since VMs of earlier revisions
 # read only lines with exactly their own values.
 LEAVING_HEADER = "Firefly-Leaving"
+PATH_HEADER = "Firefly-Path"  # of a VM that reaches no upstream
+PATH_LOST = "lost"
+PATH_REFUSED = "refused"  # and so has refused the forwarded request
 
 EMPTY = "-"  # stands for an empty value, since values are separated by spaces
 # Each change of the configuration sends all of it again, for example 1,500 routes.
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -44,6 +44,7 @@
 from fireflyferry.gateway.sampling import KeySampler
 from fireflyferry.gateway.settings import GatewaySettings
 from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.upstream_path import make_path_monitor
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import GrantTiming
 from fireflyferry.routing.hosts import RoutingConfig
@@ -107,6 +108,7 @@
                 self._control_loop,
                 self._first_hop,
                 self._last_hop,
+                self._path,
             )
         )
 
@@ -145,6 +147,7 @@
         for work in (
             *self._document_sync.background_work(),
             self._control_loop.run,
+            self._path.run,
             self._registration.run,
             self._reporter.run,
             self._remove_stale_state,
@@ -219,6 +222,7 @@
         state, codec, clock = self._state, self._adapters.codec, self._clock
         bounds = self._settings.bounds
         self._stop_plan, self._quiet = StopPlan(), QuietPeriods()
+        self._path = make_path_monitor(clock, state, self._rules.connect_timeout_s)
         self._last_hop = LastHop(
             clock,
             self._transport,
@@ -227,6 +231,7 @@
             LoadTracker(SelectionRules(), self._rng),
             codec.headers,
             self._metrics,
+            self._path,
             stop_plan=self._stop_plan,
             quiet=self._quiet,
         )
@@ -273,6 +278,7 @@
             self._document_sync.put_owner_table,
             self._document_sync.feed,
             self._stop_plan,
+            self._path,
         )
 
     # Servers
