--- a/fireflyferry/gateway/tests/test_retry_after.py
+++ b/fireflyferry/gateway/tests/test_retry_after.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from fireflyferry.gateway import last_hop
 from fireflyferry.gateway.calls import not_run
 from fireflyferry.gateway.peer_messages import read_result, write_result
 from fireflyferry.gateway.tests.support import (
@@ -138,6 +139,30 @@
     running.program._last_hop._candidates = lambda now_s, _: upstreams.ready(now_s, "plain")
 
 
+def test_period_that_begins_while_a_request_connects_ends_it(monkeypatch):
+    """Guards against a request sent late on a connection that was opened before the refusal."""
+    refused = asyncio.Event()
+    original = last_hop.fetch
+
+    async def fetch_slowly(transport, exchange, *rest):
+        if (HEADER_NAMES.request_id, "r1") in exchange.headers:
+            await refused.wait()
+        return await original(transport, exchange, *rest)
+
+    monkeypatch.setattr(last_hop, "fetch", fetch_slowly)
+
+    async def scenario(running, upstream, store):
+        connecting = asyncio.ensure_future(send(running, 1))
+        await running.wait_until(lambda: running.program._last_hop.busy == 1)
+        await send(running, 0)
+        refused.set()
+        got = await connecting
+        assert (got.status, got.body) == (503, QUIET)
+        assert [seen.request_id for seen in upstream.seen] == ["r0"]
+
+    run_with(answer_first_with(refuse), scenario)
+
+
 def test_request_without_key_goes_to_another_upstream():
     """Guards against refusals while another upstream of the pool is available."""
 
