Soak: cut VMs off from all upstreams

Some VMs may lose their path to all upstreams while callers, the store and the other VMs still reach them.

The new group `cuts` cuts one VM, half of a data centre's VMs or all of them off for 5 to 8 s, one set at a time: no packet passes, also none that opens a connection (the queue of the listener is full); or connections are reset and new ones refused; or connections live on and new ones are refused. From 3 s on the check compares the shares of the callers' requests that are served: at VMs that are cut off it has to be two thirds of that of the others, unless at most 10 + 1 in 50 of all requests fail there. Such a VM is excused from the check of quiet upstreams.

On present code both shares fall alike, since a first hop sends to the last hop of the upstream, wherever it is; so that check reports nothing by itself. A second check, in runs of this group alone, asks the other VMs to serve two thirds with the same allowance. The VMs are in two regions, so that a VM prefers upstreams near it.

Calls that a cut held back arrive at its end, except grants. The earlier fault of grants that are carried out late stays as it is.

To turn it on, add `FaultGroup.CUTS: 9.0` to GROUPS in platform/soak/tests/test_soak.py.

--- a/fireflyferry/platform/soak/faults.py
+++ b/fireflyferry/platform/soak/faults.py
@@ -6,9 +6,11 @@
 import time
 from collections.abc import Callable, Iterable
 
+from fireflyferry.platform.soak.cuts import CutInjector, vms_to_cut
 from fireflyferry.platform.soak.fleet import Restart, UpstreamFleet
 from fireflyferry.platform.soak.links import LinkMode
 from fireflyferry.platform.soak.misbehaviour import Misbehaviour
+from fireflyferry.platform.soak.paths import Cut
 from fireflyferry.platform.soak.schedule import Fault, FaultKind
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamStandin
@@ -42,6 +44,11 @@
     FaultKind.UPSTREAM_REPEATS_REFUSALS: Misbehaviour.REPEATS_REFUSALS,
     FaultKind.UPSTREAM_BREAKS_HEADS: Misbehaviour.BREAKS_HEADS,
 }
+CUTS = {
+    FaultKind.CUT_HANG: Cut.HANG,
+    FaultKind.CUT_RESET: Cut.RESET,
+    FaultKind.CUT_REFUSE: Cut.REFUSE,
+}
 ORDER_FAULTS = (FaultKind.UPSTREAM_DELAYS_GRANTS, FaultKind.UPSTREAM_REPEATS_ORDER_ANSWERS)
 
 
@@ -55,11 +62,13 @@
         fleet: UpstreamFleet,
         change_config: Callable[[], None],
         start_odd_entry: Callable[[Fault], None],
+        cuts: CutInjector,
     ):
         self._vms = vms
         self._store = store
         self._fleet = fleet
         self._start_odd_entry = start_odd_entry
+        self._cuts = cuts
         self._change_config = change_config
         self._tasks = BackgroundTasks()
         self._disturbances = 0
@@ -88,6 +97,7 @@
         for vm in self._vms:
             vm.link.mode = LinkMode.PASS
             vm.send(signal.SIGCONT)
+        self._cuts.end()
         self._store.unavailable = self._store.silent = self._store.loses_answers = False
         for upstream in self._fleet.running:
             upstream.resume()
@@ -111,6 +121,9 @@
                 await self._inject_upstream_fault(fault, upstream)
         elif fault.kind.startswith("odd_"):
             self._start_odd_entry(fault)
+        elif fault.kind in CUTS:
+            cut_off = vms_to_cut(self._vms, fault.target)
+            await self._cuts.cut(cut_off, CUTS[fault.kind], fault.for_s)
         else:
             self._change_config()
 
--- a/fireflyferry/platform/soak/paths.py
+++ b/fireflyferry/platform/soak/paths.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterable
 from enum import Enum, auto
 from typing import Any
@@ -15,6 +16,7 @@
 __all__ = ["Cut", "UpstreamPaths"]
 
 BACKLOG = 128
+HELD_S = 1.0
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without a time
 
 
@@ -29,10 +31,11 @@
 class _Path(Link):
     """Proxy of one VM to one upstream; the VM's connections are known by their source ports."""
 
-    def __init__(self, vm_id: str, server_port: int, vms_by_source: dict[int, str]):
+    def __init__(self, vm_id: str, server_port: int, by_source: "dict[int, _Path]"):
         super().__init__(server_port)
-        self._vm_id = vm_id
-        self._vms_by_source = vms_by_source
+        self.vm_id = vm_id
+        self.healed_s = float("-inf")
+        self._by_source = by_source
         self._reserved = reserve_port()
         self.port = self._reserved.getsockname()[1]
         self._accepting: asyncio.Task | None = None
@@ -46,6 +49,8 @@
         self._listener = _bind(self.port)
         self._listener.listen(BACKLOG)
         self._accepting = self._tasks.start(self._accept(self._listener))
+        if self.mode is LinkMode.SILENT:
+            self.healed_s = time.monotonic()
         self.mode = LinkMode.PASS
 
     def cut(self, cut: Cut) -> None:
@@ -94,7 +99,7 @@
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await super()._connect()
-        self._vms_by_source[writer.get_extra_info("sockname")[1]] = self._vm_id
+        self._by_source[writer.get_extra_info("sockname")[1]] = self
         return reader, writer
 
 
@@ -107,11 +112,17 @@
     def __init__(self) -> None:
         self._paths: dict[tuple[str, int], _Path] = {}
         self._cuts: dict[str, Cut] = {}
-        self._vms_by_source: dict[int, str] = {}
+        self._by_source: dict[int, _Path] = {}
 
     def vm_at(self, source_port: int) -> str | None:
         """Return the id of the VM whose connection has a source port; None if it is none."""
-        return self._vms_by_source.get(source_port)
+        path = self._by_source.get(source_port)
+        return path.vm_id if path is not None else None
+
+    def was_held(self, source_port: int) -> bool:
+        """Return whether a call may have been held back by a cut that has just ended."""
+        path = self._by_source.get(source_port)
+        return path is not None and time.monotonic() - path.healed_s < HELD_S
 
     def cut(self, vm_ids: Iterable[str], cut: Cut) -> None:
         """Cut VMs off from all upstreams."""
@@ -149,7 +160,7 @@
             return server_port
         path = self._paths.get((vm_id, server_port))
         if path is None:
-            path = _Path(vm_id, server_port, self._vms_by_source)
+            path = _Path(vm_id, server_port, self._by_source)
             self._paths[vm_id, server_port] = path
             if vm_id in self._cuts:
                 path.cut(self._cuts[vm_id])
--- a/fireflyferry/platform/soak/promises.py
+++ b/fireflyferry/platform/soak/promises.py
@@ -5,12 +5,12 @@
 import attrs
 
 from fireflyferry.platform.soak.audit import Audit
-from fireflyferry.platform.soak.vms import DRAIN_TIMEOUT_S, VmProcess
+from fireflyferry.platform.soak.vms import VmProcess
 
 if TYPE_CHECKING:
     from fireflyferry.platform.soak.upstreams import UpstreamStandin
 
-__all__ = ["LeavingPromise", "Promise", "QuietPromise", "make_promises"]
+__all__ = ["LeavingPromise", "Promise", "QuietPromise", "VmRun", "run_of"]
 
 
 @attrs.frozen
@@ -58,6 +58,15 @@
     ) -> None:
         """Record the answer of an upstream to a VM; `retry_after_s` if it asks for quiet."""
 
+    def on_cut(self, now_s: float, vm_ids: frozenset[str]) -> None:
+        """Record that VMs are cut off from all upstreams."""
+
+    def on_healed(self, now_s: float) -> None:
+        """Record that all VMs reach the upstreams again."""
+
+    def finish(self) -> None:
+        """Check what needs the complete record."""
+
 
 class LeavingPromise(Promise):
     """A VM sends nothing to an upstream that has said in an answer that it leaves.
@@ -129,7 +138,7 @@
     """A VM sends hardly anything to an upstream that refused a request for some time.
 
     At most MAX_REQUESTS reach it between REACTION_S after that answer and the end of the time,
-    unless the VM was started or paused since.
+    unless the VM was started, paused or cut off since.
     """
 
     REACTION_S = 0.5
@@ -138,6 +147,21 @@
     def __init__(self, audit: Audit):
         super().__init__(audit)
         self._times: dict[tuple[VmRun, UpstreamStandin], list[_QuietTime]] = {}
+        self._cut_off: frozenset[str] = frozenset()
+
+    def on_cut(self, now_s: float, vm_ids: frozenset[str]) -> None:
+        """Forget the times of VMs that are cut off."""
+        self._cut_off = vm_ids
+        self._forget()
+
+    def on_healed(self, now_s: float) -> None:
+        """Forget the times that began during the cut, whose answers may have been held back."""
+        self._forget()
+        self._cut_off = frozenset()
+
+    def _forget(self) -> None:
+        kept = {k: times for k, times in self._times.items() if k[0].vm_id not in self._cut_off}
+        self._times = kept
 
     def on_answer(
         self,
@@ -161,16 +185,13 @@
         vm: VmProcess,
     ) -> None:
         """Report the first request that is too many."""
+        if vm.disturbed or vm.vm_id in self._cut_off:
+            return
         for time in self._times.get((run_of(vm), upstream), ()):
-            if not time.start_s < earliest_s <= now_s < time.end_s or vm.disturbed:
+            if not time.start_s < earliest_s <= now_s < time.end_s:
                 continue
             time.requests += 1
             if time.requests == self.MAX_REQUESTS + 1:
                 left_s = time.end_s - now_s
                 detail = f"{request_id} from {vm.vm_id} at {upstream.label}, {left_s:.2f} s early"
                 self._audit.report("an upstream that asks for quiet is left alone", detail)
-
-
-def make_promises(audit: Audit) -> tuple[Promise, ...]:
-    """Return the checks of all promises."""
-    return (LeavingPromise(audit, DRAIN_TIMEOUT_S), QuietPromise(audit))
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -5,7 +5,7 @@
 import functools
 import pathlib
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import tornado.httpserver
@@ -14,16 +14,23 @@
 from fireflyferry.platform import names
 from fireflyferry.platform.soak.audit import Audit, Finding
 from fireflyferry.platform.soak.callers import DEADLINE_S, HOST, Callers
+from fireflyferry.platform.soak.cuts import CutInjector, CutPromise
 from fireflyferry.platform.soak.faults import FaultInjector
 from fireflyferry.platform.soak.fleet import UpstreamFleet
 from fireflyferry.platform.soak.links import Link
 from fireflyferry.platform.soak.odd_entries import ODD_FORMS, OddEntries
 from fireflyferry.platform.soak.paths import UpstreamPaths
-from fireflyferry.platform.soak.promises import make_promises
-from fireflyferry.platform.soak.schedule import Fault, FaultKind, SoakPlan, make_schedule
+from fireflyferry.platform.soak.promises import LeavingPromise, Promise, QuietPromise
+from fireflyferry.platform.soak.schedule import (
+    Fault,
+    FaultGroup,
+    FaultKind,
+    SoakPlan,
+    make_schedule,
+)
 from fireflyferry.platform.soak.store import StoreStandin
 from fireflyferry.platform.soak.upstreams import UpstreamWorld
-from fireflyferry.platform.soak.vms import VmProcess
+from fireflyferry.platform.soak.vms import DRAIN_TIMEOUT_S, VmProcess
 from fireflyferry.tasks import BackgroundTasks
 from fireflyferry.transport import CurlTransport, Exchange, fetch
 
@@ -69,13 +76,19 @@
         self._store_servers: list[tornado.httpserver.HTTPServer] = []
         self._vms: list[VmProcess] = []
         self._paths = UpstreamPaths()
-        self._promises = make_promises(self._audit) if plan.vm_paths else ()
+        self._promises = self._make_promises() if plan.vm_paths else ()
         self._world = UpstreamWorld(self._store, self._audit, random.Random(plan.seed))
         self._world.promises, self._world.vm_at = self._promises, self._vm_at
+        self._world.was_held = self._paths.was_held
         self._fleet = UpstreamFleet(self._world, {KEYED: True, PLAIN: False, JOINING: False})
         self._odd_entries = OddEntries(self._world, self._fleet, JOINING, self._is_calm)
         self._faults = FaultInjector(
-            self._vms, self._store, self._fleet, self._change_config, self._start_odd_entry
+            self._vms,
+            self._store,
+            self._fleet,
+            self._change_config,
+            self._start_odd_entry,
+            CutInjector(self._paths, self._promises),
         )
 
     async def run(self) -> SoakResult:
@@ -96,6 +109,8 @@
             await self._wait_until(
                 self._all_serving, RECOVERY_TIMEOUT_S, "everything is served after faults"
             )
+            for each in self._promises:
+                each.finish()
             self._audit.finish()
             memory_mb = sum(vm.peak_memory_mb for vm in self._vms)
         finally:
@@ -133,7 +148,7 @@
         for number in range(self._plan.upstreams):
             for pool in (KEYED, PLAIN):
                 self._fleet.add(pool, DATA_CENTRES[number % len(DATA_CENTRES)])
-        regions = ",".join(f"{name}:r-1" for name in DATA_CENTRES)
+        regions = ",".join(self._regions())
         for number in range(self._plan.vms):
             vm_id = f"vm-{number}"
             link = Link(self._serve_store(vm_id))
@@ -147,20 +162,28 @@
         self._tasks.start(self._restart_exited())
         self._tasks.start(self._world.stalls.run())
 
+    def _regions(self) -> Iterator[str]:
+        """Yield the region of each data centre; VMs prefer upstreams of their region."""
+        for number, name in enumerate(DATA_CENTRES, 1):
+            yield f"{name}:r-{number if self._plan.vm_paths else 1}"
+
     def _serve_store(self, vm_id: str) -> int:
         """Serve the store to a VM and return the port."""
-        has_paths = self._plan.vm_paths
-        application = (
-            self._store.application(self._paths.view_of(vm_id))
-            if has_paths
-            else self._store.application()
-        )
-        server = tornado.httpserver.HTTPServer(application)
+        views = [self._paths.view_of(vm_id)] if self._plan.vm_paths else []
+        server = tornado.httpserver.HTTPServer(self._store.application(*views))
         sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
         server.add_sockets(sockets)
         self._store_servers.append(server)
         return sockets[0].getsockname()[1]
 
+    def _make_promises(self) -> tuple[Promise, ...]:
+        only_cuts = self._plan.groups == (FaultGroup.CUTS,)
+        return (
+            LeavingPromise(self._audit, DRAIN_TIMEOUT_S),
+            QuietPromise(self._audit),
+            CutPromise(self._audit, lambda: not self._faults.disturbs_vms, only_cuts),
+        )
+
     def _vm_at(self, source_port: int) -> VmProcess | None:
         vm_id = self._paths.vm_at(source_port)
         return next((vm for vm in self._vms if vm.vm_id == vm_id), None)
--- a/fireflyferry/platform/soak/schedule.py
+++ b/fireflyferry/platform/soak/schedule.py
@@ -55,6 +55,9 @@
     ODD_OVERWRITE = "odd_overwrite"  # it overwrites the entry of a live upstream
     UPSTREAM_SAYS_LEAVING = "upstream_says_leaving"  # in all answers; it reports that later, or not
     UPSTREAM_ASKS_FOR_QUIET = "upstream_asks_for_quiet"  # 503 with the time that is left
+    CUT_HANG = "cut_hang"  # VMs are cut off from all upstreams: no packet passes
+    CUT_RESET = "cut_reset"  # connections are reset, new ones refused
+    CUT_REFUSE = "cut_refuse"  # connections live on, new ones are refused
 
 
 class FaultGroup(StrEnum):
@@ -64,18 +67,20 @@
     ODD_ENTRIES = "odd-entries"
     LEAVING = "leaving"
     QUIET = "quiet"
+    CUTS = "cuts"
 
 
 GROUP_KINDS = {
     FaultGroup.ODD_ENTRIES: (FaultKind.ODD_ENTRY, FaultKind.ODD_OVERWRITE),
     FaultGroup.LEAVING: (FaultKind.UPSTREAM_SAYS_LEAVING,),
     FaultGroup.QUIET: (FaultKind.UPSTREAM_ASKS_FOR_QUIET,),
+    FaultGroup.CUTS: (FaultKind.CUT_HANG, FaultKind.CUT_RESET, FaultKind.CUT_REFUSE),
 }
 BASE_KINDS = tuple(
     kind for kind in FaultKind if not any(kind in kinds for kinds in GROUP_KINDS.values())
 )
 # Groups whose checks need to know the VM of each call, hence paths of each VM of its own.
-PATH_GROUPS = (FaultGroup.LEAVING, FaultGroup.QUIET)
+PATH_GROUPS = (FaultGroup.LEAVING, FaultGroup.QUIET, FaultGroup.CUTS)
 # Groups of the command line; one with paths of each VM leaves no large fleets and no relays.
 DEFAULT_GROUPS = (FaultGroup.BASE, FaultGroup.ODD_ENTRIES)
 
@@ -115,6 +120,8 @@
 MAX_INTERVAL_S = 1.5
 MAX_GROUP_INTERVAL_S = 3.0  # in the schedules of the other groups
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
+MIN_CUT_S, MAX_CUT_S = 5.0, 8.0  # longer than VMs may take to react
+MAX_PAUSE_S = 3.0  # between two cuts
 OVERLAP_PROBABILITY = 0.3  # probability that an upstream gets another fault in the same time
 REPEAT_PROBABILITY = 0.3  # probability that a fault is injected again right after it ended
 
@@ -146,7 +153,10 @@
 def _group_faults(group: FaultGroup, seed: int, length_s: float) -> Iterator[Fault]:
     if group is FaultGroup.BASE:
         return _base_faults(random.Random(seed), length_s)
-    return _faults(random.Random(f"{group}/{seed}"), length_s, GROUP_KINDS[group])
+    rng = random.Random(f"{group}/{seed}")
+    if group is FaultGroup.CUTS:
+        return _cuts(rng, length_s)
+    return _faults(rng, length_s, GROUP_KINDS[group])
 
 
 def _base_faults(rng: random.Random, length_s: float) -> Iterator[Fault]:
@@ -168,3 +178,12 @@
     while (at_s := at_s + MAX_GROUP_INTERVAL_S * rng.random()) < length_s:
         for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
         yield Fault(at_s, rng.choice(kinds), rng.randrange(1 << 16), for_s)
+
+
+def _cuts(rng: random.Random, length_s: float) -> Iterator[Fault]:
+    """Yield cuts one after the other, each of which ends before the end of the schedule."""
+    at_s = rng.uniform(0.0, 1.0)
+    while at_s + (for_s := rng.uniform(MIN_CUT_S, MAX_CUT_S)) < length_s:
+        kind = rng.choice(GROUP_KINDS[FaultGroup.CUTS])
+        yield Fault(at_s, kind, rng.randrange(1 << 16), for_s)
+        at_s += for_s + rng.uniform(0.5, MAX_PAUSE_S)
