--- a/fireflyferry/platform/soak/tests/test_soak.py
+++ b/fireflyferry/platform/soak/tests/test_soak.py
@@ -23,8 +23,13 @@
 REGRESSION_SEEDS: tuple[int, ...] = ()
 
 # Groups of faults, beside the base, that the short runs play, with the length in seconds; a cut
-# takes 9 s. The other groups are played by hand.
-GROUPS = {FaultGroup.ODD_ENTRIES: 4.0}
+# takes 9 s.
+GROUPS = {
+    FaultGroup.ODD_ENTRIES: 4.0,
+    FaultGroup.LEAVING: 6.0,
+    FaultGroup.QUIET: 6.0,
+    FaultGroup.CUTS: 9.0,
+}
 
 
 def test_one_seed_gives_one_schedule():
