Leave the granting lease while this VM cannot deliver grants

A VM that is cut off from all upstreams kept renewing the granting lease and competed for it. Its grants and renewals reached nobody, so that all keys were without an owner once the grants of 5 s had expired, also at VMs in touch with the upstreams. While such a VM hands its upstreams over, it only reads the lease record: its authority ends by its own clock, and another VM takes over as from a VM that ended. When the path is back it competes again.

Before: the 3 cases of test_vm_that_may_not_hold_the_lease_only_reads, test_holder_that_may_not_renew_loses_the_lease_in_time and test_granting_lease_leaves_a_vm_that_cannot_deliver_grants failed.

--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -76,7 +76,8 @@
 class ControlLoop:
     """Acquires and renews the granting lease, and grants keys to upstreams while holding it.
 
-    At most one VM holds the lease at a time, and only that VM may grant keys.
+    At most one VM holds the lease at a time, and only that VM may grant keys. A VM that does not
+    reach upstreams, while others do, leaves the lease to them.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         mirror: DocumentMirror,
         announce: Callable[[Document], Coroutine[Any, Any, None]],
         follows_relay: Callable[[], bool],
+        reaches_upstreams: Callable[[], bool] = lambda: True,
         rules: ControlRules | None = None,
         lease_timing: GrantingLeaseTiming | None = None,
         timing: GrantTiming | None = None,
@@ -106,6 +108,7 @@
         self._mirror = mirror
         self._announce = announce
         self._follows_relay = follows_relay
+        self._reaches_upstreams = reaches_upstreams
         self._rules = rules or ControlRules()
         self._timing = timing or GrantTiming()
         this_vm = state.vms.this_vm
@@ -161,7 +164,7 @@
         """Start the calls to the store and to upstreams that are due."""
         now_s = self._clock.monotonic_s()
         if self._lease.is_own_record or not self._follows_relay():
-            action = self._lease.tick(now_s)
+            action = self._lease.tick(now_s, self._reaches_upstreams())
             if action is not None:
                 self._tasks.start(self._lease_call(action))
         self._update_lease_held()
--- a/fireflyferry/gateway/tests/test_cut_off_vm.py
+++ b/fireflyferry/gateway/tests/test_cut_off_vm.py
@@ -197,3 +197,22 @@
                     await asyncio.sleep(0.1)
 
     asyncio.run(run())
+
+
+def test_granting_lease_leaves_a_vm_that_cannot_deliver_grants():
+    """Guards against keys of all upstreams that have no owner once their grants have expired."""
+
+    async def run():
+        async with fleet_of(["dc-1"] * 3) as fleet:
+
+            def holders():
+                return [n for n in range(3) if fleet.running[n].program._control_loop.holds_lease]
+
+            (before,) = holders()
+            await fleet.cut({before}, CUTS["reset"])
+            await fleet.load_until(lambda: before in fleet.cut_off(before))
+            async with asyncio.timeout(20):
+                while holders() in ([], [before]):
+                    await asyncio.sleep(0.05)
+
+    asyncio.run(run())
--- a/fireflyferry/keyranges/lease.py
+++ b/fireflyferry/keyranges/lease.py
@@ -83,6 +83,7 @@
         self._sent_write: tuple[LeaseRecord, float] | None = None
         self._last_counter = 0
         self._has_resigned = False
+        self._may_hold = True
 
     @property
     def authority_until_s(self) -> float:
@@ -103,8 +104,12 @@
         """Return whether this VM may grant keys now."""
         return now_s < self._authority_until_s
 
-    def tick(self, now_s: float) -> ReadLease | WriteLease | None:
-        """Return the call to make now; None if none is due."""
+    def tick(self, now_s: float, may_hold: bool = True) -> ReadLease | WriteLease | None:
+        """Return the call to make now; None if none is due.
+
+        Unless `may_hold`, the lease is neither renewed nor taken over, so that it expires.
+        """
+        self._may_hold = may_hold
         if self._is_call_in_flight or now_s < self._next_call_s or self._has_resigned:
             return None
         action = self._next_action(now_s)
@@ -159,6 +164,8 @@
     def _next_action(self, now_s: float) -> ReadLease | WriteLease:
         if self._is_write_unconfirmed or not self._has_read:
             return ReadLease(stale=False)
+        if not self._may_hold:
+            return ReadLease(stale=True)
         if self._names_this_vm() and not (self._record and self._record.resigned):
             return WriteLease(self._next_record(), self._revision)
         if self._may_take_over(now_s):
@@ -195,7 +202,7 @@
         is_holder = self._names_this_vm() and not self._has_resigned
         wait_s = self._timing.renew_s if is_holder else self._timing.poll_s
         self._next_call_s = now_s + wait_s
-        if not is_holder and self._has_read:
+        if not is_holder and self._has_read and self._may_hold:
             # The next call is due when a takeover becomes possible, and now if it already is.
             takeover_s = self._unchanged_since_s + self._timing.takeover_s + self._takeover_delay_s
             if self._record is None or self._record.resigned:
--- a/fireflyferry/keyranges/tests/test_lease.py
+++ b/fireflyferry/keyranges/tests/test_lease.py
@@ -57,6 +57,36 @@
     assert action == WriteLease(LeaseRecord("me", "me-1", 6), 7)
 
 
+@pytest.mark.parametrize(
+    ("record", "revision"), [(None, 0), (OTHER, 7), (attrs.evolve(OTHER, resigned=True), 7)]
+)
+def test_vm_that_may_not_hold_the_lease_only_reads(record, revision):
+    """Guards against a lease at a VM that cannot deliver grants, and against reads in a loop."""
+    lease = lease_after_read(record=record, revision=revision)
+    calls = 0
+    for step in range(200):
+        now_s = step * 0.05
+        action = lease.tick(now_s, may_hold=False)
+        if action is not None:
+            assert isinstance(action, ReadLease)
+            lease.on_read(now_s, record, revision)
+            calls += 1
+    assert not lease.holds(10.0) and calls <= 10.0 / TIMING.poll_s + 2
+    assert isinstance(lease.tick(20.0), WriteLease)
+
+
+def test_holder_that_may_not_renew_loses_the_lease_in_time():
+    lease = lease_after_read(record=None, revision=0)
+    lease.tick(0.0)
+    lease.on_written(0.1, 1)
+    own = lease.record
+    for step in range(1, 100):
+        now_s = 0.1 + step * 0.05
+        if lease.tick(now_s, may_hold=False) is not None:
+            lease.on_read(now_s, own, 1)
+        assert lease.holds(now_s) is (now_s < TIMING.lease_s)
+
+
 def test_renewed_record_starts_the_wait_again():
     lease = lease_after_read()
     lease.tick(1.0)
