Bound the pings to VMs that are cut off from upstreams

Every VM that knew a VM as cut off pinged it each 0.5 s. By a sum, a zone of 22 such VMs at 195 VMs would have had to answer 390 pings a second each. The interval now grows with the fleet, so that such a VM gets at most 24 a second.

Before: the function did not exist; its test is a table of intervals.

--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -56,10 +56,15 @@
     check_after_s: float = 0.5
     ping_timeout_s: float = 0.35
     recheck_interval_s: float = 0.5
+    max_cut_off_pings: float = 24.0  # a second, that a VM without a path gets from all others
     answer_margin_s: float = 0.1
     message_timeout_s: float = 0.5
     feed_margin_s: float = 0.4  # transfer time of an answer with the whole configuration
 
+    def cut_off_interval_s(self, vms: int) -> float:
+        """Return how often each of a number of VMs pings one without a path to upstreams."""
+        return max(self.recheck_interval_s, vms / self.max_cut_off_pings)
+
 
 class PeerClient:
     """Client for other entry VMs; marks those that do not answer as suspected."""
@@ -214,7 +219,7 @@
 
     async def _ping_while_cut_off(self, vm: EntryVm) -> None:
         while self._vms.is_cut_off(vm):
-            await asyncio.sleep(self._rules.recheck_interval_s)
+            await asyncio.sleep(self._rules.cut_off_interval_s(len(self._vms)))
             await self._is_alive(vm)
 
     def _suspect(self, vm: EntryVm, detail: str) -> None:
--- a/fireflyferry/gateway/tests/test_upstream_path.py
+++ b/fireflyferry/gateway/tests/test_upstream_path.py
@@ -14,7 +14,7 @@
 from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway.calls import Call, not_run, outcome_unknown
 from fireflyferry.gateway.envelopes import EnvelopeCodec
-from fireflyferry.gateway.peer_client import PeerClient
+from fireflyferry.gateway.peer_client import PeerClient, PeerRules
 from fireflyferry.gateway.peer_messages import RESULT_HEADER, read_result, write_result
 from fireflyferry.gateway.tests.support import HEADER_NAMES
 from fireflyferry.gateway.upstream_path import PathMonitor
@@ -162,3 +162,9 @@
         transport.close()
 
     asyncio.run(run())
+
+
+# Guards against pings that take the processor of VMs without a path in a large fleet.
+@pytest.mark.parametrize(("vms", "interval_s"), [(2, 0.5), (12, 0.5), (24, 1.0), (192, 8.0)])
+def test_pings_to_a_vm_without_a_path_do_not_grow_with_the_fleet(vms, interval_s):
+    assert PeerRules().cut_off_interval_s(vms) == interval_s
