Soak: apply grants whose sender has reset the connection

A stand-in for upstreams failed with an unexpected error while it applied such a grant, since it asked the connection for its other end.

--- a/fireflyferry/platform/soak/upstream_handlers.py
+++ b/fireflyferry/platform/soak/upstream_handlers.py
@@ -107,7 +107,11 @@
         stream = self.request.connection.stream
         if stream is None or stream.closed():
             return False
-        return self._upstream.world.was_held(stream.socket.getpeername()[1])
+        try:
+            port = stream.socket.getpeername()[1]
+        except OSError:  # the sender has reset the connection
+            return False
+        return self._upstream.world.was_held(port)
 
 
 class ReleaseHandler(_Handler):
