--- a/review/standins.py
+++ b/review/standins.py
@@ -438,6 +438,7 @@
         self.instances: list[Instance] = []
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._version = 0
+        self._store_port = 0
         self._tasks: list[asyncio.Task] = []
         self._store_server: tornado.httpserver.HTTPServer | None = None
 
@@ -471,23 +472,28 @@
         self._store_server = tornado.httpserver.HTTPServer(self.store.application())
         sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
         self._store_server.add_sockets(sockets)
-        store_port = sockets[0].getsockname()[1]
+        self._store_port = sockets[0].getsockname()[1]
         for instance in instances:
             await instance.start()
             self.instances.append(instance)
             self.store.write("servers", instance.instance_id, instance.entry())
         self._tasks.append(asyncio.ensure_future(self._beat()))
-        for number in range(vms):
-            link = StoreLink(store_port)
-            await link.start()
-            vm = Vm(f"edge-{number}", ("ost-a", "ost-b")[number % 2], link, self.folder)
-            vm.start()
-            self.vms.append(vm)
+        for _ in range(vms):
+            (await self.add_vm()).start()
         async with asyncio.timeout(START_TIMEOUT_S):
             for vm in self.vms:
                 await wait_until_ready(vm)
         self.record.write(f"{vms} machines are ready")
 
+    async def add_vm(self) -> Vm:
+        """Add a machine whose process is not started yet."""
+        link = StoreLink(self._store_port)
+        await link.start()
+        number = len(self.vms)
+        vm = Vm(f"edge-{number}", ("ost-a", "ost-b")[number % 2], link, self.folder)
+        self.vms.append(vm)
+        return vm
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
