--- a/fireflyferry/gateway/edges.py
+++ b/fireflyferry/gateway/edges.py
@@ -121,7 +121,8 @@
 
     `expected_upstream` holds the id of the upstream that a request is meant for. `not_run` marks
     the answer of an upstream that did not execute the request, `leaving` with value 1 the answers
-    of one that will exit.
+    of one that will exit. `load` holds the running and waiting requests and the slots of an
+    upstream, and optionally the pace of its host in percent; `warmup_ms` how long it stays cold.
     """
 
     request_id: str
@@ -131,6 +132,8 @@
     not_run: str
     key: str
     leaving: str
+    load: str
+    warmup_ms: str
 
 
 class PlatformCodec(abc.ABC):
@@ -138,6 +141,7 @@
 
     headers: HeaderNames
     upstream_kind: str
+    evacuation_kind: str
     config_kind: str
     config_name: str
 
--- a/fireflyferry/gateway/settings.py
+++ b/fireflyferry/gateway/settings.py
@@ -61,7 +61,9 @@
     `grace_period_s` after the termination signal. A grant is valid for at most `max_hold_s`. All
     VMs together may send retries for `retry_share` of the requests in `retry_window_s`, and
     `retry_least` more. A VM has to serve by the store's current data `settle_window_s` after its
-    connections, or the store, were disturbed.
+    connections, or the store, were disturbed. An evacuated data centre gets no requests later than
+    `evacuate_s` after the order. A cold upstream gets, from all VMs together in one second, at most
+    `warmup_overshoot` times the rate that its pool tolerates, and `warmup_tolerance` requests more.
     """
 
     drain_timeout_s: float = field(SECONDS)
@@ -71,6 +73,9 @@
     retry_window_s: float = field(SECONDS)
     retry_least: float = field(Number(0.0, 1e6))
     settle_window_s: float = field(SECONDS, default=3.0)
+    evacuate_s: float = field(SECONDS, default=5.0)
+    warmup_overshoot: float = field(Number(0.0, 1000.0), default=1.5)
+    warmup_tolerance: float = field(Number(0.0, 1e6), default=8.0)
 
 
 @attrs.frozen
--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -47,7 +47,15 @@
 from fireflyferry.standins.ports import reserve_port
 
 HEADER_NAMES = HeaderNames(
-    "X-Id", "X-Deadline", "X-Signature", "X-Expected", "X-Not-Run", "X-Key", "X-Leaving"
+    "X-Id",
+    "X-Deadline",
+    "X-Signature",
+    "X-Expected",
+    "X-Not-Run",
+    "X-Key",
+    "X-Leaving",
+    "X-Load",
+    "X-Warmup-Ms",
 )
 LIMITS = CallerLimits(16_384, 1_000_000, 15.0)
 
@@ -150,6 +158,7 @@
 
     headers = HEADER_NAMES
     upstream_kind = "upstreams"
+    evacuation_kind = "evacuations"
     config_kind = "configs"
     config_name = "main"
 
--- a/fireflyferry/platform/decoding.py
+++ b/fireflyferry/platform/decoding.py
@@ -25,6 +25,7 @@
 MAX_BORN_MS = 2**53 - 1  # the largest integer that all JSON implementations keep exactly
 MAX_SLOTS = 1_000_000
 MAX_WARMUP_S = 86_400.0
+MAX_RATE_PER_S = 1e9
 
 
 class Codec(PlatformCodec):
@@ -32,6 +33,7 @@
 
     headers = names.HEADERS
     upstream_kind = names.UPSTREAM_KIND
+    evacuation_kind = names.EVACUATION_KIND
     config_kind = names.CONFIG_KIND
     config_name = names.CONFIG_NAME
 
@@ -102,7 +104,13 @@
 def _pool(name: str, spec: Mapping[str, Any]) -> PoolSpec:
     limit = spec.get("maxConnections")
     has_limit = type(limit) is int and limit > 0
-    return PoolSpec(name, spec.get("sharded") is True, limit if has_limit else None)
+    return PoolSpec(
+        name,
+        spec.get("sharded") is True,
+        limit if has_limit else None,
+        _number({"warmupS": 0, **spec}, "warmupS", MAX_WARMUP_S),
+        _number({"warmupPerS": 0, **spec}, "warmupPerS", MAX_RATE_PER_S),
+    )
 
 
 def _route(name: str, spec: Mapping[str, Any]) -> HostRoute:
@@ -116,6 +124,7 @@
         priority=_integer(spec, "priority", 0),
         max_attempts=_integer(spec, "maxAttempts", 1),
         shares=tuple(_shares(spec)),
+        allowed_regions=_allowed_regions(spec),
     )
 
 
@@ -131,6 +140,15 @@
     yield from (share for share in shares if share.weight > 0)
 
 
+def _allowed_regions(spec: Mapping[str, Any]) -> frozenset[str]:
+    """Decode the regions of a route; the set is empty if there is no limit."""
+    regions = _list(spec.get("allowedRegions", []))
+    for region in regions:
+        if not isinstance(region, str) or not region:
+            raise _unreadable("a region of allowedRegions", region, "a non-empty string")
+    return frozenset(regions)
+
+
 def _limits(spec: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
         max_header_bytes=_integer(spec, "maxHeaderBytes", 1),
--- a/fireflyferry/platform/names.py
+++ b/fireflyferry/platform/names.py
@@ -5,6 +5,8 @@
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "ERA_HEADER",
+    "EVACUATION_KIND",
     "GRANT_PATH",
     "HANDOVER_HEADER",
     "HEADERS",
@@ -23,12 +25,16 @@
     not_run="Fireflyferry-Not-Executed",
     key="Fireflyferry-Shard-Key",
     leaving="Server-Leaving",
+    load="Fireflyferry-Server-Load",
+    warmup_ms="Fireflyferry-Warmup-Ms",
 )
 HANDOVER_HEADER = "Fireflyferry-Handover"
+ERA_HEADER = "Store-Era"
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 UPSTREAM_KIND = "servers"
+EVACUATION_KIND = "evacuations"
 
 GRANT_PATH = "/grant"
 RELEASE_PATH = "/release"
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -150,6 +150,19 @@
     assert decoded.limits.idle_timeout_s == 15.0
 
 
+def test_config_with_regions_and_warmup():
+    """Guards against a limit that is lost while the configuration is decoded."""
+    limited = {**ROUTE, "pathPrefix": "/b/", "allowedRegions": ["r1", "r2"]}
+    open_route = {**ROUTE, "allowedRegions": []}
+    content = config(q=limited, r=open_route)
+    cold = {"sharded": False, "warmupS": 3.0, "warmupPerS": 3.4}
+    content["resources"].append(resource("services", "cold", cold))
+    decoded = read_config(content)
+    assert [each.allowed_regions for each in decoded.routes] == [{"r1", "r2"}, frozenset()]
+    assert (decoded.pools["cold"].warmup_s, decoded.pools["cold"].warmup_per_s) == (3.0, 3.4)
+    assert decoded.pools["s"].warmup_per_s == 0.0
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -170,6 +183,20 @@
                 resource("routes", "x", {**ROUTE, "trafficSplit": []}),
             ]
         },
+        *(
+            {
+                "resources": [
+                    *config()["resources"],
+                    resource("routes", "x", {**ROUTE, "allowedRegions": regions}),
+                ]
+            }
+            for regions in ("r", None, {}, [1], [""], ["r", None])
+        ),
+        *(
+            {"resources": [*config()["resources"], resource("services", "x", {name: value})]}
+            for name in ("warmupS", "warmupPerS")
+            for value in (-1, "3", None, True, 1e300)
+        ),
     ],
 )
 def test_malformed_config_is_unreadable(change):
@@ -344,7 +371,7 @@
 # Settings
 
 
-def filled_template():
+def filled_template(**bounds):
     text = (ROOT / "deploy" / "entry.ini").read_text()
     text = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", "z-a:r,z-b:r", text)
     values = {
@@ -365,7 +392,11 @@
         "bounds.retryWindowS": "10",
         "bounds.retryBudgetMin": "64",
         "bounds.settleWindowS": "4",
+        **bounds,
     }
+    # A section is rendered if its field has a value.
+    sections = r"\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}"
+    text = re.sub(sections, lambda match: match[2] if match[1] in values else "", text)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: values[match[1]], text)
 
 
@@ -377,6 +408,19 @@
     assert settings.bounds.settle_window_s == 4.0
 
 
+def test_template_leaves_out_bounds_that_the_deployment_does_not_have():
+    """Guards against settings files that are refused because a field of the platform is missing."""
+    defaults = parse_settings(filled_template(), GatewaySettings).bounds
+    assert (defaults.evacuate_s, defaults.warmup_overshoot, defaults.warmup_tolerance) == (
+        5,
+        1.5,
+        8,
+    )
+    given = {"bounds.evacuateS": "7", "bounds.warmupOvershoot": "2", "bounds.warmupTolerance": "3"}
+    bounds = parse_settings(filled_template(**given), GatewaySettings).bounds
+    assert (bounds.evacuate_s, bounds.warmup_overshoot, bounds.warmup_tolerance) == (7, 2, 3)
+
+
 def test_missing_setting_is_named_and_sets_the_exit_code(tmp_path, capsys):
     path = tmp_path / "entry.ini"
     path.write_text(filled_template().replace("data_centre = z-a", "data_centre ="))
--- a/fireflyferry/routing/hosts.py
+++ b/fireflyferry/routing/hosts.py
@@ -21,6 +21,7 @@
 
     `target_latency_s` is the latency objective, and `timeout_s` the limit for an answer.
     `priority` 0 is the most urgent. `max_attempts` limits the upstreams that one request reaches.
+    Requests may only be processed in `allowed_regions`; an empty set allows all regions.
     """
 
     name: str
@@ -32,18 +33,23 @@
     priority: int
     max_attempts: int
     shares: tuple[PoolShare, ...]
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
 class PoolSpec:
     """Properties that all upstreams of a pool share; `keyed` means that each key has one owner.
 
-    Each upstream accepts `max_connections` connections; None if that is unknown.
+    Each upstream accepts `max_connections` connections; None if that is unknown. It is cold for
+    `warmup_s` seconds after its start and tolerates `warmup_per_s` requests a second then; 0 if
+    there is no limit.
     """
 
     name: str
     keyed: bool
     max_connections: int | None = None
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 @attrs.frozen
