--- a/fireflyferry/messages/tests/test_codec.py
+++ b/fireflyferry/messages/tests/test_codec.py
@@ -1,10 +1,11 @@
 """Guards against fields that change in encoding and against malformed bodies that are accepted."""
 
+import attrs
 import orjson
 import pytest
 
 from fireflyferry.messages import GroupId, Heartbeat, VmIncarnation, decode, encode
-from fireflyferry.messages.codec import MessageError, read_each, structure
+from fireflyferry.messages.codec import MessageError, read_each, structure, unstructure
 
 
 def test_round_trip_keeps_a_message():
@@ -51,3 +52,15 @@
     assert kept == [1, 3, 6]
     (record,) = caplog.records
     assert (record.getMessage(), record.source, record.skipped) == ("records_skipped", "numbers", 3)
+
+
+@attrs.frozen
+class Regions:
+    names: frozenset[str] = frozenset()
+
+
+def test_set_is_encoded_as_a_sorted_list():
+    """Guards against messages with sets, which relays would pass on without their content."""
+    message = Regions(frozenset({"b", "a"}))
+    assert unstructure(message) == {"names": ["a", "b"]}
+    assert decode(encode(message), Regions) == message
