--- a/fireflyferry/messages/codec.py
+++ b/fireflyferry/messages/codec.py
@@ -62,7 +62,9 @@
 
 def _make_converter() -> cattrs.Converter:
     """Return a converter that rejects values of another type instead of converting them."""
-    converter = cattrs.Converter(forbid_extra_keys=False)
+    # JSON has no sets. The order makes equal messages equal in bytes.
+    sets = {frozenset: sorted}
+    converter = cattrs.Converter(forbid_extra_keys=False, unstruct_collection_overrides=sets)
     hooks = {str: _read_string, bool: _read_bool, int: _read_integer, float: _read_number}
     for each, hook in hooks.items():
         converter.register_structure_hook(each, hook)
--- a/fireflyferry/messages/tests/test_codec.py
+++ b/fireflyferry/messages/tests/test_codec.py
@@ -4,7 +4,8 @@
 import pytest
 
 from fireflyferry.messages import GroupId, Heartbeat, VmIncarnation, decode, encode
-from fireflyferry.messages.codec import MessageError, read_each, structure
+from fireflyferry.messages.codec import MessageError, read_each, structure, unstructure
+from fireflyferry.routing.hosts import HostRoute, PoolShare
 
 
 def test_round_trip_keeps_a_message():
@@ -51,3 +52,12 @@
     assert kept == [1, 3, 6]
     (record,) = caplog.records
     assert (record.getMessage(), record.source, record.skipped) == ("records_skipped", "numbers", 3)
+
+
+def test_sets_of_names_are_written_as_lists_in_order():
+    """Guards against a configuration that a relay cannot encode, so that no follower gets it."""
+    share = PoolShare("plain", 1.0)
+    route = HostRoute("r", "h", "/", True, 2.0, 1.0, 0, 1, (share,), frozenset({"tartu", "harju"}))
+    written = unstructure(route)
+    assert written["allowed_regions"] == ["harju", "tartu"]
+    assert decode(encode(route), HostRoute) == structure(written, HostRoute) == route
