--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 STEPS ?= 2000
 SEED ?= 1
 SEEDS ?= 1-50
+WORKERS ?= auto
 
 .PHONY: demo test check fuzz soak clean
 
@@ -13,8 +14,13 @@
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
+# Tests that conftest.py marks as serial run alone, after all others. Both calls run, also if the first
+# fails.
 test: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	@failed=0; \
+	$(BIN)/python -m pytest -n $(WORKERS) -m "not serial" || failed=1; \
+	$(BIN)/python -m pytest -m serial || failed=1; \
+	exit $$failed
 
 check: $(VENV)/.installed
 	$(BIN)/black --check --quiet .
--- a/fireflyferry/gateway/tests/links.py
+++ b/fireflyferry/gateway/tests/links.py
@@ -8,6 +8,7 @@
 import attrs
 
 from fireflyferry.gateway.tests.support import FakeCodec
+from fireflyferry.standins.ports import reserve_port
 
 __all__ = ["Cut", "Link", "LinkedCodec"]
 
@@ -33,14 +34,15 @@
         self._flows = asyncio.Event()
         self._fillers = []
         self._socket = self._server = None
-        self.port = 0
+        # Keeps other connections off the port while the link refuses connections.
+        self._reserved = reserve_port()
+        self.port = self._reserved.getsockname()[1]
 
     async def open(self):
         """Accept connections, on the same port each time, and forward what arrives."""
         self._flows.set()
         await self._close_listener()
         self._socket = socket.create_server(("127.0.0.1", self.port), backlog=128)
-        self.port = self._socket.getsockname()[1]
         self._server = await asyncio.start_server(self._forward, sock=self._socket)
 
     async def cut(self, cut):
@@ -71,6 +73,7 @@
         self._flows.set()
         self._abort_connections()
         await self._close_listener()
+        self._reserved.close()
 
     async def _close_listener(self):
         for filler in self._fillers:
