--- a/conftest.py
+++ b/conftest.py
@@ -26,6 +26,7 @@
 # They run one at a time, and `make test` runs all others in parallel.
 SERIAL = (
     # Processes of VMs and senders.
+    "fireflyferry/platform/tests/test_signals.py",
     "fireflyferry/platform/soak/tests/test_soak.py",
     "fireflyferry/experiments/tests/test_load.py::RunnerTest",
     # Limits on memory, or on calls for each connection that stays open until a time limit.
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -4,13 +4,14 @@
 import logging
 import random
 import secrets
-import signal
 from collections.abc import Callable, Coroutine
+from signal import SIGHUP, SIGINT, SIGTERM
 from typing import Any
 
 import attrs
 import tornado.httpserver
 
+from fireflyferry import signals
 from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import (
     EntryVm,
@@ -133,9 +134,7 @@
         serve_page(vm.readiness, r"/ready", self._readiness)
         serve_page(f"{vm.address}:{vm.metrics_port}", METRICS_PATH, self._metrics_text)
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        signals.handle(loop, {SIGTERM: self.stop, SIGINT: self.stop, SIGHUP: self._on_reload})
         _LOG.info(
             "started",
             extra={
--- a/fireflyferry/platform/__main__.py
+++ b/fireflyferry/platform/__main__.py
@@ -1,5 +1,11 @@
 """Program of an entry VM on the users' platform."""
 
+from fireflyferry import signals
+
+if __name__ == "__main__":
+    # Loading the other modules takes tenths of a second, in which a signal would end the process.
+    signals.block()
+
 import argparse
 import asyncio
 import logging
@@ -90,7 +96,11 @@
             store.set_address(new_settings.store.address)
         _LOG.info("settings_reloaded", extra={"changed": new_settings != settings})
 
-    await GatewayProgram(settings, make_adapters, reload).run()
+    try:
+        await GatewayProgram(settings, make_adapters, reload).run()
+    finally:
+        # Closing the event loop restores the default actions.
+        signals.block()
 
 
 if __name__ == "__main__":
--- a/fireflyferry/platform/soak/vms.py
+++ b/fireflyferry/platform/soak/vms.py
@@ -119,7 +119,7 @@
     def ended_by_itself(self) -> bool:
         """Whether the process has ended, and not by a signal or a graceful shutdown.
 
-        A process that starts does not handle SIGHUP yet.
+        SIGHUP ends a process whose interpreter has not run the first line of the program yet.
         """
         if self.process is None or self.running or self.stopping:
             return False
