--- a/fireflyferry/gateway/tests/test_endless_answers.py
+++ b/fireflyferry/gateway/tests/test_endless_answers.py
@@ -18,7 +18,7 @@
     upstream_content,
 )
 from fireflyferry.routing.hosts import PoolSpec
-from fireflyferry.transport import curl
+from fireflyferry.transport import answer_cost, curl
 
 HEAD = f"HTTP/1.1 200 OK\r\n{HEADER_NAMES.signature}: s\r\n{HEADER_NAMES.request_id}: "
 CHUNK = b"x" * 65_536
@@ -171,6 +171,22 @@
     run_with(script, scenario, config=config)
 
 
+@pytest.mark.parametrize("script", [endless_chunk_extension, endless_long_chunk_extensions])
+def test_chunk_extensions_are_cut_at_a_number_of_bytes(script, monkeypatch, caplog):
+    """Guards against a bound that a slow machine moves, since it allows more calls in more time."""
+    for name in ("S_PER_PIECE", "S_PER_STEP", "S_PER_EMPTY_STEP"):
+        monkeypatch.setattr(answer_cost, name, 1e-9)
+
+    async def scenario(running, upstream, store):
+        got = await request(running.port, "/write/", "POST", body=b"1")
+        assert (got.status, got.body) == (504, b"connection_lost\n")
+
+    with caplog.at_level("INFO"):
+        run_with(script, scenario)
+    details = [each.detail for each in caplog.records if hasattr(each, "detail")]
+    assert any("too many bytes between" in each for each in details), details
+
+
 def test_long_answer_within_the_limit_is_delivered():
     body = b"y" * (4 << 20)
 
--- a/fireflyferry/transport/answer_cost.py
+++ b/fireflyferry/transport/answer_cost.py
@@ -23,6 +23,13 @@
 FREE_EMPTY_STEPS = 32
 S_PER_EMPTY_STEP = 0.005
 
+# Bytes of the answer that are not of its body: heads, trailers, and sizes and extensions of chunks,
+# which curl drops. A chunk of one byte needs 5 bytes for its size and line breaks. They are
+# compared at every so many steps, since the kernel is asked for them; one step reads 16 KB or less.
+FREE_FRAMING_BYTES = 262_144
+FRAMING_PER_BODY_BYTE = 8
+STEPS_PER_COMPARISON = 8
+
 
 @attrs.define
 class AnswerCost:
@@ -40,6 +47,7 @@
     _body_bytes: int = 0
     _steps: int = 0
     _empty_steps: int = 0
+    _all_steps: int = 0
     _transferred_bytes: float = 0.0
     _transferred_at_s: float = attrs.field(
         default=attrs.Factory(lambda self: self._started_s, takes_self=True)
@@ -65,6 +73,7 @@
 
     def add_step(self, transferred_bytes: float, now_s: float) -> bool:
         """Count a step of the transfer, up to which this many bytes of bodies were transferred."""
+        self._all_steps += 1
         if transferred_bytes == self._transferred_bytes:
             self._empty_steps += 1
             idle_s = now_s - self._transferred_at_s
@@ -74,3 +83,12 @@
         self._steps += 1
         allowed = FREE_STEPS + transferred_bytes / BYTES_PER_STEP
         return self._steps <= allowed + (now_s - self._started_s) / S_PER_STEP
+
+    def is_framing_due(self) -> bool:
+        """Return whether `allows_read` should be called after this step."""
+        return self._all_steps % STEPS_PER_COMPARISON == 0
+
+    def allows_read(self, read_bytes: int) -> bool:
+        """Compare the bytes that were read of the answer with those of its body."""
+        allowed = FREE_FRAMING_BYTES + self._body_bytes * (1 + FRAMING_PER_BODY_BYTE)
+        return read_bytes <= allowed
--- a/fireflyferry/transport/connections.py
+++ b/fireflyferry/transport/connections.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self._opened = 0
         self._by_endpoints: dict[Endpoints, int] = {}
+        self._descriptors: dict[Endpoints, int] = {}
         self._distrusted: dict[str, int] = {}
 
     @property
@@ -26,15 +27,21 @@
         """How many connections have been opened so far."""
         return self._opened
 
-    def on_opened(self, endpoints: Endpoints) -> int:
+    def on_opened(self, endpoints: Endpoints, descriptor: int = -1) -> int:
         """Number a new connection; its endpoints may have been those of one that was closed."""
         self._opened += 1
         self._by_endpoints.pop(endpoints, None)
         self._by_endpoints[endpoints] = self._opened
+        self._descriptors[endpoints] = descriptor
         if len(self._by_endpoints) > MAX_KEPT:
-            del self._by_endpoints[next(iter(self._by_endpoints))]
+            oldest = next(iter(self._by_endpoints))
+            del self._by_endpoints[oldest], self._descriptors[oldest]
         return self._opened
 
+    def descriptor(self, endpoints: Endpoints) -> int:
+        """Return the descriptor of an open connection, -1 if it is not known."""
+        return self._descriptors.get(endpoints, -1)
+
     def number(self, endpoints: Endpoints) -> int:
         """Return the number of an open connection."""
         return self._by_endpoints.get(endpoints) or self.on_opened(endpoints)
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -14,6 +14,7 @@
 from fireflyferry.transport.connections import ConnectionNumbers
 from fireflyferry.transport.exchanges import Exchange, Receiver, TransferResult
 from fireflyferry.transport.heads import HeadError, read_head, request_lines, request_target
+from fireflyferry.transport.received import bytes_read
 
 __all__ = ["CurlTransport"]
 
@@ -212,6 +213,8 @@
         self.distrusts_on_timeout = False
         self._max_connection: int | None = None
         self._is_connection_new = False
+        self._descriptor = -1
+        self._read_before = 0
         self._receiver: Receiver = None  # type: ignore[assignment]
         self._body: RequestBody | None = None
         self._cost = AnswerCost(0.0)
@@ -283,8 +286,9 @@
             # The transfer has failed; curl reports the error through `_finish`.
             return
 
-    def _on_socket(self, _descriptor: int, _purpose: int) -> int:
+    def _on_socket(self, descriptor: int, _purpose: int) -> int:
         self._is_connection_new = True
+        self._descriptor = descriptor
         return pycurl.SOCKOPT_OK
 
     def _before_send(self, remote_ip: str, local_ip: str, remote_port: int, local_port: int) -> int:
@@ -292,9 +296,10 @@
         endpoints = (remote_ip, remote_port, local_ip, local_port)
         if self._is_connection_new:
             self._is_connection_new = False
-            number = connections.on_opened(endpoints)
+            number = connections.on_opened(endpoints, self._descriptor)
         else:
             number = connections.number(endpoints)
+            self._descriptor = connections.descriptor(endpoints)
         # At a second call curl is about to send the request again, but only the first hop decides
         # about retries.
         if self.sent:
@@ -304,6 +309,7 @@
         is_unusable = self.connection_too_new or self.connection_distrusted
         if is_unusable or not self._receiver.may_send():
             return pycurl.PREREQFUNC_ABORT
+        self._read_before = bytes_read(self._descriptor) or 0
         self.sent = True
         self.opened_connections = connections.opened
         return pycurl.PREREQFUNC_OK
@@ -347,10 +353,15 @@
         return pycurl.WRITEFUNC_PAUSE
 
     def _on_progress(self, _total: int, received: int, _upload: int, uploaded: int) -> int:
-        if self._cost.add_step(received + uploaded, self._loop.time()):
-            return 0
-        self.fault = "too many reads for the bytes in the body"
-        return 1
+        if not self._cost.add_step(received + uploaded, self._loop.time()):
+            self.fault = "too many reads for the bytes in the body"
+            return 1
+        if self.sent and not self.in_head and self._cost.is_framing_due():
+            read = bytes_read(self._descriptor)
+            if read is not None and not self._cost.allows_read(read - self._read_before):
+                self.fault = "too many bytes between those of the body"
+                return 1
+        return 0
 
     def _on_read(self, size: int) -> bytes | int:
         data = self._body.read(size) if self._body is not None else b""
--- a/fireflyferry/transport/tests/test_answer_limits.py
+++ b/fireflyferry/transport/tests/test_answer_limits.py
@@ -44,6 +44,24 @@
         assert one.add_piece(20, now_s) and one.add_step(20 * number, now_s)
 
 
+def test_bytes_between_those_of_the_body_are_bounded_at_any_speed():
+    """Guards against chunk extensions that a slow machine reads for as long as the deadline allows.
+
+    Each chunk has one byte and an extension of 8,000; calls are counted elsewhere.
+    """
+    one, other = cost(), cost()
+
+    def add(number):
+        one.add_piece(1, 3600.0 * number)
+        return one.allows_read(8_007 * number)
+
+    assert count_until_refused(add) == 33
+    assert not other.allows_read(300_000)
+    for number in range(1, 10_000):  # the smallest chunks, and long bodies
+        assert other.add_piece(1, float(number)) and other.allows_read(6 * number)
+    assert other.add_piece(8 << 20, 1e4) and other.allows_read(60_000 + (8 << 20))
+
+
 def test_slow_receiver_is_within_the_limits():
     """Guards against limits that end an answer which is held back after each piece."""
     one = cost()
