--- a/fireflyferry/keyranges/__init__.py
+++ b/fireflyferry/keyranges/__init__.py
@@ -30,14 +30,17 @@
 from fireflyferry.keyranges.table import (
     KEY_COUNT,
     LAST_KEY,
+    MAX_ERA,
     OwnedRange,
     OwnerTable,
     UpstreamRun,
+    first_fence_of_era,
 )
 
 __all__ = [
     "KEY_COUNT",
     "LAST_KEY",
+    "MAX_ERA",
     "SAMPLE_PERIOD_S",
     "Clearance",
     "GrantAnswer",
@@ -61,6 +64,7 @@
     "StoreLease",
     "UpstreamRun",
     "WriteLease",
+    "first_fence_of_era",
     "plan_failover",
     "plan_initial_ranges",
     "plan_rebalancing",
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -22,7 +22,12 @@
     SaveTable,
 )
 from fireflyferry.keyranges.sent_grants import SentGrants
-from fireflyferry.keyranges.table import OwnedRange, OwnerTable, UpstreamRun
+from fireflyferry.keyranges.table import (
+    OwnedRange,
+    OwnerTable,
+    UpstreamRun,
+    first_fence_of_era,
+)
 
 __all__ = ["RangeGranter"]
 
@@ -34,11 +39,19 @@
     """Grants the ranges of one pool during one term.
 
     Times are in seconds on a clock that also counts time in suspension. An earlier granting VM may
-    have sent grants until `began_s`.
+    have sent grants until `began_s`, also one of an earlier era of the store. `era` is the store's
+    era in which this term began; None if the store reports none.
+
+    A table of an earlier era comes from a copy of the store: later moves and fences are missing
+    in it. Its holders are not trusted, so the first term of an era does not write the table before
+    all grants of earlier eras have expired. By then no write of an earlier era is in flight either;
+    one that arrived later could replace the table, since revisions are reissued.
     """
 
-    def __init__(self, pool: str, timing: GrantTiming, began_s: float):
+    def __init__(self, pool: str, timing: GrantTiming, began_s: float, era: int | None = None):
         self._pool = pool
+        self._era = era
+        self._began_s = began_s
         self._timing = timing
         self._first_fence_of_term = 0
         self._table: OwnerTable | None = None
@@ -67,7 +80,10 @@
         """Apply the stored table, read when a term starts or a write failed or got no answer."""
         self._save_in_flight = None
         is_of_this_term = (
-            self._is_table_of_this_term and table is not None and table.term == self._table_term()
+            self._is_table_of_this_term
+            and table is not None
+            and table.term == self._table_term()
+            and table.era == self._era
         )
         self._table, self._revision = table, revision
         if not is_of_this_term:
@@ -99,7 +115,7 @@
     def tick(self, now_s: float) -> list[SaveTable | GrantCall | ReleaseCall]:
         """Return the writes and calls to make now; must only be called while the lease is held."""
         if self._save_in_flight is None:
-            table = self._next_table()
+            table = self._next_table(now_s)
             if table is not None:
                 self._save_in_flight = SaveTable(table, self._revision)
                 return [self._save_in_flight, *self._calls(now_s)]
@@ -162,17 +178,24 @@
 
     # Table
 
-    def _next_table(self) -> OwnerTable | None:
+    def _next_table(self, now_s: float) -> OwnerTable | None:
         """Return the table to write, or None if the stored one is up to date."""
         table = self._table
+        if self._may_have_unknown_holders() and not self._earlier_grants_have_expired(now_s):
+            return None
         if table is None:
             return self._first_table()
-        changes = TableChanges(table.last_fence)
+        changes = TableChanges(max(table.last_fence, first_fence_of_era(self._era) - 1))
         if not self._is_table_of_this_term:
             # The processes that have the fences of the earlier term may have ended.
-            changes.ranges = [attrs.evolve(r, fence=changes.next_fence()) for r in table.ranges]
+            changes.ranges = [
+                attrs.evolve(each, fence=changes.next_fence())
+                for each in self._ranges_of_earlier_term(table)
+            ]
             return attrs.evolve(
-                table.with_ranges(changes.ranges, changes.last_fence), term=table.term + 1
+                table.with_ranges(changes.ranges, changes.last_fence),
+                term=table.term + 1,
+                era=self._era,
             )
         for each in table.ranges:
             changes.ranges.extend(self._next_ranges(each, changes))
@@ -181,12 +204,29 @@
             return None
         return table.with_ranges(changes.ranges, changes.last_fence)
 
+    def _may_have_unknown_holders(self) -> bool:
+        """Return whether a copy of the store may lack holders of keys; no era precedes era 0."""
+        if self._table is None:
+            return bool(self._era)
+        return self._table.era != self._era
+
+    def _earlier_grants_have_expired(self, now_s: float) -> bool:
+        validity_s = self._timing.call_timeout_s + self._timing.max_validity_s
+        return now_s >= self._began_s + validity_s
+
+    def _ranges_of_earlier_term(self, table: OwnerTable) -> tuple[OwnedRange, ...]:
+        """Return the ranges that this term begins with; those of an earlier era have no holder."""
+        if table.era == self._era:
+            return table.ranges
+        return tuple(attrs.evolve(r, earlier_holders=(), serving=False) for r in table.ranges)
+
     def _first_table(self) -> OwnerTable | None:
         moves, self._requested_moves = self._requested_moves, []
         if not moves:
             return None
-        ranges = tuple(OwnedRange(m.first, m.last, m.new_owner, 1) for m in moves)
-        table = OwnerTable(self._pool, 1, 1, ranges)
+        fence = first_fence_of_era(self._era)
+        ranges = tuple(OwnedRange(m.first, m.last, m.new_owner, fence) for m in moves)
+        table = OwnerTable(self._pool, 1, fence, ranges, self._era)
         return table if table.is_complete() else None
 
     def _next_ranges(self, owned: OwnedRange, changes: TableChanges) -> Iterator[OwnedRange]:
--- a/fireflyferry/keyranges/table.py
+++ b/fireflyferry/keyranges/table.py
@@ -8,10 +8,26 @@
 
 import attrs
 
-__all__ = ["KEY_COUNT", "LAST_KEY", "OwnedRange", "OwnerTable", "UpstreamRun"]
+__all__ = [
+    "KEY_COUNT",
+    "LAST_KEY",
+    "MAX_ERA",
+    "OwnedRange",
+    "OwnerTable",
+    "UpstreamRun",
+    "first_fence_of_era",
+]
 
 KEY_COUNT = 65_536
 LAST_KEY = KEY_COUNT - 1
+FENCE_BITS_PER_ERA = 32
+# With the bits below it a fence stays under 2**53, which all JSON implementations keep exactly.
+MAX_ERA = (1 << 21) - 1
+
+
+def first_fence_of_era(era: int | None) -> int:
+    """Return the lowest fence of an era, which is above all fences of earlier eras."""
+    return ((era or 0) << FENCE_BITS_PER_ERA) + 1
 
 
 @attrs.frozen(order=True)
@@ -53,13 +69,14 @@
     """All ranges of a pool in order of their keys, without gaps.
 
     `term` increases by one each time a VM starts to grant; `last_fence` is the highest fence used
-    so far.
+    so far. `era` is the store's era in which the table was written; None if the store reports none.
     """
 
     pool: str
     term: int
     last_fence: int
     ranges: tuple[OwnedRange, ...]
+    era: int | None = None
     _first_keys: list[int] = attrs.field(init=False, eq=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
@@ -83,7 +100,8 @@
     def with_ranges(self, ranges: Iterable[OwnedRange], last_fence: int) -> "OwnerTable":
         """Return a table with other ranges; adjacent serving ranges with one fence are merged."""
         ordered = sorted(ranges, key=lambda each: each.first)
-        return OwnerTable(self.pool, self.term, last_fence, tuple(_merge_adjacent(ordered)))
+        merged = tuple(_merge_adjacent(ordered))
+        return OwnerTable(self.pool, self.term, last_fence, merged, self.era)
 
 
 def _merge_adjacent(ranges: Iterable[OwnedRange]) -> Iterator[OwnedRange]:
