--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -141,6 +141,12 @@
         record = self._lease.record
         return self._state.vms.get(record.vm_id) if record is not None else None
 
+    def begin_era(self, era: int) -> None:
+        """Give up the lease at once, since the store came back from a copy."""
+        self._lease.begin_era(self._clock.monotonic_s(), era)
+        self._holder = None
+        self._update_lease_held()
+
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
@@ -260,6 +266,7 @@
                     "incarnation": record.incarnation,
                     "counter": record.counter,
                     "revision": revision,
+                    "era": record.era,
                 },
             )
 
@@ -282,7 +289,7 @@
     def _tick_pool(self, now_s: float, pool: str) -> None:
         control = self._pools.get(pool)
         if control is None:
-            granter = RangeGranter(pool, self._timing, now_s)
+            granter = RangeGranter(pool, self._timing, now_s, self._lease.era)
             control = self._pools[pool] = _PoolControl(granter, PlanProgress())
         if not control.table_read:
             if not control.reading:
--- a/fireflyferry/gateway/documents.py
+++ b/fireflyferry/gateway/documents.py
@@ -7,7 +7,14 @@
 
 from fireflyferry.balancing import EntryVm
 from fireflyferry.gateway.edges import Document, UnreadableDocumentError
-from fireflyferry.keyranges import LAST_KEY, LeaseRecord, OwnedRange, OwnerTable, UpstreamRun
+from fireflyferry.keyranges import (
+    LAST_KEY,
+    MAX_ERA,
+    LeaseRecord,
+    OwnedRange,
+    OwnerTable,
+    UpstreamRun,
+)
 from fireflyferry.messages.codec import MessageError, structure, unstructure
 from fireflyferry.settings.values import Endpoint
 
@@ -22,6 +29,7 @@
     "read_vm",
     "table_content",
     "vm_content",
+    "written_era",
 ]
 
 VM_KIND = "fireflyferry-vms"
@@ -36,7 +44,8 @@
 
     `runs` holds the id and the `born` value of each upstream incarnation in the table. A row of
     `ranges` holds the first key, the owner, the fence, whether the owner serves the range, and the
-    earlier holders; owner and earlier holders are indices into `runs`.
+    earlier holders; owner and earlier holders are indices into `runs`. `era` is left out while the
+    store reports none.
     """
 
     pool: str
@@ -44,6 +53,13 @@
     last_fence: int
     runs: list[tuple[str, int]]
     ranges: list[Any]
+    era: int | None = None
+
+
+def written_era(document: Document) -> int | None:
+    """Return the store's era in which a lease record or an owner table was written, if any."""
+    era = document.content.get("era") if isinstance(document.content, dict) else None
+    return era if type(era) is int and 0 <= era <= MAX_ERA else None
 
 
 def vm_content(vm: EntryVm) -> Any:
@@ -69,7 +85,7 @@
 
 def lease_content(record: LeaseRecord) -> Any:
     """Return the stored form of a lease record."""
-    return unstructure(record)
+    return _without_unknown_era(unstructure(record))
 
 
 def read_lease(document: Document) -> LeaseRecord:
@@ -77,7 +93,7 @@
 
     Raises UnreadableDocumentError.
     """
-    return _read(document, LeaseRecord)
+    return attrs.evolve(_read(document, LeaseRecord), era=written_era(document))
 
 
 def table_content(table: OwnerTable) -> Any:
@@ -100,8 +116,9 @@
         table.last_fence,
         [(run.upstream_id, run.born) for run in runs],
         ranges,
+        table.era,
     )
-    return unstructure(stored)
+    return _without_unknown_era(unstructure(stored))
 
 
 def read_table(document: Document) -> OwnerTable:
@@ -117,7 +134,7 @@
         if not _is_row(row, len(runs)):
             raise UnreadableDocumentError(f"{document.name!r}: range {position} is not valid")
     ranges = tuple(_ranges(stored.ranges, runs))
-    table = OwnerTable(stored.pool, stored.term, stored.last_fence, ranges)
+    table = OwnerTable(stored.pool, stored.term, stored.last_fence, ranges, written_era(document))
     if not table.is_complete():
         raise UnreadableDocumentError(
             f"{document.name!r}: keys are not covered exactly once, or a fence is above last_fence"
@@ -125,6 +142,10 @@
     return table
 
 
+def _without_unknown_era(content: dict[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in content.items() if name != "era" or value is not None}
+
+
 def _is_row(row: Any, run_count: int) -> bool:
     """Return whether a row is valid; each VM checks hundreds of them for each move of keys."""
     if not isinstance(row, list | tuple) or len(row) != 5:
--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -13,6 +13,7 @@
 from fireflyferry.balancing import EntryVm, VmDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.edges import DocumentBatch
+from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.mirror import DocumentMirror, FeedChanges
 from fireflyferry.gateway.watching import KindPoller, KindSource, StoreHealth
 
@@ -98,6 +99,7 @@
         required_kinds: Sequence[str],
         poll_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
         probe: Callable[[], Awaitable[bool]],
+        eras: StoreEras | None = None,
         rules: FeedRules | None = None,
     ):
         self._clock = clock
@@ -109,6 +111,7 @@
         self._required_kinds = tuple(required_kinds)
         self._poll_relay = poll_relay
         self._probe = probe
+        self._eras = eras or StoreEras()
         self._rules = rules or FeedRules()
         self._relay: EntryVm | None = None
         self._relay_position = ("", 0)
@@ -178,6 +181,11 @@
         incarnation = self._vms.this_vm.incarnation
         since = request.sequence if request.incarnation == incarnation else 0
         await mirror.wait(since, min(rules.hold_s, rules.max_age_s - self.age_s))
+        if not mirror.has_listed(self._required_kinds):
+            # An era has begun meanwhile. The lists of the new era may arrive shortly.
+            await mirror.wait(mirror.sequence, rules.hold_s)
+            if not mirror.has_listed(self._required_kinds):
+                return None
         last_failure_age_s = min(self._health.last_failure_age_s, UNKNOWN_AGE_S)
         return FeedAnswer(incarnation, self.age_s, last_failure_age_s, mirror.changes_since(since))
 
@@ -231,6 +239,8 @@
         request = FeedRequest(incarnation, sequence, outdated_kinds)
         requested_s = self._clock.monotonic_s()
         answer = await self._poll_relay(relay, request, self._rules.hold_s)
+        if answer is not None and not self._is_of_this_era(answer):
+            answer = None
         if answer is None or answer.age_s > self._rules.max_age_s:
             _LOG.info(
                 "relay_not_usable",
@@ -260,6 +270,17 @@
             source.pause()
         return True
 
+    def _is_of_this_era(self, answer: FeedAnswer) -> bool:
+        """Return whether an answer is of the highest era known, which it may raise.
+
+        A relay that knows no era, or an earlier one, may hold documents that the store lost.
+        """
+        era, known = answer.changes.era, self._eras.current
+        if era is None or (known is not None and era < known):
+            return era == known
+        self._eras.observe(era, "relay")
+        return True
+
     def _apply_answer(self, answer: FeedAnswer, requested_s: float) -> None:
         # Reported before the documents are applied, since recent failures of the store decide
         # whether a missing upstream counts as lapsed or as leaving.
--- a/fireflyferry/gateway/gauges.py
+++ b/fireflyferry/gateway/gauges.py
@@ -5,6 +5,7 @@
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.control import ControlLoop
 from fireflyferry.gateway.edges import PlatformCodec
+from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.first_hop import FirstHop
 from fireflyferry.gateway.knowledge import DocumentSync
 from fireflyferry.gateway.last_hop import LastHop
@@ -22,6 +23,7 @@
     first_hop: FirstHop,
     last_hop: LastHop,
     path: PathMonitor,
+    eras: StoreEras,
 ) -> Mapping[str, tuple[str, Callable[[], float]]]:
     """Return a description and a reader for each gauge, by name."""
     return {
@@ -38,6 +40,10 @@
             lambda: last_hop.waiting,
         ),
         "cut_off": ("Whether this VM reaches no upstream.", lambda: float(path.lost)),
+        "store_era": (
+            "Highest era that the store reported; -1 if it reports none.",
+            lambda: -1.0 if eras.current is None else float(eras.current),
+        ),
         "holds_lease": (
             "Whether this VM may grant keys.",
             lambda: float(control_loop.holds_lease),
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -7,6 +7,7 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, MetadataStore, PlatformCodec, StoreCallError
+from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.feed import Feed, FeedAnswer, FeedRequest
 from fireflyferry.gateway.mirror import DocumentMirror
 from fireflyferry.gateway.state import GatewayState
@@ -42,6 +43,7 @@
         on_lease: Callable[[Mapping[str, Document]], None],
         poll_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
         settle_window_s: float,
+        eras: StoreEras | None = None,
     ):
         self._store = store
         self._health = health
@@ -52,7 +54,8 @@
                 documents.OWNER_KIND: state.apply_owners,
                 documents.VM_KIND: state.apply_vms,
                 documents.LEASE_KIND: on_lease,
-            }
+            },
+            {documents.OWNER_KIND: documents.written_era},
         )
 
         common = (store, health, clock, mirror)
@@ -77,8 +80,21 @@
             (codec.config_kind, codec.upstream_kind, documents.OWNER_KIND),
             poll_relay,
             self._probe,
+            eras,
         )
 
+    def begin_era(self, era: int) -> None:
+        """List everything again, since the store came back from a copy."""
+        # Reported first: it decides how upstreams that are missing in the new lists are treated.
+        if (
+            self.mirror.sequence
+        ):  # a process that has just started knows nothing that may be missing
+            self._health.on_restored()
+        self.mirror.begin_era(era)
+        for source in self._sources.values():
+            if isinstance(source, KindPoller) and source.running:
+                source.request_exact_list()
+
     def background_work(self) -> Iterator[Callable[[], Coroutine[Any, Any, None]]]:
         """Yield the coroutine functions that have to run in the background."""
         yield self.feed.run
--- a/fireflyferry/gateway/mirror.py
+++ b/fireflyferry/gateway/mirror.py
@@ -18,6 +18,8 @@
 # change, or this VM is cut off from it and no limit on the age of data applies to this VM.
 MAX_UNOBSERVED_S = 1.5
 
+REVISION_BITS = 64  # the codec of messages allows no larger integers
+
 OnChange = Callable[[Mapping[str, Document]], None]
 
 
@@ -46,7 +48,7 @@
 
 @attrs.frozen
 class FeedChanges:
-    """Changes after a sequence number of a mirror.
+    """Changes after a sequence number of a mirror, in one era of the store; None if unknown.
 
     A snapshot holds all documents of each kind; documents that are missing in it were removed.
     """
@@ -54,17 +56,28 @@
     sequence: int
     is_snapshot: bool
     kinds: Mapping[str, KindChanges]
+    era: int | None = None
 
 
 class DocumentMirror:
     """Newest known revision of each document; an older revision never replaces a newer one.
 
+    Revisions are comparable within one era of the store only, so documents are ordered by the era
+    in which they were read, or by the one in which they were written if `written_era` tells it for
+    their kind, and then by their revision.
+
     The callback in `on_change` for a kind is called with all documents of the kind whenever one of
     them changed, and after the first list of the kind, also if that list is empty.
     """
 
-    def __init__(self, on_change: Mapping[str, OnChange]):
+    def __init__(
+        self,
+        on_change: Mapping[str, OnChange],
+        written_era: Mapping[str, Callable[[Document], int | None]] | None = None,
+    ):
         self._on_change = dict(on_change)
+        self._written_era = dict(written_era or {})
+        self._era: int | None = None
         self._entries: Mirror[_Entry] = Mirror()
         self._documents: dict[str, dict[str, Document]] = {}
         self._positions: dict[str, int] = {}
@@ -79,6 +92,20 @@
         """Sequence number of the newest change."""
         return self._entries.sequence
 
+    @property
+    def era(self) -> int | None:
+        """The era of the store that the positions belong to; None if the store reports none."""
+        return self._era
+
+    def begin_era(self, era: int) -> None:
+        """Forget all positions, since the store came back from a copy: each kind is listed again.
+
+        The documents stay in use until then. Followers get a snapshot.
+        """
+        self._era = era
+        self._positions.clear()
+        self._evicted_sequence = self._entries.sequence
+
     def position(self, kind: str) -> int | None:
         """Return the store's position up to which a kind is complete; None before a first list."""
         return self._positions.get(kind)
@@ -125,9 +152,12 @@
         first_list = kind not in self._positions
         known = self._documents.setdefault(kind, {})
         self._positions[kind] = max(changes.position, self._positions.get(kind, 0))
-        entries = [_Entry(kind, each.name, each.revision, each) for each in changes.documents]
+        entries = [
+            _Entry(kind, each.name, self._version(kind, each), each) for each in changes.documents
+        ]
         # A removal overrides every revision up to the position at which it was observed.
-        entries += [_Entry(kind, name, changes.position, None) for name in changes.removed]
+        removed_version = _version(self._era, changes.position)
+        entries += [_Entry(kind, name, removed_version, None) for name in changes.removed]
         applied = self._entries.apply(entries)
         for entry in applied:
             self._removed.pop(entry.name, None)
@@ -154,7 +184,8 @@
         entries = self._entries.newer_than(0 if is_snapshot else sequence)
         by_kind: dict[str, list[_Entry]] = {kind: [] for kind in self._positions}
         for entry in entries:
-            by_kind[entry.kind].append(entry)
+            if entry.kind in by_kind:  # others were not listed in this era yet
+                by_kind[entry.kind].append(entry)
         kinds = {
             kind: KindChanges(
                 self._positions[kind],
@@ -163,7 +194,7 @@
             )
             for kind, found in by_kind.items()
         }
-        return FeedChanges(self.sequence, is_snapshot, kinds)
+        return FeedChanges(self.sequence, is_snapshot, kinds, self._era)
 
     async def wait(self, sequence: int, timeout_s: float) -> None:
         """Wait for a change after a sequence number, for at most `timeout_s` seconds."""
@@ -173,6 +204,11 @@
             self._changed = asyncio.get_running_loop().create_future()
         await asyncio.wait([self._changed], timeout=timeout_s)
 
+    def _version(self, kind: str, document: Document) -> int:
+        written_era = self._written_era.get(kind)
+        era = written_era(document) if written_era is not None else self._era
+        return _version(era, document.revision)
+
     def _notify(self, kind: str) -> None:
         changed, self._changed = self._changed, None
         if changed is not None:
@@ -187,3 +223,8 @@
             del self._removed[name]
             self._entries.forget(name)
             self._evicted_sequence = self.sequence
+
+
+def _version(era: int | None, revision: int) -> int:
+    """Return a number that orders revisions of all eras; no era precedes era 0."""
+    return ((-1 if era is None else era) << REVISION_BITS) + revision
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 
 from fireflyferry.gateway.calls import Answer, Attempt, Call
 from fireflyferry.gateway.edges import Document
+from fireflyferry.gateway.eras import read_era
 from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
 from fireflyferry.gateway.mirror import FeedChanges, KindChanges
 from fireflyferry.gateway.sampling import LoadReport, PoolSample
@@ -289,9 +290,14 @@
 
 
 def write_feed_header(answer: FeedAnswer) -> str:
-    """Return the header value with the incarnation and the ages, in milliseconds, of an answer."""
-    ages_ms = (round(answer.age_s * 1000), round(answer.last_failure_age_s * 1000))
-    return " ".join([answer.incarnation, *map(str, ages_ms)])
+    """Return the header value with the incarnation and the ages, in milliseconds, of an answer.
+
+    The store's era follows if it is known.
+    """
+    numbers = [round(answer.age_s * 1000), round(answer.last_failure_age_s * 1000)]
+    if answer.changes.era is not None:
+        numbers.append(answer.changes.era)
+    return " ".join([answer.incarnation, *map(str, numbers)])
 
 
 def write_feed_body(changes: FeedChanges) -> bytes:
@@ -324,7 +330,10 @@
     Raises PeerMessageError.
     """
     try:
-        incarnation, age_ms, last_failure_age_ms = (header or "").split(" ")
+        incarnation, age_ms, last_failure_age_ms, *eras = (header or "").split(" ")
+        era = read_era(eras[0]) if eras else None
+        if len(eras) > 1 or (eras and era is None):
+            raise PeerMessageError(f"era {' '.join(eras)[:100]!r}")
         sequence, is_snapshot, kinds = decode(
             _decompress(body), tuple[int, bool, dict[str, tuple[int, list[Any], list[Any]]]]
         )
@@ -340,7 +349,7 @@
             incarnation,
             _integer(age_ms) / 1000,
             _integer(last_failure_age_ms) / 1000,
-            FeedChanges(sequence, is_snapshot, changes),
+            FeedChanges(sequence, is_snapshot, changes, era),
         )
     except (MessageError, ValueError) as error:
         raise PeerMessageError(f"feed: {error}") from error
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -26,6 +26,7 @@
 from fireflyferry.gateway.control import ControlLoop
 from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
 from fireflyferry.gateway.envelopes import EnvelopeCodec
+from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
 from fireflyferry.gateway.gauges import make_gauges
@@ -67,6 +68,7 @@
     store: MetadataStore
     orders: KeyOrders
     codec: PlatformCodec
+    eras: StoreEras = attrs.field(factory=StoreEras)
 
 
 class GatewayProgram:
@@ -100,6 +102,7 @@
         self._make_servers()
         self._make_control_loop()
         self._registration = Registration(self._adapters.store, self._health, self._this_vm)
+        self._adapters.eras.on_rise.append(self._on_era)
         self._idle_timeout_s = 0.0
         self._metrics.register_gauges(
             make_gauges(
@@ -110,6 +113,7 @@
                 self._first_hop,
                 self._last_hop,
                 self._path,
+                self._adapters.eras,
             )
         )
 
@@ -219,6 +223,7 @@
             lambda leases: self._control_loop.apply_lease(leases),
             self._peers.poll_relay,
             settings.bounds.settle_window_s,
+            self._adapters.eras,
         )
 
     def _make_hops(self) -> None:
@@ -310,6 +315,12 @@
         self._idle_timeout_s = max(self._idle_timeout_s, config.limits.idle_timeout_s)
         self._callers_server.conn_params.header_timeout = self._idle_timeout_s
 
+    def _on_era(self, era: int) -> None:
+        """Give up what this VM holds by the store's word, and read and write everything again."""
+        self._control_loop.begin_era(era)
+        self._document_sync.begin_era(era)
+        self._registration.write_again()
+
     # Background work
 
     async def _announce_owners(self, document: Document) -> None:
--- a/fireflyferry/gateway/registration.py
+++ b/fireflyferry/gateway/registration.py
@@ -24,7 +24,7 @@
 
 
 class Registration:
-    """Writes this VM's entry at startup, and marks it as leaving at shutdown.
+    """Writes this VM's entry at startup and in each era, and marks it as leaving at shutdown.
 
     A VM that starts overwrites the entry of an earlier incarnation. One that leaves does not
     overwrite the entry of another incarnation, which may have started since.
@@ -35,6 +35,7 @@
         self._health = health
         self._entry = this_vm
         self._done = False
+        self._outdated = asyncio.Event()
 
     @property
     def done(self) -> bool:
@@ -42,10 +43,17 @@
         return self._done
 
     async def run(self) -> None:
-        """Write the entry, and retry until the store has confirmed it."""
-        while not await self._write():
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        self._done = True
+        """Keep the entry written until cancelled; failed writes are made again."""
+        while True:
+            self._outdated.clear()
+            while not await self._write():
+                await asyncio.sleep(RETRY_INTERVAL_S)
+            self._done = True
+            await self._outdated.wait()
+
+    def write_again(self) -> None:
+        """Write the entry once more, since the store came back from a copy and may lack it."""
+        self._outdated.set()
 
     async def leave(self) -> None:
         """Mark the entry as leaving, so that other VMs stop using this one."""
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -32,19 +32,24 @@
         entry = self._tables.get(pool)
         return entry[1] if entry is not None else None
 
-    def revision(self, pool: str) -> int:
-        """Return the revision of a pool's table, or 0 if none is known."""
-        entry = self._tables.get(pool)
-        return entry[0] if entry is not None else 0
+    def is_known(self, document: Document) -> bool:
+        """Return whether a document is the known table of the pool that it is named after."""
+        entry = self._tables.get(document.name)
+        known = (entry[1].era, entry[0]) if entry is not None else (None, 0)
+        return known == (documents.written_era(document), document.revision)
 
     def moving_since_s(self, pool: str, owned_range: OwnedRange) -> float:
         """Return the monotonic time, in seconds, at which this VM learned that a range moves."""
         return self._moving_since_s[pool][owned_range]
 
     def put(self, now_s: float, pool: str, revision: int, table: OwnerTable) -> bool:
-        """Store a table if it is newer than the known one; return whether it was."""
+        """Store a table if it is newer than the known one; return whether it was.
+
+        A store that comes back from a copy reissues revisions, so the era in which a table was
+        written comes first.
+        """
         known = self._tables.get(pool)
-        if known is not None and revision <= known[0]:
+        if known is not None and _table_order(revision, table) <= _table_order(*known):
             return False
         self._tables[pool] = (revision, table)
         known_since = self._moving_since_s.get(pool, {})
@@ -64,6 +69,11 @@
         return bool(done)
 
 
+def _table_order(revision: int, table: OwnerTable) -> tuple[int, int]:
+    """Return the order of a stored table; a table without an era was written before all others."""
+    return (-1 if table.era is None else table.era, revision)
+
+
 class GatewayState:
     """Routing state that this VM derives from the store's documents.
 
@@ -186,7 +196,7 @@
     def apply_owners(self, documents_by_name: Mapping[str, Document]) -> None:
         """Apply the owner tables whose revision has changed."""
         for document in documents_by_name.values():
-            if document.revision == self.owners.revision(document.name):
+            if self.owners.is_known(document):
                 continue
             table = self._parse(documents.OWNER_KIND, document, documents.read_table)
             if table is not None:
@@ -199,6 +209,7 @@
                 extra={
                     "pool": table.pool,
                     "revision": revision,
+                    "era": table.era,
                     "term": table.term,
                     "fence": table.last_fence,
                     "ranges": len(table.ranges),
--- a/fireflyferry/gateway/watching.py
+++ b/fireflyferry/gateway/watching.py
@@ -93,6 +93,10 @@
         self._answered_at_s = max(self._answered_at_s, now_s - last_answer_age_s)
         self._failed_at_s = max(self._failed_at_s, now_s - last_failure_age_s)
 
+    def on_restored(self) -> None:
+        """Record that the store came back from a copy, in which entries may be missing."""
+        self._failed_at_s = self._clock.monotonic_s()
+
     def on_failure(self, error: Exception) -> None:
         """Record a call to the store that failed."""
         self._failed_at_s = self._clock.monotonic_s()
--- a/fireflyferry/keyranges/lease.py
+++ b/fireflyferry/keyranges/lease.py
@@ -170,8 +170,11 @@
         self._schedule_next_call(now_s)
 
     def on_relayed(self, now_s: float, record: LeaseRecord, revision: int) -> None:
-        """Apply a newer record that another VM read; it never extends this VM's authority."""
-        if self._is_call_in_flight or revision <= self._revision:
+        """Apply a newer record that another VM read; it never extends this VM's authority.
+
+        One of another era is ignored, since its revision may be above all of this era.
+        """
+        if self._is_call_in_flight or revision <= self._revision or record.era != self._era:
             return
         self._record, self._revision, self._has_read = record, revision, True
         self._unchanged_since_s = now_s
@@ -180,7 +183,7 @@
         """Apply the confirmation of the write in flight."""
         self._is_call_in_flight = False
         if self._sent_write is None:  # sent in an earlier era
-            self._schedule_next_call(now_s)
+            self._next_call_s = now_s
             return
         if revision > self._revision:
             self._record, self._revision, self._has_read = self._sent_write[0], revision, True
--- a/fireflyferry/keyranges/tests/range_world.py
+++ b/fireflyferry/keyranges/tests/range_world.py
@@ -3,6 +3,9 @@
 The upstreams get late grants, restart, lapse from the store's list, refuse connections, and drain.
 Calls reach the process that lives at an address when they arrive, which need not be the one that
 is meant.
+
+The store may come back from a copy. Then the granting VM goes on with its authority for up to 2 s,
+since it learns of that only by an answer, and the next term begins after a full takeover wait.
 """
 
 import random
@@ -14,6 +17,7 @@
     KEY_COUNT,
     GrantAnswer,
     GrantCall,
+    GrantingLeaseTiming,
     GrantResult,
     GrantTiming,
     KeyDemand,
@@ -32,6 +36,8 @@
 __all__ = ["RangeSimulation"]
 
 STEP_S = 0.05
+AUTHORITY_S = GrantingLeaseTiming().lease_s
+TAKEOVER_S = GrantingLeaseTiming().takeover_s
 # Keys whose holders are checked in each step.
 PROBE_KEYS = (0, 9_000, 20_000, 33_000, 47_000, 65_535)  # keys whose holders are compared
 
@@ -98,14 +104,23 @@
     fence.
     `served` counts probes of a serving range that found its owner holding the key. With
     `restarts_unlisted`, a process that starts at the address of an ended one is reached at once
-    and listed seconds later, under the same id or another one.
+    and listed seconds later, under the same id or another one. With `restoring`, the store has
+    eras and comes back from copies.
     """
 
     rng: random.Random
-    make_granter: Callable[[float], RangeGranter] = lambda began_s: RangeGranter(
-        "pool", GrantTiming(), began_s
+    make_granter: Callable[..., RangeGranter] = lambda began_s, era=None: RangeGranter(
+        "pool", GrantTiming(), began_s, era
     )
     restarts_unlisted: bool = False
+    restoring: random.Random | None = None
+    era: int | None = None
+    restores: int = 0
+    history: list[tuple[float, tuple[OwnerTable | None, int]]] = attrs.field(factory=list)
+    granter_era: int | None = None
+    authority_until_s: float = float("inf")
+    next_term_s: float = 0.0
+    fence_terms: dict[int, RangeGranter] = attrs.field(factory=dict)
     now_s: float = 0.0
     processes: list[_Process] = attrs.field(factory=list)
     scheduled: list[tuple[float, Callable[[], None]]] = attrs.field(factory=list)
@@ -122,6 +137,8 @@
 
     def start(self, upstreams: int) -> None:
         """Add upstreams and a granting VM."""
+        if self.restoring is not None:
+            self.era = 1
         for number in range(upstreams):
             self._add_process(f"u{number}")
         self._new_term()
@@ -165,10 +182,41 @@
         return next((p for p in self.processes if p.alive and p.address == address), None)
 
     def _new_term(self) -> None:
-        self.granter = self.make_granter(self.now_s)
+        if self.now_s < self.next_term_s:
+            return
+        eras = () if self.era is None else (self.era,)
+        self.granter = self.make_granter(self.now_s, *eras)
+        self.granter_era, self.authority_until_s = self.era, float("inf")
         self.granter.on_table_read(*self.stored)
 
+    def restore(self, copy_age_s: float) -> None:
+        """Let the store come back from a copy; all later writes are lost, the era increases."""
+        kept = [each for each in self.history if each[0] <= self.now_s - copy_age_s]
+        self.history, self.stored = kept, kept[-1][1] if kept else (None, 0)
+        self.era += 1
+        self.restores += 1
+        self.authority_until_s = min(
+            self.authority_until_s, self.now_s + self.restoring.uniform(0.0, AUTHORITY_S)
+        )
+        self.next_term_s = self.now_s + TAKEOVER_S
+        self._schedule(self.next_term_s, self._new_term)
+
+    def _restore_at_random(self, rng: random.Random) -> None:
+        if rng.random() < 0.003:
+            self.restore(rng.choice([0.0, rng.uniform(0.0, 2.0), rng.uniform(0.0, 10.0)]))
+            if rng.random() < 0.3:
+                age_s = rng.uniform(0.0, 5.0)
+                self._schedule(self.now_s + rng.uniform(0.0, 9.0), lambda: self.restore(age_s))
+
+    def _is_current(self, granter: RangeGranter) -> bool:
+        """Return whether a store's answer to a granter is of its era; if not, its term ends."""
+        if granter is self.granter and self.granter_era != self.era:
+            self.authority_until_s = self.now_s
+        return granter is not self.granter or self.granter_era == self.era
+
     def _inject_fault(self) -> None:
+        if self.restoring is not None:
+            self._restore_at_random(self.restoring)
         roll = self.rng.random()
         running = [p for p in self.processes if p.alive]
         process = self.rng.choice(running)
@@ -207,6 +255,8 @@
 
     def _tick(self) -> None:
         granter = self.granter
+        if self.now_s >= self.authority_until_s:
+            return
         listed = list({p.run.upstream_id: p for p in self.processes if p.listed}.values())
         addresses = {p.run.upstream_id: p.address for p in self.processes}
         runs = (ListedRun(p.run, p.address, not p.draining) for p in listed)
@@ -239,12 +289,19 @@
         if roll < 0.05:
             # No answer; the write happens now, later, or not at all.
             self._schedule(self.now_s + self.rng.choice([0.0, 2.0]), lambda: self._write(save))
-            self._schedule(self.now_s + 1.0, lambda: granter.on_table_read(*self.stored))
+            self._schedule(self.now_s + 1.0, lambda: self._read(granter))
         else:
             self._schedule(self.now_s + 0.02, lambda: self._saved(granter, save))
 
+    def _read(self, granter: RangeGranter) -> None:
+        if self._is_current(granter):
+            granter.on_table_read(*self.stored)
+
     def _saved(self, granter: RangeGranter, save: SaveTable) -> None:
-        if self._write(save):
+        written = self._write(save)
+        if not self._is_current(granter):
+            return
+        if written:
             granter.on_table_saved(self.stored[1])
         else:
             granter.on_table_read(*self.stored)
@@ -254,9 +311,12 @@
             return False
         assert save.table.is_complete()
         self.stored = (save.table, self.stored[1] + 1)
+        self.history.append((self.now_s, self.stored))
         return True
 
     def _grant(self, granter: RangeGranter, call: GrantCall) -> None:
+        if self.fence_terms.setdefault(call.fence, granter) is not granter:
+            self.fence_errors.append(f"fence {call.fence} in two terms")
         process = self._process_at(call.address)
         arrives_s = self.now_s + self.rng.uniform(0.0, 0.1)
         if process is None:
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -5,7 +5,9 @@
 import attrs
 import pytest
 
+import fireflyferry.keyranges.granter as granter_module
 from fireflyferry.keyranges import (
+    MAX_ERA,
     Clearance,
     GrantAnswer,
     GrantCall,
@@ -18,6 +20,7 @@
     RunCapacity,
     SaveTable,
     UpstreamRun,
+    first_fence_of_era,
     plan_initial_ranges,
 )
 from fireflyferry.keyranges.sent_grants import SentGrants
@@ -364,3 +367,128 @@
         if violations:
             break
     assert violations > 0
+
+
+# Eras of the store
+
+
+EARLIER_GRANTS_S = TIMING.call_timeout_s + TIMING.max_validity_s
+
+
+def granter_in_era(table, began_s=50.0, era=5):
+    granter = RangeGranter("pool", TIMING, began_s, era)
+    granter.on_table_read(table, 9 if table is not None else 0)
+    granter.set_listed(listed_runs(A, B), ADDRESSES)
+    return granter
+
+
+@pytest.mark.parametrize("table_era", [None, 4])
+def test_first_term_of_an_era_waits_for_all_grants_of_earlier_ones(table_era):
+    """Guards against a grant to the listed owner while another upstream, granted later, holds it.
+
+    The copy of the store is older than the last move.
+    """
+    table = attrs.evolve(serving_granter(A, B).table, era=table_era)
+    granter = granter_in_era(table)
+    now_s = 50.0
+    while now_s < 50.0 + EARLIER_GRANTS_S - 0.01:
+        assert granter.tick(now_s) == []
+        now_s += 0.1
+    saves, grants, releases = split_actions(granter.tick(50.0 + EARLIER_GRANTS_S))
+    assert not grants and not releases
+    written = saves[0].table
+    assert written.era == 5 and written.term == table.term + 1
+    assert all(r.fence >= first_fence_of_era(5) for r in written.ranges)
+    assert not any(r.serving or r.earlier_holders for r in written.ranges)
+    granter.on_table_saved(10)
+    _, grants, _ = split_actions(granter.tick(56.5))
+    assert {call.run for call in grants} == {A, B}
+
+
+def test_missing_table_in_a_later_era_is_not_created_before_earlier_grants_have_expired():
+    """Guards against a first division of keys that upstreams still hold by a lost table."""
+    granter = granter_in_era(None)
+    moves = plan_initial_ranges([RunCapacity(A, 10.0), RunCapacity(B, 10.0)])
+    granter.request_moves(moves)
+    assert granter.tick(50.0 + EARLIER_GRANTS_S - 0.01) == []
+    granter.request_moves(moves)
+    saves, _, _ = split_actions(granter.tick(50.0 + EARLIER_GRANTS_S))
+    assert saves[0].table.era == 5 and saves[0].table.last_fence == first_fence_of_era(5)
+
+
+def test_era_0_has_no_earlier_one_to_wait_for():
+    granter = granter_in_era(None, era=0)
+    granter.request_moves(plan_initial_ranges([RunCapacity(A, 10.0), RunCapacity(B, 10.0)]))
+    saves, _, _ = split_actions(granter.tick(50.0))
+    assert saves[0].table.era == 0 and saves[0].table.last_fence == 1
+
+
+def test_later_term_of_an_era_follows_the_usual_rules():
+    table = attrs.evolve(serving_granter(A, B).table, era=5)
+    saves, _, _ = split_actions(granter_in_era(table).tick(50.0))
+    assert saves[0].table.era == 5
+    assert all(each.serving for each in saves[0].table.ranges)
+
+
+def test_fences_of_an_era_are_above_all_of_earlier_ones_and_exact_in_json():
+    """Guards against fences that a JSON reader rounds, and so against two that become equal."""
+    assert first_fence_of_era(None) == first_fence_of_era(0) == 1
+    assert first_fence_of_era(6) > first_fence_of_era(5) + 2**32 - 2
+    assert first_fence_of_era(MAX_ERA + 1) - 1 <= 2**53
+
+
+def restoring_simulation(seed, make=None):
+    simulation = RangeSimulation(random.Random(seed), *([make] if make else []))
+    simulation.restoring = random.Random(seed + 1_000)
+    simulation.restarts_unlisted = seed % 2 == 0
+    simulation.start(4)
+    simulation.run(90.0)
+    return simulation
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_never_two_holders_when_the_store_comes_back_from_copies(seed):
+    """Guards against two holders and repeated fences after restores, with all other faults.
+
+    Two restores may follow each other, and the granting VM goes on for a while after each.
+    """
+    simulation = restoring_simulation(seed)
+    assert simulation.conflicts == []
+    assert simulation.fence_errors == []
+    assert simulation.restores > 0
+    assert simulation.served > 0
+
+
+class _TrustsCopiedHolders(RangeGranter):
+    def _may_have_unknown_holders(self):
+        return self._table is None and super()._may_have_unknown_holders()
+
+
+class _TrustsAMissingTable(RangeGranter):
+    def _may_have_unknown_holders(self):
+        return self._table is not None and super()._may_have_unknown_holders()
+
+
+class _WaitsTooShort(RangeGranter):
+    def _earlier_grants_have_expired(self, now_s):
+        return now_s >= self._began_s + 0.3 * EARLIER_GRANTS_S
+
+
+@pytest.mark.parametrize(
+    "broken_granter", [_TrustsCopiedHolders, _TrustsAMissingTable, _WaitsTooShort]
+)
+def test_simulation_of_restores_detects_a_removed_guard(broken_granter):
+    """Guards against a simulation that misses the conflicts that a removed guard causes."""
+    for seed in range(300):
+        simulation = restoring_simulation(
+            seed, lambda began_s, era: broken_granter("pool", TIMING, began_s, era)
+        )
+        if simulation.conflicts or simulation.fence_errors:
+            return
+    pytest.fail("no conflict in 300 runs")
+
+
+def test_simulation_of_restores_detects_fences_without_an_era(monkeypatch):
+    """Guards against a simulation that misses fences that a restored store hands out again."""
+    monkeypatch.setattr(granter_module, "first_fence_of_era", lambda era: 1)
+    assert any(restoring_simulation(seed).fence_errors for seed in range(60))
--- a/fireflyferry/keyranges/tests/test_lease.py
+++ b/fireflyferry/keyranges/tests/test_lease.py
@@ -240,3 +240,192 @@
         simulation.run(40.0)
         overlaps += simulation.overlaps
     assert overlaps > 0
+
+
+# Eras of the store
+
+
+def lease_in_era(era=5, now_s=0.0, record=OTHER, revision=7):
+    lease = make_lease()
+    lease.begin_era(now_s, era)
+    lease.tick(now_s)
+    lease.on_read(now_s, record, revision)
+    return lease
+
+
+def first_write_s(lease, record, revision, since_s=0.0, until_s=6.0):
+    """Return when a VM first writes, if the record stays as it is."""
+    now_s = since_s
+    while now_s < until_s:
+        action = lease.tick(now_s)
+        if isinstance(action, WriteLease):
+            return now_s
+        if action is not None:
+            lease.on_read(now_s, record, revision)
+        now_s += 0.01
+    return None
+
+
+@pytest.mark.parametrize(
+    ("record", "revision"),
+    [
+        (None, 0),
+        (attrs.evolve(OTHER, era=4), 7),
+        (attrs.evolve(OTHER, resigned=True, era=4), 7),
+        (attrs.evolve(OTHER, resigned=True), 7),
+        (LeaseRecord("me", "me-1", 3, era=4), 7),
+        (LeaseRecord("me", "me-1", 3, resigned=True, era=4), 7),
+    ],
+    ids=["missing", "earlier", "resigned", "resigned without era", "own", "own resigned"],
+)
+def test_record_of_an_earlier_era_is_not_taken_over_before_the_full_wait(record, revision):
+    """Guards against two holders: the copy does not show who held the lease when the store broke.
+
+    The last holder keeps its authority for up to 2 s, and learns of the restore only by an answer.
+    """
+    lease = lease_in_era(record=record, revision=revision)
+    assert not lease.holds(0.0)
+    written_s = first_write_s(lease, record, revision)
+    assert written_s is not None and written_s >= TIMING.takeover_s - 1e-6
+    assert written_s < TIMING.takeover_s + 0.1
+
+
+def test_process_that_starts_long_after_the_restore_waits_from_the_answer_that_names_the_era():
+    """Guards against a new process that takes the start of an era to be long ago."""
+    lease = make_lease()
+    lease.tick(100.0)
+    lease.begin_era(100.0, 5)
+    lease.on_read(100.0, None, 0)
+    written_s = first_write_s(lease, None, 0, 100.0, 110.0)
+    assert written_s >= 100.0 + TIMING.takeover_s - 1e-6
+
+
+def test_record_of_the_current_era_follows_the_usual_rules():
+    record = attrs.evolve(OTHER, resigned=True, era=5)
+    lease = lease_in_era(record=record)
+    assert lease.tick(0.0) == WriteLease(LeaseRecord("me", "me-1", 6, era=5), 7)
+
+
+def test_missing_record_in_era_0_is_created_at_once():
+    """Guards against a fresh deployment that waits for holders that no earlier era can have had."""
+    lease = lease_in_era(era=0, record=None, revision=0)
+    assert lease.tick(0.0) == WriteLease(LeaseRecord("me", "me-1", 1, era=0), 0)
+
+
+def holder_in_era_4():
+    lease = lease_in_era(era=4, record=attrs.evolve(OTHER, resigned=True, era=4))
+    lease.tick(0.0)
+    lease.on_written(0.05, 8)
+    assert lease.holds(1.0)
+    return lease
+
+
+def test_holder_gives_up_its_authority_when_an_era_begins():
+    lease = holder_in_era_4()
+    lease.begin_era(0.5, 5)
+    assert not lease.holds(0.5)
+    assert lease.tick(0.5) == ReadLease(stale=False)
+
+
+def test_second_era_starts_the_wait_again():
+    """Guards against a wait that counts from the first of two restores in a row."""
+    lease = lease_in_era(era=4, record=None, revision=0)
+    lease.begin_era(2.0, 5)
+    written_s = first_write_s(lease, None, 0, 2.0, 8.0)
+    assert written_s >= 2.0 + TIMING.takeover_s - 1e-6
+
+
+@pytest.mark.parametrize("answer", ["written", "read"])
+def test_write_of_an_earlier_era_confirms_nothing(answer):
+    """Guards against authority by a write whose revision stands for another record now."""
+    lease = holder_in_era_4()
+    write = lease.tick(0.8)
+    lease.begin_era(0.9, 5)
+    if answer == "written":
+        lease.on_written(0.9, 9)
+    else:
+        lease.on_read(0.9, write.record, 9)
+    assert not lease.holds(0.9)
+    action = lease.tick(0.9) or lease.tick(1.8)
+    assert isinstance(action, ReadLease) and not lease.holds(1.8)
+
+
+def test_relayed_record_of_an_earlier_era_does_not_hide_the_records_of_this_one():
+    """Guards against a VM that waits for a revision which the store has not reissued yet."""
+    lease = make_lease()
+    lease.begin_era(0.0, 5)
+    lease.on_relayed(0.0, attrs.evolve(OTHER, era=4), 900)
+    lease.tick(0.0)
+    lease.on_read(0.1, attrs.evolve(OTHER, era=5), 80)
+    assert lease.record.era == 5
+
+
+def restoring_simulation(seed, make=None):
+    simulation = LeaseSimulation(random.Random(seed), *([make] if make else []))
+    simulation.restoring = random.Random(seed + 1_000)
+    simulation.barring = random.Random(seed)  # VMs without a path resign
+    simulation.add_vms(4)
+    simulation.run(60.0)
+    return simulation
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_never_two_holders_when_the_store_comes_back_from_copies(seed):
+    """Guards against two holders after restores, two in a row among them, with all other faults."""
+    simulation = restoring_simulation(seed)
+    assert simulation.restores > 0
+    assert simulation.overlaps == 0
+
+
+class _ConfirmsWritesOfAnEarlierEra(StoreLease):
+    def begin_era(self, now_s, era):
+        sent = self._sent_write
+        super().begin_era(now_s, era)
+        self._sent_write = sent
+
+
+class _TakesAMissingRecordAtOnce(StoreLease):
+    def _takeover_time_s(self):
+        return float("-inf") if self._record is None else super()._takeover_time_s()
+
+
+class _TrustsResignationsOfAnEarlierEra(StoreLease):
+    def _takeover_time_s(self):
+        resigned = self._record is not None and self._record.resigned
+        return float("-inf") if resigned else super()._takeover_time_s()
+
+
+class _RenewsItsRecordOfAnEarlierEra(StoreLease):
+    def _names_this_vm(self):
+        record = self._record
+        return record is not None and (record.vm_id, record.incarnation) == self._own_id
+
+
+class _CountsTheWaitFromTheRecordOnly(StoreLease):
+    def begin_era(self, now_s, era):
+        known = self._record, self._unchanged_since_s
+        super().begin_era(now_s, era)
+        self._era_seen_s = float("-inf")
+        self._record, self._unchanged_since_s = known
+        self._has_read = known[0] is not None
+
+
+@pytest.mark.parametrize(
+    "broken_lease",
+    [
+        _ConfirmsWritesOfAnEarlierEra,
+        _TakesAMissingRecordAtOnce,
+        _TrustsResignationsOfAnEarlierEra,
+        _RenewsItsRecordOfAnEarlierEra,
+        _CountsTheWaitFromTheRecordOnly,
+    ],
+)
+def test_simulation_of_restores_detects_a_removed_guard(broken_lease):
+    """Guards against a simulation that misses the overlaps that a removed guard causes."""
+    for seed in range(400):
+        simulation = restoring_simulation(
+            seed, lambda name, timing: broken_lease(name, f"{name}-1", timing)
+        )
+        if simulation.overlaps:
+            return
+    pytest.fail("no overlap in 400 runs")
--- a/fireflyferry/platform/__main__.py
+++ b/fireflyferry/platform/__main__.py
@@ -7,6 +7,7 @@
 import sys
 
 import fireflyferry
+from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.program import GatewayProgram, PlatformAdapters
 from fireflyferry.gateway.settings import GatewaySettings
@@ -75,9 +76,10 @@
     stores: list[HttpMetadataStore] = []
 
     def make_adapters(transport: CurlTransport, metrics: GatewayMetrics) -> PlatformAdapters:
-        store = HttpMetadataStore(settings.store.address, transport, metrics)
+        eras = StoreEras()
+        store = HttpMetadataStore(settings.store.address, transport, metrics, eras)
         stores.append(store)
-        return PlatformAdapters(store, HttpKeyOrders(transport, GrantTiming()), Codec())
+        return PlatformAdapters(store, HttpKeyOrders(transport, GrantTiming()), Codec(), eras)
 
     def reload() -> None:
         try:
--- a/fireflyferry/platform/store.py
+++ b/fireflyferry/platform/store.py
@@ -16,9 +16,11 @@
     MetadataStore,
     StoreCallError,
 )
+from fireflyferry.gateway.eras import EarlierEraError, StoreEras
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.watching import WATCH_MARGIN_S
 from fireflyferry.messages import decode_readable_parts, is_nested_deeper
+from fireflyferry.platform.names import ERA_HEADER
 from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
 from fireflyferry.transport.fetch import complete_body
 
@@ -36,8 +38,15 @@
 class HttpMetadataStore(MetadataStore):
     """Objects of the platform's store over HTTP; `address` is `IP:PORT`."""
 
-    def __init__(self, address: str, transport: CurlTransport, metrics: GatewayMetrics):
+    def __init__(
+        self,
+        address: str,
+        transport: CurlTransport,
+        metrics: GatewayMetrics,
+        eras: StoreEras | None = None,
+    ):
         self._address = address
+        self._eras = eras or StoreEras()
         self._transport = transport
         self._metrics = metrics
         self._last_dropped: dict[str, str] = {}
@@ -53,9 +62,8 @@
         StoreCallError.
         """
         query = {"serializable": "1"} if stale else {}
-        result = await self._call(
-            "read_stale" if stale else "read", "GET", _path(kind, name), query
-        )
+        label = "read_stale" if stale else "read"
+        result = await self._call(label, "GET", _path(kind, name), query, needs_era=True)
         if result.status == 404:
             return None
         document = _document(self._content(result))
@@ -74,7 +82,7 @@
         after = ""
         while True:
             query = {**base_query, "after": after} if after else base_query
-            result = await self._call(label, "GET", _path(kind), query)
+            result = await self._call(label, "GET", _path(kind), query, same_era=bool(after))
             page = self._content(result, LIST_LEVELS)
             items = _field(page, "items", list)
             readable = list(self._readable(kind, items))
@@ -98,7 +106,9 @@
         """
         query = {"watch": str(position), "waitMs": str(round(wait_s * 1000))}
         timeout_s = wait_s + WATCH_MARGIN_S
-        result = await self._call("watch", "GET", _path(kind), query, None, timeout_s, fresh=True)
+        result = await self._call(
+            "watch", "GET", _path(kind), query, None, timeout_s, fresh=True, same_era=True
+        )
         if result.status == 410:
             raise HistoryLostError(f"changes of {kind} after position {position}")
         content = self._content(result, WATCH_LEVELS)
@@ -123,10 +133,16 @@
         """
         if revision == 0:
             body = {"metadata": {"name": name}, "spec": content}
-            result = await self._call("create", "POST", _path(kind), {}, body)
+            # A process that has just started may create its entry before it knows the era.
+            known = self._eras.current is not None
+            result = await self._call(
+                "create", "POST", _path(kind), {}, body, needs_era=True, same_era=known
+            )
         else:
             body = {"metadata": {"name": name, "revision": revision}, "spec": content}
-            result = await self._call("replace", "PUT", _path(kind, name), {}, body)
+            result = await self._call(
+                "replace", "PUT", _path(kind, name), {}, body, needs_era=True, same_era=True
+            )
         if result.status == 404:
             return Conflict(None)
         if result.status == 409:
@@ -150,12 +166,19 @@
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
         fresh: bool = False,
+        needs_era: bool = False,
+        same_era: bool = False,
     ) -> FetchResult:
         """Make a call.
 
-        Raises StoreCallError if no complete answer arrives, or one with a status that the other
-        methods do not handle, for example 503.
+        With `same_era`, the call names a revision, position or page, which means nothing in a later
+        era. With `needs_era`, the answer may confirm the lease or a fence, so it must name its era
+        if one is known.
+
+        Raises StoreCallError if no complete answer arrives, one of an unsuitable era, or one with a
+        status that the other methods do not handle, for example 503.
         """
+        era_before = self._eras.current
         target = f"{path}?{urlencode(query)}" if query else path
         exchange = Exchange(
             self._address,
@@ -172,10 +195,32 @@
             self._metrics.store_call(label, "no_answer")
             raise StoreCallError(f"{method} {target}: curl error {result.error} {result.message}")
         self._metrics.store_call(label, str(result.status))
+        self._check_era(result, era_before, needs_era, same_era)
         if result.status not in (200, 201, 404, 409, 410):
             raise StoreCallError(f"{method} {target}: status {result.status}")
         return result
 
+    def _check_era(
+        self, result: FetchResult, era_before: int | None, needs_era: bool, same_era: bool
+    ) -> None:
+        """Take note of the era of an answer, whatever its status.
+
+        Raises StoreCallError if the answer must not be used.
+        """
+        era = self._eras.read(result.header(ERA_HEADER))
+        if era is None:
+            current = self._eras.current
+            if current != era_before or (needs_era and current is not None):
+                raise StoreCallError(f"answer without an era; {current} is known")
+            return
+        try:
+            self._eras.observe(era, "store")
+        except EarlierEraError as error:
+            self._metrics.store_call("any", "earlier_era")
+            raise StoreCallError(str(error)) from error
+        if same_era and era != era_before:
+            raise StoreCallError(f"era {era} began during a call of era {era_before}")
+
     def _content(self, result: FetchResult, levels: int = 0) -> Any:
         """Decode an answer; containers down to `levels` levels may have unreadable parts."""
         if result.status not in (200, 201):
