--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -99,8 +99,8 @@
         required_kinds: Sequence[str],
         poll_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
         probe: Callable[[], Awaitable[bool]],
-        eras: StoreEras | None = None,
         rules: FeedRules | None = None,
+        eras: StoreEras | None = None,
     ):
         self._clock = clock
         self._mirror = mirror
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -80,7 +80,7 @@
             (codec.config_kind, codec.upstream_kind, documents.OWNER_KIND),
             poll_relay,
             self._probe,
-            eras,
+            eras=eras,
         )
 
     def begin_era(self, era: int) -> None:
