--- a/fireflyferry/gateway/mirror.py
+++ b/fireflyferry/gateway/mirror.py
@@ -136,14 +136,23 @@
         self._unobserved_s[kind] = min(MAX_UNOBSERVED_S, max(0.0, requested_s - before_s))
         self._complete_until_s[kind] = complete_s
 
-    def replace(self, kind: str, listed: DocumentBatch) -> bool:
+    def awaits_rewrites(self, kind: str) -> bool:
+        """Return whether a kind was not listed since an era began, and had documents before.
+
+        Their writers write them again after a moment.
+        """
+        return self._era is not None and kind not in self._positions and bool(self.documents(kind))
+
+    def replace(self, kind: str, listed: DocumentBatch, keeps_missing: bool = False) -> bool:
         """Apply a list of all documents of a kind.
 
-        Known documents that are missing from the list are removed, unless they are newer than it.
-        Returns whether anything changed.
+        Known documents that are missing from the list are removed, unless they are newer than it
+        or the list `keeps_missing` ones. Returns whether anything changed.
         """
         present = {each.name for each in listed.documents}
-        missing = (name for name in self.documents(kind) if name not in present)
+        missing = (
+            name for name in self.documents(kind) if name not in present and not keeps_missing
+        )
         changes = KindChanges(listed.position, listed.documents, tuple(missing))
         return self.change(kind, changes)
 
--- a/fireflyferry/gateway/tests/test_eras.py
+++ b/fireflyferry/gateway/tests/test_eras.py
@@ -26,7 +26,7 @@
     make_settings,
     upstream_content,
 )
-from fireflyferry.gateway.watching import StoreHealth
+from fireflyferry.gateway.watching import KindPoller, KindWatcher, StoreHealth, WatchRules
 from fireflyferry.keyranges import LAST_KEY, LeaseRecord, OwnedRange, OwnerTable, UpstreamRun
 from fireflyferry.messages.codec import unstructure
 
@@ -124,6 +124,43 @@
     assert changes.is_snapshot and changes.era == 1 and set(changes.kinds) == {"k"}
 
 
+def kept_names(make_source, seconds):
+    """Return the names that a source keeps after a restore: at once, and after some time."""
+
+    async def scenario():
+        store, clock = FakeStore(), BootClock()
+        mirror = DocumentMirror({})
+        mirror.begin_era(4)
+        mirror.replace("k", DocumentBatch(9, (Document("a", 8, "a"), Document("b", 9, "b"))))
+        mirror.begin_era(5)
+        await store.put("k", "a", "a")
+        health = StoreHealth(clock, 5.0)
+        task = asyncio.ensure_future(make_source(store, health, clock, mirror).run())
+        async with asyncio.timeout(20):
+            while mirror.position("k") is None:
+                await asyncio.sleep(0.001)
+        early = set(mirror.documents("k"))
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return early, set(mirror.documents("k"))
+
+    return asyncio.run(scenario())
+
+
+def test_polled_entry_that_the_copy_lacks_is_kept_until_the_next_list():
+    """Guards against VMs that all others forget at once, until each has written its entry again."""
+    early, late = kept_names(lambda *common: KindPoller(*common, "k", 0.05, 0.02), 1.0)
+    assert early == {"a", "b"} and late == {"a"}
+
+
+@pytest.mark.parametrize(("keep_s", "kept"), [(0.0, {"a"}), (0.3, {"a", "b"})])
+def test_watched_document_that_the_copy_lacks_is_kept_for_a_while(keep_s, kept):
+    """Guards against evacuations that end because the store has lost them."""
+    rules = WatchRules(wait_s=0.05, gap_s=0.0, keep_s=keep_s)
+    early, late = kept_names(lambda *common: KindWatcher(*common, "k", rules), 2.0)
+    assert early == kept and late == {"a"}
+
+
 # Relays
 
 
--- a/fireflyferry/gateway/watching.py
+++ b/fireflyferry/gateway/watching.py
@@ -39,13 +39,16 @@
     A watch call waits for `wait_s` and fails `WATCH_MARGIN_S` later, which bounds how long a call
     whose connection hangs can hide changes. `gap_s` is the pause after a change, which lets further
     changes gather for the next call, since each call is priced. Calls that fail are made again, at
-    intervals with an exponential backoff from `retry_s` to `max_retry_s`.
+    intervals with an exponential backoff from `retry_s` to `max_retry_s`. When the store has come
+    back from a copy, documents that are missing in it are kept for `keep_s`, until they have been
+    written again; then the kind is listed once more.
     """
 
     wait_s: float
     gap_s: float
     retry_s: float = 0.2
     max_retry_s: float = 1.0
+    keep_s: float = 0.0
 
 
 def make_watch_rules(settle_window_s: float, gap_s: float) -> WatchRules:
@@ -178,6 +181,7 @@
         super().__init__(store, health, clock, mirror, kind)
         self._rules = rules
         self._history_lost = False
+        self._list_again_s = float("inf")
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -207,11 +211,12 @@
     async def _step(self) -> None:
         position = self._mirror.position(self._kind)
         requested_s = self._clock.monotonic_s()
-        if position is None or self._history_lost:
+        if position is None or self._history_lost or requested_s >= self._list_again_s:
             listed = await self._store.list(self._kind)
             self._on_answer(requested_s)
             self._history_lost = False
-            self._mirror.replace(self._kind, listed)
+            keeps_missing = self._keeps_missing(requested_s)
+            self._mirror.replace(self._kind, listed, keeps_missing)
             # Pauses also without a change, so that a store which keeps losing its history is not
             # listed in a tight loop.
             changed = True
@@ -223,12 +228,22 @@
         if changed:
             await asyncio.sleep(self._rules.gap_s)
 
+    def _keeps_missing(self, requested_s: float) -> bool:
+        """Return whether a list keeps documents that it lacks, and plan the list that does not."""
+        if self._rules.keep_s > 0.0 and self._mirror.awaits_rewrites(self._kind):
+            self._list_again_s = requested_s + self._rules.keep_s
+        elif requested_s >= self._list_again_s:
+            self._list_again_s = float("inf")
+        return self._list_again_s < float("inf")
+
 
 class KindPoller(KindSource):
     """Polls all documents of one kind with stale lists, and makes an exact list on request.
 
     Suits kinds whose changes also arrive in another way, or may arrive seconds late. A watch
-    costs a priced call for each change, and a stale list costs a tenth of such a call.
+    costs a priced call for each change, and a stale list costs a tenth of such a call. The first
+    list after the store came back from a copy removes nothing, since writers write again what is
+    missing in it; the next one does.
     """
 
     def __init__(
@@ -272,7 +287,8 @@
                 await asyncio.sleep(self._min_gap_s * random.uniform(0.8, 1.2))
                 continue
             self._on_answer(requested_s)
-            self._mirror.replace(self._kind, listed)
+            keeps_missing = self._mirror.awaits_rewrites(self._kind)
+            self._mirror.replace(self._kind, listed, keeps_missing)
             exact = False
             await asyncio.sleep(self._min_gap_s)
             with contextlib.suppress(TimeoutError):
