--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -3,6 +3,7 @@
 from fireflyferry.balancing.directory import Standing, Upstream, UpstreamDirectory
 from fireflyferry.balancing.quiet import QuietPeriods
 from fireflyferry.balancing.reachability import Contact, InFlight, PathRules, UpstreamPath
+from fireflyferry.balancing.region_limits import common_regions, effective_regions
 from fireflyferry.balancing.retry_window import SlidingRetryBudget
 from fireflyferry.balancing.selection import Choice, LoadTracker, SelectionRules
 from fireflyferry.balancing.shares import TrafficSplitter
@@ -39,4 +40,6 @@
     "UpstreamPath",
     "VmDirectory",
     "Waiting",
+    "common_regions",
+    "effective_regions",
 ]
--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -65,6 +65,15 @@
         """Return the region of a data centre; an unknown one counts as a separate region."""
         return self._regions.get(data_centre, data_centre)
 
+    @property
+    def known_regions(self) -> frozenset[str]:
+        """Regions of all known data centres."""
+        return frozenset(self._regions.values())
+
+    def is_within(self, data_centre: str, regions: frozenset[str] | None) -> bool:
+        """Return whether a data centre is known to lie in one of the regions; None means any."""
+        return regions is None or self._regions.get(data_centre) in regions
+
     def apply(self, listed: Iterable[EntryVm]) -> None:
         """Replace the VMs that the store lists, in the order in which they were written.
 
--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -159,6 +159,7 @@
             deadline_s=now_s + min(deadline_ms / 1000 - NETWORK_ALLOWANCE_S, route.timeout_s),
             returned=age_s > 0.0,
             received_s=now_s,
+            allowed_regions=services.state.allowed_regions(route),
         )
 
     def _read_deadline_ms(self, route: HostRoute) -> int | None:
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -21,7 +21,8 @@
     before, `repeated` if an upstream may have received it from an earlier attempt. `tried` holds
     ids of upstreams not to try again. `key` is None in pools without keys. `received_s` is when
     this VM received it. `passed_on` is set while an upstream may have received it, and
-    `deadline_cut` if `deadline_s` is earlier than the caller's deadline, since this VM stops.
+    `deadline_cut` if `deadline_s` is earlier than the caller's deadline, since this VM stops. Only
+    upstreams in `allowed_regions` may get it, None means all; last hops do not need the regions.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     received_s: float = 0.0
     passed_on: bool = False
     deadline_cut: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     def ends_before_exit(
         self, now_s: float, plan: StopPlan, forecast: Callable[[], tuple[float, float]]
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -29,6 +29,8 @@
     max_move_wait_s: float = 0.7
     owner_retry_after_s: float = 0.4  # Retry-After while a key has no owner
     upstream_retry_after_s: float = 0.3  # Retry-After while a pool has no upstream
+    # Retry-After while no upstream is in the allowed regions, about as long as keys take to move
+    region_retry_after_s: float = 1.0
     min_logged_wait_s: float = 0.05  # a shorter wait does not make a request late
 
 
@@ -93,24 +95,40 @@
         now_s = self._clock.monotonic_s()
         choice = self._load_tracker.choose(
             now_s,
-            self._alternatives(now_s, call.pool, search),
+            self._alternatives(now_s, call, search),
             self._distance,
             call.target_time_s - call.started_s,
             self._exact_forecast,
         )
         if choice is None:
-            quiet_s = self._quiet_s(now_s, state.upstreams.ready(now_s, call.pool), 0.0)
-            if quiet_s > 0.0:
-                return not_run(Reason.UPSTREAM_QUIET, quiet_s)
-            return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_after_s)
+            return self._refuse_unkeyed(now_s, call)
         upstream = choice.upstream
-        return Target(upstream, state.last_hop(upstream), choice.age_s)
+        return Target(upstream, state.sender(upstream, call.allowed_regions), choice.age_s)
+
+    def _refuse_unkeyed(self, now_s: float, call: Call) -> Attempt:
+        allowed = self._ready(now_s, call)
+        quiet_s = self._quiet_s(now_s, allowed, 0.0)
+        if quiet_s > 0.0:
+            return not_run(Reason.UPSTREAM_QUIET, quiet_s)
+        if not allowed and self._state.upstreams.ready(now_s, call.pool):
+            return not_run(Reason.REGION_NOT_ALLOWED, self._rules.region_retry_after_s)
+        return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_after_s)
+
+    def _ready(self, now_s: float, call: Call) -> list[Upstream]:
+        """Return the upstreams that may get a request without a key."""
+        ready = self._state.upstreams.ready(now_s, call.pool)
+        if call.allowed_regions is None:
+            return ready
+        return [each for each in ready if self._is_allowed(call, each)]
+
+    def _is_allowed(self, call: Call, upstream: Upstream) -> bool:
+        return self._state.vms.is_within(upstream.data_centre, call.allowed_regions)
 
-    def _alternatives(self, now_s: float, pool: str, search: Search) -> Iterable[Upstream]:
+    def _alternatives(self, now_s: float, call: Call, search: Search) -> Iterable[Upstream]:
         """Yield the upstreams to choose from; those with a shared last hop are merged into one."""
         state = self._state
         by_data_centre: dict[str, list[Upstream]] = {}
-        for upstream in state.upstreams.ready(now_s, pool):
+        for upstream in self._ready(now_s, call):
             if (
                 upstream.run.upstream_id in search.tried
                 or self._quiet.left_s(now_s, upstream.run) > 0.0
@@ -139,7 +157,7 @@
             self._quiet.begin(now_s, named.run, attempt.retry_after_s)
         if call.key is not None:
             return attempt
-        ready = self._state.upstreams.ready(now_s, call.pool)
+        ready = self._ready(now_s, call)
         if all_quiet:
             ready = [each for each in ready if each.data_centre != named.data_centre]
         left_s = self._quiet_s(now_s, ready, attempt.retry_after_s)
@@ -169,6 +187,8 @@
         if table_outdated:
             self._state.on_outdated_owners()
         while True:
+            if not table_outdated and self._owner_is_outside(call):
+                return not_run(Reason.REGION_NOT_ALLOWED, self._rules.region_retry_after_s)
             target, moving_since_s = self._find_owner(call)
             if target is not None and not table_outdated:
                 self._log_wait(call, target, started_s)
@@ -200,6 +220,16 @@
     def _retry_after_s(self) -> float:
         return self._rules.owner_retry_after_s * self._rng.uniform(0.75, 1.5)
 
+    def _owner_is_outside(self, call: Call) -> bool:
+        """Return whether the owner of the key, or its next one, is in no allowed region."""
+        if call.allowed_regions is None or call.key is None:
+            return False
+        table = self._state.owners.get(call.pool)
+        owned_range = table.find(call.key) if table is not None else None
+        owner = owned_range.owner.upstream_id if owned_range is not None else ""
+        upstream = self._state.upstreams.get(owner)
+        return upstream is not None and not self._is_allowed(call, upstream)
+
     def _find_owner(self, call: Call) -> tuple[Target | None, float]:
         """Return the owner of the key, or None and the time at which its move began.
 
@@ -217,4 +247,4 @@
         upstream = state.upstreams.get(run.upstream_id)
         if standing is Standing.GONE or upstream is None:
             return None, float("-inf")
-        return Target(upstream, state.last_hop(upstream)), float("-inf")
+        return Target(upstream, state.sender(upstream, call.allowed_regions)), float("-inf")
--- a/fireflyferry/gateway/planning.py
+++ b/fireflyferry/gateway/planning.py
@@ -1,11 +1,11 @@
 """Planning of key moves, from the load and the service times that all VMs report."""
 
 import statistics
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
-from fireflyferry.balancing import UpstreamDirectory
+from fireflyferry.balancing import Upstream, UpstreamDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.keyranges import (
@@ -57,7 +57,10 @@
 
 
 class RangePlanner:
-    """Collects load reports, and plans moves of keys between upstreams for each pool."""
+    """Collects load reports, and plans moves of keys between upstreams for each pool.
+
+    `may_own` returns whether an upstream that is ready may own keys of its pool.
+    """
 
     def __init__(
         self,
@@ -65,11 +68,13 @@
         upstreams: UpstreamDirectory,
         rules: PlanRules | None = None,
         rebalancing: RebalancingRules | None = None,
+        may_own: Callable[[Upstream], bool] = lambda _: True,
     ):
         self._clock = clock
         self._upstreams = upstreams
         self._rules = rules or PlanRules()
         self._rebalancing = rebalancing or RebalancingRules()
+        self._may_own = may_own
         self._demand: dict[str, KeyDemand] = {}
         self._service_s: dict[str, tuple[float, float]] = {}
 
@@ -124,7 +129,7 @@
             for upstream_id, (at_s, service_s) in self._service_s.items()
             if now_s - at_s < rules.service_time_ttl_s
         }
-        ready = self._upstreams.ready(now_s, pool)
+        ready = [each for each in self._upstreams.ready(now_s, pool) if self._may_own(each)]
         measured = [known[u.run.upstream_id] for u in ready if u.run.upstream_id in known]
         fallback_s = statistics.median(measured) if measured else rules.default_service_s
         capacities = []
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -171,7 +171,9 @@
 
     def _make_control_loop(self) -> None:
         bounds = self._settings.bounds
-        self._planner = RangePlanner(self._clock, self._state.upstreams)
+        self._planner = RangePlanner(
+            self._clock, self._state.upstreams, may_own=self._state.may_own_keys
+        )
         self._control_loop = ControlLoop(
             self._clock,
             self._state,
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -5,12 +5,19 @@
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
-from fireflyferry.balancing import EntryVm, Upstream, UpstreamDirectory, VmDirectory
+from fireflyferry.balancing import (
+    EntryVm,
+    Upstream,
+    UpstreamDirectory,
+    VmDirectory,
+    common_regions,
+    effective_regions,
+)
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, PlatformCodec, UnreadableDocumentError
 from fireflyferry.keyranges import OwnedRange, OwnerTable, UpstreamRun
-from fireflyferry.routing.hosts import HostRoutes, RoutingConfig
+from fireflyferry.routing.hosts import HostRoute, HostRoutes, RoutingConfig
 
 __all__ = ["GatewayState", "OwnerTables"]
 
@@ -94,6 +101,8 @@
         self._unreadable: dict[tuple[str, str], int] = {}
         self._upstreams: Mapping[str, Document] | None = None
         self._standings: dict[UpstreamRun, str] = {}
+        self._key_regions: dict[str, frozenset[str] | None] = {}
+        self._unknown_regions: frozenset[tuple[str, str]] = frozenset()
 
     @property
     def complete(self) -> bool:
@@ -110,6 +119,26 @@
         keyed = spec is not None and spec.keyed
         return not keyed and self.vms.is_large(upstream.data_centre)
 
+    def allowed_regions(self, route: HostRoute) -> frozenset[str] | None:
+        """Return the regions in which the requests of a route may be processed; None for all."""
+        return effective_regions(route.allowed_regions, self.vms.known_regions)
+
+    def may_own_keys(self, upstream: Upstream) -> bool:
+        """Return whether the routes to the pool of an upstream let it own keys."""
+        regions = self._key_regions.get(upstream.pool)
+        return self.vms.is_within(upstream.data_centre, regions)
+
+    def sender(self, upstream: Upstream, allowed_regions: frozenset[str] | None) -> EntryVm:
+        """Return the VM that sends a request of this VM's callers to an upstream.
+
+        It is the last hop, unless that is in a region where the body may not go.
+        """
+        vms, last_hop = self.vms, self.last_hop(upstream)
+        is_near = vms.region(last_hop.data_centre) == vms.region(vms.this_vm.data_centre)
+        if is_near or vms.is_within(last_hop.data_centre, allowed_regions):
+            return last_hop
+        return vms.this_vm
+
     def last_hop(self, upstream: Upstream) -> EntryVm:
         """Return the last hop of an upstream: the VM that allots its slots."""
         if self.shares_last_hop(upstream):
@@ -143,11 +172,39 @@
                 "routes": len(config.routes),
             },
         )
+        self._apply_regions(config)
         if self._upstreams is not None:
             self.apply_upstreams(self._upstreams)
         for callback in self.on_config:
             callback(config)
 
+    def _apply_regions(self, config: RoutingConfig) -> None:
+        """Derive where the keys of each pool may be, and log regions that are unknown."""
+        limits: dict[str, list[frozenset[str] | None]] = {}
+        for route in config.routes:
+            for share in route.shares:
+                limits.setdefault(share.pool, []).append(self.allowed_regions(route))
+        key_regions = {pool: common_regions(each) for pool, each in limits.items()}
+        for pool, each in limits.items():
+            spec = config.pools.get(pool)
+            if spec is None or not spec.keyed:
+                continue
+            if key_regions[pool] is None and None not in each:
+                _LOG.warning("no_common_region", extra={"pool": pool, "version": config.version})
+            elif self._key_regions.get(pool) != key_regions[pool]:
+                regions = ",".join(sorted(key_regions[pool] or ())) or "all"
+                _LOG.info("key_regions_changed", extra={"pool": pool, "regions": regions})
+        self._key_regions = key_regions
+        known = self.vms.known_regions
+        unknown = frozenset(
+            (route.name, region)
+            for route in config.routes
+            for region in route.allowed_regions - known
+        )
+        for name, region in sorted(unknown - self._unknown_regions):
+            _LOG.warning("unknown_region", extra={"route": name, "region": region})
+        self._unknown_regions = unknown
+
     def apply_upstreams(self, documents_by_name: Mapping[str, Document]) -> None:
         """Apply the list of upstreams; those of unknown pools are left out."""
         self._upstreams = documents_by_name
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -27,6 +27,7 @@
     NOT_AUTHENTICATED = "not_authenticated"
     NO_TABLES = "no_tables"
     NO_UPSTREAM = "no_upstream"
+    REGION_NOT_ALLOWED = "region_not_allowed"
     NO_LEADER = "no_leader"
     NOT_LEADER = "not_leader"
     OWNER_UNAVAILABLE = "owner_unavailable"
@@ -83,6 +84,7 @@
     Reason.NOT_AUTHENTICATED: _refusal(401),
     Reason.NO_TABLES: _refusal(503, retryable=True),
     Reason.NO_UPSTREAM: _refusal(503, retryable=True),
+    Reason.REGION_NOT_ALLOWED: _refusal(503, retryable=True),
     Reason.NO_LEADER: _refusal(503, retryable=True),
     Reason.NOT_LEADER: _refusal(503, retryable=True),
     Reason.OWNER_UNAVAILABLE: _refusal(503, retryable=True),
