--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -1,6 +1,7 @@
 """Choice of upstreams and last hops, slot queues, retry budgets, traffic splits."""
 
 from fireflyferry.balancing.directory import Standing, Upstream, UpstreamDirectory
+from fireflyferry.balancing.evacuations import Evacuations
 from fireflyferry.balancing.quiet import QuietPeriods
 from fireflyferry.balancing.reachability import Contact, InFlight, PathRules, UpstreamPath
 from fireflyferry.balancing.region_limits import common_regions, effective_regions
@@ -23,6 +24,7 @@
     "Choice",
     "Contact",
     "EntryVm",
+    "Evacuations",
     "InFlight",
     "LoadTracker",
     "PathRules",
--- a/fireflyferry/balancing/directory.py
+++ b/fireflyferry/balancing/directory.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fireflyferry.balancing.evacuations import Evacuations
 from fireflyferry.keyranges import UpstreamRun
 
 __all__ = ["Standing", "Upstream", "UpstreamDirectory"]
@@ -60,13 +61,15 @@
     during or soon after failures of the store counts as lapsed: its upstream stays ready for
     `lapse_grace_s`, since a live upstream writes its entry again. An entry is dropped when it has
     been missing for `retention_s`, and the mark of an incarnation without an entry after
-    `mark_retention_s`.
+    `mark_retention_s`. Upstreams of an evacuated data centre count as leaving, and as gone once
+    `evacuations` lets them get no more requests for keys.
     """
 
     leaving_grace_s: float
     lapse_grace_s: float = 1.4  # less than `leaving_grace_s`, after which no request may be sent
     retention_s: float = 30.0
     mark_retention_s: float = 600.0
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     _entries: dict[UpstreamRun, _Entry] = attrs.field(factory=dict, init=False)
     _marked_since_s: dict[UpstreamRun, float] = attrs.field(factory=dict, init=False)
     _by_id: dict[str, _Entry] = attrs.field(factory=dict, init=False)
@@ -137,11 +140,25 @@
             if entry.upstream.pool == pool and self._standing(now_s, entry) is Standing.READY
         ]
 
+    def has_evacuated(self, now_s: float, pool: str) -> bool:
+        """Return whether an upstream of a pool may get no requests because of an evacuation."""
+        return any(
+            entry.upstream.pool == pool
+            and self.evacuations.is_evacuated(now_s, entry.upstream.data_centre)
+            for entry in self._by_id.values()
+        )
+
     def listed(self, now_s: float, pool: str) -> Iterator[tuple[Upstream, bool]]:
-        """Yield upstreams of a pool that are listed, or lapsed but ready, and if each is ready."""
+        """Yield upstreams of a pool that are listed, or lapsed but ready, and if each is ready.
+
+        Those that are gone by an evacuation are left out, so that they get no grants either.
+        """
         for entry in self._by_id.values():
             if entry.upstream.pool != pool:
                 continue
+            keys_until_s = self.evacuations.keys_until_s(now_s, entry.upstream.data_centre)
+            if keys_until_s is not None and now_s >= keys_until_s:
+                continue
             ready = self._standing(now_s, entry) is Standing.READY
             if entry.missing_since_s is None or ready:
                 yield entry.upstream, ready
@@ -150,6 +167,13 @@
         return (entry.upstream for entry in self._by_id.values())
 
     def _standing(self, now_s: float, entry: _Entry) -> Standing:
+        standing = self._listed_standing(now_s, entry)
+        keys_until_s = self.evacuations.keys_until_s(now_s, entry.upstream.data_centre)
+        if keys_until_s is None or standing is Standing.GONE:
+            return standing
+        return Standing.LEAVING if now_s < keys_until_s else Standing.GONE
+
+    def _listed_standing(self, now_s: float, entry: _Entry) -> Standing:
         marked_since_s = self._marked_since_s.get(entry.upstream.run)
         since_s = entry.leaving_since_s
         if marked_since_s is not None:
--- a/fireflyferry/balancing/vms.py
+++ b/fireflyferry/balancing/vms.py
@@ -70,6 +70,10 @@
         """Regions of all known data centres."""
         return frozenset(self._regions.values())
 
+    def knows_data_centre(self, data_centre: str) -> bool:
+        """Return whether the settings name a data centre."""
+        return data_centre in self._regions
+
     def is_within(self, data_centre: str, regions: frozenset[str] | None) -> bool:
         """Return whether a data centre is known to lie in one of the regions; None means any."""
         return regions is None or self._regions.get(data_centre) in regions
--- a/fireflyferry/gateway/feed.py
+++ b/fireflyferry/gateway/feed.py
@@ -59,13 +59,16 @@
     """Changes from a relay, and the state of its connection to the store.
 
     `age_s` is the time in seconds since the store last answered the relay, `last_failure_age_s`
-    the time since a call of the relay to the store last failed.
+    the time since a call of the relay to the store last failed. `evacuations_age_s` is the time
+    since the relay's list of evacuations was known to be complete; infinite if the relay does not
+    say it.
     """
 
     incarnation: str
     age_s: float
     last_failure_age_s: float
     changes: FeedChanges
+    evacuations_age_s: float = float("inf")
 
 
 def relay_candidates(vms: VmDirectory, data_centre: str, rules: FeedRules) -> list[EntryVm]:
@@ -99,6 +102,7 @@
         poll_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
         probe: Callable[[], Awaitable[bool]],
         rules: FeedRules | None = None,
+        evacuation_kind: str = "",
     ):
         self._clock = clock
         self._mirror = mirror
@@ -110,6 +114,7 @@
         self._poll_relay = poll_relay
         self._probe = probe
         self._rules = rules or FeedRules()
+        self._evacuation_kind = evacuation_kind
         self._relay: EntryVm | None = None
         self._relay_position = ("", 0)
         self._avoided_until_s: dict[str, float] = {}
@@ -179,7 +184,10 @@
         since = request.sequence if request.incarnation == incarnation else 0
         await mirror.wait(since, min(rules.hold_s, rules.max_age_s - self.age_s))
         last_failure_age_s = min(self._health.last_failure_age_s, UNKNOWN_AGE_S)
-        return FeedAnswer(incarnation, self.age_s, last_failure_age_s, mirror.changes_since(since))
+        changes = mirror.changes_since(since)
+        complete_s = mirror.complete_until_s(self._evacuation_kind)
+        evacuations_age_s = self._clock.monotonic_s() - complete_s
+        return FeedAnswer(incarnation, self.age_s, last_failure_age_s, changes, evacuations_age_s)
 
     def _request_exact_lists(self, kinds: Sequence[str]) -> None:
         for source in self._pollers():
@@ -231,7 +239,11 @@
         request = FeedRequest(incarnation, sequence, outdated_kinds)
         requested_s = self._clock.monotonic_s()
         answer = await self._poll_relay(relay, request, self._rules.hold_s)
-        if answer is None or answer.age_s > self._rules.max_age_s:
+        # A relay of an earlier revision does not have all kinds.
+        lacks_kinds = answer is not None and not answer.changes.kinds.keys() >= set(
+            self._required_kinds
+        )
+        if answer is None or answer.age_s > self._rules.max_age_s or lacks_kinds:
             _LOG.info(
                 "relay_not_usable",
                 extra={
@@ -265,9 +277,13 @@
         # whether a missing upstream counts as lapsed or as leaving.
         self._health.on_relay_report(answer.age_s, answer.last_failure_age_s)
         changes = answer.changes
-        complete_s = self._clock.monotonic_s() - answer.age_s
+        now_s = self._clock.monotonic_s()
         for kind, each in changes.kinds.items():
-            self._mirror.on_answer(kind, requested_s, complete_s)
+            if kind == self._evacuation_kind:
+                # The store may have answered the relay's other calls, but not this watch.
+                self._mirror.on_answer(kind, requested_s, now_s - answer.evacuations_age_s)
+            else:
+                self._mirror.on_answer(kind, requested_s, now_s - answer.age_s)
             if changes.is_snapshot:
                 self._mirror.replace(kind, DocumentBatch(each.position, each.documents))
             else:
--- a/fireflyferry/gateway/gauges.py
+++ b/fireflyferry/gateway/gauges.py
@@ -37,6 +37,10 @@
             "Requests that wait for a slot at this last hop.",
             lambda: last_hop.waiting,
         ),
+        "evacuated_data_centres": (
+            "Data centres whose upstreams get no requests, by order.",
+            lambda: len(state.evacuated_data_centres()),
+        ),
         "cut_off": ("Whether this VM reaches no upstream.", lambda: float(path.lost)),
         "holds_lease": (
             "Whether this VM may grant keys.",
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from fireflyferry.balancing import EntryVm
+from fireflyferry.balancing.evacuations import SEND_MARGIN_S
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, MetadataStore, PlatformCodec, StoreCallError
@@ -27,6 +28,9 @@
 # triggers an exact list at once, so that polling is only a fallback.
 OWNER_POLL_S = 2.5
 VM_POLL_S = 2.0
+EVACUATION_GAP_S = 0.05
+# Until a follower whose relay is lost has the data of another one or of the store.
+RELAY_DELAY_S = 1.4
 
 
 class DocumentSync:
@@ -42,6 +46,7 @@
         on_lease: Callable[[Mapping[str, Document]], None],
         poll_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
         settle_window_s: float,
+        evacuate_s: float | None = None,
     ):
         self._store = store
         self._health = health
@@ -52,6 +57,7 @@
                 documents.OWNER_KIND: state.apply_owners,
                 documents.VM_KIND: state.apply_vms,
                 documents.LEASE_KIND: on_lease,
+                codec.evacuation_kind: state.apply_evacuations,
             }
         )
 
@@ -65,6 +71,12 @@
             owners,
             KindPoller(*common, documents.VM_KIND, VM_POLL_S),
         )
+        required = [codec.config_kind, codec.upstream_kind, documents.OWNER_KIND]
+        if evacuate_s is not None:
+            bound_s = evacuate_s - RELAY_DELAY_S - SEND_MARGIN_S
+            evacuation_rules = make_watch_rules(bound_s, EVACUATION_GAP_S)
+            sources += (KindWatcher(*common, codec.evacuation_kind, evacuation_rules),)
+            required.append(codec.evacuation_kind)
         self._sources = {source.kind: source for source in sources}
         state.on_outdated_owners = owners.request_exact_list
         self.feed = Feed(
@@ -74,9 +86,10 @@
             state.vms,
             sources,
             documents.VM_KIND,
-            (codec.config_kind, codec.upstream_kind, documents.OWNER_KIND),
+            required,
             poll_relay,
             self._probe,
+            evacuation_kind=codec.evacuation_kind,
         )
 
     def background_work(self) -> Iterator[Callable[[], Coroutine[Any, Any, None]]]:
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -112,6 +112,8 @@
             return not_run(Reason.UPSTREAM_QUIET, quiet_s)
         if not allowed and self._state.upstreams.ready(now_s, call.pool):
             return not_run(Reason.REGION_NOT_ALLOWED, self._rules.region_retry_after_s)
+        if self._state.upstreams.has_evacuated(now_s, call.pool):
+            return not_run(Reason.DATA_CENTRE_EVACUATED, self._rules.region_retry_after_s)
         return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_after_s)
 
     def _ready(self, now_s: float, call: Call) -> list[Upstream]:
@@ -189,6 +191,9 @@
         while True:
             if not table_outdated and self._owner_is_outside(call):
                 return not_run(Reason.REGION_NOT_ALLOWED, self._rules.region_retry_after_s)
+            if not table_outdated and self._owner_is_evacuated(call):
+                self._state.on_outdated_owners()
+                return not_run(Reason.DATA_CENTRE_EVACUATED, self._retry_after_s())
             target, moving_since_s = self._find_owner(call)
             if target is not None and not table_outdated:
                 self._log_wait(call, target, started_s)
@@ -222,14 +227,25 @@
 
     def _owner_is_outside(self, call: Call) -> bool:
         """Return whether the owner of the key, or its next one, is in no allowed region."""
-        if call.allowed_regions is None or call.key is None:
+        if call.allowed_regions is None:
             return False
-        table = self._state.owners.get(call.pool)
-        owned_range = table.find(call.key) if table is not None else None
-        owner = owned_range.owner.upstream_id if owned_range is not None else ""
-        upstream = self._state.upstreams.get(owner)
+        upstream = self._listed_owner(call)
         return upstream is not None and not self._is_allowed(call, upstream)
 
+    def _owner_is_evacuated(self, call: Call) -> bool:
+        """Return whether the owner of the key may get no more requests, by an evacuation."""
+        now_s, upstream = self._clock.monotonic_s(), self._listed_owner(call)
+        if upstream is None:
+            return False
+        keys_until_s = self._state.upstreams.evacuations.keys_until_s(now_s, upstream.data_centre)
+        return keys_until_s is not None and now_s >= keys_until_s
+
+    def _listed_owner(self, call: Call) -> Upstream | None:
+        """Return the upstream to which the table assigns the key, whether it serves it or not."""
+        table = self._state.owners.get(call.pool)
+        owned = table.find(call.key) if table is not None and call.key is not None else None
+        return self._state.upstreams.get(owned.owner.upstream_id) if owned is not None else None
+
     def _find_owner(self, call: Call) -> tuple[Target | None, float]:
         """Return the owner of the key, or None and the time at which its move began.
 
--- a/fireflyferry/gateway/mirror.py
+++ b/fireflyferry/gateway/mirror.py
@@ -68,6 +68,7 @@
         self._entries: Mirror[_Entry] = Mirror()
         self._documents: dict[str, dict[str, Document]] = {}
         self._positions: dict[str, int] = {}
+        self._known_before_s: dict[str, float] = {}
         self._complete_until_s: dict[str, float] = {}
         self._unobserved_s: dict[str, float] = {}
         self._removed: dict[str, None] = {}
@@ -105,10 +106,19 @@
         A watch reports each change at once, so only the time between two requests can hide one.
         Times are in seconds on the monotonic clock.
         """
+        self._known_before_s[kind] = self.complete_until_s(kind)
         before_s = self._complete_until_s.get(kind, requested_s)
         self._unobserved_s[kind] = min(MAX_UNOBSERVED_S, max(0.0, requested_s - before_s))
         self._complete_until_s[kind] = complete_s
 
+    def complete_until_s(self, kind: str) -> float:
+        """Return up to when the data of a kind is complete; minus infinity if it is unknown."""
+        return self._complete_until_s.get(kind, float("-inf"))
+
+    def changed_after_s(self, kind: str) -> float:
+        """Return a time before which nothing that the last answer changed can have changed."""
+        return self._known_before_s.get(kind, float("-inf"))
+
     def replace(self, kind: str, listed: DocumentBatch) -> bool:
         """Apply a list of all documents of a kind.
 
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -141,10 +141,12 @@
             return None
         self._note_path(vm, result)
         try:
-            return peer_messages.read_feed(result.header(peer_messages.FEED_HEADER), result.body)
+            answer = peer_messages.read_feed(result.header(peer_messages.FEED_HEADER), result.body)
         except peer_messages.PeerMessageError as error:
             _LOG.warning("feed_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
             return None
+        age = result.header(peer_messages.EVACUATIONS_AGE_HEADER)
+        return attrs.evolve(answer, evacuations_age_s=peer_messages.read_evacuations_age(age))
 
     async def _post(self, vm: EntryVm, path: str, body: bytes) -> bool:
         exchange = Exchange(
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -28,6 +28,7 @@
 
 __all__ = [
     "EARLIER_CALL_HEADER",
+    "EVACUATIONS_AGE_HEADER",
     "FEED_HEADER",
     "LEAVING_HEADER",
     "PATH_HEADER",
@@ -35,6 +36,7 @@
     "PeerCall",
     "PeerMessageError",
     "read_call",
+    "read_evacuations_age",
     "read_feed",
     "read_feed_request",
     "read_leaving",
@@ -56,6 +58,7 @@
 EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
+EVACUATIONS_AGE_HEADER = "Firefly-Evacuations-Age"  # of an answer to a follower, in ms
 # Of the answer to a forward. It is not in the line of the result, since VMs of earlier revisions
 # read only lines with exactly their own values.
 LEAVING_HEADER = "Firefly-Leaving"
@@ -294,6 +297,12 @@
     return " ".join([answer.incarnation, *map(str, ages_ms)])
 
 
+def read_evacuations_age(value: str | None) -> float:
+    """Parse the header value with the age of evacuations; infinite if it is missing or odd."""
+    is_number = value is not None and value.isascii() and value.isdigit()
+    return int(value) / 1000 if value is not None and is_number else float("inf")
+
+
 def write_feed_body(changes: FeedChanges) -> bytes:
     """Return the body of an answer to a follower.
 
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -1,6 +1,7 @@
 """Server side of calls from other VMs: forwarding, pings, load reports, owner tables, feed."""
 
 import logging
+import math
 from collections.abc import Callable
 
 import attrs
@@ -135,6 +136,9 @@
             return
         feed_header = (peer_messages.FEED_HEADER, peer_messages.write_feed_header(answer))
         headers = [feed_header, *self._path_headers()]
+        if math.isfinite(answer.evacuations_age_s):
+            age_ms = math.ceil(answer.evacuations_age_s * 1000)
+            headers.append((peer_messages.EVACUATIONS_AGE_HEADER, str(age_ms)))
         self.answer(200, headers, peer_messages.write_feed_body(answer.changes))
 
     async def _answer_forward(self) -> None:
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -14,6 +14,7 @@
 from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import (
     EntryVm,
+    Evacuations,
     LoadTracker,
     QuietPeriods,
     SelectionRules,
@@ -200,14 +201,24 @@
 
     def _make_state(self) -> None:
         settings, codec = self._settings, self._adapters.codec
+        evacuate_s = settings.bounds.evacuate_s
         leaving_grace_s = max(0.0, settings.bounds.drain_timeout_s - self._rules.leaving_margin_s)
         self._state = GatewayState(
             self._clock,
             codec,
-            UpstreamDirectory(leaving_grace_s, lapse_grace_s=max(0.0, leaving_grace_s - 0.2)),
+            UpstreamDirectory(
+                leaving_grace_s,
+                lapse_grace_s=max(0.0, leaving_grace_s - 0.2),
+                evacuations=Evacuations(evacuate_s or 0.0),
+            ),
             VmDirectory(self._this_vm, settings.regions.by_data_centre()),
             self._health.failed_recently,
             lambda: self._document_sync.mirror.unobserved_s(codec.upstream_kind),
+            (
+                (lambda: self._document_sync.mirror.changed_after_s(codec.evacuation_kind))
+                if evacuate_s is not None
+                else None
+            ),
         )
         self._state.on_config.append(self._on_config)
         self._envelopes = EnvelopeCodec(codec.headers)
@@ -221,6 +232,7 @@
             lambda leases: self._control_loop.apply_lease(leases),
             self._peers.poll_relay,
             settings.bounds.settle_window_s,
+            evacuate_s,
         )
 
     def _make_hops(self) -> None:
--- a/fireflyferry/gateway/settings.py
+++ b/fireflyferry/gateway/settings.py
@@ -62,8 +62,9 @@
     VMs together may send retries for `retry_share` of the requests in `retry_window_s`, and
     `retry_least` more. A VM has to serve by the store's current data `settle_window_s` after its
     connections, or the store, were disturbed. An evacuated data centre gets no requests later than
-    `evacuate_s` after the order. A cold upstream gets, from all VMs together in one second, at most
-    `warmup_overshoot` times the rate that its pool tolerates, and `warmup_tolerance` requests more.
+    `evacuate_s` after the order; without it, orders are not followed. A cold upstream gets, from
+    all VMs together in one second, at most `warmup_overshoot` times the rate that its pool
+    tolerates, and `warmup_tolerance` requests more.
     """
 
     drain_timeout_s: float = field(SECONDS)
@@ -73,7 +74,7 @@
     retry_window_s: float = field(SECONDS)
     retry_least: float = field(Number(0.0, 1e6))
     settle_window_s: float = field(SECONDS, default=3.0)
-    evacuate_s: float = field(SECONDS, default=5.0)
+    evacuate_s: float | None = field(SECONDS, default=None)
     warmup_overshoot: float = field(Number(0.0, 1000.0), default=1.5)
     warmup_tolerance: float = field(Number(0.0, 1e6), default=8.0)
 
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -85,11 +85,14 @@
         vms: VmDirectory,
         store_failed_recently: Callable[[], bool],
         upstreams_unobserved_s: Callable[[], float],
+        evacuations_not_before_s: Callable[[], float] | None = None,
     ):
         self._clock = clock
         self._codec = codec
         self._store_failed_recently = store_failed_recently
         self._upstreams_unobserved_s = upstreams_unobserved_s
+        self._evacuations_not_before_s = evacuations_not_before_s
+        self._evacuations_listed = False
         self.upstreams = upstreams
         self.vms = vms
         self.owners = OwnerTables()
@@ -106,8 +109,13 @@
 
     @property
     def complete(self) -> bool:
-        """Whether the configuration and the upstreams are loaded, which serving requires."""
-        return self.config is not None and self._upstreams is not None
+        """Whether the configuration, upstreams and evacuations are loaded: serving requires it."""
+        follows_evacuations = self._evacuations_not_before_s is not None
+        return (
+            self.config is not None
+            and self._upstreams is not None
+            and (self._evacuations_listed or not follows_evacuations)
+        )
 
     def shares_last_hop(self, upstream: Upstream) -> bool:
         """Return whether the upstreams of the same pool and data centre share one last hop.
@@ -230,6 +238,33 @@
             raise UnreadableDocumentError(f"{upstream.slots} slots on {limit} connections")
         return upstream
 
+    def apply_evacuations(self, documents_by_name: Mapping[str, Document]) -> None:
+        """Apply the list of evacuated data centres, which the names of the objects are."""
+        now_s = self._clock.monotonic_s()
+        not_before_s = float("-inf")
+        if self._evacuations_not_before_s is not None:
+            not_before_s = self._evacuations_not_before_s()
+        self._evacuations_listed = True
+        evacuations = self.upstreams.evacuations
+        began, ended = evacuations.apply(now_s, documents_by_name, not_before_s)
+        for name in began:
+            keys_until_s = evacuations.keys_until_s(now_s, name) or now_s
+            keys_for_s = round(max(0.0, keys_until_s - now_s), 3)
+            extra = {"data_centre": name, "keys_for_s": keys_for_s}
+            _LOG.warning("evacuation_began", extra=extra)
+            if not self.vms.knows_data_centre(name):
+                _LOG.warning("evacuation_of_unknown_data_centre", extra={"data_centre": name})
+        for name in ended:
+            _LOG.warning("evacuation_ended", extra={"data_centre": name})
+        if began or ended:
+            self._log_standings(now_s, False)
+            for callback in self.on_upstreams:
+                callback()
+
+    def evacuated_data_centres(self) -> list[str]:
+        """Return the data centres whose upstreams get no requests by order."""
+        return self.upstreams.evacuations.active(self._clock.monotonic_s())
+
     def apply_vms(self, documents_by_name: Mapping[str, Document]) -> None:
         """Apply the list of entry VMs."""
         listed = [
--- a/fireflyferry/platform/tests/test_adapter.py
+++ b/fireflyferry/platform/tests/test_adapter.py
@@ -412,7 +412,7 @@
     """Guards against settings files that are refused because a field of the platform is missing."""
     defaults = parse_settings(filled_template(), GatewaySettings).bounds
     assert (defaults.evacuate_s, defaults.warmup_overshoot, defaults.warmup_tolerance) == (
-        5,
+        None,
         1.5,
         8,
     )
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -28,6 +28,7 @@
     NO_TABLES = "no_tables"
     NO_UPSTREAM = "no_upstream"
     REGION_NOT_ALLOWED = "region_not_allowed"
+    DATA_CENTRE_EVACUATED = "data_centre_evacuated"
     NO_LEADER = "no_leader"
     NOT_LEADER = "not_leader"
     OWNER_UNAVAILABLE = "owner_unavailable"
@@ -85,6 +86,7 @@
     Reason.NO_TABLES: _refusal(503, retryable=True),
     Reason.NO_UPSTREAM: _refusal(503, retryable=True),
     Reason.REGION_NOT_ALLOWED: _refusal(503, retryable=True),
+    Reason.DATA_CENTRE_EVACUATED: _refusal(503, retryable=True),
     Reason.NO_LEADER: _refusal(503, retryable=True),
     Reason.NOT_LEADER: _refusal(503, retryable=True),
     Reason.OWNER_UNAVAILABLE: _refusal(503, retryable=True),
