--- a/fireflyferry/gateway/tests/test_regions.py
+++ b/fireflyferry/gateway/tests/test_regions.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 
+import orjson
 import pytest
 
 from fireflyferry.balancing import common_regions, effective_regions
@@ -15,6 +16,7 @@
 from fireflyferry.gateway.planning import RangePlanner
 from fireflyferry.gateway.tests.places import Place, make_upstream, make_vm
 from fireflyferry.gateway.tests.support import make_config, make_route
+from fireflyferry.messages.codec import structure, unstructure
 from fireflyferry.routing.hosts import PoolShare, PoolSpec
 from fireflyferry.telemetry import Reason
 from fireflyferry.telemetry.reasons import REASONS
@@ -154,3 +156,11 @@
     assert target.vm == place.state.last_hop(upstreams[0])
     refused = Place([]).locate()
     assert (refused.reason, refused.retry_after_s) == (Reason.NO_UPSTREAM, 0.3)
+
+
+def test_stored_configuration_of_the_tests_is_json():
+    """Guards against relays of these tests that cannot encode a configuration with regions."""
+    config = limited("r-2", "r-1")
+    content = orjson.loads(orjson.dumps(unstructure(config)))
+    assert content["routes"][0]["allowed_regions"] == ["r-1", "r-2"]
+    assert structure(content, type(config)) == config
--- a/fireflyferry/messages/codec.py
+++ b/fireflyferry/messages/codec.py
@@ -3,7 +3,7 @@
 import logging
 import math
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_origin
 
 import cattrs
 import orjson
@@ -66,6 +66,7 @@
     hooks = {str: _read_string, bool: _read_bool, int: _read_integer, float: _read_number}
     for each, hook in hooks.items():
         converter.register_structure_hook(each, hook)
+    converter.register_unstructure_hook_func(lambda t: get_origin(t) is frozenset, sorted)
     return converter
 
 
