--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -31,6 +31,7 @@
         Reason.CONNECT_FAILED,
         Reason.UPSTREAM_SHED,
         Reason.UPSTREAM_QUIET,
+        Reason.UPSTREAM_COLD,
         Reason.UPSTREAM_DRAINING,
         Reason.NOT_OWNER,
         Reason.SHUTTING_DOWN,
@@ -38,7 +39,9 @@
     }
 )
 
-_NO_ROOM_REASONS = frozenset({Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT, Reason.UPSTREAM_QUIET})
+_NO_ROOM_REASONS = frozenset(
+    {Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT, Reason.UPSTREAM_QUIET, Reason.UPSTREAM_COLD}
+)
 
 # Reasons of a VM that says nothing about the upstream; another VM may send the request to it.
 _VM_REASONS = frozenset({Reason.SHUTTING_DOWN, Reason.UPSTREAMS_UNREACHABLE})
--- a/fireflyferry/gateway/gauges.py
+++ b/fireflyferry/gateway/gauges.py
@@ -41,6 +41,10 @@
             "Data centres whose upstreams get no requests, by order.",
             lambda: len(state.evacuated_data_centres()),
         ),
+        "cold_upstreams": (
+            "Upstreams that are cold and get a limited rate.",
+            state.cold_upstreams,
+        ),
         "cut_off": ("Whether this VM reaches no upstream.", lambda: float(path.lost)),
         "holds_lease": (
             "Whether this VM may grant keys.",
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -19,12 +19,14 @@
     Upstream,
     UpstreamDirectory,
 )
+from fireflyferry.balancing.body_bytes import BodyBytes
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.answers import classify
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.edges import HeaderNames
 from fireflyferry.gateway.learning import record_attempt, record_leaving
 from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.send_limits import SendLimits
 from fireflyferry.gateway.upstream_path import PathMonitor
 from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.telemetry import Outcome, Reason
@@ -74,6 +76,8 @@
         rules: LastHopRules | None = None,
         stop_plan: StopPlan | None = None,
         quiet: QuietPeriods | None = None,
+        limits: SendLimits | None = None,
+        body_bytes: BodyBytes | None = None,
     ):
         self._clock = clock
         self._transport = transport
@@ -88,6 +92,8 @@
         self._rules = rules or LastHopRules()
         self._stop_plan = stop_plan or StopPlan()
         self._quiet = quiet or QuietPeriods()
+        self._limits = limits
+        self._body_bytes = body_bytes or BodyBytes()
         self._queues: dict[UpstreamRun, SlotQueue] = {}
         self._no_reuse_until_s: dict[UpstreamRun, float] = {}
         # One future for each waiting request; its result is whether the request got a slot in time.
@@ -182,10 +188,14 @@
 
     def _exact_forecast(self, now_s: float, upstream: Upstream) -> tuple[float, float]:
         queue = self._queue(upstream)
-        return self._quiet.left_s(now_s, upstream.run) + queue.wait_s(now_s), queue.service_s
+        cold_s = self._limits.wait_s(now_s, upstream) if self._limits is not None else 0.0
+        wait_s = self._quiet.left_s(now_s, upstream.run) + max(cold_s, queue.wait_s(now_s))
+        return wait_s, queue.service_s
 
     async def _queue_and_send(self, now_s: float, call: Call, upstream: Upstream) -> Attempt:
         queue = self._queue(upstream)
+        if (limited := self._limit(now_s, call, upstream)) is not None:
+            return limited
         ticket = Ticket(call.priority, call.started_s, call.target_time_s, call.deadline_s)
         decision = queue.offer(now_s, ticket)
         if isinstance(decision, Refused):
@@ -199,6 +209,13 @@
         record_attempt(self._load_tracker, ended_s, call, upstream.run, attempt)
         return attempt
 
+    def _limit(self, now_s: float, call: Call, upstream: Upstream) -> Attempt | None:
+        """Return the refusal of a request that the upstream may not hold now, or None."""
+        cold = self._limits.refusal(now_s, upstream) if self._limits is not None else None
+        if cold is not None or self._body_bytes.has_room(upstream.run, len(call.body)):
+            return cold
+        return not_run(Reason.QUEUE_FULL, self._queue(upstream).service_s)
+
     def _refuse_waited(self, call: Call, upstream: Upstream, queue: SlotQueue) -> Attempt:
         """Return the refusal of a request that waited in vain."""
         if (refusal := self._path.refusal()) is not None:
@@ -258,7 +275,9 @@
         try:
             if not call.ends_before_exit(sent_s, self._stop_plan, lambda: (0.0, queue.service_s)):
                 return not_run(Reason.SHUTTING_DOWN)
-            attempt = await self._exchange(call, upstream)
+            if (limited := self._limit(sent_s, call, upstream)) is not None:
+                return limited
+            attempt = await self._counted_exchange(call, upstream)
             took_s = self._clock.monotonic_s() - sent_s
             if attempt.outcome is Outcome.ANSWERED or attempt.reason is Reason.TIMED_OUT:
                 # If more requests are in flight than it has slots, some wait inside the upstream.
@@ -287,6 +306,17 @@
             for ticket in queue.drain():
                 self._end_wait(ticket, False)
 
+    async def _counted_exchange(self, call: Call, upstream: Upstream) -> Attempt:
+        """Send a request and count it and its bytes while the upstream holds it."""
+        if self._limits is not None:
+            self._limits.on_sent(self._clock.monotonic_s(), upstream)
+        size_bytes = len(call.body)
+        self._body_bytes.begin(upstream.run, size_bytes)
+        try:
+            return await self._exchange(call, upstream)
+        finally:
+            self._body_bytes.end(upstream.run, size_bytes)
+
     async def _exchange(self, call: Call, upstream: Upstream) -> Attempt:
         names, rules = self._names, self._rules
         left_s = call.deadline_s - self._clock.monotonic_s()
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -18,6 +18,7 @@
 from fireflyferry.transport.fetch import complete_body
 
 __all__ = [
+    "EVACUATIONS_AGE_HEADER",
     "FEED_PATH",
     "FORWARD_PATH",
     "LOADS_PATH",
@@ -26,6 +27,7 @@
     "VM_HEADER",
     "PeerClient",
     "PeerRules",
+    "read_evacuations_age",
 ]
 
 _LOG = logging.getLogger(__name__)
@@ -36,6 +38,7 @@
 LOADS_PATH = "/peer/loads"
 OWNERS_PATH = "/peer/owners"
 FEED_PATH = "/peer/feed"
+EVACUATIONS_AGE_HEADER = "Firefly-Evacuations-Age"  # of an answer to a follower, in ms
 VM_HEADER = "Firefly-Vm"  # id of the VM that answers a ping
 
 # Answers of a VM that has not passed a forwarded request on: it cannot read it, or it is of an
@@ -43,6 +46,12 @@
 _UNREAD_STATUSES = (400, 404)
 
 
+def read_evacuations_age(value: str | None) -> float:
+    """Parse the header value with the age of evacuations; infinite if it is missing or odd."""
+    is_number = value is not None and value.isascii() and value.isdigit()
+    return int(value) / 1000 if value is not None and is_number else float("inf")
+
+
 @attrs.frozen
 class PeerRules:
     """Timeouts and intervals of calls to other entry VMs, in seconds.
@@ -145,8 +154,8 @@
         except peer_messages.PeerMessageError as error:
             _LOG.warning("feed_unreadable", extra={"vm": vm.vm_id, "error": str(error)})
             return None
-        age = result.header(peer_messages.EVACUATIONS_AGE_HEADER)
-        return attrs.evolve(answer, evacuations_age_s=peer_messages.read_evacuations_age(age))
+        age = result.header(EVACUATIONS_AGE_HEADER)
+        return attrs.evolve(answer, evacuations_age_s=read_evacuations_age(age))
 
     async def _post(self, vm: EntryVm, path: str, body: bytes) -> bool:
         exchange = Exchange(
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -28,7 +28,6 @@
 
 __all__ = [
     "EARLIER_CALL_HEADER",
-    "EVACUATIONS_AGE_HEADER",
     "FEED_HEADER",
     "LEAVING_HEADER",
     "PATH_HEADER",
@@ -36,7 +35,6 @@
     "PeerCall",
     "PeerMessageError",
     "read_call",
-    "read_evacuations_age",
     "read_feed",
     "read_feed_request",
     "read_leaving",
@@ -58,7 +56,6 @@
 EARLIER_CALL_HEADER = "Firefly-Call"  # of forwarded requests before there were envelopes
 RESULT_HEADER = "Firefly-Result"
 FEED_HEADER = "Firefly-Feed"
-EVACUATIONS_AGE_HEADER = "Firefly-Evacuations-Age"  # of an answer to a follower, in ms
 # Of the answer to a forward. It is not in the line of the result, since VMs of earlier revisions
 # read only lines with exactly their own values.
 LEAVING_HEADER = "Firefly-Leaving"
@@ -165,6 +162,8 @@
     # shed a request was reached, so `read_result` can tell the two apart.
     if reason is Reason.UPSTREAM_QUIET:
         reason = Reason.UPSTREAM_SHED
+    elif reason is Reason.UPSTREAM_COLD:
+        reason = Reason.QUEUE_FULL
     values = (
         _OUTCOME_LETTERS[attempt.outcome],
         reason or EMPTY,
@@ -297,12 +296,6 @@
     return " ".join([answer.incarnation, *map(str, ages_ms)])
 
 
-def read_evacuations_age(value: str | None) -> float:
-    """Parse the header value with the age of evacuations; infinite if it is missing or odd."""
-    is_number = value is not None and value.isascii() and value.isdigit()
-    return int(value) / 1000 if value is not None and is_number else float("inf")
-
-
 def write_feed_body(changes: FeedChanges) -> bytes:
     """Return the body of an answer to a follower.
 
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -19,6 +19,7 @@
 from fireflyferry.gateway.headers import answer_headers
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.peer_client import (
+    EVACUATIONS_AGE_HEADER,
     FEED_PATH,
     FORWARD_PATH,
     LOADS_PATH,
@@ -138,7 +139,7 @@
         headers = [feed_header, *self._path_headers()]
         if math.isfinite(answer.evacuations_age_s):
             age_ms = math.ceil(answer.evacuations_age_s * 1000)
-            headers.append((peer_messages.EVACUATIONS_AGE_HEADER, str(age_ms)))
+            headers.append((EVACUATIONS_AGE_HEADER, str(age_ms)))
         self.answer(200, headers, peer_messages.write_feed_body(answer.changes))
 
     async def _answer_forward(self) -> None:
--- a/fireflyferry/gateway/planning.py
+++ b/fireflyferry/gateway/planning.py
@@ -59,7 +59,8 @@
 class RangePlanner:
     """Collects load reports, and plans moves of keys between upstreams for each pool.
 
-    `may_own` returns whether an upstream that is ready may own keys of its pool.
+    `may_own` returns whether an upstream that is ready may own keys of its pool, `cold_rate` how
+    many requests a second it tolerates while it is cold; None if no limit applies.
     """
 
     def __init__(
@@ -69,12 +70,14 @@
         rules: PlanRules | None = None,
         rebalancing: RebalancingRules | None = None,
         may_own: Callable[[Upstream], bool] = lambda _: True,
+        cold_rate: Callable[[Upstream], float | None] = lambda _: None,
     ):
         self._clock = clock
         self._upstreams = upstreams
         self._rules = rules or PlanRules()
         self._rebalancing = rebalancing or RebalancingRules()
         self._may_own = may_own
+        self._cold_rate = cold_rate
         self._demand: dict[str, KeyDemand] = {}
         self._service_s: dict[str, tuple[float, float]] = {}
 
@@ -138,6 +141,8 @@
             capacity = upstream.slots / max(service_s, 0.001)
             if upstream.warmup_left_s > 0:
                 capacity *= rules.warmup_capacity
+            if (rate := self._cold_rate(upstream)) is not None:
+                capacity = min(capacity, rate)
             capacities.append(RunCapacity(upstream.run, capacity))
         return capacities
 
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -14,15 +14,14 @@
 from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import (
     EntryVm,
-    Evacuations,
     LoadTracker,
     QuietPeriods,
     SelectionRules,
     TrafficSplitter,
-    UpstreamDirectory,
-    VmDirectory,
 )
+from fireflyferry.balancing.cold_limits import ColdSenders
 from fireflyferry.edges.system_clock import BootClock
+from fireflyferry.gateway import documents
 from fireflyferry.gateway.callers import CallerExchange, CallerServices
 from fireflyferry.gateway.control import ControlLoop
 from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
@@ -43,8 +42,9 @@
 from fireflyferry.gateway.registration import Registration
 from fireflyferry.gateway.reporting import LoadReporter
 from fireflyferry.gateway.sampling import KeySampler
+from fireflyferry.gateway.send_limits import SendLimits
 from fireflyferry.gateway.settings import GatewaySettings
-from fireflyferry.gateway.state import GatewayState
+from fireflyferry.gateway.state_factory import make_state
 from fireflyferry.gateway.upstream_path import make_path_monitor
 from fireflyferry.gateway.watching import StoreHealth
 from fireflyferry.keyranges import GrantTiming
@@ -173,7 +173,10 @@
     def _make_control_loop(self) -> None:
         bounds = self._settings.bounds
         self._planner = RangePlanner(
-            self._clock, self._state.upstreams, may_own=self._state.may_own_keys
+            self._clock,
+            self._state.upstreams,
+            may_own=self._state.may_own_keys,
+            cold_rate=self._state.cold_rate,
         )
         self._control_loop = ControlLoop(
             self._clock,
@@ -201,25 +204,23 @@
 
     def _make_state(self) -> None:
         settings, codec = self._settings, self._adapters.codec
-        evacuate_s = settings.bounds.evacuate_s
-        leaving_grace_s = max(0.0, settings.bounds.drain_timeout_s - self._rules.leaving_margin_s)
-        self._state = GatewayState(
+        self._state = make_state(
             self._clock,
             codec,
-            UpstreamDirectory(
-                leaving_grace_s,
-                lapse_grace_s=max(0.0, leaving_grace_s - 0.2),
-                evacuations=Evacuations(evacuate_s or 0.0),
-            ),
-            VmDirectory(self._this_vm, settings.regions.by_data_centre()),
-            self._health.failed_recently,
-            lambda: self._document_sync.mirror.unobserved_s(codec.upstream_kind),
-            (
-                (lambda: self._document_sync.mirror.changed_after_s(codec.evacuation_kind))
-                if evacuate_s is not None
-                else None
-            ),
+            settings,
+            self._this_vm,
+            self._rules,
+            self._health,
+            lambda: self._document_sync.mirror,
+        )
+        regions = settings.regions.by_data_centre()
+        self._cold_senders = ColdSenders(
+            self._this_vm,
+            regions,
+            self._state.cold.rules,
+            lambda: self._document_sync.age_s(documents.VM_KIND),
         )
+        self._state.on_vms = self._cold_senders.on_vms
         self._state.on_config.append(self._on_config)
         self._envelopes = EnvelopeCodec(codec.headers)
         self._peers = PeerClient(self._clock, self._transport, self._state.vms, self._envelopes)
@@ -232,7 +233,7 @@
             lambda leases: self._control_loop.apply_lease(leases),
             self._peers.poll_relay,
             settings.bounds.settle_window_s,
-            evacuate_s,
+            settings.bounds.evacuate_s,
         )
 
     def _make_hops(self) -> None:
@@ -251,6 +252,7 @@
             self._path,
             stop_plan=self._stop_plan,
             quiet=self._quiet,
+            limits=SendLimits(clock, state, self._cold_senders),
         )
         state.on_upstreams.append(self._last_hop.remove_gone_queues)
         self._load_tracker = LoadTracker(SelectionRules(), self._rng)
@@ -366,6 +368,7 @@
             known = {each.run for each in self._state.upstreams}
             self._load_tracker.retain(known)
             self._last_hop.retain(known)
+            self._state.cold.retain(known)
 
     # Shutdown
 
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -13,6 +13,7 @@
     common_regions,
     effective_regions,
 )
+from fireflyferry.balancing.cold_limits import ColdUpstreams
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, PlatformCodec, UnreadableDocumentError
@@ -86,6 +87,7 @@
         store_failed_recently: Callable[[], bool],
         upstreams_unobserved_s: Callable[[], float],
         evacuations_not_before_s: Callable[[], float] | None = None,
+        cold: ColdUpstreams | None = None,
     ):
         self._clock = clock
         self._codec = codec
@@ -95,12 +97,14 @@
         self._evacuations_listed = False
         self.upstreams = upstreams
         self.vms = vms
+        self.cold = cold or ColdUpstreams()
         self.owners = OwnerTables()
         self.config: RoutingConfig | None = None
         self.routes = HostRoutes(())
         self.on_outdated_owners: Callable[[], None] = lambda: None
         self.on_config: list[Callable[[RoutingConfig], None]] = []
         self.on_upstreams: list[Callable[[], None]] = []
+        self.on_vms: Callable[[float, list[EntryVm]], None] = lambda now_s, vms: None
         self._unreadable: dict[tuple[str, str], int] = {}
         self._upstreams: Mapping[str, Document] | None = None
         self._standings: dict[UpstreamRun, str] = {}
@@ -123,9 +127,38 @@
         They do for a pool without keys in a large data centre, where each VM sees too few of the
         requests to know which upstream has a free slot.
         """
-        spec = self.config.pools.get(upstream.pool) if self.config is not None else None
-        keyed = spec is not None and spec.keyed
-        return not keyed and self.vms.is_large(upstream.data_centre)
+        return not self.is_keyed(upstream.pool) and self.vms.is_large(upstream.data_centre)
+
+    def is_keyed(self, pool: str) -> bool:
+        """Return whether each key of a pool has one owner."""
+        spec = self.config.pools.get(pool) if self.config is not None else None
+        return spec is not None and spec.keyed
+
+    def warmup_per_s(self, pool: str) -> float:
+        """Return how many requests a second a cold upstream of a pool tolerates; 0: no limit."""
+        spec = self.config.pools.get(pool) if self.config is not None else None
+        return spec.warmup_per_s if spec is not None and spec.warmup_s > 0.0 else 0.0
+
+    def cold_limit(self, now_s: float, upstream: Upstream) -> tuple[float, float]:
+        """Return the rate that an upstream tolerates while cold, and how long it stays cold.
+
+        Both are 0 if no limit applies.
+        """
+        per_s = self.warmup_per_s(upstream.pool)
+        if per_s <= 0.0:
+            return 0.0, 0.0
+        ended_s = self.upstreams.evacuations.ended_s(now_s, upstream.data_centre)
+        left_s = self.cold.left_s(now_s, upstream.run, ended_s)
+        return (per_s, left_s) if left_s > 0.0 else (0.0, 0.0)
+
+    def cold_rate(self, upstream: Upstream) -> float | None:
+        """Return the rate that an upstream tolerates now, since it is cold; None if it is not."""
+        per_s, _ = self.cold_limit(self._clock.monotonic_s(), upstream)
+        return per_s or None
+
+    def cold_upstreams(self) -> int:
+        """Return how many upstreams are cold and limited."""
+        return sum(self.cold_rate(each) is not None for each in self.upstreams)
 
     def allowed_regions(self, route: HostRoute) -> frozenset[str] | None:
         """Return the regions in which the requests of a route may be processed; None for all."""
@@ -236,6 +269,14 @@
         limit = spec.max_connections if spec is not None else None
         if limit is not None and upstream.slots > limit:  # a connection carries one request
             raise UnreadableDocumentError(f"{upstream.slots} slots on {limit} connections")
+        begins = self.cold.on_entry(self._clock.monotonic_s(), upstream, document.revision)
+        if begins and self.warmup_per_s(upstream.pool) > 0.0:
+            extra = {
+                "upstream": document.name,
+                "born": upstream.run.born,
+                "for_s": upstream.warmup_left_s,
+            }
+            _LOG.info("upstream_cold", extra=extra)
         return upstream
 
     def apply_evacuations(self, documents_by_name: Mapping[str, Document]) -> None:
@@ -273,6 +314,7 @@
         ]
         known: list[EntryVm] = [each for each in listed if each is not None]
         self.vms.apply(known)
+        self.on_vms(self._clock.monotonic_s(), known)
         _LOG.info("vms_listed", extra={"vms": len(known), "leaving": sum(v.leaving for v in known)})
 
     def apply_owners(self, documents_by_name: Mapping[str, Document]) -> None:
--- a/fireflyferry/gateway/tests/places.py
+++ b/fireflyferry/gateway/tests/places.py
@@ -56,9 +56,9 @@
 class Place:
     """Routing state of `vm-1` in data centre dc-1."""
 
-    def __init__(self, upstreams, vms=(), config=None, bound_s=0.0):
+    def __init__(self, upstreams, vms=(), config=None, bound_s=0.0, clock=None):
         self.order_not_before_s = float("-inf")
-        self.clock = ManualClock()
+        self.clock = clock or ManualClock()
         self.store_failed = False
         self.state = GatewayState(
             self.clock,
@@ -79,10 +79,10 @@
         document = Document("main", config.version, unstructure(config))
         self.state.apply_config({"main": document})
 
-    def list_upstreams(self, upstreams):
+    def list_upstreams(self, upstreams, revision=1):
         self.state.apply_upstreams(
             {
-                each.run.upstream_id: Document(each.run.upstream_id, 1, unstructure(each))
+                each.run.upstream_id: Document(each.run.upstream_id, revision, unstructure(each))
                 for each in upstreams
             }
         )
@@ -96,7 +96,7 @@
     def call(self, route="read", key=None):
         """Return a call of a route as `CallerExchange` makes it."""
         found = self.state.routes.match("h", f"/{route}/")
-        now_s = self.clock.now_s
+        now_s = self.clock.monotonic_s()
         return Call(
             "r", "POST", "/", [], b"body", found.shares[0].pool, key, found.idempotent, 1, 2,
             now_s, now_s + 1.0, now_s + 2.0, received_s=now_s,
--- a/fireflyferry/gateway/tests/test_evacuations.py
+++ b/fireflyferry/gateway/tests/test_evacuations.py
@@ -13,11 +13,12 @@
 from fireflyferry.balancing import Evacuations, Standing, UpstreamDirectory, VmDirectory
 from fireflyferry.balancing.evacuations import SEND_MARGIN_S
 from fireflyferry.edges.system_clock import BootClock
-from fireflyferry.gateway import documents, peer_messages
+from fireflyferry.gateway import documents
 from fireflyferry.gateway.calls import Attempt
 from fireflyferry.gateway.edges import Document, StoreCallError
 from fireflyferry.gateway.knowledge import DocumentSync
 from fireflyferry.gateway.locating import Search
+from fireflyferry.gateway.peer_client import read_evacuations_age
 from fireflyferry.gateway.planning import RangePlanner
 from fireflyferry.gateway.state import GatewayState
 from fireflyferry.gateway.tests.places import REGIONS, Place, make_upstream, make_vm
@@ -130,9 +131,9 @@
 
 
 def test_age_of_evacuations_travels_beside_the_feed():
-    assert peer_messages.read_evacuations_age("1250") == 1.25
+    assert read_evacuations_age("1250") == 1.25
     for odd in (None, "", "-1", "1.5", "\u0661", "soon"):
-        assert peer_messages.read_evacuations_age(odd) == float("inf")
+        assert read_evacuations_age(odd) == float("inf")
 
 
 # Sites of several VMs, in virtual time
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -42,6 +42,7 @@
     DEADLINE_PASSED_IN_QUEUE = "deadline_passed_in_queue"
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_QUIET = "upstream_quiet"
+    UPSTREAM_COLD = "upstream_cold"
     UPSTREAM_DRAINING = "upstream_draining"
     CONNECT_FAILED = "connect_failed"
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
@@ -100,6 +101,7 @@
     Reason.DEADLINE_PASSED_IN_QUEUE: _refusal(503),
     Reason.UPSTREAM_SHED: _refusal(503, retryable=True),
     Reason.UPSTREAM_QUIET: _refusal(503, retryable=True),
+    Reason.UPSTREAM_COLD: _refusal(503),
     Reason.UPSTREAM_DRAINING: _refusal(503, retryable=True),
     Reason.CONNECT_FAILED: _refusal(503, retryable=True),
     Reason.UPSTREAMS_UNREACHABLE: _refusal(503, retryable=True),
