--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -1,8 +1,10 @@
 """Choice of upstreams and last hops, slot queues, retry budgets, traffic splits."""
 
 from fireflyferry.balancing.directory import Standing, Upstream, UpstreamDirectory
+from fireflyferry.balancing.evacuations import Evacuations
 from fireflyferry.balancing.quiet import QuietPeriods
 from fireflyferry.balancing.reachability import Contact, InFlight, PathRules, UpstreamPath
+from fireflyferry.balancing.region_limits import common_regions, effective_regions
 from fireflyferry.balancing.retry_window import SlidingRetryBudget
 from fireflyferry.balancing.selection import Choice, LoadTracker, SelectionRules
 from fireflyferry.balancing.shares import TrafficSplitter
@@ -22,6 +24,7 @@
     "Choice",
     "Contact",
     "EntryVm",
+    "Evacuations",
     "InFlight",
     "LoadTracker",
     "PathRules",
@@ -39,4 +42,6 @@
     "UpstreamPath",
     "VmDirectory",
     "Waiting",
+    "common_regions",
+    "effective_regions",
 ]
--- a/fireflyferry/gateway/gauges.py
+++ b/fireflyferry/gateway/gauges.py
@@ -39,6 +39,14 @@
             "Requests that wait for a slot at this last hop.",
             lambda: last_hop.waiting,
         ),
+        "evacuated_data_centres": (
+            "Data centres whose upstreams get no requests, by order.",
+            lambda: len(state.evacuated_data_centres()),
+        ),
+        "cold_upstreams": (
+            "Upstreams that are cold and get a limited rate.",
+            state.cold_upstreams,
+        ),
         "cut_off": ("Whether this VM reaches no upstream.", lambda: float(path.lost)),
         "store_era": (
             "Highest era that the store reported; -1 if it reports none.",
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -3,7 +3,10 @@
 from collections.abc import Awaitable, Callable, Coroutine, Iterator, Mapping
 from typing import Any
 
+import attrs
+
 from fireflyferry.balancing import EntryVm
+from fireflyferry.balancing.evacuations import SEND_MARGIN_S
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.edges import Document, MetadataStore, PlatformCodec, StoreCallError
@@ -28,6 +31,9 @@
 # triggers an exact list at once, so that polling is only a fallback.
 OWNER_POLL_S = 2.5
 VM_POLL_S = 2.0
+EVACUATION_GAP_S = 0.05
+# Until a follower whose relay is lost has the data of another one or of the store.
+RELAY_DELAY_S = 1.4
 
 
 class DocumentSync:
@@ -44,6 +50,7 @@
         poll_relay: Callable[[EntryVm, FeedRequest, float], Awaitable[FeedAnswer | None]],
         settle_window_s: float,
         eras: StoreEras | None = None,
+        evacuate_s: float | None = None,
     ):
         self._store = store
         self._health = health
@@ -54,6 +61,7 @@
                 documents.OWNER_KIND: state.apply_owners,
                 documents.VM_KIND: state.apply_vms,
                 documents.LEASE_KIND: on_lease,
+                codec.evacuation_kind: state.apply_evacuations,
             },
             {documents.OWNER_KIND: documents.written_era},
         )
@@ -68,6 +76,14 @@
             owners,
             KindPoller(*common, documents.VM_KIND, VM_POLL_S),
         )
+        required = [codec.config_kind, codec.upstream_kind, documents.OWNER_KIND]
+        if evacuate_s is not None:
+            bound_s = evacuate_s - RELAY_DELAY_S - SEND_MARGIN_S
+            rules = make_watch_rules(bound_s, EVACUATION_GAP_S)
+            # An order that the copy of a restored store lacks is in force until it is written again.
+            evacuation_rules = attrs.evolve(rules, keep_s=settle_window_s)
+            sources += (KindWatcher(*common, codec.evacuation_kind, evacuation_rules),)
+            required.append(codec.evacuation_kind)
         self._sources = {source.kind: source for source in sources}
         state.on_outdated_owners = owners.request_exact_list
         self.feed = Feed(
@@ -77,18 +93,18 @@
             state.vms,
             sources,
             documents.VM_KIND,
-            (codec.config_kind, codec.upstream_kind, documents.OWNER_KIND),
+            required,
             poll_relay,
             self._probe,
             eras=eras,
+            evacuation_kind=codec.evacuation_kind,
         )
 
     def begin_era(self, era: int) -> None:
         """List everything again, since the store came back from a copy."""
         # Reported first: it decides how upstreams that are missing in the new lists are treated.
-        if (
-            self.mirror.sequence
-        ):  # a process that has just started knows nothing that may be missing
+        # A process that has just started knows nothing that may be missing.
+        if self.mirror.sequence:
             self._health.on_restored()
         self.mirror.begin_era(era)
         for source in self._sources.values():
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -1,6 +1,7 @@
 """Server side of calls from other VMs: forwarding, pings, load reports, owner tables, feed."""
 
 import logging
+import math
 from collections.abc import Callable
 
 import attrs
@@ -18,6 +19,7 @@
 from fireflyferry.gateway.headers import answer_headers
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.peer_client import (
+    EVACUATIONS_AGE_HEADER,
     FEED_PATH,
     FORWARD_PATH,
     LOADS_PATH,
@@ -135,6 +137,9 @@
             return
         feed_header = (peer_messages.FEED_HEADER, peer_messages.write_feed_header(answer))
         headers = [feed_header, *self._path_headers()]
+        if math.isfinite(answer.evacuations_age_s):
+            age_ms = math.ceil(answer.evacuations_age_s * 1000)
+            headers.append((EVACUATIONS_AGE_HEADER, str(age_ms)))
         self.answer(200, headers, peer_messages.write_feed_body(answer.changes))
 
     async def _answer_forward(self) -> None:
--- a/fireflyferry/gateway/planning.py
+++ b/fireflyferry/gateway/planning.py
@@ -1,11 +1,11 @@
 """Planning of key moves, from the load and the service times that all VMs report."""
 
 import statistics
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
-from fireflyferry.balancing import UpstreamDirectory
+from fireflyferry.balancing import Upstream, UpstreamDirectory
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.keyranges import (
@@ -57,7 +57,11 @@
 
 
 class RangePlanner:
-    """Collects load reports, and plans moves of keys between upstreams for each pool."""
+    """Collects load reports, and plans moves of keys between upstreams for each pool.
+
+    `may_own` returns whether an upstream that is ready may own keys of its pool, `cold_rate` how
+    many requests a second it tolerates while it is cold; None if no limit applies.
+    """
 
     def __init__(
         self,
@@ -65,11 +69,15 @@
         upstreams: UpstreamDirectory,
         rules: PlanRules | None = None,
         rebalancing: RebalancingRules | None = None,
+        may_own: Callable[[Upstream], bool] = lambda _: True,
+        cold_rate: Callable[[Upstream], float | None] = lambda _: None,
     ):
         self._clock = clock
         self._upstreams = upstreams
         self._rules = rules or PlanRules()
         self._rebalancing = rebalancing or RebalancingRules()
+        self._may_own = may_own
+        self._cold_rate = cold_rate
         self._demand: dict[str, KeyDemand] = {}
         self._service_s: dict[str, tuple[float, float]] = {}
 
@@ -124,7 +132,7 @@
             for upstream_id, (at_s, service_s) in self._service_s.items()
             if now_s - at_s < rules.service_time_ttl_s
         }
-        ready = self._upstreams.ready(now_s, pool)
+        ready = [each for each in self._upstreams.ready(now_s, pool) if self._may_own(each)]
         measured = [known[u.run.upstream_id] for u in ready if u.run.upstream_id in known]
         fallback_s = statistics.median(measured) if measured else rules.default_service_s
         capacities = []
@@ -133,6 +141,8 @@
             capacity = upstream.slots / max(service_s, 0.001)
             if upstream.warmup_left_s > 0:
                 capacity *= rules.warmup_capacity
+            if (rate := self._cold_rate(upstream)) is not None:
+                capacity = min(capacity, rate)
             capacities.append(RunCapacity(upstream.run, capacity))
         return capacities
 
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -27,6 +27,8 @@
     NOT_AUTHENTICATED = "not_authenticated"
     NO_TABLES = "no_tables"
     NO_UPSTREAM = "no_upstream"
+    REGION_NOT_ALLOWED = "region_not_allowed"
+    DATA_CENTRE_EVACUATED = "data_centre_evacuated"
     NO_LEADER = "no_leader"
     NOT_LEADER = "not_leader"
     OWNER_UNAVAILABLE = "owner_unavailable"
@@ -40,6 +42,7 @@
     DEADLINE_PASSED_IN_QUEUE = "deadline_passed_in_queue"
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_QUIET = "upstream_quiet"
+    UPSTREAM_COLD = "upstream_cold"
     UPSTREAM_DRAINING = "upstream_draining"
     CONNECT_FAILED = "connect_failed"
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
@@ -83,6 +86,8 @@
     Reason.NOT_AUTHENTICATED: _refusal(401),
     Reason.NO_TABLES: _refusal(503, retryable=True),
     Reason.NO_UPSTREAM: _refusal(503, retryable=True),
+    Reason.REGION_NOT_ALLOWED: _refusal(503, retryable=True),
+    Reason.DATA_CENTRE_EVACUATED: _refusal(503, retryable=True),
     Reason.NO_LEADER: _refusal(503, retryable=True),
     Reason.NOT_LEADER: _refusal(503, retryable=True),
     Reason.OWNER_UNAVAILABLE: _refusal(503, retryable=True),
@@ -96,6 +101,7 @@
     Reason.DEADLINE_PASSED_IN_QUEUE: _refusal(503),
     Reason.UPSTREAM_SHED: _refusal(503, retryable=True),
     Reason.UPSTREAM_QUIET: _refusal(503, retryable=True),
+    Reason.UPSTREAM_COLD: _refusal(503),
     Reason.UPSTREAM_DRAINING: _refusal(503, retryable=True),
     Reason.CONNECT_FAILED: _refusal(503, retryable=True),
     Reason.UPSTREAMS_UNREACHABLE: _refusal(503, retryable=True),
