--- a/fireflyferry/balancing/slot_queue.py
+++ b/fireflyferry/balancing/slot_queue.py
@@ -7,6 +7,7 @@
 import attrs
 
 from fireflyferry.admission import ServiceTimes
+from fireflyferry.balancing.load_report import LoadReport, ReportedLoad
 from fireflyferry.telemetry import Reason
 
 __all__ = ["Admitted", "QueueRules", "Refused", "SlotQueue", "Ticket", "Waiting"]
@@ -86,6 +87,7 @@
         self._limit = limit
         self._busy = 0
         self._service_times = ServiceTimes()
+        self._reported = ReportedLoad()
         self._waiting: list[tuple[int, bool, float, int, Ticket]] = []
         self._sequence = itertools.count()
         self._waiting_count = 0
@@ -119,6 +121,24 @@
         usable = self._usable_slots()
         return max(0, requests_before + 1 - usable) * self.service_s / usable
 
+    def on_report(self, now_s: float, report: LoadReport) -> None:
+        """Store the load that an answer of the upstream reported."""
+        self._reported.on_report(now_s, report, self._busy)
+
+    def forecast(self, now_s: float) -> tuple[float, float]:
+        """Return the wait and service time in seconds that a new ticket can expect.
+
+        Unlike the limits of this queue, it follows the reported load and pace, which may change
+        before a ticket that waits gets its slot.
+        """
+        wait_s, service_s, usable = self.wait_s(now_s), self.service_s, self._usable_slots()
+        others = self._reported.others(now_s, service_s)
+        # Slots that are free by this VM's count may be taken by the requests of other senders.
+        free = max(0, usable - self._busy - self._waiting_count - 1)
+        wait_s += max(0.0, others - free) * service_s / usable
+        factor = self._reported.pace_factor(now_s, wait_s + service_s)
+        return wait_s * factor, service_s * factor
+
     def is_stalled(self, now_s: float) -> bool:
         """Return whether all slots are taken and no request has ended for too long."""
         limit_s = max(self._rules.stall_s, self._rules.stall_service_times * self.service_s)
