--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -14,6 +14,7 @@
     Ticket,
     Waiting,
 )
+from fireflyferry.balancing.spillover import Demand, LeaveReason, SpilloverRules
 from fireflyferry.balancing.vms import LARGE_DATA_CENTRE_VMS, EntryVm, VmDirectory
 
 __all__ = [
@@ -21,8 +22,10 @@
     "Admitted",
     "Choice",
     "Contact",
+    "Demand",
     "EntryVm",
     "InFlight",
+    "LeaveReason",
     "LoadTracker",
     "PathRules",
     "QueueRules",
@@ -31,6 +34,7 @@
     "SelectionRules",
     "SlidingRetryBudget",
     "SlotQueue",
+    "SpilloverRules",
     "Standing",
     "Ticket",
     "TrafficSplitter",
--- a/fireflyferry/balancing/selection.py
+++ b/fireflyferry/balancing/selection.py
@@ -6,6 +6,13 @@
 import attrs
 
 from fireflyferry.balancing.directory import Upstream
+from fireflyferry.balancing.spillover import (
+    Demand,
+    LeaveReason,
+    Option,
+    SpilloverRules,
+    choose_option,
+)
 from fireflyferry.keyranges import UpstreamRun
 from fireflyferry.retries import doubled_s
 
@@ -14,14 +21,16 @@
 
 @attrs.frozen
 class SelectionRules:
-    """Weights of the cost, in seconds of waiting, by which upstreams are compared.
+    """Weights of the cost, in seconds, by which upstreams of one data centre are compared.
 
-    Sending to another region costs `region_cost_share` of the target latency: traffic between
-    regions is the largest expense, but a late answer has less than half the value of one in time.
+    `spillover` says when a request leaves the data centre. An upstream elsewhere that had no room
+    is not asked again for `first_full_s`, doubled with each refusal up to `max_full_s`: without
+    that, 89 VMs that ask 5 full data centres once a second each make 445 requests a second.
     """
 
-    data_centre_cost_s: float = 0.01
-    region_cost_share: float = 0.5
+    spillover: SpilloverRules = attrs.field(factory=SpilloverRules)
+    first_full_s: float = 0.5
+    max_full_s: float = 4.0
     jitter_s: float = 0.01
     max_forecast_age_s: float = 1.0
     warmup_cost_factor: float = 1.0
@@ -42,15 +51,23 @@
     consecutive_failures: int = 0
     avoid_until_s: float = 0.0
     failure_share: float = 0.0
+    consecutive_full: int = 0
+    full_until_s: float = 0.0
 
 
 @attrs.frozen
 class Choice:
-    """A chosen upstream with its expected wait and the age of that forecast, in seconds."""
+    """A chosen upstream with its expected wait and the age of that forecast, in seconds.
+
+    `distance` is 0 in this VM's data centre, 1 in its region, 2 elsewhere; `why` says what led
+    there.
+    """
 
     upstream: Upstream
     wait_s: float
     age_s: float
+    distance: int = 0
+    why: LeaveReason = LeaveReason.NEAR
 
 
 class LoadTracker:
@@ -94,6 +111,17 @@
         load.avoid_until_s = now_s + avoid_s * self._rng.uniform(0.8, 1.2)
         return avoid_s
 
+    def on_room(self, run: UpstreamRun) -> None:
+        """Record that an upstream, or the last hop that it shares, had room for a request."""
+        self._load_of(run).consecutive_full = 0
+
+    def on_no_room(self, now_s: float, run: UpstreamRun) -> None:
+        """Record that an upstream, or the last hop that it shares, had no room for a request."""
+        load, rules = self._load_of(run), self._rules
+        load.consecutive_full += 1
+        full_s = doubled_s(rules.first_full_s, load.consecutive_full, rules.max_full_s)
+        load.full_until_s = now_s + full_s * self._rng.uniform(0.8, 1.2)
+
     def service_s(self, run: UpstreamRun) -> float:
         """Return the last reported mean service time in seconds; 0 if there is none."""
         return self._load_of(run).service_s
@@ -113,40 +141,60 @@
         now_s: float,
         upstreams: Iterable[Upstream],
         distance: Callable[[Upstream], int],
-        target_latency_s: float,
+        demand: Demand,
         exact_wait: Callable[[Upstream], tuple[float, float] | None],
         tried: Container[str] = (),
     ) -> Choice | None:
-        """Return the upstream with the lowest cost; None if all were tried.
+        """Return the upstream for a request.
 
+        None if all were tried, or if a request that was refused nearer by gains nothing elsewhere.
         `distance` returns 0 in this VM's data centre, 1 in its region, 2 elsewhere. `exact_wait`
         returns wait and service time in seconds if this VM is the upstream's last hop, else None.
         """
-        rules = self._rules
         upstreams = list(upstreams)
         mean_service_s = self._mean_service_s(upstreams)
-        best: tuple[tuple[bool, float], Choice] | None = None
-        for upstream in upstreams:
-            if upstream.run.upstream_id in tried:
-                continue
-            load = self._load_of(upstream.run)
-            exact = exact_wait(upstream)
-            wait_s, service_s = exact or (
-                self.wait_s(now_s, upstream),
-                load.service_s or mean_service_s,
-            )
-            distance_level = distance(upstream)
-            cost = wait_s + service_s + self._rng.uniform(0.0, rules.jitter_s)
-            cost += load.failure_share * rules.failure_cost_s
-            cost += rules.data_centre_cost_s if distance_level else 0.0
-            cost += rules.region_cost_share * target_latency_s if distance_level > 1 else 0.0
-            if upstream.warmup_left_s > 0.0:
-                cost += rules.warmup_cost_factor * service_s
-            age_s = 0.0 if exact else now_s - load.forecast_at_s
-            rank = (now_s < load.avoid_until_s, cost)
-            if best is None or rank < best[0]:
-                best = (rank, Choice(upstream, wait_s, age_s))
-        return best[1] if best is not None else None
+        untried = [each for each in upstreams if each.run.upstream_id not in tried]
+        exact = [exact_wait(each) for each in untried]
+        options = [
+            self._option(now_s, upstream, distance(upstream), forecast, mean_service_s)
+            for upstream, forecast in zip(untried, exact, strict=True)
+        ]
+        draws = [self._rng.random() for _ in range(4)]
+        chosen = choose_option(options, demand, self._rules.spillover, draws)
+        if chosen is None:
+            return None
+        index, why = chosen
+        upstream, option = untried[index], options[index]
+        age_s = 0.0 if exact[index] else now_s - self._load_of(upstream.run).forecast_at_s
+        return Choice(upstream, option.wait_s, age_s, option.distance, why)
+
+    def _option(
+        self,
+        now_s: float,
+        upstream: Upstream,
+        distance: int,
+        forecast: tuple[float, float] | None,
+        mean_service_s: float,
+    ) -> Option:
+        rules, load = self._rules, self._load_of(upstream.run)
+        wait_s, service_s = forecast or (
+            self.wait_s(now_s, upstream),
+            load.service_s or mean_service_s,
+        )
+        cost_s = wait_s + service_s + self._rng.uniform(0.0, rules.jitter_s)
+        cost_s += load.failure_share * rules.failure_cost_s
+        if upstream.warmup_left_s > 0.0:
+            cost_s += rules.warmup_cost_factor * service_s
+        return Option(
+            distance,
+            wait_s,
+            service_s,
+            cost_s,
+            upstream.slots,
+            load.failure_share,
+            avoided=now_s < load.avoid_until_s,
+            full=now_s < load.full_until_s,
+        )
 
     def _mean_service_s(self, upstreams: Iterable[Upstream]) -> float:
         """Return the mean of the known service times in seconds; 0 if none is known."""
--- a/fireflyferry/balancing/tests/test_balancing.py
+++ b/fireflyferry/balancing/tests/test_balancing.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fireflyferry.balancing import (
+    Demand,
     EntryVm,
     LoadTracker,
     SelectionRules,
@@ -248,7 +249,7 @@
         10.0,
         upstreams,
         lambda each: distances.get(each.run.upstream_id, 0),
-        0.6,
+        Demand(0.6),
         lambda each: (exact or {}).get(each.run.upstream_id),
         tried,
     )
--- a/fireflyferry/balancing/tests/test_directories.py
+++ b/fireflyferry/balancing/tests/test_directories.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fireflyferry.balancing import (
+    Demand,
     EntryVm,
     LoadTracker,
     SelectionRules,
@@ -92,7 +93,7 @@
     tracker.on_forecast(10.0, other, 0.5, 0.1)
     for _ in range(4):
         tracker.on_no_answer(10.0, earlier)
-    choice = tracker.choose(10.0, upstreams, lambda _: 0, 0.6, lambda _: None)
+    choice = tracker.choose(10.0, upstreams, lambda _: 0, Demand(0.6), lambda _: None)
     assert choice.upstream.run == later
 
 
--- a/fireflyferry/balancing/tests/test_shared_choice.py
+++ b/fireflyferry/balancing/tests/test_shared_choice.py
@@ -6,7 +6,15 @@
 
 import attrs
 
-from fireflyferry.balancing import LoadTracker, SelectionRules, SlotQueue, Ticket, Upstream, Waiting
+from fireflyferry.balancing import (
+    Demand,
+    LoadTracker,
+    SelectionRules,
+    SlotQueue,
+    Ticket,
+    Upstream,
+    Waiting,
+)
 from fireflyferry.balancing.slot_queue import Admitted
 from fireflyferry.keyranges import UpstreamRun
 
@@ -36,7 +44,8 @@
             queue = self.queues[upstream.run.upstream_id]
             return (queue.wait_s(now_s), queue.service_s) if exact else None
 
-        choice = tracker.choose(now_s, self.upstreams, lambda _: 0, TARGET_LATENCY_S, exact_wait)
+        demand = Demand(TARGET_LATENCY_S)
+        choice = tracker.choose(now_s, self.upstreams, lambda _: 0, demand, exact_wait)
         return choice.upstream.run.upstream_id
 
 
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -11,9 +11,14 @@
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
-from fireflyferry.gateway.learning import record_attempt, record_leaving
+from fireflyferry.gateway.learning import (
+    NO_ROOM_REASONS,
+    record_attempt,
+    record_leaving,
+    record_room,
+)
 from fireflyferry.gateway.locating import Locator, Search, Target
-from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.gateway.metrics import DISTANCE_NAMES, GatewayMetrics
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.state import GatewayState
 from fireflyferry.telemetry import Outcome, Reason
@@ -38,8 +43,6 @@
     }
 )
 
-_NO_ROOM_REASONS = frozenset({Reason.QUEUE_FULL, Reason.DEADLINE_TOO_SHORT, Reason.UPSTREAM_QUIET})
-
 # Reasons of a VM that says nothing about the upstream; another VM may send the request to it.
 _VM_REASONS = frozenset({Reason.SHUTTING_DOWN, Reason.UPSTREAMS_UNREACHABLE})
 
@@ -247,8 +250,10 @@
     def _record_attempt(self, call: Call, target: Target, attempt: Attempt) -> None:
         now_s, run = self._clock.monotonic_s(), target.upstream.run
         record_leaving(self._state.upstreams, now_s, attempt.leaving)
+        self._metrics.distance(call.pool, target.distance, target.why)
         if attempt.wait_s is not None:
             self._load_tracker.on_forecast(now_s, run, attempt.wait_s, attempt.service_s)
+        record_room(self._load_tracker, now_s, run, attempt)
         avoided_s = 0.0
         # A last hop that chooses among upstreams records their failures itself.
         if not self._state.shares_last_hop(target.upstream):
@@ -262,6 +267,8 @@
                     "key": call.key,
                     "upstream": attempt.upstream_id or run.upstream_id,
                     "born": run.born if attempt.upstream_id in ("", run.upstream_id) else None,
+                    "distance": DISTANCE_NAMES[target.distance],
+                    "why": str(target.why),
                     "last_hop": target.vm.vm_id,
                     "last_hop_incarnation": target.vm.incarnation,
                     "outcome": str(attempt.outcome),
@@ -285,7 +292,7 @@
             return False
         if attempt.outcome is Outcome.NOT_RUN:
             retry = attempt.reason in _RETRYABLE_REASONS
-            if call.key is not None and attempt.reason in _NO_ROOM_REASONS:
+            if call.key is not None and attempt.reason in NO_ROOM_REASONS:
                 return False  # no upstream but the owner of the key may run it
             # An owner that shed the request although it had free slots may accept the next attempt.
         elif attempt.outcome is Outcome.UNKNOWN:
@@ -293,9 +300,11 @@
         else:
             failed = attempt.answer is not None and attempt.answer.status >= 500
             retry = failed and call.idempotent
+        if retry and attempt.reason in NO_ROOM_REASONS:
+            search.refused = attempt
         if (
             retry
-            and attempt.reason in _NO_ROOM_REASONS
+            and attempt.reason in NO_ROOM_REASONS
             and self._state.shares_last_hop(target.upstream)
         ):
             search.full_data_centres.add(target.upstream.data_centre)
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -9,6 +9,7 @@
 from fireflyferry.admission import StopPlan
 from fireflyferry.balancing import (
     Admitted,
+    Demand,
     LoadTracker,
     QueueRules,
     QuietPeriods,
@@ -23,7 +24,7 @@
 from fireflyferry.gateway.answers import classify
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.edges import HeaderNames
-from fireflyferry.gateway.learning import record_attempt, record_leaving
+from fireflyferry.gateway.learning import record_attempt, record_leaving, record_load
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.upstream_path import PathMonitor
 from fireflyferry.keyranges import UpstreamRun
@@ -106,7 +107,8 @@
     def forecast(self, upstream: Upstream) -> tuple[float, float]:
         """Return the wait and service time in seconds that a new request can expect."""
         now_s = self._clock.monotonic_s()
-        return min(self._exact_forecast(now_s, each) for each in self._candidates(now_s, upstream))
+        candidates = self._candidates(now_s, upstream)
+        return min((self._exact_forecast(now_s, each) for each in candidates), key=sum)
 
     def service_times(self) -> Mapping[str, float]:
         """Return the mean service time in seconds of each upstream that was used."""
@@ -174,15 +176,15 @@
             now_s,
             candidates,
             lambda _: 0,
-            call.target_time_s - now_s,
+            Demand(call.target_time_s - now_s, call.deadline_s - now_s, len(call.body)),
             lambda each: self._exact_forecast(now_s, each),
             call.tried,
         )
         return choice.upstream if choice is not None else candidates[0]
 
     def _exact_forecast(self, now_s: float, upstream: Upstream) -> tuple[float, float]:
-        queue = self._queue(upstream)
-        return self._quiet.left_s(now_s, upstream.run) + queue.wait_s(now_s), queue.service_s
+        wait_s, service_s = self._queue(upstream).forecast(now_s)
+        return self._quiet.left_s(now_s, upstream.run) + wait_s, service_s
 
     async def _queue_and_send(self, now_s: float, call: Call, upstream: Upstream) -> Attempt:
         queue = self._queue(upstream)
@@ -327,7 +329,10 @@
         if result.reused and result.sent and not (result.status or result.timed_out):
             self._on_kept_connection_lost(upstream)
         attempt = classify(names, call, upstream.run, result, lambda: self._unsent(call, upstream))
-        record_leaving(self._upstreams, self._clock.monotonic_s(), attempt.leaving)
+        now_s = self._clock.monotonic_s()
+        record_leaving(self._upstreams, now_s, attempt.leaving)
+        if result.complete and result.status != 421:  # 421 may come from another process
+            record_load(self._queue(upstream), now_s, upstream.run, result.header(names.load))
         return attempt
 
     def _unsent(self, call: Call, upstream: Upstream) -> Attempt:
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -6,7 +6,15 @@
 
 import attrs
 
-from fireflyferry.balancing import EntryVm, LoadTracker, QuietPeriods, Standing, Upstream
+from fireflyferry.balancing import (
+    Demand,
+    EntryVm,
+    LeaveReason,
+    LoadTracker,
+    QuietPeriods,
+    Standing,
+    Upstream,
+)
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
@@ -34,11 +42,17 @@
 
 @attrs.frozen
 class Target:
-    """An upstream, the VM that is its last hop, and the age of the forecast used to choose it."""
+    """An upstream, the VM that is its last hop, and the age of the forecast used to choose it.
+
+    `distance` is 0 in this VM's data centre, 1 in its region, 2 elsewhere; `why` says what led
+    there.
+    """
 
     upstream: Upstream
     vm: EntryVm
     forecast_age_s: float = 0.0
+    distance: int = 0
+    why: LeaveReason = LeaveReason.OWNER
 
 
 @attrs.define
@@ -49,6 +63,7 @@
     last hop for the pool had no room. `retry_reserved` is set while a retry of the budget is
     reserved for a hedged attempt. `hops` counts attempts, `reached` those that may have reached an
     upstream. `possibly_run` is an earlier attempt whose request was or may have been executed.
+    `refused` is the last refusal for lack of room.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -58,6 +73,7 @@
     reached: int = 0
     last_attempt: Attempt | None = None
     possibly_run: Attempt | None = None
+    refused: Attempt | None = None
 
 
 class Locator:
@@ -95,16 +111,27 @@
             now_s,
             self._alternatives(now_s, call.pool, search),
             self._distance,
-            call.target_time_s - call.started_s,
+            self._demand(now_s, call, search),
             self._exact_forecast,
         )
         if choice is None:
+            if search.refused is not None:
+                return search.refused
             quiet_s = self._quiet_s(now_s, state.upstreams.ready(now_s, call.pool), 0.0)
             if quiet_s > 0.0:
                 return not_run(Reason.UPSTREAM_QUIET, quiet_s)
             return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_after_s)
         upstream = choice.upstream
-        return Target(upstream, state.last_hop(upstream), choice.age_s)
+        return Target(upstream, state.last_hop(upstream), choice.age_s, choice.distance, choice.why)
+
+    @staticmethod
+    def _demand(now_s: float, call: Call, search: Search) -> Demand:
+        return Demand(
+            call.target_time_s - now_s,
+            call.deadline_s - now_s,
+            len(call.body),
+            search.refused is not None,
+        )
 
     def _alternatives(self, now_s: float, pool: str, search: Search) -> Iterable[Upstream]:
         """Yield the upstreams to choose from; those with a shared last hop are merged into one."""
@@ -217,4 +244,5 @@
         upstream = state.upstreams.get(run.upstream_id)
         if standing is Standing.GONE or upstream is None:
             return None, float("-inf")
-        return Target(upstream, state.last_hop(upstream)), float("-inf")
+        target = Target(upstream, state.last_hop(upstream), distance=self._distance(upstream))
+        return target, float("-inf")
--- a/fireflyferry/gateway/metrics.py
+++ b/fireflyferry/gateway/metrics.py
@@ -6,7 +6,9 @@
 
 from fireflyferry.gateway.calls import Attempt
 
-__all__ = ["GatewayMetrics"]
+__all__ = ["DISTANCE_NAMES", "GatewayMetrics"]
+
+DISTANCE_NAMES = ("data_centre", "region", "other_region")
 
 # From the fastest answer seen to the longest time that callers wait.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0)
@@ -36,6 +38,13 @@
         self._attempts = counter(
             "attempts", "Requests sent to upstreams by outcome.", "pool", "outcome", "reason"
         )
+        self._distances = counter(
+            "requests_by_distance",
+            "Requests sent, by distance of the upstream from the first hop, and why.",
+            "pool",
+            "distance",
+            "why",
+        )
         self._retries = counter(
             "retries", "Second sends that the budget allowed or denied.", "pool", "allowed"
         )
@@ -57,6 +66,10 @@
         self._attempts.labels(pool, str(attempt.outcome), str(attempt.reason or "")).inc()
         self._upstream_latency.labels(pool).observe(took_s)
 
+    def distance(self, pool: str, distance: int, why: str) -> None:
+        """Count a request that this VM as first hop sent to an upstream at a distance."""
+        self._distances.labels(pool, DISTANCE_NAMES[distance], why).inc()
+
     def retry(self, pool: str, allowed: bool) -> None:
         """Count a retry that the budget allowed or denied."""
         self._retries.labels(pool, str(allowed).lower()).inc()
