--- a/fireflyferry/messages/codec.py
+++ b/fireflyferry/messages/codec.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Set
 from typing import Any, TypeVar
 
 import cattrs
@@ -62,7 +62,10 @@
 
 def _make_converter() -> cattrs.Converter:
     """Return a converter that rejects values of another type instead of converting them."""
-    converter = cattrs.Converter(forbid_extra_keys=False)
+    # JSON has no sets; sorted lists make equal messages equal bytes.
+    converter = cattrs.Converter(
+        forbid_extra_keys=False, unstruct_collection_overrides={Set: sorted}
+    )
     hooks = {str: _read_string, bool: _read_bool, int: _read_integer, float: _read_number}
     for each, hook in hooks.items():
         converter.register_structure_hook(each, hook)
