--- a/fireflyferry/balancing/__init__.py
+++ b/fireflyferry/balancing/__init__.py
@@ -16,6 +16,7 @@
     Ticket,
     Waiting,
 )
+from fireflyferry.balancing.spillover import Demand, LeaveReason, SpilloverRules
 from fireflyferry.balancing.vms import LARGE_DATA_CENTRE_VMS, EntryVm, VmDirectory
 
 __all__ = [
@@ -23,9 +24,11 @@
     "Admitted",
     "Choice",
     "Contact",
+    "Demand",
     "EntryVm",
     "Evacuations",
     "InFlight",
+    "LeaveReason",
     "LoadTracker",
     "PathRules",
     "QueueRules",
@@ -34,6 +37,7 @@
     "SelectionRules",
     "SlidingRetryBudget",
     "SlotQueue",
+    "SpilloverRules",
     "Standing",
     "Ticket",
     "TrafficSplitter",
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -80,7 +80,7 @@
         if evacuate_s is not None:
             bound_s = evacuate_s - RELAY_DELAY_S - SEND_MARGIN_S
             rules = make_watch_rules(bound_s, EVACUATION_GAP_S)
-            # An order that the copy of a restored store lacks is in force until it is written again.
+            # An order that the copy of a restored store lacks stays in force until it is rewritten.
             evacuation_rules = attrs.evolve(rules, keep_s=settle_window_s)
             sources += (KindWatcher(*common, codec.evacuation_kind, evacuation_rules),)
             required.append(codec.evacuation_kind)
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -6,7 +6,15 @@
 
 import attrs
 
-from fireflyferry.balancing import EntryVm, LoadTracker, QuietPeriods, Standing, Upstream
+from fireflyferry.balancing import (
+    Demand,
+    EntryVm,
+    LeaveReason,
+    LoadTracker,
+    QuietPeriods,
+    Standing,
+    Upstream,
+)
 from fireflyferry.edges import Clock
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.last_hop import LastHop
@@ -36,11 +44,17 @@
 
 @attrs.frozen
 class Target:
-    """An upstream, the VM that is its last hop, and the age of the forecast used to choose it."""
+    """An upstream, the VM that is its last hop, and the age of the forecast used to choose it.
+
+    `distance` is 0 in this VM's data centre, 1 in its region, 2 elsewhere; `why` says what led
+    there.
+    """
 
     upstream: Upstream
     vm: EntryVm
     forecast_age_s: float = 0.0
+    distance: int = 0
+    why: LeaveReason = LeaveReason.OWNER
 
 
 @attrs.define
@@ -51,6 +65,7 @@
     last hop for the pool had no room. `retry_reserved` is set while a retry of the budget is
     reserved for a hedged attempt. `hops` counts attempts, `reached` those that may have reached an
     upstream. `possibly_run` is an earlier attempt whose request was or may have been executed.
+    `refused` is the last refusal for lack of room.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -60,6 +75,7 @@
     reached: int = 0
     last_attempt: Attempt | None = None
     possibly_run: Attempt | None = None
+    refused: Attempt | None = None
 
 
 class Locator:
@@ -97,13 +113,23 @@
             now_s,
             self._alternatives(now_s, call, search),
             self._distance,
-            call.target_time_s - call.started_s,
+            self._demand(now_s, call, search),
             self._exact_forecast,
         )
         if choice is None:
-            return self._refuse_unkeyed(now_s, call)
+            return search.refused or self._refuse_unkeyed(now_s, call)
         upstream = choice.upstream
-        return Target(upstream, state.sender(upstream, call.allowed_regions), choice.age_s)
+        sender = state.sender(upstream, call.allowed_regions)
+        return Target(upstream, sender, choice.age_s, choice.distance, choice.why)
+
+    @staticmethod
+    def _demand(now_s: float, call: Call, search: Search) -> Demand:
+        return Demand(
+            call.target_time_s - now_s,
+            call.deadline_s - now_s,
+            len(call.body),
+            search.refused is not None,
+        )
 
     def _refuse_unkeyed(self, now_s: float, call: Call) -> Attempt:
         allowed = self._ready(now_s, call)
@@ -263,4 +289,9 @@
         upstream = state.upstreams.get(run.upstream_id)
         if standing is Standing.GONE or upstream is None:
             return None, float("-inf")
-        return Target(upstream, state.sender(upstream, call.allowed_regions)), float("-inf")
+        target = Target(
+            upstream,
+            state.sender(upstream, call.allowed_regions),
+            distance=self._distance(upstream),
+        )
+        return target, float("-inf")
