--- a/fireflyferry/gateway/edges.py
+++ b/fireflyferry/gateway/edges.py
@@ -79,8 +79,13 @@
     """
 
     @abc.abstractmethod
-    async def read(self, kind: str, name: str, stale: bool = False) -> Document | None:
-        """Read an object; `stale` allows a cheaper answer that may be seconds old."""
+    async def read(
+        self, kind: str, name: str, stale: bool = False, fresh: bool = False
+    ) -> Document | None:
+        """Read an object; `stale` allows a cheaper answer that may be seconds old.
+
+        With `fresh`, the call opens a connection, since an idle one may have fallen silent.
+        """
 
     @abc.abstractmethod
     async def list(self, kind: str, stale: bool = False) -> DocumentBatch:
--- a/fireflyferry/gateway/knowledge.py
+++ b/fireflyferry/gateway/knowledge.py
@@ -98,9 +98,14 @@
         self.mirror.put(documents.OWNER_KIND, document)
 
     async def _probe(self) -> bool:
-        """Return whether the store responds to its cheapest call, a stale read."""
+        """Return whether the store responds to its cheapest call, a stale read.
+
+        A connection that fell silent together with those of the relay would delay what this VM
+        learns by the time limit of a call, on top of the time after which it leaves the relay.
+        """
+        lease = documents.LEASE_KIND, documents.LEASE_NAME
         try:
-            await self._store.read(documents.LEASE_KIND, documents.LEASE_NAME, stale=True)
+            await self._store.read(*lease, stale=True, fresh=True)
         except StoreCallError as error:
             self._health.on_failure(error)
             return False
--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -87,7 +87,9 @@
         async with self._changed:
             self._changed.notify_all()
 
-    async def read(self, kind: str, name: str, stale: bool = False) -> Document | None:
+    async def read(
+        self, kind: str, name: str, stale: bool = False, fresh: bool = False
+    ) -> Document | None:
         self._raise_if_down()
         return self.objects.get(kind, {}).get(name)
 
--- a/fireflyferry/platform/store.py
+++ b/fireflyferry/platform/store.py
@@ -46,15 +46,17 @@
         """Use another address from now on."""
         self._address = address
 
-    async def read(self, kind: str, name: str, stale: bool = False) -> Document | None:
+    async def read(
+        self, kind: str, name: str, stale: bool = False, fresh: bool = False
+    ) -> Document | None:
         """Read an object; None if it does not exist.
 
-        With `stale`, the answer may be seconds old and costs the store less. Raises
-        StoreCallError.
+        With `stale`, the answer may be seconds old and costs the store less. With `fresh`, the call
+        opens a connection, since an idle one may have fallen silent. Raises StoreCallError.
         """
         query = {"serializable": "1"} if stale else {}
         result = await self._call(
-            "read_stale" if stale else "read", "GET", _path(kind, name), query
+            "read_stale" if stale else "read", "GET", _path(kind, name), query, fresh=fresh
         )
         if result.status == 404:
             return None
