--- a/fireflyferry/gateway/answers.py
+++ b/fireflyferry/gateway/answers.py
@@ -60,6 +60,8 @@
         detail = f"curl {result.error} {result.message}"
         if not result.sent:
             return Reason.CONNECT_FAILED, detail
+        if result.invalid_head:
+            return Reason.INVALID_ANSWER, detail
         return Reason.TIMED_OUT if result.timed_out else Reason.CONNECTION_LOST, detail
     if result.header("Content-Encoding") is not None:
         return Reason.WRONG_ANSWER, "answer has a content encoding that was not requested"
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -324,7 +324,8 @@
             ),
             lambda: self._refusal(self._clock.monotonic_s(), call, upstream) is None,
         )
-        if result.reused and result.sent and not (result.status or result.timed_out):
+        lost = not (result.status or result.timed_out or result.invalid_head)
+        if result.reused and result.sent and lost:
             self._on_kept_connection_lost(upstream)
         attempt = classify(names, call, upstream.run, result, lambda: self._unsent(call, upstream))
         record_leaving(self._upstreams, self._clock.monotonic_s(), attempt.leaving)
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -13,7 +13,7 @@
 from fireflyferry.gateway.feed import FeedAnswer, FeedRequest
 from fireflyferry.gateway.sampling import LoadReport
 from fireflyferry.tasks import BackgroundTasks
-from fireflyferry.telemetry import Reason
+from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.transport import CurlTransport, Exchange, FetchResult, fetch
 from fireflyferry.transport.fetch import complete_body
 
@@ -217,6 +217,11 @@
         headers = [*envelope.headers, (self._envelopes.request_id_header, call.request_id)]
         answer = Answer(int(envelope.start), headers, envelope.body)
         attempt = peer_messages.read_result(envelope.summary, answer, upstream_id)
+        # A VM of an earlier revision passes on what its upstream sent.
+        if attempt.answer is not None and not 200 <= answer.status <= 599:
+            attempt = attrs.evolve(
+                attempt, outcome=Outcome.UNKNOWN, reason=Reason.INVALID_ANSWER, answer=None
+            )
         leaving = peer_messages.read_leaving(result.header(peer_messages.LEAVING_HEADER))
         return attrs.evolve(attempt, leaving=leaving)
 
--- a/fireflyferry/gateway/upstream_path.py
+++ b/fireflyferry/gateway/upstream_path.py
@@ -222,7 +222,7 @@
 
 def _contact(result: FetchResult) -> Contact:
     """Return what an exchange shows of the path to its upstream."""
-    if result.status:
+    if result.status or result.invalid_head:
         return Contact.ANSWERED_KEPT if result.reused else Contact.ANSWERED_NEW
     if result.sent:
         return Contact.NO_ANSWER
--- a/fireflyferry/platform/tests/test_orders.py
+++ b/fireflyferry/platform/tests/test_orders.py
@@ -247,6 +247,21 @@
         b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n",
         b"HTTP/1.1 421 Misdirected Request\r\n",
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+        *(
+            line + b"\r\nFireflyferry-Handover: t\r\nContent-Length: 0\r\n\r\n"
+            for line in (
+                b"HTTP/1.1 000 None",
+                b"HTTP/1.1 099 None",
+                b"HTTP/1.1 600 Unknown",
+                b"HTTP/1.1 999 Unknown",
+                b"HTTP/1.1 20 OK",
+                b"HTTP/1.1 2000 OK",
+                b"HTTP/1.1 abc OK",
+                b"HTTP/1.1  200 OK",
+                b"HTTP/2.0 200 OK",
+                b"HTTP/1.1 101 Switching Protocols",
+            )
+        ),
     ],
 )
 
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -50,6 +50,7 @@
     CONNECTION_LOST = "connection_lost"
     BROKEN_OFF = "broken_off"
     WRONG_ANSWER = "wrong_answer"
+    INVALID_ANSWER = "invalid_answer"
     OWNERSHIP_LAPSED = "ownership_lapsed"
 
 
@@ -106,5 +107,6 @@
     Reason.CONNECTION_LOST: _unknown_outcome(),
     Reason.BROKEN_OFF: _unknown_outcome(),
     Reason.WRONG_ANSWER: _unknown_outcome(),
+    Reason.INVALID_ANSWER: ReasonInfo(Outcome.UNKNOWN, 502, False),
     Reason.OWNERSHIP_LAPSED: _unknown_outcome(),
 }
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -35,6 +35,9 @@
     pycurl.BUFFERSIZE: 16_384,  # curl delivers no larger pieces
 }
 
+# curl reports these for a first line that is no status line of a version that it can read.
+INVALID_HEAD_ERRORS = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
+
 
 class CurlTransport(CurlAsyncHTTPClient):
     """Tornado's curl client with transfers that stream bodies in place of its buffered requests."""
@@ -153,6 +156,7 @@
             curl_error, curl_message = pycurl.E_PARTIAL_FILE, "connection closed inside the head"
         curl_message = transfer.fault or curl_message
         done, sent = transfer.done, transfer.sent
+        invalid_head = transfer.invalid_head or (sent and curl_error in INVALID_HEAD_ERRORS)
         opened_connections = transfer.opened_connections
         connection_too_new = transfer.connection_too_new
         connection_distrusted = transfer.connection_distrusted
@@ -179,6 +183,7 @@
                     opened_connections,
                     connection_too_new,
                     connection_distrusted,
+                    invalid_head,
                 )
             )
 
@@ -221,6 +226,7 @@
         self._lines: list[bytes] = []
         self.in_head = True
         self.fault = ""
+        self.invalid_head = False
         self._read_paused = self._write_paused = False
 
     def fail(self, message: str) -> None:
@@ -331,6 +337,7 @@
             head = read_head(lines)
         except HeadError as error:
             self.fault = str(error)
+            self.invalid_head = True
             return False
         if head.is_interim:
             if not self._cost.add_interim_head():
--- a/fireflyferry/transport/exchanges.py
+++ b/fireflyferry/transport/exchanges.py
@@ -69,6 +69,7 @@
     `opened_connections` is how many connections had been opened when the request was sent.
     `connection_too_new` means that it was not sent because of `Exchange.max_connection`,
     `connection_distrusted` that it was not, because its connection is not used again.
+    `invalid_head` means that what arrived is no valid head of an answer.
     """
 
     error: int
@@ -79,6 +80,7 @@
     opened_connections: int = 0
     connection_too_new: bool = False
     connection_distrusted: bool = False
+    invalid_head: bool = False
 
     @property
     def timed_out(self) -> bool:
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -22,8 +22,8 @@
     `sent` means that the request was handed to a connection, `reused` that the connection had
     carried another request before, `connection_refused` that no process listens on the port,
     `head_rejected` that `accept` rejected the head of the answer, and `too_large` that its body
-    exceeded the memory for answers. `opened_connections` and `connection_too_new` are as in
-    `TransferResult`.
+    exceeded the memory for answers. `opened_connections`, `connection_too_new` and `invalid_head`
+    are as in `TransferResult`.
     """
 
     error: int
@@ -39,6 +39,7 @@
     body: bytes = b""
     opened_connections: int = 0
     connection_too_new: bool = False
+    invalid_head: bool = False
 
     @property
     def complete(self) -> bool:
@@ -134,6 +135,7 @@
             answer.headers,
             opened_connections=result.opened_connections,
             connection_too_new=result.connection_too_new,
+            invalid_head=result.invalid_head,
         )
     return FetchResult(
         0,
--- a/fireflyferry/transport/heads.py
+++ b/fireflyferry/transport/heads.py
@@ -13,7 +13,8 @@
 # send the request again.
 ADDED_HEADERS: tuple[bytes, ...] = (b"Expect:",)
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9][0-9]{2})(?=[ \r\n])")
+# RFC 9110, section 15: a status outside 100 to 599 is invalid.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?=[ \r\n])")
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _LINE_BREAK = re.compile(r"[\r\n\0]")
