--- a/fireflyferry/transport/answer_cost.py
+++ b/fireflyferry/transport/answer_cost.py
@@ -88,7 +88,7 @@
         """Return whether `allows_read` should be called after this step."""
         return self._all_steps % STEPS_PER_COMPARISON == 0
 
-    def allows_read(self, read_bytes: int) -> bool:
+    def allows_read(self, read_bytes: int, body_bytes: int) -> bool:
         """Compare the bytes that were read of the answer with those of its body."""
-        allowed = FREE_FRAMING_BYTES + self._body_bytes * (1 + FRAMING_PER_BODY_BYTE)
+        allowed = FREE_FRAMING_BYTES + body_bytes * (1 + FRAMING_PER_BODY_BYTE)
         return read_bytes <= allowed
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -365,7 +365,7 @@
             return 1
         if self.sent and not self.in_head and self._cost.is_framing_due():
             read = bytes_read(self._descriptor)
-            if read is not None and not self._cost.allows_read(read - self._read_before):
+            if read is not None and not self._cost.allows_read(read - self._read_before, received):
                 self.fault = "too many bytes between those of the body"
                 return 1
         return 0
