--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -154,6 +154,7 @@
             self._control_loop.run,
             self._path.run,
             self._registration.run,
+            self._registration.run_in_later_eras,
             self._reporter.run,
             self._remove_stale_state,
         ):
--- a/fireflyferry/gateway/registration.py
+++ b/fireflyferry/gateway/registration.py
@@ -43,13 +43,17 @@
         return self._done
 
     async def run(self) -> None:
-        """Keep the entry written until cancelled; failed writes are made again."""
+        """Write the entry, and retry until the store has confirmed it."""
+        while not await self._write():
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        self._done = True
+
+    async def run_in_later_eras(self) -> None:
+        """Write the entry once more after each call of `write_again`, until cancelled."""
         while True:
-            self._outdated.clear()
-            while not await self._write():
-                await asyncio.sleep(RETRY_INTERVAL_S)
-            self._done = True
             await self._outdated.wait()
+            self._outdated.clear()
+            await self.run()
 
     def write_again(self) -> None:
         """Write the entry once more, since the store came back from a copy and may lack it."""
