--- a/fireflyferry/gateway/tests/test_eras.py
+++ b/fireflyferry/gateway/tests/test_eras.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 
-from fireflyferry.balancing import EntryVm, VmDirectory
+from fireflyferry.balancing import EntryVm, Standing, VmDirectory
 from fireflyferry.edges.system_clock import BootClock
 from fireflyferry.gateway import documents, peer_messages
 from fireflyferry.gateway.edges import Document, DocumentBatch, StoreCallError
@@ -255,6 +255,11 @@
         self.first_kept_revision = self.revision
         self.era += 1
 
+    async def put(self, kind, name, content):
+        """Write an object as an operator or an upstream, without an answer to this VM."""
+        known = self.objects.get(kind, {}).get(name)
+        await super().write(kind, name, content, known.revision if known is not None else 0)
+
     async def _in_era(self, call: Callable, names_revision: bool = False):
         before = self.eras.current
         result = await call
@@ -304,6 +309,7 @@
         await store.put("configs", "main", unstructure(old))
         await store.put("upstreams", "u1", upstream_content("u1", 1, run=RUN))
         store.copy()
+        await store.put("upstreams", "u2", upstream_content("u2", 2, run=UpstreamRun("u2", 1)))
         await store.put("configs", "main", unstructure(attrs.evolve(old, version=2)))
         async with gateway_in_eras(store) as running:
             program = running.program
@@ -311,12 +317,17 @@
             await running.wait_until(lambda: control.holds_lease)
             await running.wait_until(lambda: program._state.config.version == 2)
             await store.restore()
+            # Its revision is below the position of the watch before the restore.
+            await store.put("upstreams", "u3", upstream_content("u3", 3, run=UpstreamRun("u3", 1)))
             await running.wait_until(lambda: store.eras.current == 2)
             assert not control.holds_lease
             sent = len(running.orders.grants)
             mirror = program._document_sync.mirror
             await running.wait_until(lambda: mirror.has_listed(["configs", "upstreams"]))
             assert program._state.config.version == 2
+            upstreams, now_s = program._state.upstreams, BootClock().monotonic_s()
+            assert upstreams.get("u3") is not None
+            assert upstreams.standing(now_s, "u2") is Standing.READY
             await running.wait_until(lambda: "vm-1" in store.objects[documents.VM_KIND])
             assert program.ready and len(running.orders.grants) == sent
             await running.wait_until(lambda: control.holds_lease)
@@ -326,3 +337,23 @@
             await running.wait_until(lambda: program._state.config.version == 3)
 
     asyncio.run(scenario())
+
+
+def test_era_counts_as_a_disturbance_of_the_store():
+    """Guards against upstreams that count as leaving since the copy lacks their entries.
+
+    A relay may have reported the era, so that no call of this VM has failed.
+    """
+
+    async def scenario():
+        store = RestorableStore()
+        await store.put("configs", "main", unstructure(make_config()))
+        await store.put("upstreams", "u1", upstream_content("u1", 1, run=RUN))
+        async with gateway_in_eras(store) as running:
+            health = running.program._health
+            assert not health.failed_recently()
+            store.eras.observe(2, "relay")
+            assert health.failed_recently()
+            store.era = 2
+
+    asyncio.run(scenario())
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -492,3 +492,16 @@
     """Guards against a simulation that misses fences that a restored store hands out again."""
     monkeypatch.setattr(granter_module, "first_fence_of_era", lambda era: 1)
     assert any(restoring_simulation(seed).fence_errors for seed in range(60))
+
+
+def test_table_of_an_earlier_era_is_not_taken_for_the_one_of_this_term():
+    """Guards against grants by a table that a write of an earlier era has replaced.
+
+    The numbers of terms are issued again, so the term alone does not tell the two apart.
+    """
+    granter = granter_in_era(attrs.evolve(serving_granter(A, B).table, era=5))
+    saves, _, _ = split_actions(granter.tick(50.0))
+    granter.on_table_saved(10)
+    assert granter.table is not None
+    granter.on_table_read(attrs.evolve(saves[0].table, era=4), 11)
+    assert granter.table is None and granter.tick(50.1) == []
