--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -290,10 +290,7 @@
 
 
 def write_feed_header(answer: FeedAnswer) -> str:
-    """Return the header value with the incarnation and the ages, in milliseconds, of an answer.
-
-    The store's era follows if it is known.
-    """
+    """Return the header value: incarnation, ages in milliseconds, and the store's era if known."""
     numbers = [round(answer.age_s * 1000), round(answer.last_failure_age_s * 1000)]
     if answer.changes.era is not None:
         numbers.append(answer.changes.era)
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -22,12 +22,7 @@
     SaveTable,
 )
 from fireflyferry.keyranges.sent_grants import SentGrants
-from fireflyferry.keyranges.table import (
-    OwnedRange,
-    OwnerTable,
-    UpstreamRun,
-    first_fence_of_era,
-)
+from fireflyferry.keyranges.table import OwnedRange, OwnerTable, UpstreamRun, first_fence_of_era
 
 __all__ = ["RangeGranter"]
 
@@ -42,16 +37,14 @@
     have sent grants until `began_s`, also one of an earlier era of the store. `era` is the store's
     era in which this term began; None if the store reports none.
 
-    A table of an earlier era comes from a copy of the store: later moves and fences are missing
-    in it. Its holders are not trusted, so the first term of an era does not write the table before
-    all grants of earlier eras have expired. By then no write of an earlier era is in flight either;
-    one that arrived later could replace the table, since revisions are reissued.
+    A table of an earlier era comes from a copy of the store, which lacks later moves and fences. So
+    the first term of an era does not write the table before all grants of earlier eras have
+    expired. By then no write of an earlier era, which could replace the table, is in flight either.
     """
 
     def __init__(self, pool: str, timing: GrantTiming, began_s: float, era: int | None = None):
         self._pool = pool
         self._era = era
-        self._began_s = began_s
         self._timing = timing
         self._first_fence_of_term = 0
         self._table: OwnerTable | None = None
@@ -190,7 +183,7 @@
             # The processes that have the fences of the earlier term may have ended.
             changes.ranges = [
                 attrs.evolve(each, fence=changes.next_fence())
-                for each in self._ranges_of_earlier_term(table)
+                for each in table.ranges_in_era(self._era)
             ]
             return attrs.evolve(
                 table.with_ranges(changes.ranges, changes.last_fence),
@@ -206,19 +199,10 @@
 
     def _may_have_unknown_holders(self) -> bool:
         """Return whether a copy of the store may lack holders of keys; no era precedes era 0."""
-        if self._table is None:
-            return bool(self._era)
-        return self._table.era != self._era
+        return self._table.era != self._era if self._table is not None else bool(self._era)
 
     def _earlier_grants_have_expired(self, now_s: float) -> bool:
-        validity_s = self._timing.call_timeout_s + self._timing.max_validity_s
-        return now_s >= self._began_s + validity_s
-
-    def _ranges_of_earlier_term(self, table: OwnerTable) -> tuple[OwnedRange, ...]:
-        """Return the ranges that this term begins with; those of an earlier era have no holder."""
-        if table.era == self._era:
-            return table.ranges
-        return tuple(attrs.evolve(r, earlier_holders=(), serving=False) for r in table.ranges)
+        return now_s >= self._sent_grants.earlier_term_expiry_s
 
     def _first_table(self) -> OwnerTable | None:
         moves, self._requested_moves = self._requested_moves, []
--- a/fireflyferry/keyranges/sent_grants.py
+++ b/fireflyferry/keyranges/sent_grants.py
@@ -38,6 +38,11 @@
         self._held_before: set[tuple[UpstreamRun, int]] = set()
         self._ended: set[UpstreamRun] = set()
 
+    @property
+    def earlier_term_expiry_s(self) -> float:
+        """Time at which all grants of earlier terms have expired."""
+        return self._began_s + self._timing.call_timeout_s + self._timing.max_validity_s
+
     def may_hold(self, run: UpstreamRun, fence: int) -> bool:
         """Return whether an upstream was sent a grant under a fence, or held its keys before."""
         return (run, fence) in self._max_connections or (run, fence) in self._held_before
@@ -63,11 +68,8 @@
         """Return when all grants to an upstream expire; None while grant calls are in flight."""
         if self.in_flight(run):
             return None
-        earlier_term_expiry_s = (
-            self._began_s + self._timing.call_timeout_s + self._timing.max_validity_s
-        )
         grants = self._by_id.get(run.upstream_id)
-        return max(earlier_term_expiry_s, grants.expiry_s if grants is not None else 0.0)
+        return max(self.earlier_term_expiry_s, grants.expiry_s if grants is not None else 0.0)
 
     def on_new_fence(self, run: UpstreamRun, fence: int) -> None:
         """Record a new fence of keys that an upstream may hold already."""
--- a/fireflyferry/keyranges/table.py
+++ b/fireflyferry/keyranges/table.py
@@ -88,6 +88,12 @@
             return None
         return self.ranges[bisect.bisect_right(self._first_keys, key) - 1]
 
+    def ranges_in_era(self, era: int | None) -> tuple[OwnedRange, ...]:
+        """Return the ranges; in another era than that of the table, no upstream holds them."""
+        if self.era == era:
+            return self.ranges
+        return tuple(attrs.evolve(r, earlier_holders=(), serving=False) for r in self.ranges)
+
     def is_complete(self) -> bool:
         """Return whether every key is in exactly one range and no fence exceeds `last_fence`."""
         next_first = 0
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -471,7 +471,7 @@
 
 class _WaitsTooShort(RangeGranter):
     def _earlier_grants_have_expired(self, now_s):
-        return now_s >= self._began_s + 0.3 * EARLIER_GRANTS_S
+        return now_s >= self._sent_grants.earlier_term_expiry_s - 0.7 * EARLIER_GRANTS_S
 
 
 @pytest.mark.parametrize(
