--- a/fireflyferry/balancing/tests/test_cold_limits.py
+++ b/fireflyferry/balancing/tests/test_cold_limits.py
@@ -183,3 +183,16 @@
     assert bodies.has_room(RUN, 60) and not bodies.has_room(RUN, 61)
     bodies.end(RUN, 40)
     assert bodies.has_room(RUN, 500)
+
+
+def test_next_sender_waits_until_the_earlier_one_must_know_of_it():
+    """Guards against a VM that sends as soon as it sees another one leave the list."""
+    vms = [vm(number) for number in range(1, 6)]
+    senders = senders_of(vms, lambda _: vms)
+    (first,) = sending(senders, 100.0, keyed=True)
+    others = [each for each in vms if each.vm_id != first]
+    for each in others:
+        senders[each.vm_id].on_vms(100.0, others)
+    del senders[first]
+    assert sending(senders, 100.0 + RULES.handover_s - 0.1, keyed=True) == []
+    assert len(sending(senders, 100.0 + RULES.handover_s, keyed=True)) == 1
--- a/fireflyferry/gateway/tests/test_evacuations.py
+++ b/fireflyferry/gateway/tests/test_evacuations.py
@@ -16,12 +16,14 @@
 from fireflyferry.gateway import documents
 from fireflyferry.gateway.calls import Attempt
 from fireflyferry.gateway.edges import Document, StoreCallError
+from fireflyferry.gateway.feed import Feed, FeedAnswer
 from fireflyferry.gateway.knowledge import DocumentSync
 from fireflyferry.gateway.locating import Search
+from fireflyferry.gateway.mirror import DocumentMirror, FeedChanges, KindChanges
 from fireflyferry.gateway.peer_client import read_evacuations_age
 from fireflyferry.gateway.planning import RangePlanner
 from fireflyferry.gateway.state import GatewayState
-from fireflyferry.gateway.tests.places import REGIONS, Place, make_upstream, make_vm
+from fireflyferry.gateway.tests.places import REGIONS, ManualClock, Place, make_upstream, make_vm
 from fireflyferry.gateway.tests.support import (
     FakeCodec,
     FakeStore,
@@ -337,3 +339,25 @@
 
     run_in_virtual_time(run())
     assert "evacuations" not in kinds and "configs" in kinds
+
+
+def test_vm_without_a_list_of_evacuations_is_not_complete():
+    place = Place([], bound_s=BOUND_S)
+    assert not place.state.complete
+    evacuate(place)
+    assert place.state.complete
+
+
+@pytest.mark.parametrize(("age_s", "known_s"), [(2.0, 98.0), (float("inf"), float("-inf"))])
+def test_follower_trusts_evacuations_only_as_far_as_its_relay_knew_them(age_s, known_s):
+    """Guards against a relay whose watch of evacuations is silent while its other calls are not."""
+    clock = ManualClock(100.0)
+    mirror = DocumentMirror({})
+    health = StoreHealth(clock, 5.0)
+    feed = Feed(
+        clock, mirror, health, None, (), "vms", (), None, None, evacuation_kind="evacuations"
+    )
+    kinds = {kind: KindChanges(1) for kind in ("configs", "evacuations")}
+    feed._apply_answer(FeedAnswer("i1", 0.1, 9.0, FeedChanges(1, True, kinds), age_s), 99.9)
+    assert mirror.complete_until_s("evacuations") == known_s
+    assert mirror.complete_until_s("configs") == pytest.approx(99.9)
