--- a/fireflyferry/balancing/spillover.py
+++ b/fireflyferry/balancing/spillover.py
@@ -119,29 +119,39 @@
         tiers.setdefault(option.distance, []).append(index)
     losses = [expected_loss(each, demand, rules) for each in options]
     chosen: int | None = None
-    chosen_price, why = 0.0, LeaveReason.NONE_NEARER
+    why = LeaveReason.NONE_NEARER
     for distance in sorted(tiers):
         index = _best_of_tier(tiers[distance], options, losses, draws[-1])
-        price = _price(distance, demand, rules)
         if chosen is None and (distance == SAME_DATA_CENTRE or not demand.refused):
-            chosen, chosen_price = index, price
+            chosen = index
             why = LeaveReason.NONE_NEARER if distance else LeaveReason.NEAR
             continue
-        extra_price = price - chosen_price
-        loss = 1.0
-        if chosen is not None:
-            safe_share = rules.safe_share_in_region if distance == OTHER_REGION else None
-            loss = expected_loss(options[chosen], demand, rules, safe_share)
-        gain = loss - losses[index] - extra_price
-        if gain <= 0.0:
-            continue
-        share = 1.0 if chosen is None else rules.gain_factor * gain / max(1e-6, 1.0 - extra_price)
-        if draws[distance] < share:
-            why = _reason(options[chosen] if chosen is not None else None, demand)
-            chosen, chosen_price = index, price
+        nearer = options[chosen] if chosen is not None else None
+        if draws[distance] < _leaving_share(nearer, options[index], demand, rules):
+            chosen, why = index, _reason(nearer, demand)
     return None if chosen is None else (chosen, why)
 
 
+def _leaving_share(
+    nearer: Option | None, option: Option, demand: Demand, rules: SpilloverRules
+) -> float:
+    """Return which share of such requests goes on from a nearer option to one farther away.
+
+    `nearer` is None for a request that was refused nearer by.
+    """
+    loss, price = 1.0, _price(option.distance, demand, rules)
+    if nearer is not None:
+        if nearer.avoided:
+            return 0.0 if option.avoided else 1.0  # even a large body is of no use there
+        safe_share = rules.safe_share_in_region if option.distance == OTHER_REGION else None
+        loss = expected_loss(nearer, demand, rules, safe_share)
+        price -= _price(nearer.distance, demand, rules)
+    gain = loss - expected_loss(option, demand, rules) - price
+    if gain <= 0.0 or nearer is None:
+        return float(gain > 0.0)
+    return rules.gain_factor * gain / max(1e-6, 1.0 - price)
+
+
 def _best_of_tier(
     indexes: Sequence[int], options: Sequence[Option], losses: Sequence[float], draw: float
 ) -> int:
--- a/fireflyferry/balancing/tests/test_spillover.py
+++ b/fireflyferry/balancing/tests/test_spillover.py
@@ -66,7 +66,9 @@
 def test_request_leaves_upstreams_that_do_not_answer():
     near = option(0, 0.0, avoided=True)
     for draw in (0.0, 0.9):
-        assert choose(near, option(1, 0.0), draws=[draw] * 4) == (1, LeaveReason.FAILING_NEARER)
+        for demand in (DEMAND, Demand(1.3, 3.2, 1 << 26)):
+            chosen = choose(near, option(2, 0.0), demand=demand, draws=[draw] * 4)
+            assert chosen == (1, LeaveReason.FAILING_NEARER)
 
 
 def test_late_request_leaves_if_it_would_be_refused_nearby():
