--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -80,6 +80,18 @@
         if received_bytes > limit_bytes:
             self._refuse(not_run(Reason.BODY_TOO_LARGE))
 
+    def refuse_body(self, reason: Reason, retry_after_s: float) -> None:
+        """Refuse the request as not run, since there is no memory for its body."""
+        attempt = not_run(reason, retry_after_s)
+        self._refuse(attempt)
+        self._record_result(attempt)
+
+    def release_body(self) -> None:
+        """Drop the body after the request was handled."""
+        super().release_body()
+        if self._call is not None:
+            self._call.body = b""
+
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
         return self._call is not None and not self._call.idempotent
@@ -148,7 +160,7 @@
             method=self._line.method,
             target=self._line.path,
             headers=request_headers(self._headers, (names.deadline_ms, names.expected_upstream)),
-            body=self.body,
+            body=self.take_body(),
             pool=pool,
             key=key,
             idempotent=route.idempotent,
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -19,7 +19,8 @@
     `started_s` is when the caller first sent the request, `target_time_s` when an answer becomes
     late, `deadline_s` when it becomes useless. `returned` is set if the caller has sent the request
     before, `repeated` if an upstream may have received it from an earlier attempt. `tried` holds
-    ids of upstreams not to try again. `key` is None in pools without keys. `received_s` is when
+    ids of upstreams not to try again. `key` is None in pools without keys. `body` may be
+    in parts, since joining a long one would take its memory twice. `received_s` is when
     this VM received it. `passed_on` is set while an upstream may have received it, and
     `deadline_cut` if `deadline_s` is earlier than the caller's deadline, since this VM stops.
     """
@@ -28,7 +29,7 @@
     method: str
     target: str
     headers: HeaderList
-    body: bytes
+    body: bytes | tuple[bytes, ...]
     pool: str
     key: int | None
     idempotent: bool
--- a/fireflyferry/gateway/envelopes.py
+++ b/fireflyferry/gateway/envelopes.py
@@ -35,13 +35,14 @@
     """Contents of an envelope.
 
     `summary` describes the call or the result, `start` is the method and target of a request or
-    the status of an answer.
+    the status of an answer. `body` may be in parts, since joining a long one would take its memory
+    twice.
     """
 
     summary: str
     start: str
     headers: HeaderList
-    body: bytes
+    body: bytes | tuple[bytes, ...]
 
 
 class EnvelopeCodec:
@@ -55,6 +56,10 @@
 
     def pack(self, envelope: Envelope) -> bytes:
         """Return the bytes of an envelope."""
+        return b"".join(self.pack_parts(envelope))
+
+    def pack_parts(self, envelope: Envelope) -> tuple[bytes, ...]:
+        """Return the bytes of an envelope in parts; its body is not copied."""
         lines = [envelope.summary, envelope.start]
         lines.extend(f"{name}: {value}" for name, value in envelope.headers)
         compressor = zlib.compressobj(
@@ -66,13 +71,24 @@
             self._dictionary,
         )
         head = compressor.compress("\n".join(lines).encode("latin-1")) + compressor.flush()
-        return _LENGTH.pack(len(head)) + head + envelope.body
+        body = envelope.body
+        parts = body if isinstance(body, tuple) else (body,)
+        return (_LENGTH.pack(len(head)) + head, *parts)
 
     def unpack(self, data: bytes) -> Envelope:
         """Return the contents of an envelope.
 
         Raises EnvelopeError.
         """
+        envelope = self.unpack_parts((data,))
+        return attrs.evolve(envelope, body=b"".join(envelope.body))
+
+    def unpack_parts(self, parts: tuple[bytes, ...]) -> Envelope:
+        """Return the contents of an envelope that is given in parts, with the body in parts.
+
+        Raises EnvelopeError.
+        """
+        data, rest = _join_head(parts)
         if len(data) < _LENGTH.size:
             raise EnvelopeError(f"envelope of {len(data)} bytes")
         (head_bytes,) = _LENGTH.unpack_from(data)
@@ -90,7 +106,19 @@
         if not lines:
             raise EnvelopeError("head without a start line")
         headers = [_header(line) for line in lines[1:]]
-        return Envelope(summary, lines[0], headers, data[end:])
+        return Envelope(summary, lines[0], headers, (data[end:], *rest))
+
+
+def _join_head(parts: tuple[bytes, ...]) -> tuple[bytes, tuple[bytes, ...]]:
+    """Return as many parts as hold the head, joined, and the others."""
+    data, used = b"", 0
+    for part in parts:
+        if len(data) >= _LENGTH.size:
+            (head_bytes,) = _LENGTH.unpack_from(data)
+            if len(data) >= _LENGTH.size + min(head_bytes, MAX_HEAD_BYTES):
+                break
+        data, used = data + part, used + 1
+    return data, parts[used:]
 
 
 def _header(line: str) -> tuple[str, str]:
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -18,7 +18,10 @@
 )
 from tornado.iostream import IOStream
 
+from fireflyferry.gateway.memory import RequestMemory
+from fireflyferry.telemetry import Reason
 from fireflyferry.transport.headers import HeaderList
+from fireflyferry.transport.memory_account import BodyClaim
 
 __all__ = ["BufferedExchange", "ClosingConnections", "InFlightRequests", "ServerDelegate"]
 
@@ -27,6 +30,10 @@
 
 # How long a caller has to close a connection after `Connection: close`, before this VM closes it.
 CLOSE_TIMEOUT_S = 1.0
+# How long the rest of a body is read and dropped after its request was refused. Closing at once
+# with unread bytes resets the connection, and the refusal could be lost.
+LINGER_S = 2.0
+PIECE_BYTES = 1 << 16  # parts of a body that are shorter are put together up to this size
 
 
 class BufferedExchange(HTTPMessageDelegate, abc.ABC):
@@ -43,8 +50,10 @@
         self._is_in_flight = False
         self._line: RequestStartLine = None  # type: ignore[assignment]
         self._headers: HTTPHeaders = None  # type: ignore[assignment]
-        self._chunks: list[bytes] = []
+        self._chunks: list[bytes | bytearray] = []
         self._body_bytes = 0
+        self._claim: BodyClaim | None = None
+        self._is_received = False
         self._task: asyncio.Task[None] | None = None
         self._closed = False
         self._answered = False
@@ -66,6 +75,10 @@
     def answer_broken_off(self) -> None:
         """Answer a request that was broken off: its outcome is unknown, or it was not run."""
 
+    @abc.abstractmethod
+    def refuse_body(self, reason: Reason, retry_after_s: float) -> None:
+        """Refuse the request as not run, since there is no memory for its body."""
+
     def on_body_bytes(self, received_bytes: int) -> None:
         """Check the size of the body while it arrives; it may be refused by an answer."""
 
@@ -78,25 +91,75 @@
         """The complete body."""
         return b"".join(self._chunks)
 
-    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
-        """Start a request when its headers have arrived."""
+    def take_body(self) -> tuple[bytes, ...]:
+        """Return the parts of the complete body, and keep none of them."""
+        chunks, self._chunks = self._chunks, []
+        chunks.reverse()
+        parts = []
+        while chunks:
+            parts.append(bytes(chunks.pop()))
+        return tuple(parts)
+
+    def release_body(self) -> None:
+        """Drop the body after the request was handled."""
+        self._chunks.clear()
+
+    @property
+    def peer_name(self) -> str:
+        """Address of the sender, for log lines."""
+        return str(getattr(self._connection.context, "remote_ip", ""))
+
+    @property
+    def written_bytes(self) -> int:
+        """Bytes that the connection has passed to the kernel so far."""
+        return getattr(self._connection.stream, "written_bytes", 0)
+
+    def disconnect(self) -> None:
+        """Close the connection."""
+        self._connection.stream.close()
+
+    def headers_received(
+        self, start_line: RequestStartLine, headers: HTTPHeaders
+    ) -> "asyncio.Future[None] | None":
+        """Start a request when its headers have arrived; its body may have to wait unread."""
         self._line, self._headers = start_line, headers
         self._is_in_flight = True
         self._in_flight.add(self)
         self.on_head()
+        memory, length = self._in_flight.memory, _body_length(headers)
+        if self._answered or memory is None or length == 0:
+            return None
+        self._claim, waits = memory.open(self, length)
+        return waits
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Buffer a part of the body, unless the request was answered before its end."""
         if self._answered or self._closed:
-            return
+            return None
         self._body_bytes += len(chunk)
-        self._chunks.append(chunk)
+        self._store(chunk)
         self.on_body_bytes(self._body_bytes)
+        if self._answered or self._claim is None:
+            return None
+        return self._in_flight.memory.receive(self, self._claim, len(chunk))
+
+    def _store(self, chunk: bytes) -> None:
+        # A body in pieces of a few bytes would take many times its size.
+        last = self._chunks[-1] if self._chunks else None
+        if isinstance(last, bytearray) and len(last) + len(chunk) <= PIECE_BYTES:
+            last += chunk
+        else:
+            self._chunks.append(bytearray(chunk) if len(chunk) < PIECE_BYTES else chunk)
 
     def finish(self) -> None:
         """Start the task that handles the request, now that it is complete."""
+        self._is_received = True
+        if self._answered and not self._closed:
+            self._connection.finish()  # the connection lingered for the rest of the body
         if self._answered or self._closed:
             return
+        if self._claim is not None:
+            self._in_flight.memory.complete(self._claim)
         if self._connection.stream.closed():
             self.on_connection_close()
             return
@@ -139,9 +202,27 @@
         if not without_body:
             fields["Content-Length"] = str(len(body))
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        written = self._connection.write_headers(line, fields, None if without_body else body)
+        written = self._write(line, fields, b"" if without_body else body)
         written.add_done_callback(self._on_written)
-        self._connection.finish()
+        memory = self._in_flight.memory
+        if memory is not None and not written.done():
+            memory.add_reader(self, written, len(body))
+        return written
+
+    def _write(
+        self, line: ResponseStartLine, fields: HTTPHeaders, body: bytes
+    ) -> "asyncio.Future[None]":
+        connection = self._connection
+        if not self._is_received:
+            # Tornado announces the close, and closes once the rest of the body has been dropped.
+            connection._disconnect_on_finish = True
+            asyncio.get_running_loop().call_later(LINGER_S, connection.stream.close)
+        is_long = len(body) > PIECE_BYTES
+        written = connection.write_headers(line, fields, None if is_long else body)
+        if is_long and not connection.stream.closed():
+            written = connection.write(body)  # on its own, since head and body would be copied
+        if self._is_received:
+            connection.finish()
         return written
 
     def _on_written(self, written: "asyncio.Future[None]") -> None:
@@ -150,12 +231,22 @@
         self._end_request()
 
     def _on_task_done(self, _task: "asyncio.Task[None]") -> None:
+        self.release_body()
+        self._close_claim()
         if self._is_broken_off:
             self.answer_broken_off()
         if not self._answered:
             self._end_request()
 
+    def _close_claim(self) -> None:
+        claim, self._claim = self._claim, None
+        if claim is not None:
+            self._in_flight.memory.close(claim)
+
     def _end_request(self) -> None:
+        if self._task is None or self._task.done():
+            self._chunks.clear()
+            self._close_claim()
         if self._is_in_flight:
             self._is_in_flight = False
             self._in_flight.remove(self)
@@ -173,11 +264,13 @@
 class InFlightRequests:
     """Requests in flight on one server.
 
-    Once `closed` is set, requests that have not been received completely are refused.
+    Once `closed` is set, requests that have not been received completely are refused. `memory`
+    bounds their bodies.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: RequestMemory | None = None) -> None:
         self.closed = False
+        self.memory = memory
         self._exchanges: set[BufferedExchange] = set()
 
     def __len__(self) -> int:
@@ -245,3 +338,11 @@
         if self._closing is not None and self._closing.is_closing(request_conn):
             return _DroppedRequest()
         return self._make_exchange(request_conn)
+
+
+def _body_length(headers: HTTPHeaders) -> int | None:
+    """Return the length that the headers of a request name; None for a body in chunks."""
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return None
+    value = headers.get("Content-Length", "0").partition(",")[0].strip()
+    return int(value) if value.isascii() and value.isdigit() else 0
--- /dev/null
+++ b/fireflyferry/gateway/memory.py
@@ -0,0 +1,266 @@
+"""Applies the memory account to exchanges: bodies wait unread, are refused, or give way."""
+
+import asyncio
+import logging
+import resource
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+import attrs
+
+from fireflyferry.edges import Clock
+from fireflyferry.gateway.metrics import GatewayMetrics
+from fireflyferry.telemetry import Reason
+from fireflyferry.transport.answer_memory import AnswerMemory
+from fireflyferry.transport.memory_account import (
+    Admission,
+    BodyClaim,
+    MemoryAccount,
+    MemoryLimits,
+    Verdict,
+)
+from fireflyferry.transport.request_server import RequestServer
+
+__all__ = ["Holder", "RequestMemory", "max_connections"]
+
+_LOG = logging.getLogger(__name__)
+
+TICK_S = 0.1
+LOG_INTERVAL_S = 1.0
+RETRY_AFTER_S = 1.0  # a body that does not move gives way within this time
+FILE_DESCRIPTORS = 200  # of the process, reserved for files
+CALLER_SHARE = 0.5  # of the others; the rest is for upstreams, VMs and the store
+
+REASONS = {Verdict.WAITED: Reason.MEMORY_SHORT, Verdict.STALLED: Reason.BODY_STALLED}
+
+
+class Holder(Protocol):
+    """Exchange that holds memory for its body or its answer."""
+
+    @property
+    def peer_name(self) -> str:
+        """Address of the sender."""
+
+    @property
+    def written_bytes(self) -> int:
+        """Bytes that its connection has passed to the kernel so far."""
+
+    def refuse_body(self, reason: Reason, retry_after_s: float) -> None:
+        """Refuse the request as not run."""
+
+    def disconnect(self) -> None:
+        """Close the connection."""
+
+
+@attrs.define(eq=False)
+class _Reader:
+    """An answer that its reader has not taken completely."""
+
+    size_bytes: int
+    written_bytes: int
+    moved_s: float
+
+
+def max_connections(descriptors: int, memory_connections: int) -> int:
+    """Return how many connections callers may open, by descriptors and by memory."""
+    return max(1, min(int((descriptors - FILE_DESCRIPTORS) * CALLER_SHARE), memory_connections))
+
+
+class RequestMemory:
+    """Memory of the requests and unread answers of one VM."""
+
+    def __init__(
+        self, clock: Clock, account: MemoryAccount, answers: AnswerMemory, metrics: GatewayMetrics
+    ):
+        self._clock = clock
+        self._account = account
+        self._answers = answers
+        self._metrics = metrics
+        self._holders: dict[BodyClaim, Holder] = {}
+        self._waits: dict[BodyClaim, asyncio.Future[None]] = {}
+        self._readers: dict[Holder, _Reader] = {}
+        self._refused = 0
+        self._logged_s = 0.0
+        answers.make_room = self._make_room
+
+    @classmethod
+    def of_vm(
+        cls, clock: Clock, memory_mb: float, answers: AnswerMemory, metrics: GatewayMetrics
+    ) -> "RequestMemory":
+        """Return the memory of a VM with `memory_mb` megabytes."""
+        return cls(clock, MemoryAccount(MemoryLimits.of_vm(memory_mb)), answers, metrics)
+
+    def gauges(self) -> Mapping[str, tuple[str, Callable[[], float]]]:
+        """Return a description and a reader for each gauge, by name."""
+        account, answers = self._account, self._answers
+        return {
+            "memory_bodies_bytes": ("Held by request bodies.", lambda: account.held_bytes),
+            "memory_incomplete_bytes": (
+                "Held by bodies that have not been received completely.",
+                lambda: account.incomplete_bytes,
+            ),
+            "memory_answers_bytes": ("Held by incomplete answers.", lambda: answers.used_bytes),
+            "memory_readers_bytes": (
+                "Held by answers that readers have not taken.",
+                lambda: answers.unread_bytes,
+            ),
+            "memory_waiting": ("Bodies that wait unread.", lambda: account.waiting),
+            "caller_connections": ("Connections of callers.", lambda: account.connections),
+        }
+
+    def bound_connections(self, server: RequestServer) -> None:
+        """Bound the connections of callers."""
+        descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if descriptors == resource.RLIM_INFINITY:
+            descriptors = 1 << 20
+        server.max_connections = max_connections(descriptors, self._account.limits.max_connections)
+        server.on_connections = self._on_connections
+        _LOG.info(
+            "memory_limits",
+            extra={
+                "bodies_bytes": self._account.limits.max_body_bytes,
+                "long_bodies_bytes": self._account.limits.max_long_bytes,
+                "readers_bytes": self._account.limits.max_reader_bytes,
+                "connections": server.max_connections,
+            },
+        )
+
+    def open(
+        self, holder: Holder, length: int | None
+    ) -> tuple[BodyClaim, "asyncio.Future[None] | None"]:
+        """Claim memory for a body; a future that is returned is done when it may be read."""
+        claim, admission = self._account.open(self._clock.monotonic_s(), length)
+        self._holders[claim] = holder
+        return claim, self._follow(holder, claim, admission)
+
+    def receive(
+        self, holder: Holder, claim: BodyClaim, size_bytes: int
+    ) -> "asyncio.Future[None] | None":
+        """Count a part of a body; a future that is returned is done when the next may be read."""
+        admission = self._account.receive(self._clock.monotonic_s(), claim, size_bytes)
+        return self._follow(holder, claim, admission)
+
+    def complete(self, claim: BodyClaim) -> None:
+        """Note that a body has been received; it is held until it is closed."""
+        self._account.complete(claim)
+        self._grant()
+
+    def close(self, claim: BodyClaim) -> None:
+        """Release the memory of a body."""
+        self._account.close(claim)
+        self._holders.pop(claim, None)
+        self._end_wait(claim)
+        self._grant()
+
+    def add_reader(self, holder: Holder, written: "asyncio.Future[None]", size_bytes: int) -> None:
+        """Hold memory for an answer until it has been written."""
+        self._readers[holder] = _Reader(size_bytes, holder.written_bytes, self._clock.monotonic_s())
+        self._answers.unread_bytes += size_bytes
+        written.add_done_callback(lambda _: self._remove_reader(holder))
+        excess = self._answers.unread_bytes - self._account.limits.max_reader_bytes
+        if excess > 0:
+            self._make_room(excess)
+
+    async def run(self) -> None:
+        """Refuse bodies and close connections that give way, until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def tick(self) -> None:
+        """Refuse bodies and close connections that give way now."""
+        now_s = self._clock.monotonic_s()
+        for claim, verdict in self._account.refused(now_s):
+            self._refuse(self._holders[claim], claim, REASONS[verdict])
+        for holder, reader in list(self._readers.items()):
+            if holder.written_bytes != reader.written_bytes:
+                reader.written_bytes, reader.moved_s = holder.written_bytes, now_s
+            elif now_s - reader.moved_s >= self._account.rules.idle_s:
+                self._close_reader(holder)
+        self._log(now_s)
+
+    def _follow(
+        self, holder: Holder, claim: BodyClaim, admission: Admission
+    ) -> "asyncio.Future[None] | None":
+        if admission is Admission.GRANTED:
+            return None
+        if admission is Admission.TOO_LARGE:
+            self._refuse(holder, claim, Reason.BODY_TOO_LARGE)
+            return None
+        self._waits[claim] = wait = asyncio.get_running_loop().create_future()
+        return wait
+
+    def _grant(self) -> None:
+        if self._waits:
+            for claim in self._account.granted(self._clock.monotonic_s()):
+                self._end_wait(claim)
+
+    def _end_wait(self, claim: BodyClaim) -> None:
+        wait = self._waits.pop(claim, None)
+        if wait is not None and not wait.done():
+            wait.set_result(None)
+
+    def _refuse(self, holder: Holder, claim: BodyClaim, reason: Reason) -> None:
+        _LOG.warning(
+            "body_refused",
+            extra={
+                "caller": holder.peer_name,
+                "reason": str(reason),
+                "held_bytes": claim.held_bytes,
+                "received_bytes": claim.received_bytes,
+            },
+        )
+        self._count(str(reason))
+        holder.refuse_body(reason, RETRY_AFTER_S)
+        self.close(claim)
+
+    def _make_room(self, size_bytes: int) -> None:
+        """Close connections whose readers take the least, until so many bytes are free."""
+        until_bytes = self._answers.unread_bytes - size_bytes
+        for holder in sorted(self._readers, key=lambda each: self._readers[each].moved_s):
+            if self._answers.unread_bytes <= until_bytes:
+                return
+            self._close_reader(holder)
+
+    def _close_reader(self, holder: Holder) -> None:
+        reader = self._readers[holder]
+        _LOG.warning(
+            "reader_closed", extra={"caller": holder.peer_name, "held_bytes": reader.size_bytes}
+        )
+        self._count("slow_reader")
+        self._remove_reader(holder)
+        holder.disconnect()
+
+    def _remove_reader(self, holder: Holder) -> None:
+        reader = self._readers.pop(holder, None)
+        if reader is not None:
+            self._answers.unread_bytes -= reader.size_bytes
+
+    def _on_connections(self, number: int, closed_one: bool) -> None:
+        self._account.connections = number
+        if closed_one:
+            self._count("connections")
+
+    def _count(self, reason: str) -> None:
+        self._refused += 1
+        self._metrics.memory_refusal(reason)
+
+    def _log(self, now_s: float) -> None:
+        """Say what holds the memory while bodies wait or something was refused."""
+        account = self._account
+        if now_s - self._logged_s < LOG_INTERVAL_S or not (self._refused or account.waiting):
+            return
+        _LOG.warning(
+            "memory_held",
+            extra={
+                "bodies_bytes": account.held_bytes,
+                "long_bodies_bytes": account.long_bytes,
+                "incomplete_bytes": account.incomplete_bytes,
+                "answers_bytes": self._answers.used_bytes,
+                "readers_bytes": self._answers.unread_bytes,
+                "connections": account.connections,
+                "waiting": account.waiting,
+                "refused": self._refused,
+            },
+        )
+        self._logged_s, self._refused = now_s, 0
--- a/fireflyferry/gateway/metrics.py
+++ b/fireflyferry/gateway/metrics.py
@@ -45,6 +45,9 @@
         )
         self._store_calls = counter("store_calls", "Calls to the store.", "call", "result")
         self._orders = counter("key_orders", "Grants and releases sent.", "order", "result")
+        self._memory_refusals = counter(
+            "memory_refusals", "Bodies, readers and connections that gave way.", "reason"
+        )
         self._owner_changes = counter("owner_changes", "Ranges that changed their owner.", "pool")
 
     def request(self, pool: str, outcome: str, reason: str, took_s: float) -> None:
@@ -73,6 +76,10 @@
         """Count key ranges whose owner changes."""
         self._owner_changes.labels(pool).inc(ranges)
 
+    def memory_refusal(self, reason: str) -> None:
+        """Count a body, a reader or a connection that gave way to others."""
+        self._memory_refusals.labels(reason).inc()
+
     def register_gauges(self, gauges: Mapping[str, tuple[str, Callable[[], float]]]) -> None:
         """Register gauges by name, with a description and a function that returns the value."""
         for name, (description, read_value) in gauges.items():
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -98,7 +98,7 @@
             "POST",
             FORWARD_PATH,
             [HOST_HEADER],
-            complete_body(self._envelopes.pack(envelope)),
+            complete_body(self._envelopes.pack_parts(envelope)),
             max(0.001, call.deadline_s - now_s) + self._rules.answer_margin_s,
             distrust_on_timeout=True,
         )
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -162,6 +162,8 @@
     # shed a request was reached, so `read_result` can tell the two apart.
     if reason is Reason.UPSTREAM_QUIET:
         reason = Reason.UPSTREAM_SHED
+    if reason in (Reason.MEMORY_SHORT, Reason.BODY_STALLED, Reason.BODY_TOO_LARGE):
+        reason = Reason.QUEUE_FULL
     values = (
         _OUTCOME_LETTERS[attempt.outcome],
         reason or EMPTY,
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -66,6 +66,16 @@
     def on_head(self) -> None:
         """Accept every head; the request is checked once its body has arrived."""
 
+    def refuse_body(self, reason: Reason, retry_after_s: float) -> None:
+        """Refuse the request as not run, since there is no memory for its body."""
+        self._refuse(not_run(reason, retry_after_s))
+
+    def release_body(self) -> None:
+        """Drop the body after the request was handled."""
+        super().release_body()
+        if self._call is not None:
+            self._call.body = b""
+
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
         return self._peer_call is not None and not self._peer_call.idempotent
@@ -140,7 +150,7 @@
     async def _answer_forward(self) -> None:
         services = self._services
         try:
-            envelope = services.envelopes.unpack(self.body)
+            envelope = services.envelopes.unpack_parts(self.take_body())
             self._peer_call = peer_call = peer_messages.read_call(envelope.summary)
             now_s = services.clock.monotonic_s()
             self._call = call = self._make_call(peer_call, envelope, now_s)
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -26,14 +26,15 @@
 from fireflyferry.gateway.control import ControlLoop
 from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
 from fireflyferry.gateway.envelopes import EnvelopeCodec
-from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
+from fireflyferry.gateway.exchange import ClosingConnections, InFlightRequests, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
 from fireflyferry.gateway.gauges import make_gauges
 from fireflyferry.gateway.knowledge import DocumentSync
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.locating import Locator
+from fireflyferry.gateway.memory import RequestMemory
 from fireflyferry.gateway.metrics import GatewayMetrics
-from fireflyferry.gateway.pages import listen, serve_page
+from fireflyferry.gateway.pages import RECEIVE_WINDOW_BYTES, listen, serve_page
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.peer_messages import write_owners
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
@@ -92,6 +93,9 @@
             connect_timeout_s=self._rules.connect_timeout_s,
             answer_memory=AnswerMemory.of_vm(settings.vm.memory_mb),
         )
+        self._memory = RequestMemory.of_vm(
+            self._clock, settings.vm.memory_mb, self._transport.answer_memory, self._metrics
+        )
         self._adapters = make_adapters(self._transport, self._metrics)
         self._health = StoreHealth(self._clock, self._rules.disturbed_s)
         self._this_vm = self._make_this_vm()
@@ -111,6 +115,7 @@
                 self._last_hop,
                 self._path,
             )
+            | self._memory.gauges()
         )
 
     @property
@@ -130,6 +135,7 @@
             self._serve(ServerDelegate(self._peer_exchange), self._this_vm.address),
         ]
         self._callers_server = servers[0]
+        self._memory.bound_connections(self._callers_server)
         serve_page(vm.readiness, r"/ready", self._readiness)
         serve_page(f"{vm.address}:{vm.metrics_port}", METRICS_PATH, self._metrics_text)
         loop = asyncio.get_running_loop()
@@ -151,6 +157,7 @@
             self._path.run,
             self._registration.run,
             self._reporter.run,
+            self._memory.run,
             self._remove_stale_state,
         ):
             self._tasks.supervise(work)
@@ -270,6 +277,7 @@
             self._metrics,
             self._splitter,
             self._closing,
+            in_flight=InFlightRequests(self._memory),
         )
         self._peer_services = PeerServices(
             self._this_vm.vm_id,
@@ -282,13 +290,14 @@
             self._document_sync.feed,
             self._stop_plan,
             self._path,
+            InFlightRequests(self._memory),
         )
 
     # Servers
 
     def _serve(self, delegate: ServerDelegate, endpoint: str) -> tornado.httpserver.HTTPServer:
         server = RequestServer(delegate, max_body_size=1 << 30, max_header_size=1 << 18)
-        server.add_socket(listen(endpoint))
+        server.add_socket(listen(endpoint, RECEIVE_WINDOW_BYTES))
         return server
 
     def _caller_exchange(self, connection: Any) -> CallerExchange:
--- /dev/null
+++ b/fireflyferry/platform/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of callers against the processes of entry VMs on loopback."""
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -35,6 +35,8 @@
     NOT_OWNER = "not_owner"
     STALE_FENCE = "stale_fence"
     QUEUE_FULL = "queue_full"
+    MEMORY_SHORT = "memory_short"
+    BODY_STALLED = "body_stalled"
     TENANT_LIMIT = "tenant_limit"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_PASSED_IN_QUEUE = "deadline_passed_in_queue"
@@ -91,6 +93,8 @@
     Reason.NOT_OWNER: _refusal(503, retryable=True),
     Reason.STALE_FENCE: _refusal(503, retryable=True),
     Reason.QUEUE_FULL: _refusal(503),
+    Reason.MEMORY_SHORT: _refusal(503),
+    Reason.BODY_STALLED: _refusal(503),
     Reason.TENANT_LIMIT: _refusal(429),
     Reason.DEADLINE_TOO_SHORT: _refusal(503),
     Reason.DEADLINE_PASSED_IN_QUEUE: _refusal(503),
--- a/fireflyferry/transport/answer_memory.py
+++ b/fireflyferry/transport/answer_memory.py
@@ -1,5 +1,7 @@
 """Memory for answers that are collected before they are passed on."""
 
+from collections.abc import Callable
+
 import attrs
 
 __all__ = ["AnswerMemory"]
@@ -23,6 +25,9 @@
     max_answer_bytes: int = 8 << 20
     max_total_bytes: int = 48 << 20
     max_long_bytes: int = 24 << 20
+    # Answers that their readers have not taken yet are part of the total.
+    unread_bytes: int = attrs.field(default=0, init=False)
+    make_room: Callable[[int], None] = attrs.field(default=lambda size: None, init=False)
     _used_bytes: int = attrs.field(default=0, init=False)
     _long_bytes: int = attrs.field(default=0, init=False)
 
@@ -45,7 +50,10 @@
         """
         if collected_bytes + size_bytes > self.max_answer_bytes:
             return False
-        if self._used_bytes + size_bytes > self.max_total_bytes:
+        missing = self._used_bytes + self.unread_bytes + size_bytes - self.max_total_bytes
+        if missing > 0 and self.unread_bytes:
+            self.make_room(missing)
+        if self._used_bytes + self.unread_bytes + size_bytes > self.max_total_bytes:
             return False
         became_long = _long_part(collected_bytes + size_bytes) - _long_part(collected_bytes)
         if became_long and self._long_bytes + became_long > self.max_long_bytes:
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -12,6 +12,8 @@
 
 __all__ = ["FetchResult", "HeaderList", "complete_body", "fetch"]
 
+JOINED_BYTES = 1 << 16  # parts of a shorter body are joined, since each costs a system call
+
 AcceptHead = Callable[[int, HeaderList], bool]
 
 
@@ -94,11 +96,16 @@
         self._body_bytes = 0
 
 
-def complete_body(data: bytes) -> RequestBody:
-    """Return a request body that is already complete."""
-    body = RequestBody(len(data), len(data), len(data))
-    if data:
-        body.feed(data)
+def complete_body(data: bytes | tuple[bytes, ...]) -> RequestBody:
+    """Return a request body that is already complete, and may be given in parts."""
+    parts = data if isinstance(data, tuple) else (data,)
+    length = sum(map(len, parts))
+    if length <= JOINED_BYTES:
+        parts = (b"".join(parts),)
+    body = RequestBody(length, length, length)
+    for part in parts:
+        if part:
+            body.feed(part)
     body.end()
     return body
 
--- a/fireflyferry/transport/request_server.py
+++ b/fireflyferry/transport/request_server.py
@@ -1,14 +1,17 @@
 """HTTP server that notices at any time that the sender of a request has disconnected."""
 
 import socket
+from collections.abc import Callable
+from typing import Any
 
 import tornado.httpserver
 from tornado.iostream import IOStream
 
 __all__ = ["READ_AHEAD_BYTES", "RequestServer"]
 
-# Longest head of a request; what follows stays unread in the kernel.
-READ_AHEAD_BYTES = 1 << 18
+# Requests behind the one that is handled are read up to this; what follows stays unread in the
+# kernel. Each connection may hold so much, and 300 of them fit a sixth of 160 MB.
+READ_AHEAD_BYTES = 1 << 16
 
 
 class _RequestStream(IOStream):
@@ -19,10 +22,24 @@
     the buffer when the connection ends are dropped, since nobody waits for their answers.
     """
 
+    server: "RequestServer | None" = None
+
+    @property
+    def written_bytes(self) -> int:
+        """Bytes passed to the kernel so far."""
+        return self._total_write_done_index
+
+    @property
+    def is_handling(self) -> bool:
+        """Whether a complete request is handled or its answer is being written."""
+        return self._close_callback is not None or self.writing()
+
     def close(self, exc_info: object = False) -> None:
         """Close the connection; unless a request is being read, drop what is in the buffer."""
         was_reading = self.reading()
         super().close(exc_info)  # type: ignore[arg-type]
+        if self.server is not None:
+            self.server.on_stream_closed(self)
         if not was_reading:
             self._read_buffer.clear()
             self._read_buffer_size = 0
@@ -31,11 +48,18 @@
         super()._handle_events(fd, events)  # type: ignore[arg-type]
         self._maybe_add_error_listener()
 
+    def _read_to_buffer_loop(self) -> int | None:
+        """Read once if nothing is asked for; Tornado would go on to the limit of the last head."""
+        if self.reading():
+            return super()._read_to_buffer_loop()
+        self._read_to_buffer()
+        return None
+
     def _maybe_add_error_listener(self) -> None:
         """Listen for the end of the connection if nothing else does and a request is handled."""
         is_idle = self._state in (None, self.io_loop.ERROR) and not self.closed()
-        is_handling = self._close_callback is not None
-        if is_idle and is_handling and self._read_buffer_size < READ_AHEAD_BYTES:
+        has_request = self._close_callback is not None
+        if is_idle and has_request and self._read_buffer_size < READ_AHEAD_BYTES:
             self._add_io_state(self.io_loop.READ)
 
 
@@ -44,12 +68,36 @@
 
     Tornado switches Nagle's algorithm off and on again for each answer, two system calls. Answers
     are written whole, so it is switched off once for each connection.
+
+    Of more than `max_connections`, the oldest one without a complete request is closed, or the new
+    one if there is none.
     """
 
+    max_connections: int | None = None
+    on_connections: Callable[[int, bool], None] = staticmethod(lambda number, closed_one: None)
+
+    def initialize(self, *args: Any, **options: Any) -> None:
+        """Configure the server."""
+        super().initialize(*args, **options)
+        self._streams: dict[_RequestStream, None] = {}
+
     def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve a new connection."""
         connection: socket.socket = stream.socket
         stream = _RequestStream(connection, stream.max_buffer_size, stream.read_chunk_size)
+        stream.server = self
         stream.set_nodelay(True)
         stream.set_nodelay = lambda value: None  # type: ignore[method-assign]
-        super().handle_stream(stream, address)
+        self._streams[stream] = None
+        excess = self.max_connections is not None and len(self._streams) > self.max_connections
+        if excess:
+            victims = (each for each in self._streams if not each.is_handling)
+            next(victims, stream).close()
+        if not stream.closed():
+            super().handle_stream(stream, address)
+        self.on_connections(len(self._streams), excess)
+
+    def on_stream_closed(self, stream: "_RequestStream") -> None:
+        """Forget a connection."""
+        if self._streams.pop(stream, True) is None:
+            self.on_connections(len(self._streams), False)
