--- a/fireflyferry/platform/crowds/world.py
+++ b/fireflyferry/platform/crowds/world.py
@@ -305,6 +305,9 @@
                 for upstream in self.upstreams:
                     while await self.ordinary(vm, upstream.pool) != 200:
                         await asyncio.sleep(0.1)
+            if vms > 1:
+                await self._wait_until_forwarded(0, 1)
+                await self._wait_until_forwarded(1, 0)
         self._tasks.append(asyncio.ensure_future(self._sample()))
 
     async def ordinary(self, vm: CrowdVm, pool: str) -> int:
@@ -316,6 +319,24 @@
         finally:
             caller.close()
 
+    async def _wait_until_forwarded(self, first_hop: int, last_hop: int) -> None:
+        """Wait until a VM forwards to the other one, which it does not know at once."""
+        before = await self._attempts(self.vms[last_hop])
+        while await self._attempts(self.vms[last_hop]) == before:
+            await self.ordinary(self.vms[first_hop], self.upstreams[last_hop].pool)
+            await asyncio.sleep(0.1)
+
+    async def _attempts(self, vm: CrowdVm) -> float:
+        """Return how many requests a VM has sent to upstreams, from its metrics."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", vm.ports[3])
+        try:
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n")
+            lines = (await reader.read()).decode().splitlines()
+        finally:
+            writer.close()
+        name = "fireflyferry_attempts_total"
+        return sum(float(line.split(" ")[-1]) for line in lines if line.startswith(name))
+
     def close(self) -> None:
         """End everything that was started."""
         for task in self._tasks:
