--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -28,14 +28,15 @@
 from fireflyferry.gateway.edges import Document, KeyOrders, MetadataStore, PlatformCodec
 from fireflyferry.gateway.envelopes import EnvelopeCodec
 from fireflyferry.gateway.eras import StoreEras
-from fireflyferry.gateway.exchange import ClosingConnections, ServerDelegate
+from fireflyferry.gateway.exchange import ClosingConnections, InFlightRequests, ServerDelegate
 from fireflyferry.gateway.first_hop import FirstHop, FirstHopRules
 from fireflyferry.gateway.gauges import make_gauges
 from fireflyferry.gateway.knowledge import DocumentSync
 from fireflyferry.gateway.last_hop import LastHop
 from fireflyferry.gateway.locating import Locator
+from fireflyferry.gateway.memory import RequestMemory
 from fireflyferry.gateway.metrics import GatewayMetrics
-from fireflyferry.gateway.pages import listen, serve_page
+from fireflyferry.gateway.pages import RECEIVE_WINDOW_BYTES, listen, serve_page
 from fireflyferry.gateway.peer_client import PeerClient
 from fireflyferry.gateway.peer_messages import write_owners
 from fireflyferry.gateway.peer_server import PeerExchange, PeerServices
@@ -96,6 +97,9 @@
             connect_timeout_s=self._rules.connect_timeout_s,
             answer_memory=AnswerMemory.of_vm(settings.vm.memory_mb),
         )
+        self._memory = RequestMemory.of_vm(
+            self._clock, settings.vm.memory_mb, self._transport.answer_memory, self._metrics
+        )
         self._adapters = make_adapters(self._transport, self._metrics)
         self._health = StoreHealth(self._clock, self._rules.disturbed_s)
         self._this_vm = self._make_this_vm()
@@ -117,6 +121,7 @@
                 self._path,
                 self._adapters.eras,
             )
+            | self._memory.gauges()
         )
 
     @property
@@ -136,6 +141,7 @@
             self._serve(ServerDelegate(self._peer_exchange), self._this_vm.address),
         ]
         self._callers_server = servers[0]
+        self._memory.bound_connections(self._callers_server)
         serve_page(vm.readiness, r"/ready", self._readiness)
         serve_page(f"{vm.address}:{vm.metrics_port}", METRICS_PATH, self._metrics_text)
         loop = asyncio.get_running_loop()
@@ -156,6 +162,7 @@
             self._registration.run,
             self._registration.run_in_later_eras,
             self._reporter.run,
+            self._memory.run,
             self._remove_stale_state,
         ):
             self._tasks.supervise(work)
@@ -294,6 +301,7 @@
             self._metrics,
             self._splitter,
             self._closing,
+            in_flight=InFlightRequests(self._memory),
         )
         self._peer_services = PeerServices(
             self._this_vm.vm_id,
@@ -306,13 +314,14 @@
             self._document_sync.feed,
             self._stop_plan,
             self._path,
+            InFlightRequests(self._memory),
         )
 
     # Servers
 
     def _serve(self, delegate: ServerDelegate, endpoint: str) -> tornado.httpserver.HTTPServer:
         server = RequestServer(delegate, max_body_size=1 << 30, max_header_size=1 << 18)
-        server.add_socket(listen(endpoint))
+        server.add_socket(listen(endpoint, RECEIVE_WINDOW_BYTES))
         return server
 
     def _caller_exchange(self, connection: Any) -> CallerExchange:
