--- a/fireflyferry/gateway/tests/test_eras.py
+++ b/fireflyferry/gateway/tests/test_eras.py
@@ -268,7 +268,7 @@
             raise StoreCallError("another era")
         return result
 
-    async def read(self, kind, name, stale=False):
+    async def read(self, kind, name, stale=False, fresh=False):
         return await self._in_era(super().read(kind, name, stale))
 
     async def list(self, kind, stale=False):
--- a/fireflyferry/gateway/tests/test_evacuations.py
+++ b/fireflyferry/gateway/tests/test_evacuations.py
@@ -148,7 +148,7 @@
         super().__init__()
         self._delay_s, self._silent_at_s = delay_s, silent_at_s
 
-    async def read(self, kind, name, stale=False):
+    async def read(self, kind, name, stale=False, fresh=False):
         await asyncio.sleep(self._delay_s)
         return await super().read(kind, name, stale)
 
@@ -193,7 +193,7 @@
         )
         self.sync = DocumentSync(
             clock, self.site.store, health, FakeCodec(), self.state, lambda _: None,
-            self.site.poll, 3.0, BOUND_S,
+            self.site.poll, 3.0, evacuate_s=BOUND_S,
         )  # fmt: skip
         self.tasks = [asyncio.ensure_future(work()) for work in self.sync.background_work()]
         self.tasks.append(asyncio.ensure_future(self.check_store()))
--- a/fireflyferry/gateway/tests/test_relays.py
+++ b/fireflyferry/gateway/tests/test_relays.py
@@ -151,7 +151,7 @@
         super().__init__()
         self.calls = 0
 
-    async def read(self, kind, name, stale=False):
+    async def read(self, kind, name, stale=False, fresh=False):
         self.calls += 1
         return await super().read(kind, name, stale)
 
@@ -262,7 +262,7 @@
         self._raise_if_down()
         return result
 
-    async def read(self, kind, name, stale=False):
+    async def read(self, kind, name, stale=False, fresh=False):
         return await self._call_shared(lambda: self.shared.read(kind, name, stale))
 
     async def list(self, kind, stale=False):
--- a/fireflyferry/gateway/tests/test_silent_relays.py
+++ b/fireflyferry/gateway/tests/test_silent_relays.py
@@ -87,7 +87,13 @@
         directory = VmDirectory(this_vm, {})
         directory.apply(members)
         state = types.SimpleNamespace(vms=directory, on_outdated_owners=None)
-        for name in ("apply_config", "apply_upstreams", "apply_owners", "apply_vms"):
+        for name in (
+            "apply_config",
+            "apply_upstreams",
+            "apply_owners",
+            "apply_vms",
+            "apply_evacuations",
+        ):
             setattr(state, name, lambda documents: None)
         self.this_vm = this_vm
         self._connection = Connection(fleet.store)
@@ -96,7 +102,9 @@
             clock,
             self._connection,
             self._health,
-            types.SimpleNamespace(config_kind="config", upstream_kind="upstreams"),
+            types.SimpleNamespace(
+                config_kind="config", upstream_kind="upstreams", evacuation_kind="evacuations"
+            ),
             state,
             lambda documents: None,
             fleet.poll_relay,
--- a/fireflyferry/gateway/tests/test_silent_store.py
+++ b/fireflyferry/gateway/tests/test_silent_store.py
@@ -30,7 +30,7 @@
         self._silent_until_s = max(silent_from_s, silent_until_s)
         self.document = Document("main", 1, 1)
 
-    async def read(self, kind, name, stale=False):
+    async def read(self, kind, name, stale=False, fresh=False):
         raise NotImplementedError
 
     async def write(self, kind, name, content, revision):
