--- a/fireflyferry/balancing/evacuations.py
+++ b/fireflyferry/balancing/evacuations.py
@@ -31,7 +31,6 @@
     bound_s: float = 0.0
     _orders: dict[str, _Order] = attrs.field(factory=dict, init=False)
     _ended_s: dict[str, float] = attrs.field(factory=dict, init=False)
-    _keep_until_s: float = attrs.field(default=float("-inf"), init=False)
 
     def apply(
         self, now_s: float, listed: Iterable[str], not_before_s: float
@@ -49,13 +48,9 @@
             if name in names:
                 order.ends_s = None
             elif order.ends_s is None:
-                order.ends_s = max(now_s, self._keep_until_s)
+                order.ends_s = now_s
         return began, ended + self._remove_ended(now_s)
 
-    def keep_vanished(self, until_s: float) -> None:
-        """Keep orders in force until a time although they vanish, since the store was restored."""
-        self._keep_until_s = max(self._keep_until_s, until_s)
-
     def is_evacuated(self, now_s: float, data_centre: str) -> bool:
         """Return whether an order is in force."""
         order = self._orders.get(data_centre)
--- a/fireflyferry/gateway/tests/test_eras.py
+++ b/fireflyferry/gateway/tests/test_eras.py
@@ -283,8 +283,9 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway_in_eras(store):
+async def gateway_in_eras(store, **bounds):
     settings, orders = make_settings("vm-1"), FakeOrders()
+    settings = attrs.evolve(settings, bounds=attrs.evolve(settings.bounds, **bounds))
     adapters = PlatformAdapters(store, orders, FakeCodec(), store.eras)
     rules = ProgramRules(accept_while_stopping_s=0.1)
     program = GatewayProgram(settings, lambda *_: adapters, lambda: None, rules)
@@ -357,3 +358,27 @@
             store.era = 2
 
     asyncio.run(scenario())
+
+
+def test_evacuation_that_the_copy_lacks_stays_in_force_until_it_may_have_been_written_again():
+    """Guards against requests to an evacuated data centre after the store lost the order."""
+
+    async def scenario():
+        store = RestorableStore()
+        await store.put("configs", "main", unstructure(make_config()))
+        await store.put("upstreams", "u1", upstream_content("u1", 1, run=RUN))
+        store.copy()
+        async with gateway_in_eras(store, evacuate_s=5.0, settle_window_s=2.0) as running:
+            state, mirror = running.program._state, running.program._document_sync.mirror
+            for name in ("dc-8", "dc-9"):
+                await store.put("evacuations", name, {})
+            await running.wait_until(lambda: state.evacuated_data_centres() == ["dc-8", "dc-9"])
+            await store.restore()
+            await store.put("upstreams", "u2", upstream_content("u2", 2, run=UpstreamRun("u2", 1)))
+            await running.wait_until(lambda: store.eras.current == 2)
+            await running.wait_until(lambda: mirror.has_listed(["evacuations"]))
+            assert state.evacuated_data_centres() == ["dc-8", "dc-9"]
+            await store.put("evacuations", "dc-8", {})
+            await running.wait_until(lambda: state.evacuated_data_centres() == ["dc-8"])
+
+    asyncio.run(scenario())
--- a/fireflyferry/gateway/tests/test_evacuations.py
+++ b/fireflyferry/gateway/tests/test_evacuations.py
@@ -53,19 +53,6 @@
     assert not evacuations.is_evacuated(30.0, "dc-1") and evacuations.ended_s(30.0, "dc-1") == 30.0
 
 
-def test_order_that_vanishes_with_a_restored_store_stays_in_force_for_a_time():
-    """Guards against requests to an evacuated data centre after the store lost the order."""
-    evacuations = Evacuations(BOUND_S)
-    evacuations.apply(10.0, ["dc-1", "dc-2"], 9.0)
-    evacuations.keep_vanished(until_s=23.0)
-    assert evacuations.apply(20.0, [], 19.0) == ([], [])
-    assert evacuations.active(22.9) == ["dc-1", "dc-2"]
-    evacuations.apply(21.0, ["dc-1"], 20.5)
-    assert evacuations.active(23.0) == ["dc-1"]
-    assert evacuations.ended_s(23.0, "dc-2") == 23.0
-    assert evacuations.apply(24.0, ["dc-1"], 23.0) == ([], ["dc-2"])
-
-
 def test_first_list_is_of_unknown_age():
     """Guards against keys that a restarted VM serves after the bound of an old order."""
     evacuations = Evacuations(BOUND_S)
