--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -71,15 +71,13 @@
     """State of one pool's grants in the current term, the time for which this VM holds the lease.
 
     `table_read` is False until the stored owner table was read, and again after a failed save.
-    `reading` is whether a read is in flight, `extends_grants` whether grants are extended since the
-    lease may expire.
+    `reading` is whether a read is in flight.
     """
 
     granter: RangeGranter
     progress: PlanProgress
     table_read: bool = False
     reading: bool = False
-    extends_grants: bool = False
 
 
 class ControlLoop:
@@ -304,11 +302,7 @@
         ]
         control.granter.set_listed(listed, self._state.upstreams.addresses)
         self._planner.plan(now_s, pool, control.granter, control.progress)
-        extends_grants = self._lease.is_renewal_overdue(now_s)
-        if extends_grants and not control.extends_grants:
-            _LOG.warning("grants_extended", extra={"pool": pool})
-        control.extends_grants = extends_grants
-        for action in control.granter.tick(now_s, extends_grants):
+        for action in control.granter.tick(now_s):
             self._start_action(pool, control, action)
 
     def _start_action(
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -202,10 +202,7 @@
             self._announce_owners,
             follows_relay=lambda: not self._document_sync.feed.direct,
             path=self._path,
-            timing=GrantTiming(
-                hold_s=min(GrantTiming().hold_s, bounds.max_hold_s),
-                extended_hold_s=bounds.max_hold_s,
-            ),
+            timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
         )
         self._reporter = LoadReporter(
             self._this_vm,
--- a/fireflyferry/keyranges/grant_state.py
+++ b/fireflyferry/keyranges/grant_state.py
@@ -12,8 +12,7 @@
     """Grant of one range to its owner in the current term.
 
     `higher_fence_seen` means that the owner refused the grant, and `needs_new_fence` that it
-    cannot be renewed, since the process that has the fence may have ended. `hold_s` is how long the
-    grant of the last call is valid.
+    cannot be renewed, since the process that has the fence may have ended.
     """
 
     fence: int
@@ -22,7 +21,6 @@
     higher_fence_seen: bool = False
     needs_new_fence: bool = False
     next_call_s: float = 0.0
-    hold_s: float = 0.0
 
 
 @attrs.define
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -58,7 +58,6 @@
         self._sent_grants = SentGrants(timing, began_s)
         self._handovers: dict[_KeyRange, str] = {}
         self._requested_moves: list[Move] = []
-        self._extends_grants = False
 
     @property
     def table(self) -> OwnerTable | None:
@@ -106,14 +105,8 @@
         """Request changes of owners; earlier requests that were not applied yet are discarded."""
         self._requested_moves = list(moves)
 
-    def tick(
-        self, now_s: float, extends_grants: bool = False
-    ) -> list[SaveTable | GrantCall | ReleaseCall]:
-        """Return the writes and calls to make now; must only be called while the lease is held.
-
-        With `extends_grants`, all grants are renewed once at once for the extended time.
-        """
-        self._extends_grants = extends_grants
+    def tick(self, now_s: float) -> list[SaveTable | GrantCall | ReleaseCall]:
+        """Return the writes and calls to make now; must only be called while the lease is held."""
         if self._save_in_flight is None:
             table = self._next_table(now_s)
             if table is not None:
@@ -353,15 +346,13 @@
         grant = self._grants.setdefault(key_range, Grant(owned.fence))
         if not self._may_grant(now_s, owned, grant):
             return
-        timing = self._timing
         grant.call_in_flight = True
-        grant.hold_s = timing.extended_hold_s if self._extends_grants else timing.hold_s
         call = GrantCall(
             owned.owner,
             self._listed[owned.owner].address,
             *key_range,
             owned.fence,
-            grant.hold_s,
+            self._timing.hold_s,
             self._handovers.get(key_range, ""),
             self._sent_grants.max_connection(owned.owner, owned.fence),
             cleared,
@@ -377,16 +368,11 @@
         if self._save_in_flight is not None and owned not in self._save_in_flight.table.ranges:
             return False
         return (
-            (now_s >= grant.next_call_s or self._needs_extension(grant))
+            now_s >= grant.next_call_s
             and self._sent_grants.may_send(owned.owner, owned.fence)
             and not self._release_is_due(now_s, owned.owner)
         )
 
-    def _needs_extension(self, grant: Grant) -> bool:
-        """Return whether the last renewal of a grant was for less than the extended time."""
-        is_shorter = grant.hold_s < self._timing.extended_hold_s
-        return self._extends_grants and grant.acknowledged and is_shorter
-
     def _release_is_due(self, now_s: float, run: UpstreamRun) -> bool:
         """Return whether a release is due, which another grant call to the upstream would delay."""
         return any(
--- a/fireflyferry/keyranges/lease.py
+++ b/fireflyferry/keyranges/lease.py
@@ -26,8 +26,7 @@
     """Times in seconds; `drift` bounds the difference in rate of two VMs' clocks.
 
     The lease lasts for `lease_s`. The holder renews it every `renew_s`, and other VMs read the
-    record every `poll_s`. `margin_s` is added to their wait before a takeover. A renewal is overdue
-    if it is not confirmed `overdue_s` after it became due.
+    record every `poll_s`. `margin_s` is added to their wait before a takeover.
     """
 
     lease_s: float = 2.0
@@ -35,7 +34,6 @@
     poll_s: float = 0.8
     drift: float = 0.03  # twice the clock error that upstreams may have, and a margin
     margin_s: float = 0.2
-    overdue_s: float = 0.4  # a slow store answers within 0.25 s
 
     @property
     def takeover_s(self) -> float:
@@ -131,12 +129,6 @@
         self._sent_write, self._is_write_unconfirmed = None, False
         self._next_call_s = now_s
 
-    def is_renewal_overdue(self, now_s: float) -> bool:
-        """Return whether the lease is held but may expire, since no renewal was confirmed."""
-        timing = self._timing
-        left_s = self._authority_until_s - now_s
-        return 0.0 < left_s < timing.lease_s - timing.renew_s - timing.overdue_s
-
     def tick(self, now_s: float, may_hold: bool = True) -> ReadLease | WriteLease | None:
         """Return the call to make now; None if none is due.
 
--- a/fireflyferry/keyranges/orders.py
+++ b/fireflyferry/keyranges/orders.py
@@ -20,14 +20,9 @@
 
 @attrs.frozen
 class GrantTiming:
-    """Times in seconds; `drift` bounds the share by which an upstream's clock may run slower.
+    """Times in seconds; `drift` bounds the share by which an upstream's clock may run slower."""
 
-    Grants last for `hold_s`, and for `extended_hold_s` while the renewal of the lease is overdue,
-    since nobody may renew them once the lease has expired and the store is still away.
-    """
-
-    hold_s: float = 5.0  # longer grants keep the keys of a silent upstream for longer
-    extended_hold_s: float = 5.0
+    hold_s: float = 5.0  # all grants stay valid during a store outage of 5 s
     renew_s: float = 1.2
     retry_delay_s: float = 0.3
     call_timeout_s: float = 0.6  # upstreams answer within milliseconds, even from other regions
@@ -37,12 +32,8 @@
 
     @property
     def max_validity_s(self) -> float:
-        """Longest time from the end of any grant call until its grant has expired."""
-        return self.validity_s(max(self.hold_s, self.extended_hold_s))
-
-    def validity_s(self, hold_s: float) -> float:
-        """Return the longest time from the end of a grant call until its grant has expired."""
-        return hold_s * (1 + self.drift) + self.margin_s
+        """Longest time from the end of a grant call until its grant has expired."""
+        return self.hold_s * (1 + self.drift) + self.margin_s
 
 
 class GrantAnswer(Enum):
--- a/fireflyferry/keyranges/sent_grants.py
+++ b/fireflyferry/keyranges/sent_grants.py
@@ -95,7 +95,7 @@
                 del self._max_connections[call.run, call.fence]
             return
         # Also after a refusal, since it may be the answer to an earlier call.
-        grants.expiry_s = max(grants.expiry_s, now_s + self._timing.validity_s(call.hold_s))
+        grants.expiry_s = max(grants.expiry_s, now_s + self._timing.max_validity_s)
         known = self._max_connections[call.run, call.fence]
         if known is None or result.answer is GrantAnswer.ACCEPTED:
             self._max_connections[call.run, call.fence] = max(known or 0, result.opened_connections)
--- a/fireflyferry/keyranges/tests/range_world.py
+++ b/fireflyferry/keyranges/tests/range_world.py
@@ -105,8 +105,7 @@
     `served` counts probes of a serving range that found its owner holding the key. With
     `restarts_unlisted`, a process that starts at the address of an ended one is reached at once
     and listed seconds later, under the same id or another one. With `restoring`, the store has
-    eras and comes back from copies. With `extends_grants`, renewals of the lease are overdue from
-    time to time, and terms end then.
+    eras and comes back from copies.
     """
 
     rng: random.Random
@@ -122,8 +121,6 @@
     authority_until_s: float = float("inf")
     next_term_s: float = 0.0
     fence_terms: dict[int, RangeGranter] = attrs.field(factory=dict)
-    extends_grants: bool = False
-    is_renewal_overdue: bool = False
     now_s: float = 0.0
     processes: list[_Process] = attrs.field(factory=list)
     scheduled: list[tuple[float, Callable[[], None]]] = attrs.field(factory=list)
@@ -265,9 +262,7 @@
         runs = (ListedRun(p.run, p.address, not p.draining) for p in listed)
         granter.set_listed(runs, addresses)
         granter.request_moves(self._moves(listed))
-        if self.extends_grants and self.rng.random() < 0.005:
-            self._extend_grants_until_next_term()
-        for action in granter.tick(self.now_s, self.is_renewal_overdue):
+        for action in granter.tick(self.now_s):
             if isinstance(action, SaveTable):
                 self._save(granter, action)
             elif isinstance(action, GrantCall):
@@ -275,17 +270,6 @@
             else:
                 self._release(granter, action)
 
-    def _extend_grants_until_next_term(self) -> None:
-        """Let the lease expire; another VM takes it over, or it is renewed at the last moment."""
-        self.is_renewal_overdue = True
-
-        def end() -> None:
-            self.is_renewal_overdue = False
-            if self.rng.random() < 0.7:
-                self._new_term()
-
-        self._schedule(self.now_s + self.rng.uniform(0.1, 0.9), end)
-
     def _moves(self, listed: list[_Process]) -> list[Move]:
         capacities = [RunCapacity(p.run, 10.0) for p in listed if not p.draining]
         table = self.granter.table
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -47,9 +47,9 @@
     )
 
 
-def serving_granter(*runs, timing=TIMING):
+def serving_granter(*runs):
     """Return a granter whose ranges are all serving; its table has revision 2."""
-    granter = RangeGranter("pool", timing, 0.0)
+    granter = RangeGranter("pool", TIMING, 0.0)
     granter.on_table_read(None, 0)
     granter.set_listed(listed_runs(*runs), ADDRESSES)
     granter.request_moves(plan_initial_ranges([RunCapacity(run, 10.0) for run in runs]))
@@ -309,8 +309,7 @@
 class _ExpectsShortGrants(RangeGranter):
     def __init__(self, pool, timing, began_s):
         super().__init__(pool, timing, began_s)
-        # Grants are valid for 1.0 s instead of 5.65 s.
-        self._sent_grants = SentGrants(attrs.evolve(timing, drift=-0.9, margin_s=0.5), began_s)
+        self._sent_grants = SentGrants(attrs.evolve(timing, hold_s=0.5, margin_s=0.5), began_s)
 
 
 class _ReusesFences(RangeGranter):
