--- a/fireflyferry/platform/crowds/tests/test_crowds.py
+++ b/fireflyferry/platform/crowds/tests/test_crowds.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fireflyferry.platform.crowds.world import PIECE_BYTES, Caller, CrowdVm, CrowdWorld, head
+from fireflyferry.platform.crowds.tests.world import PIECE_BYTES, Caller, CrowdVm, CrowdWorld, head
 
 MEMORY_MB = 96  # a process without requests takes about 40 MB
 MAX_BODY_BYTES = 4 << 20
