--- a/fireflyferry/balancing/directory.py
+++ b/fireflyferry/balancing/directory.py
@@ -140,11 +140,11 @@
             if entry.upstream.pool == pool and self._standing(now_s, entry) is Standing.READY
         ]
 
-    def has_evacuated(self, now_s: float, pool: str) -> bool:
+    def has_evacuated(self, pool: str) -> bool:
         """Return whether an upstream of a pool may get no requests because of an evacuation."""
         return any(
             entry.upstream.pool == pool
-            and self.evacuations.is_evacuated(now_s, entry.upstream.data_centre)
+            and self.evacuations.is_evacuated(entry.upstream.data_centre)
             for entry in self._by_id.values()
         )
 
@@ -156,8 +156,7 @@
         for entry in self._by_id.values():
             if entry.upstream.pool != pool:
                 continue
-            keys_until_s = self.evacuations.keys_until_s(now_s, entry.upstream.data_centre)
-            if keys_until_s is not None and now_s >= keys_until_s:
+            if self.evacuations.refuses_keys(now_s, entry.upstream.data_centre):
                 continue
             ready = self._standing(now_s, entry) is Standing.READY
             if entry.missing_since_s is None or ready:
@@ -168,10 +167,10 @@
 
     def _standing(self, now_s: float, entry: _Entry) -> Standing:
         standing = self._listed_standing(now_s, entry)
-        keys_until_s = self.evacuations.keys_until_s(now_s, entry.upstream.data_centre)
-        if keys_until_s is None or standing is Standing.GONE:
-            return standing
-        return Standing.LEAVING if now_s < keys_until_s else Standing.GONE
+        data_centre = entry.upstream.data_centre
+        if standing is Standing.GONE or self.evacuations.refuses_keys(now_s, data_centre):
+            return Standing.GONE
+        return Standing.LEAVING if self.evacuations.is_evacuated(data_centre) else standing
 
     def _listed_standing(self, now_s: float, entry: _Entry) -> Standing:
         marked_since_s = self._marked_since_s.get(entry.upstream.run)
--- a/fireflyferry/balancing/evacuations.py
+++ b/fireflyferry/balancing/evacuations.py
@@ -11,14 +11,6 @@
 SEND_MARGIN_S = 0.8
 
 
-@attrs.define
-class _Order:
-    """An order to evacuate; `ends_s` is set once it is no longer listed but kept in force."""
-
-    keys_until_s: float
-    ends_s: float | None = None
-
-
 @attrs.define
 class Evacuations:
     """Orders to evacuate data centres; times in seconds on the monotonic clock.
@@ -29,9 +21,14 @@
     """
 
     bound_s: float = 0.0
-    _orders: dict[str, _Order] = attrs.field(factory=dict, init=False)
+    _keys_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _ended_s: dict[str, float] = attrs.field(factory=dict, init=False)
 
+    @property
+    def active(self) -> list[str]:
+        """The data centres that are evacuated now."""
+        return sorted(self._keys_until_s)
+
     def apply(
         self, now_s: float, listed: Iterable[str], not_before_s: float
     ) -> tuple[list[str], list[str]]:
@@ -40,45 +37,28 @@
         New orders were acknowledged after `not_before_s`.
         """
         names = set(listed)
-        ended = self._remove_ended(now_s)
-        began = sorted(names - self._orders.keys())
+        began = sorted(names - self._keys_until_s.keys())
+        ended = sorted(self._keys_until_s.keys() - names)
         for name in began:
-            self._orders[name] = _Order(not_before_s + self.bound_s - SEND_MARGIN_S)
-        for name, order in self._orders.items():
-            if name in names:
-                order.ends_s = None
-            elif order.ends_s is None:
-                order.ends_s = now_s
-        return began, ended + self._remove_ended(now_s)
+            self._keys_until_s[name] = not_before_s + self.bound_s - SEND_MARGIN_S
+        for name in ended:
+            del self._keys_until_s[name]
+            self._ended_s[name] = now_s
+        return began, ended
 
-    def is_evacuated(self, now_s: float, data_centre: str) -> bool:
+    def is_evacuated(self, data_centre: str) -> bool:
         """Return whether an order is in force."""
-        order = self._orders.get(data_centre)
-        return order is not None and (order.ends_s is None or now_s < order.ends_s)
+        return data_centre in self._keys_until_s
 
-    def keys_until_s(self, now_s: float, data_centre: str) -> float | None:
+    def keys_until_s(self, data_centre: str) -> float | None:
         """Return until when requests for keys may go to a data centre; None without an order."""
-        if not self.is_evacuated(now_s, data_centre):
-            return None
-        return self._orders[data_centre].keys_until_s
+        return self._keys_until_s.get(data_centre)
+
+    def refuses_keys(self, now_s: float, data_centre: str) -> bool:
+        """Return whether requests for keys may no longer go to a data centre, by an order."""
+        keys_until_s = self._keys_until_s.get(data_centre)
+        return keys_until_s is not None and now_s >= keys_until_s
 
-    def ended_s(self, now_s: float, data_centre: str) -> float:
+    def ended_s(self, data_centre: str) -> float:
         """Return when the last order for a data centre ended; minus infinity if there was none."""
-        order = self._orders.get(data_centre)
-        if order is not None and order.ends_s is not None and now_s >= order.ends_s:
-            return order.ends_s
         return self._ended_s.get(data_centre, float("-inf"))
-
-    def active(self, now_s: float) -> list[str]:
-        """Return the data centres that are evacuated now."""
-        return sorted(name for name in self._orders if self.is_evacuated(now_s, name))
-
-    def _remove_ended(self, now_s: float) -> list[str]:
-        ended = sorted(
-            name
-            for name, order in self._orders.items()
-            if order.ends_s is not None and order.ends_s <= now_s
-        )
-        for name in ended:
-            self._ended_s[name] = self._orders.pop(name).ends_s or now_s
-        return ended
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -138,7 +138,7 @@
             return not_run(Reason.UPSTREAM_QUIET, quiet_s)
         if not allowed and self._state.upstreams.ready(now_s, call.pool):
             return not_run(Reason.REGION_NOT_ALLOWED, self._rules.region_retry_after_s)
-        if self._state.upstreams.has_evacuated(now_s, call.pool):
+        if self._state.upstreams.has_evacuated(call.pool):
             return not_run(Reason.DATA_CENTRE_EVACUATED, self._rules.region_retry_after_s)
         return not_run(Reason.NO_UPSTREAM, self._rules.upstream_retry_after_s)
 
@@ -261,10 +261,8 @@
     def _owner_is_evacuated(self, call: Call) -> bool:
         """Return whether the owner of the key may get no more requests, by an evacuation."""
         now_s, upstream = self._clock.monotonic_s(), self._listed_owner(call)
-        if upstream is None:
-            return False
-        keys_until_s = self._state.upstreams.evacuations.keys_until_s(now_s, upstream.data_centre)
-        return keys_until_s is not None and now_s >= keys_until_s
+        evacuations = self._state.upstreams.evacuations
+        return upstream is not None and evacuations.refuses_keys(now_s, upstream.data_centre)
 
     def _listed_owner(self, call: Call) -> Upstream | None:
         """Return the upstream to which the table assigns the key, whether it serves it or not."""
--- a/fireflyferry/gateway/peer_messages.py
+++ b/fireflyferry/gateway/peer_messages.py
@@ -75,7 +75,7 @@
 _OUTCOMES_BY_LETTER = {"a": Outcome.ANSWERED, "n": Outcome.NOT_RUN, "u": Outcome.UNKNOWN}
 _OUTCOME_LETTERS = {outcome: letter for letter, outcome in _OUTCOMES_BY_LETTER.items()}
 # Reasons that earlier revisions do not know, and that mean the same to a first hop as a full queue.
-_NO_ROOM_REASONS = frozenset(
+_WRITTEN_AS_QUEUE_FULL = frozenset(
     {Reason.UPSTREAM_COLD, Reason.MEMORY_SHORT, Reason.BODY_STALLED, Reason.BODY_TOO_LARGE}
 )
 
@@ -167,7 +167,7 @@
     # shed a request was reached, so `read_result` can tell the two apart.
     if reason is Reason.UPSTREAM_QUIET:
         reason = Reason.UPSTREAM_SHED
-    elif reason in _NO_ROOM_REASONS:
+    elif reason in _WRITTEN_AS_QUEUE_FULL:
         reason = Reason.QUEUE_FULL
     values = (
         _OUTCOME_LETTERS[attempt.outcome],
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -157,7 +157,7 @@
         per_s = self.warmup_per_s(upstream.pool)
         if per_s <= 0.0:
             return 0.0, 0.0
-        ended_s = self.upstreams.evacuations.ended_s(now_s, upstream.data_centre)
+        ended_s = self.upstreams.evacuations.ended_s(upstream.data_centre)
         left_s = self.cold.left_s(now_s, upstream.run, ended_s)
         return (per_s, left_s) if left_s > 0.0 else (0.0, 0.0)
 
@@ -299,7 +299,7 @@
         evacuations = self.upstreams.evacuations
         began, ended = evacuations.apply(now_s, documents_by_name, not_before_s)
         for name in began:
-            keys_until_s = evacuations.keys_until_s(now_s, name) or now_s
+            keys_until_s = evacuations.keys_until_s(name) or now_s
             keys_for_s = round(max(0.0, keys_until_s - now_s), 3)
             extra = {"data_centre": name, "keys_for_s": keys_for_s}
             _LOG.warning("evacuation_began", extra=extra)
@@ -314,7 +314,7 @@
 
     def evacuated_data_centres(self) -> list[str]:
         """Return the data centres whose upstreams get no requests by order."""
-        return self.upstreams.evacuations.active(self._clock.monotonic_s())
+        return self.upstreams.evacuations.active
 
     def apply_vms(self, documents_by_name: Mapping[str, Document]) -> None:
         """Apply the list of entry VMs."""
--- a/fireflyferry/gateway/tests/support.py
+++ b/fireflyferry/gateway/tests/support.py
@@ -20,6 +20,7 @@
     PlatformCodec,
     StoreCallError,
 )
+from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.program import GatewayProgram, PlatformAdapters, ProgramRules
 from fireflyferry.gateway.settings import (
     BoundSettings,
@@ -333,11 +334,12 @@
     rules: ProgramRules | None = None,
     codec: PlatformCodec | None = None,
     orders: FakeOrders | None = None,
+    eras: StoreEras | None = None,
 ) -> AsyncIterator[Gateway]:
     """Run an entry VM until the block ends."""
     settings = settings or make_settings()
     orders = orders or FakeOrders()
-    adapters = PlatformAdapters(store, orders, codec or FakeCodec())
+    adapters = PlatformAdapters(store, orders, codec or FakeCodec(), eras or StoreEras())
     rules = rules or ProgramRules(accept_while_stopping_s=0.1)
     program = GatewayProgram(settings, lambda *_: adapters, lambda: None, rules)
     running = Gateway(program, settings, orders, asyncio.ensure_future(program.run()))
--- a/fireflyferry/gateway/tests/test_eras.py
+++ b/fireflyferry/gateway/tests/test_eras.py
@@ -1,7 +1,6 @@
 """Eras of the store: what a VM knows and does when the store comes back from a copy."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -15,13 +14,10 @@
 from fireflyferry.gateway.eras import StoreEras
 from fireflyferry.gateway.feed import Feed, FeedAnswer, FeedRequest, FeedRules
 from fireflyferry.gateway.mirror import DocumentMirror, FeedChanges, KindChanges
-from fireflyferry.gateway.program import GatewayProgram, PlatformAdapters, ProgramRules
 from fireflyferry.gateway.state import OwnerTables
 from fireflyferry.gateway.tests.support import (
-    FakeCodec,
-    FakeOrders,
     FakeStore,
-    Gateway,
+    gateway,
     make_config,
     make_settings,
     upstream_content,
@@ -282,20 +278,10 @@
         return await self._in_era(super().write(kind, name, content, revision), known)
 
 
-@contextlib.asynccontextmanager
-async def gateway_in_eras(store, **bounds):
-    settings, orders = make_settings("vm-1"), FakeOrders()
+def gateway_in_eras(store, **bounds):
+    settings = make_settings("vm-1")
     settings = attrs.evolve(settings, bounds=attrs.evolve(settings.bounds, **bounds))
-    adapters = PlatformAdapters(store, orders, FakeCodec(), store.eras)
-    rules = ProgramRules(accept_while_stopping_s=0.1)
-    program = GatewayProgram(settings, lambda *_: adapters, lambda: None, rules)
-    running = Gateway(program, settings, orders, asyncio.ensure_future(program.run()))
-    try:
-        await running.wait_until(lambda: running.task.done() or program.ready)
-        yield running
-    finally:
-        program.stop()
-        await running.task
+    return gateway(store, settings, eras=store.eras)
 
 
 def test_vm_starts_anew_when_the_store_comes_back_from_a_copy():
--- a/fireflyferry/gateway/tests/test_evacuations.py
+++ b/fireflyferry/gateway/tests/test_evacuations.py
@@ -47,17 +47,17 @@
 def test_keys_are_served_until_the_margin_before_the_bound():
     evacuations = Evacuations(BOUND_S)
     assert evacuations.apply(10.0, ["dc-1"], 9.0) == (["dc-1"], [])
-    assert evacuations.keys_until_s(10.0, "dc-1") == 9.0 + BOUND_S - SEND_MARGIN_S
-    assert evacuations.keys_until_s(10.0, "dc-2") is None
+    assert evacuations.keys_until_s("dc-1") == 9.0 + BOUND_S - SEND_MARGIN_S
+    assert evacuations.keys_until_s("dc-2") is None
     assert evacuations.apply(30.0, [], 29.0) == ([], ["dc-1"])
-    assert not evacuations.is_evacuated(30.0, "dc-1") and evacuations.ended_s(30.0, "dc-1") == 30.0
+    assert not evacuations.is_evacuated("dc-1") and evacuations.ended_s("dc-1") == 30.0
 
 
 def test_first_list_is_of_unknown_age():
     """Guards against keys that a restarted VM serves after the bound of an old order."""
     evacuations = Evacuations(BOUND_S)
     evacuations.apply(10.0, ["dc-1"], float("-inf"))
-    assert evacuations.keys_until_s(10.0, "dc-1") == float("-inf")
+    assert evacuations.keys_until_s("dc-1") == float("-inf")
 
 
 def test_requests_without_a_key_go_elsewhere_at_once_and_return():
