--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A grant that a cut link held up reaches its instance after the keys have gone to another one."""
 
 import asyncio
+import itertools
 import pathlib
 import sys
 import time
@@ -11,18 +12,25 @@
 import standins_2 as standins  # noqa: E402
 
 CUT_S = 9.0  # the site's longest cut of this kind is 12 s
+BOOKS_AFTER_S, BOOKINGS = 1.4, 3
 DRAINS_AFTER_S = 2.0
 SERVES_ON_S = 18.0  # of the instance that leaves; "at times many seconds"
 
 
 async def scenario(record, folder, ends, trouble):
+    """Cut an instance off, let it leave, and return whether OWNER is broken."""
     store = await standins.Store(record).listen()
     ends.append(store)
     store.put(
         "config",
         "main",
         standins.configuration(
-            1, {"read": standins.route("/read/", "keys")}, {"keys": {"sharded": True}}
+            1,
+            {
+                "read": standins.route("/read/", "keys"),
+                "book": standins.route("/book/", "keys", kind="unsafe"),
+            },
+            {"keys": {"sharded": True}},
         ),
     )
     instances = [
@@ -52,11 +60,15 @@
     if statuses.count(200) < 10:
         raise RuntimeError(f"calm requests got {statuses}")
     await asyncio.sleep(standins.SETTLE_WINDOW_S + 1.0)
+    await book(record, vms, "calm", leaver)
 
     if trouble:
         await link.cut()
     began_s = time.monotonic()
-    await asyncio.sleep(DRAINS_AFTER_S)
+    # By now the grant has been renewed once, and the bookings arrive after it.
+    await asyncio.sleep(BOOKS_AFTER_S)
+    bookings = asyncio.ensure_future(book(record, vms, "cut", leaver))
+    await asyncio.sleep(DRAINS_AFTER_S - BOOKS_AFTER_S)
     left_keys = [(first, last) for first, last, _, _ in leaver.held]
     leaver.state = "draining"
     leaver.write_entry()
@@ -71,11 +83,31 @@
         statuses.append(await call(record, vms, number))
         number += 1
         await asyncio.sleep(0.25)
+    await bookings
     record.add(f"answers after the cut: {statuses.count(200)} of {len(statuses)} are 200")
-    return breaks_owner(record, instances, healed_s if trouble else float("-inf"))
+    healed_s = healed_s if trouble else float("-inf")
+    takes = breaks_token_order(record, instances, healed_s)
+    begin = both_begin(record, instances, healed_s)
+    return takes or begin
+
+
+async def book(record, vms, label, owner):
+    """Send bookings for keys of an owner at the same time, over all VMs."""
+    first, last = owner.held[0][:2]
+
+    async def send(vm, number):
+        key = first + (last - first) * number // (BOOKINGS * len(vms))
+        name = f"{label}-{number}"
+        options = {"method": "POST", "body": b"x", "key": key}
+        status, _, _ = await standins.call(vm, name, "/book/x", 2000, **options)
+        record.add(f"client gets {status} for booking {name}, key {key}, from {vm.name}")
+
+    numbers = range(BOOKINGS * len(vms))
+    await asyncio.gather(*(send(vms[number % len(vms)], number) for number in numbers))
 
 
 async def call(record, vms, number):
+    """Send a request for a key and return the status of its answer."""
     key = number * 7919 % 65_536
     vm = vms[number % len(vms)]
     status, _, _ = await standins.call(vm, f"r-{number}", f"/read/{number}", 2000, key=key)
@@ -83,7 +115,38 @@
     return status
 
 
-def breaks_owner(record, instances, healed_s):
+def both_begin(record, instances, healed_s):
+    """OWNER: two instances hold a key at the same time, and both begin requests in that time."""
+    broken = False
+    for one, other in itertools.permutations(instances, 2):
+        for from_s, first, last, fence, until in one.grants:
+            if healed_s <= from_s <= healed_s + standins.THAW_SLACK_S:
+                continue
+            for other_s, a, b, token, other_until in other.grants:
+                low, high = max(first, a), min(last, b)
+                since_s, to_s = max(from_s, other_s), min(until, other_until)
+                if low > high or since_s >= to_s or fence >= token:
+                    continue
+                begun = [
+                    [
+                        each
+                        for each in it.begun
+                        if since_s <= each[0] < to_s and low <= each[2] <= high
+                    ]
+                    for it in (one, other)
+                ]
+                if all(begun):
+                    broken = True
+                    names = [[request_id for _, request_id, _ in each] for each in begun]
+                    record.add(
+                        f"BROKEN: from {since_s:.3f} to {to_s:.3f} {one.name} (fence {fence}) and "
+                        f"{other.name} (fence {token}) hold {low}-{high}; they begin {names[0]} "
+                        f"and {names[1]}"
+                    )
+    return broken
+
+
+def breaks_token_order(record, instances, healed_s):
     """OWNER: a key is taken with a token that isn't above all with which others had it."""
     broken = False
     for instance in instances:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,6 +19,7 @@
 
 
 async def scenario(record, folder, ends, trouble):
+    """Send waves of requests, and return whether GONE is broken."""
     store = await standins.Store(record).listen()
     ends.append(store)
     dock = standins.route("/upload/", "dock", kind="unsafe", timeout_s=5.0, target_s=3.263)
@@ -64,6 +65,7 @@
 
 
 async def send(record, vm, request_id, leaves, left_s):
+    """Send a request and return the status of its answer, or leave before it."""
     reader, writer = await standins.open_client(vm)
     try:
         writer.write(
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections
 import contextlib
-import errno
 import itertools
 import json
 import os
@@ -49,9 +48,11 @@
         self.lines = []
 
     def now(self):
+        """Return the time since the start in seconds."""
         return time.monotonic() - self._start_s
 
     def add(self, text):
+        """Add a line."""
         self.lines.append(f"{self.now():8.3f} {text}")
 
 
@@ -64,6 +65,7 @@
         self.left = connection.left
 
     def header(self, name):
+        """Return the value of a header; None without it."""
         return self.headers.get(name.lower())
 
 
@@ -77,19 +79,23 @@
         self.left = asyncio.Event()
 
     def connection_made(self, transport):
+        """Note a new connection."""
         self.transport = transport
         self._server.connections.add(self)
 
     def data_received(self, data):
+        """Handle what has arrived."""
         self._buffer += data
         self._next()
 
     def eof_received(self):
+        """Note that the sender has closed its side."""
         self.left.set()
         self._next()
         return True  # requests that have arrived are read; the answer may still be written
 
     def connection_lost(self, exc):
+        """Note the end of the connection."""
         self.left.set()
         self._server.connections.discard(self)
 
@@ -140,17 +146,20 @@
         self.port = 0
 
     async def listen(self):
+        """Listen on a free loopback port."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(lambda: Connection(self), "127.0.0.1", 0)
         self.port = self._listener.sockets[0].getsockname()[1]
         return self
 
     def end(self):
+        """End it, and all that it has opened."""
         self._listener.close()
         for connection in list(self.connections):
             connection.transport.abort()
 
     async def handle(self, request):
+        """Return status, headers and body of the answer; None resets the connection."""
         raise NotImplementedError
 
 
@@ -176,6 +185,7 @@
         return self._objects[kind][name]
 
     def remove(self, kind, name):
+        """Remove an object, if it exists."""
         known = self._objects[kind].pop(name, None)
         if known is not None:
             self._revision += 1
@@ -187,6 +197,7 @@
         self._changed = asyncio.Event()
 
     async def handle(self, request):
+        """Return status, headers and body of the answer; None resets the connection."""
         url = urlsplit(request.target)
         _, _, kind, *names = (unquote(part) for part in url.path.split("/"))
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -251,17 +262,20 @@
         self._present = 0
         self.arrivals = []  # time, request id
         self.runs = collections.Counter()
+        self.begun = []  # time, request id, key
         self.held = []  # first, last, fence, until
         self.seen = []  # first, last, fence
         self.grants = []  # time, first, last, fence, until
         self._heartbeats = None
 
     async def start(self):
+        """Start it."""
         await self.listen()
         self._heartbeats = asyncio.get_running_loop().create_task(self._report())
         return self
 
     def end(self):
+        """End it, and all that it has opened."""
         self._heartbeats.cancel()
         super().end()
 
@@ -272,6 +286,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def write_entry(self):
+        """Write the instance's entry to the store, unless only its sequence has changed."""
         info = {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots}
         status = {"state": self.state, "sequence": next(self._sequence), "warmupLeftS": 0}
         address = self.address or f"127.0.0.1:{self.port}"
@@ -282,6 +297,7 @@
         self._store.put("servers", self.name, entry)
 
     async def handle(self, request):
+        """Return status, headers and body of the answer; None resets the connection."""
         now_s = self._record.now()
         if request.header(EXPECTED) not in (None, self.name):
             return 421, [("Fireflyferry-Instance-Id", self.name), (NOT_RUN, "1")], b""
@@ -315,6 +331,7 @@
                 slot.cancel()
                 return None if left.done() else (503, [echo, (NOT_RUN, "1")], b"")
             self.runs[request_id] += 1
+            self.begun.append((self._record.now(), request_id, int(request.header(KEY) or -1)))
             self._record.add(f"{self.name} runs {request_id}")
             work_s = min(self.work_s, until_s - time.monotonic())
             await asyncio.wait([left], timeout=max(0.0, work_s))
@@ -332,6 +349,7 @@
     # Keys
 
     def holds(self, key, now_s):
+        """Return whether a key is held."""
         return any(first <= key <= last and now_s < until for first, last, _, until in self.held)
 
     def _order(self, now_s, kind, order):
@@ -339,9 +357,13 @@
         if kind == "release":
             self.seen.append((first, last, fence))
             self.held = [part for each in self.held for part in _without(each, first, last)]
+            self.grants = [
+                (at_s, f, t, token, min(until, now_s) if f <= last and first <= t else until)
+                for at_s, f, t, token, until in self.grants
+            ]
             self._record.add(f"{self.name} releases {first}-{last}, fence {fence}")
             return 200, [("Fireflyferry-Handover", random.randbytes(8).hex())], b""
-        if any(f <= last and first <= l and fence < seen for f, l, seen in self.seen):
+        if any(low <= last and first <= high and fence < seen for low, high, seen in self.seen):
             self._record.add(f"{self.name} refuses {first}-{last}, fence {fence}")
             return 409, [], b""
         until = now_s + order["holdS"]
@@ -362,11 +384,11 @@
 
 
 def _without(held, first, last):
-    f, l, fence, until = held
-    if last < f or l < first:
+    low, high, fence, until = held
+    if last < low or high < first:
         return [held]
-    parts = [(f, first - 1, fence, until)] if f < first else []
-    return parts + ([(last + 1, l, fence, until)] if last < l else [])
+    parts = [(low, first - 1, fence, until)] if low < first else []
+    return parts + ([(last + 1, high, fence, until)] if last < high else [])
 
 
 class Link:
@@ -381,6 +403,7 @@
     """
 
     FIRST_RETRANSMISSION_S = 0.2
+    ROUND_TRIP_S = 0.005
 
     def __init__(self, record, server_port):
         self._record, self._server_port = record, server_port
@@ -393,6 +416,7 @@
         self.port = 0
 
     async def start(self):
+        """Start it."""
         self._listener = socket.socket()
         self._listener.setblocking(False)
         self._listener.bind(("127.0.0.1", 0))
@@ -402,6 +426,7 @@
         return self
 
     def end(self):
+        """End it, and all that it has opened."""
         for task in list(self._tasks):
             task.cancel()
         self._listener.close()
@@ -431,6 +456,7 @@
         self._record.add("link is cut")
 
     def heal(self):
+        """Let everything pass again, and what was held up when it is sent again."""
         for each in self._fillers:
             each.close()
         self._fillers.clear()
@@ -464,9 +490,11 @@
     async def _pump(self, reader, writer):
         try:
             while data := await reader.read(1 << 16):
-                await self._pass(reader)
+                was_held = await self._pass(reader)
                 writer.write(data)
                 await writer.drain()
+                if was_held:  # the end of the stream follows when the data is acknowledged
+                    await asyncio.sleep(self.ROUND_TRIP_S)
             await self._pass(reader)
         except OSError:
             # The sender has reset the connection; what was held up is lost.
@@ -477,9 +505,12 @@
                 writer.write_eof()
 
     async def _pass(self, reader):
-        """Wait until bytes that were sent now arrive; raises OSError if their sender resets."""
+        """Wait until bytes that were sent now arrive; return whether they were held up.
+
+        Raises OSError if their sender resets the connection meanwhile.
+        """
         if not self._is_cut:
-            return
+            return False
         sent_s = time.monotonic()
         await self._healed.wait()
         arrival_s, timeout_s = sent_s, self.FIRST_RETRANSMISSION_S
@@ -488,6 +519,7 @@
         await asyncio.sleep(max(0.0, arrival_s - time.monotonic()))
         if reader.exception() is not None:
             raise reader.exception()
+        return True
 
 
 class Vm:
@@ -499,6 +531,7 @@
         self.process = None
 
     def write_settings(self, zones):
+        """Write the settings that the template of the deploy file makes."""
         ports = free_ports(self.ip, 3)
         self.front, self.ready_port, internal = ports
         fields = {
@@ -522,6 +555,7 @@
         self._settings.write_text(fill(template.read_text(), fields))
 
     def start(self):
+        """Start it."""
         command = [sys.executable, *self._command[1:]]
         environment = {
             "PATH": os.environ["PATH"],
@@ -541,12 +575,15 @@
             )
 
     def send(self, signal_number):
+        """Send a signal."""
         self.process.send_signal(signal_number)
 
     def log(self):
+        """Return the process's log."""
         return (self._folder / f"{self.name}.log").read_text(errors="replace")
 
     def end(self):
+        """End it, and all that it has opened."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
@@ -554,6 +591,7 @@
             self.process.wait()
 
     async def is_ready(self):
+        """Return whether the readiness check answers 200."""
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.ready_port)
         except OSError:
@@ -633,6 +671,7 @@
 
 
 def route(prefix, service, kind="safe", timeout_s=5.0, target_s=0.6, attempts=2):
+    """Return the `spec` of a route."""
     return {
         "host": HOST,
         "pathPrefix": prefix,
@@ -646,10 +685,12 @@
 
 
 async def open_client(vm):
+    """Open a connection of a client."""
     return await asyncio.open_connection(vm.ip, vm.front)
 
 
 def request_bytes(request_id, target, deadline_ms, method="GET", body=b"", key=None):
+    """Return a request as it is sent."""
     lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}", f"{ID}: {request_id}"]
     lines.append(f"{DEADLINE}: {deadline_ms}")
     if key is not None:
@@ -710,6 +751,8 @@
 
 
 async def wait_ready(vms):
+    """Wait until all VMs are ready."""
+
     async def all_ready():
         return all([await vm.is_ready() for vm in vms])
 
