Review case 7: a removed instance gets requests after silent connections

Cause: after failed calls to the store a removed entry counts as lapsed, and its instance stays ready for 1.4 s from the moment at which the VM learns of it.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -522,6 +522,72 @@
         return True
 
 
+class _Pair:
+    """The two ends of one connection through a `StoreLink`."""
+
+    silent = False
+
+
+class StoreLink:
+    """Loopback proxy between one VM and the store, whose open connections can fall silent.
+
+    A silent connection stays open and carries nothing any more; new ones work. `watched_s` is when
+    the last watch of a kind began.
+    """
+
+    def __init__(self, record, server_port):
+        self._record, self._server_port = record, server_port
+        self._pairs = set()
+        self._tasks = set()
+        self.watched_s = {}
+        self.port = 0
+
+    async def start(self):
+        """Start it."""
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._listener.sockets[0].getsockname()[1]
+        return self
+
+    def end(self):
+        """End it, and all that it has opened."""
+        self._listener.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def silence(self):
+        """Let all connections that are open now fall silent for good."""
+        for each in self._pairs:
+            each.silent = True
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        pair = _Pair()
+        self._pairs.add(pair)
+        try:
+            to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self._server_port)
+            await asyncio.gather(
+                self._pump(pair, reader, to_writer, True),
+                self._pump(pair, to_reader, writer, False),
+            )
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._pairs.discard(pair)
+            self._tasks.discard(asyncio.current_task())
+
+    async def _pump(self, pair, reader, writer, to_store):
+        while data := await reader.read(1 << 16):
+            if pair.silent:
+                continue
+            found = re.match(rb"GET /objects/([^?/]+)\?watch=", data) if to_store else None
+            if found:
+                self.watched_s[found[1].decode()] = self._record.now()
+            writer.write(data)
+            await writer.drain()
+        if not pair.silent:
+            writer.close()
+
+
 class Vm:
     """One entry VM: the command of the deploy file with the settings template filled in."""
 
@@ -736,12 +802,13 @@
     raise RuntimeError(f"not within {timeout_s} s: {what}")
 
 
-async def start_vms(folder, store, count, zones=None):
-    """Start entry VMs and wait until all are ready."""
+async def start_vms(folder, store, count, zones=None, store_links=None):
+    """Start entry VMs, which reach the store directly or each over a link of its own."""
     zones = zones or {"zone-a": "region-1"}
     names = itertools.cycle(zones)
+    ports = [each.port for each in store_links or [store] * count]
     vms = [
-        Vm(folder, f"vm-{number}", store.port, ip, next(names))
+        Vm(folder, f"vm-{number}", ports[number], ip, next(names))
         for number, ip in enumerate(make_ips(count))
     ]
     for vm in vms:
