--- a/review/6/case.py
+++ b/review/6/case.py
@@ -35,7 +35,7 @@
     )
     instances = [
         standins.Instance(record, store, name, "keys", 4, work_s=0.05, sharded=True)
-        for name in ("i-a", "i-b", "i-c")
+        for name in ("i-a", "i-b", "i-c", "i-d")
     ]
     leaver = instances[0]
     await leaver.listen()
