--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Clients that leave are not noticed while many bytes lie behind their request."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -82,4 +83,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.main(FOLDER, scenario))
+    sys.exit(standins.main(FOLDER, scenario, trouble=os.environ.get("TROUBLE", "1") != "0"))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import pathlib
 import sys
 import time
@@ -174,4 +175,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.main(FOLDER, scenario))
+    sys.exit(standins.main(FOLDER, scenario, trouble=os.environ.get("TROUBLE", "1") != "0"))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """Two VMs that stop one after the other: accepted requests are broken off with time left."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -134,4 +135,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.main(FOLDER, scenario))
+    sys.exit(standins.main(FOLDER, scenario, trouble=os.environ.get("TROUBLE", "1") != "0"))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """Requests that may run once are sent to instances long after their clients have left."""
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -93,4 +94,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.main(FOLDER, scenario))
+    sys.exit(standins.main(FOLDER, scenario, trouble=os.environ.get("TROUBLE", "1") != "0"))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -833,13 +833,12 @@
     await wait_until(all_ready, 30.0, "all VMs are ready")
 
 
-def main(folder, scenario):
+def main(folder, scenario, trouble):
     """Run a scenario, write its record and exit with 0, 1 or 2.
 
     The scenario gets the record, a temporary folder, a list for what has to be ended, and whether
     the disruption is to be made. It returns whether the rule was broken.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record, ends = Record(), []
     status = NOT_RUNNABLE
     with tempfile.TemporaryDirectory() as temporary:
