Review: let leaving instances say so, and case 8 hold with them

Case 8 (DRAIN) rested on that: with the header it held, since a VM sends nothing more to an instance whose answer says that it leaves.

Change: the stand-in sends both.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -25,6 +25,7 @@
 ID, DEADLINE = "Fireflyferry-Request-Id", "Fireflyferry-Deadline-Ms"
 SIGNATURE, NOT_RUN = "Fireflyferry-Response-Signature", "Fireflyferry-Not-Executed"
 EXPECTED, KEY = "Fireflyferry-Expected-Instance", "Fireflyferry-Shard-Key"
+LEAVING, CLOSES = "Server-Leaving", ("Connection", "close")
 HOST = "case.example"
 HEARTBEAT_S, SETTLE_WINDOW_S, DRAIN_TIMEOUT_S, THAW_SLACK_S = 0.87, 3.0, 2.0, 0.3
 BOUNDS = {
@@ -134,6 +135,9 @@
         lines.append(f"Content-Length: {len(body)}")
         if not self.transport.is_closing():
             self.transport.write("\r\n".join([*lines, "", ""]).encode() + body)
+        if CLOSES in headers:
+            self.transport.close()
+            return
         self._busy = False
         self._next()
 
@@ -256,6 +260,7 @@
         self.zone, self.state = "zone-a", "ready"
         self.address = ""  # in its entry; of the instance itself if empty
         self.reports = True
+        self.leaves = False  # also if it does not report it
         self._born = time.time_ns() // 1_000_000
         self._sequence = itertools.count(1)
         self._free = asyncio.Semaphore(slots)
@@ -297,7 +302,14 @@
         self._store.put("servers", self.name, entry)
 
     async def handle(self, request):
-        """Return status, headers and body of the answer; None resets the connection."""
+        """Return the answer, which says so if the instance leaves; None resets the connection."""
+        answer = await self._handle(request)
+        if answer is None or not (self.leaves or self.state == "draining"):
+            return answer
+        status, headers, body = answer
+        return status, [*headers, (LEAVING, "1"), CLOSES], body
+
+    async def _handle(self, request):
         now_s = self._record.now()
         if request.header(EXPECTED) not in (None, self.name):
             return 421, [("Fireflyferry-Instance-Id", self.name), (NOT_RUN, "1")], b""
