Tests: run the test that plots one at a time

The test failed in the parallel run on a machine on which matplotlib had no cache of fonts: matplotlib then starts fc-list, and the parallel run refuses processes. The test is listed in conftest.SERIAL, as tests that start processes are. With an empty MPLCONFIGDIR it passed in the serial form.

--- a/conftest.py
+++ b/conftest.py
@@ -30,6 +30,8 @@
     "fireflyferry/platform/crowds/tests/test_crowds.py",
     "fireflyferry/platform/soak/tests/test_soak.py",
     "fireflyferry/experiments/tests/test_load.py::RunnerTest",
+    # Matplotlib starts fc-list where it has no cache of fonts.
+    "fireflyferry/experiments/tests/test_load.py::test_report_compare_and_plots_from_files",
     # Limits on memory, or on calls for each connection that stays open until a time limit.
     "fireflyferry/gateway/tests/test_departed_callers.py",
     "fireflyferry/gateway/tests/test_endless_answers.py",
