Soak: give processes of one id different start times

VMs and findings tell two processes of one id apart by their start time in milliseconds. A stand-in that started again within the millisecond of its first start was taken for the process before it, so the verdict of test_fence_at_two_processes_of_one_address_is_reported[True] varied. The start time of a process is now above those of all others of the run.

The new test fixes the clock and failed before.

--- a/fireflyferry/platform/soak/tests/test_upstreams.py
+++ b/fireflyferry/platform/soak/tests/test_upstreams.py
@@ -142,6 +142,18 @@
     assert play(scenario) == {FENCE}
 
 
+def test_processes_that_start_within_a_millisecond_have_different_start_times(monkeypatch):
+    """Guards against findings that take a restarted process for the one before it."""
+
+    async def scenario(world):
+        first = world.first
+        await world.fleet.restart(first, Restart(same_id=True))
+        assert world.newest.born > first.born
+
+    monkeypatch.setattr("fireflyferry.platform.soak.upstreams.time.time_ns", lambda: 10**18)
+    assert play(scenario) == set()
+
+
 def test_process_of_another_pool_that_takes_keys_is_reported():
     async def scenario(world):
         world.fleet.add("keyed", "dc")
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -53,6 +53,14 @@
     odd_ids: set[str] = attrs.field(factory=set)
     effects: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
+    def next_start_ms(self) -> int:
+        """Return the time in milliseconds for a process that starts, above those of all others.
+
+        VMs and findings tell two processes of one id apart by this time.
+        """
+        latest_ms = max((each.born for each in self.processes), default=0)
+        return max(time.time_ns() // 1_000_000, latest_ms + 1)
+
 
 class _Server(tornado.httpserver.HTTPServer):
     """HTTP server that keeps its open connections in `streams`."""
@@ -81,7 +89,7 @@
         self.keyed = keyed
         self.data_centre = data_centre
         self.world = world
-        self.born = time.time_ns() // 1_000_000
+        self.born = world.next_start_ms()
         self.keys = HeldKeys()
         self.port = 0
         self.up = True
