Do not end a transfer that belongs to a later exchange

A transfer that has ended can be given to another exchange at once; the task that awaited it continues only afterwards. If that task was cancelled in between, it ended the other exchange, whose future nobody set any more. A crowd that leaves at random moments cancels tasks in the same way.

The task now compares the future of its own exchange with that of the transfer before it ends the transfer.

--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -71,10 +71,13 @@
 
     async def _run_once(self, exchange: Exchange, receiver: Receiver) -> TransferResult:
         transfer = self.start(exchange, receiver)
+        done = transfer.done
         try:
-            return await transfer.done
+            return await done
         except asyncio.CancelledError:
-            self._abandon(transfer)
+            # Once a transfer has ended, it may have been given to another exchange.
+            if transfer.done is done:
+                self._abandon(transfer)
             raise
 
     def start(self, exchange: Exchange, receiver: Receiver) -> "_Transfer":
