Bound the bodies in flight to one upstream by their bytes

Bodies of callers are kept in parts, and `len(call.body)` counted the parts. A call now says the size of its body.

The test of the bound runs with a body in one piece and in parts; in parts it failed before: a body beyond the bound was sent.

--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -47,6 +47,12 @@
     deadline_cut: bool = False
     allowed_regions: frozenset[str] | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body in bytes."""
+        parts = self.body if isinstance(self.body, tuple) else (self.body,)
+        return sum(map(len, parts))
+
     def ends_before_exit(
         self, now_s: float, plan: StopPlan, forecast: Callable[[], tuple[float, float]]
     ) -> bool:
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -182,7 +182,7 @@
             now_s,
             candidates,
             lambda _: 0,
-            Demand(call.target_time_s - now_s, call.deadline_s - now_s, len(call.body)),
+            Demand(call.target_time_s - now_s, call.deadline_s - now_s, call.body_bytes),
             lambda each: self._exact_forecast(now_s, each),
             call.tried,
         )
@@ -213,7 +213,7 @@
     def _limit(self, now_s: float, call: Call, upstream: Upstream) -> Attempt | None:
         """Return the refusal of a request that the upstream may not hold now, or None."""
         cold = self._limits.refusal(now_s, upstream) if self._limits is not None else None
-        if cold is not None or self._body_bytes.has_room(upstream.run, len(call.body)):
+        if cold is not None or self._body_bytes.has_room(upstream.run, call.body_bytes):
             return cold
         return not_run(Reason.QUEUE_FULL, self._queue(upstream).service_s)
 
@@ -311,7 +311,7 @@
         """Send a request and count it and its bytes while the upstream holds it."""
         if self._limits is not None:
             self._limits.on_sent(self._clock.monotonic_s(), upstream)
-        size_bytes = len(call.body)
+        size_bytes = call.body_bytes
         self._body_bytes.begin(upstream.run, size_bytes)
         try:
             return await self._exchange(call, upstream)
--- a/fireflyferry/gateway/locating.py
+++ b/fireflyferry/gateway/locating.py
@@ -127,7 +127,7 @@
         return Demand(
             call.target_time_s - now_s,
             call.deadline_s - now_s,
-            len(call.body),
+            call.body_bytes,
             search.refused is not None,
         )
 
--- a/fireflyferry/gateway/tests/test_cold_upstreams.py
+++ b/fireflyferry/gateway/tests/test_cold_upstreams.py
@@ -192,14 +192,21 @@
     run_in_virtual_time(run())
 
 
-def test_bodies_in_flight_at_one_upstream_are_bounded():
-    """Guards against large bodies that together exceed the memory of an upstream."""
+@pytest.mark.parametrize("in_parts", [False, True])
+def test_bodies_in_flight_at_one_upstream_are_bounded(in_parts):
+    """Guards against large bodies that together exceed the memory of an upstream.
+
+    Bodies of callers come in parts; their parts were counted as if each was a byte.
+    """
 
     async def run():
         upstream, sent = make_upstream("u1", slots=50), []
         place, last_hop = make_last_hop([upstream], sent, body_bytes=BodyBytes(100))
         sizes = [150, 10, 0]
-        calls = [attrs.evolve(place.call("write"), body=b"x" * size) for size in sizes]
+        bodies = [b"x" * size for size in sizes]
+        if in_parts:
+            bodies = [(body[:-1], body[-1:]) for body in bodies]
+        calls = [attrs.evolve(place.call("write"), body=body) for body in bodies]
         results = await asyncio.gather(*(last_hop.run(each, upstream) for each in calls))
         assert [each.reason for each in results] == [None, Reason.QUEUE_FULL, None]
         assert results[1].retry_after_s > 0.0
