Add crowds of callers that take several forms at once

The crowd tests that stood filled one part of a VM's memory each, with one form of request. Callers mix forms, and some reset their connections and come back at once. The forms are now drawn from a table: how a body is framed, where it stops, what follows, what is asked for, what the head consists of, near and forwarded. Peaks are read from the kernel (VmHWM), since samples of the resident memory miss short ones.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 1-50
 WORKERS ?= auto
 
-.PHONY: demo test check fuzz soak clean
+.PHONY: demo test check fuzz soak crowds clean
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,5 +35,8 @@
 soak: $(VENV)/.installed
 	$(BIN)/python -m fireflyferry.platform.soak --seeds $(SEEDS)
 
+crowds: $(VENV)/.installed
+	FIREFLYFERRY_CROWD_SEEDS=$(SEEDS) $(BIN)/python -m pytest -s fireflyferry/platform/crowds/tests/test_forms.py -k drawn
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/conftest.py
+++ b/conftest.py
@@ -28,6 +28,7 @@
     # Processes of VMs and senders.
     "fireflyferry/platform/tests/test_signals.py",
     "fireflyferry/platform/crowds/tests/test_crowds.py",
+    "fireflyferry/platform/crowds/tests/test_forms.py",
     "fireflyferry/platform/soak/tests/test_soak.py",
     "fireflyferry/experiments/tests/test_load.py::RunnerTest",
     # Matplotlib starts fc-list where it has no cache of fonts.
--- a/fireflyferry/platform/crowds/tests/world.py
+++ b/fireflyferry/platform/crowds/tests/world.py
@@ -5,8 +5,10 @@
 import os
 import pathlib
 import random
+import re
 import resource
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -25,6 +27,7 @@
 DATA_CENTRES = ("dc-1", "dc-2")
 PIECE_BYTES = 1 << 16
 SAMPLE_S = 0.005
+_PEAK = re.compile(r"VmHWM:\s+(\d+) kB")
 START_TIMEOUT_S = 60.0  # long, since the result must not depend on how busy the machine is
 SETTINGS = """[vm]
 vm_id = {vm_id}
@@ -196,8 +199,9 @@
         """Update the highest figures."""
         folder = pathlib.Path(f"/proc/{self.process.pid}")
         with contextlib.suppress(OSError):
-            pages = int((folder / "statm").read_text().split()[1])
-            self.peak_bytes = max(self.peak_bytes, pages * os.sysconf("SC_PAGE_SIZE"))
+            # The kernel keeps the peak, so nothing is missed between two samples.
+            peak = _PEAK.search((folder / "status").read_text())
+            self.peak_bytes = int(peak[1]) * 1024 if peak else self.peak_bytes
             self.peak_descriptors = max(self.peak_descriptors, len(os.listdir(folder / "fd")))
 
     def close(self) -> None:
@@ -256,11 +260,33 @@
         except (OSError, asyncio.IncompleteReadError):
             return 0
 
+    async def read(self, size: int) -> bytes:
+        """Return up to so many bytes of what the VM sends; none if the connection has ended."""
+        try:
+            return await self.reader.read(size)
+        except OSError:
+            self.broken = True
+            return b""
+
+    def half_close(self) -> None:
+        """End what is sent, and go on reading."""
+        if not self.broken:
+            with contextlib.suppress(OSError):
+                self.writer.write_eof()
+
     def close(self) -> None:
         """Close the connection at once."""
-        if not self.broken:
+        if hasattr(self, "writer"):
             self.writer.transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection with a reset, also if nothing is unread."""
+        if hasattr(self, "writer"):
+            connection = self.writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
+
 
 def head(request_id: str, pool: str, *lines: str, deadline_ms: int = 20_000) -> bytes:
     """Return the head of a non-idempotent request."""
