Give connections turns when their bytes arrive in small parts

Ordinary callers had no answer within 60 s beside 80 callers that sent chunks of one byte. Each chunk costs some 40 microseconds of processor time, a connection was read as long as its bytes lasted, and 80 connections in turn kept the event loop for seconds.

A message now has some parts free and more for the bytes that it brings. Beyond that it draws on an allowance of all connections, and then waits for its turn: one turn of 64 parts at a time, 10 ms apart. So such callers together have a bounded share of the loop, and bodies in parts of 512 bytes or more never wait.

With the check of the cost removed, two tests of test_read_turns.py fail.

--- a/fireflyferry/transport/request_server.py
+++ b/fireflyferry/transport/request_server.py
@@ -1,12 +1,15 @@
 """HTTP server that notices at any time that the sender of a request has disconnected."""
 
+import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import tornado.httpserver
 from tornado.iostream import IOStream
 
+from fireflyferry.transport.read_turns import TURN_PARTS, ReadCost, ReadTurns
+
 __all__ = ["READ_AHEAD_BYTES", "RequestServer"]
 
 # Requests behind the one that is handled are read up to this; what follows stays unread in the
@@ -24,6 +27,19 @@
 
     server: "RequestServer | None" = None
 
+    def __init__(
+        self,
+        connection: socket.socket,
+        max_buffer_bytes: int,
+        part_bytes: int,
+        turns: ReadTurns,
+    ):
+        super().__init__(connection, max_buffer_bytes, part_bytes)
+        self._turns = turns
+        self._cost = ReadCost()
+        self._turn: asyncio.Future[None] | None = None
+        self._resumption: asyncio.Task[None] | None = None
+
     @property
     def written_bytes(self) -> int:
         """Bytes passed to the kernel so far."""
@@ -37,6 +53,8 @@
     def close(self, exc_info: object = False) -> None:
         """Close the connection; unless a request is being read, drop what is in the buffer."""
         was_reading = self.reading()
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
         super().close(exc_info)  # type: ignore[arg-type]
         if self.server is not None:
             self.server.on_stream_closed(self)
@@ -44,10 +62,55 @@
             self._read_buffer.clear()
             self._read_buffer_size = 0
 
+    def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
+        """Read a head, which begins a message."""
+        self._cost.begin()
+        return super().read_until_regex(regex, max_bytes)
+
+    def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
+        """Read the size of a chunk, once it is the turn of this connection."""
+        self._cost.add(1)
+        if self._turns.may_read(self._cost):
+            return super().read_until(delimiter, max_bytes)
+        return asyncio.ensure_future(self._read_in_turn(delimiter, max_bytes))
+
+    async def _read_in_turn(self, delimiter: bytes, max_bytes: int | None) -> bytes:
+        await self._wait_for_turn()
+        return await super().read_until(delimiter, max_bytes)
+
+    async def _wait_for_turn(self) -> None:
+        self._turn = self._turns.wait()
+        await self._turn
+        self._cost.grant(TURN_PARTS)
+
     def _handle_events(self, fd: object, events: int) -> None:
-        super()._handle_events(fd, events)  # type: ignore[arg-type]
+        if events & self.io_loop.READ and self.reading():
+            self._cost.add(1)
+            if not self._turns.may_read(self._cost):
+                self._pause_reading()
+                events &= ~self.io_loop.READ
+        if events:
+            super()._handle_events(fd, events)  # type: ignore[arg-type]
         self._maybe_add_error_listener()
 
+    def _pause_reading(self) -> None:
+        """Leave what arrives in the kernel, where it gathers, until it is the turn of this one."""
+        self._state &= ~self.io_loop.READ
+        self.io_loop.update_handler(self.fileno(), self._state)
+        if self._turn is None or self._turn.done():
+            self._resumption = asyncio.ensure_future(self._resume_in_turn())
+
+    async def _resume_in_turn(self) -> None:
+        await self._wait_for_turn()
+        if not self.closed() and self.reading():
+            self._add_io_state(self.io_loop.READ)
+
+    def _read_to_buffer(self) -> int | None:
+        size = super()._read_to_buffer()
+        if size:
+            self._cost.add(0, size)
+        return size
+
     def _read_to_buffer_loop(self) -> int | None:
         """Read once if nothing is asked for; Tornado would go on to the limit of the last head."""
         if self.reading():
@@ -80,11 +143,14 @@
         """Configure the server."""
         super().initialize(*args, **options)
         self._streams: dict[_RequestStream, None] = {}
+        self._turns = ReadTurns()
 
     def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve a new connection."""
         connection: socket.socket = stream.socket
-        stream = _RequestStream(connection, stream.max_buffer_size, stream.read_chunk_size)
+        stream = _RequestStream(
+            connection, stream.max_buffer_size, stream.read_chunk_size, self._turns
+        )
         stream.server = self
         stream.set_nodelay(True)
         stream.set_nodelay = lambda value: None  # type: ignore[method-assign]
