Admit bodies by the resident memory of the process

Clients that sent most of a body, reset their connection and came back ended a VM: at 96 MB, seven small crowds took it to 102.9 to 156.1 MB. The account of bodies was within its bounds all the while. What it did not count:

- memory that the allocator kept: gaps in the heap after bodies of many callers, up to 40 MB in a trace of one VM
- heads of many lines, of legal size, which take some 350 bytes a line at work (74 MB for 120 heads of 16 KB), and stayed until the collector ran
- the read buffer of each connection whose body waited, and connections whose callers had left but that waited on for memory
- the sum of the parts, each of which had a bound of its own

A body now also has to fit beside the resident memory of the process, what is still to arrive of admitted bodies, and the memory for answers. While bodies wait or the process is above its limit, free memory goes back to the kernel; above it, incomplete bodies give way, long and young ones first, new connections replace idle ones, and answers above 64 KB end. Long heads are counted, refused at once if they do not fit, and freed with their request. Bodies are kept in parts that are mappings of their own. Heads are read in parts of 4 KB, so a waiting body leaves little in its connection. Callers that have reset their connection wait no longer. Answers of other VMs are sent without joining their parts.

--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -20,6 +20,7 @@
 from fireflyferry.routing.hosts import HostRoute
 from fireflyferry.telemetry import Outcome, Reason
 from fireflyferry.telemetry.reasons import REASONS
+from fireflyferry.transport.memory_account import head_memory_bytes
 
 __all__ = ["CallerExchange", "CallerServices"]
 
@@ -67,7 +68,9 @@
             return
         limits = config.limits
         content_length = self._headers.get("Content-Length", "0")
-        header_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers.get_all())
+        sizes = [len(name) + len(value) + 4 for name, value in self._headers.get_all()]
+        header_bytes = sum(sizes)
+        self._head_memory_bytes = head_memory_bytes(len(sizes), header_bytes)
         if header_bytes + len(self._line.path) > limits.max_header_bytes:
             self._refuse(not_run(Reason.HEADER_TOO_LARGE))
         elif content_length.isdigit() and int(content_length) > limits.max_body_bytes:
@@ -90,7 +93,7 @@
         """Drop the body after the request was handled."""
         super().release_body()
         if self._call is not None:
-            self._call.body = b""
+            self._call.body, self._call.headers = b"", []
 
     def continues_without_sender(self) -> bool:
         """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import itertools
 import logging
 import weakref
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from fireflyferry.telemetry import Reason
 from fireflyferry.transport.headers import HeaderList
 from fireflyferry.transport.memory_account import BodyClaim
+from fireflyferry.transport.received import is_reset
 
 __all__ = ["BufferedExchange", "ClosingConnections", "InFlightRequests", "ServerDelegate"]
 
@@ -33,7 +35,10 @@
 # How long the rest of a body is read and dropped after its request was refused. Closing at once
 # with unread bytes resets the connection, and the refusal could be lost.
 LINGER_S = 2.0
-PIECE_BYTES = 1 << 16  # parts of a body that are shorter are put together up to this size
+# Parts of a body are put together up to this size. Each such part is a mapping of its own, which is
+# returned to the kernel at once when the body is released; see `process_memory`.
+PIECE_BYTES = 1 << 18
+LONG_ANSWER_BYTES = 1 << 16  # a longer body is written on its own, since head and body are copied
 
 
 class BufferedExchange(HTTPMessageDelegate, abc.ABC):
@@ -50,8 +55,9 @@
         self._is_in_flight = False
         self._line: RequestStartLine = None  # type: ignore[assignment]
         self._headers: HTTPHeaders = None  # type: ignore[assignment]
-        self._chunks: list[bytes | bytearray] = []
+        self._chunks: list[bytearray] = []
         self._body_bytes = 0
+        self._head_memory_bytes = 0  # set by `on_head` for a head that is not small
         self._claim: BodyClaim | None = None
         self._is_received = False
         self._task: asyncio.Task[None] | None = None
@@ -114,6 +120,12 @@
         """Bytes that the connection has passed to the kernel so far."""
         return getattr(self._connection.stream, "written_bytes", 0)
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the connection is closed or reset, which is not noticed while a body waits."""
+        stream = self._connection.stream
+        return stream.closed() or is_reset(stream.socket)
+
     def disconnect(self) -> None:
         """Close the connection."""
         self._connection.stream.close()
@@ -127,9 +139,12 @@
         self._in_flight.add(self)
         self.on_head()
         memory, length = self._in_flight.memory, _body_length(headers)
-        if self._answered or memory is None or length == 0:
+        head_bytes = self._head_memory_bytes
+        if self._answered or memory is None or not (length != 0 or head_bytes):
             return None
-        self._claim, waits = memory.open(self, length)
+        self._claim, waits = memory.open(self, length, head_bytes)
+        if self._answered:
+            self._drop_head()
         return waits
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
@@ -146,10 +161,10 @@
     def _store(self, chunk: bytes) -> None:
         # A body in pieces of a few bytes would take many times its size.
         last = self._chunks[-1] if self._chunks else None
-        if isinstance(last, bytearray) and len(last) + len(chunk) <= PIECE_BYTES:
+        if last is not None and len(last) + len(chunk) <= PIECE_BYTES:
             last += chunk
         else:
-            self._chunks.append(bytearray(chunk) if len(chunk) < PIECE_BYTES else chunk)
+            self._chunks.append(bytearray(chunk))
 
     def finish(self) -> None:
         """Start the task that handles the request, now that it is complete."""
@@ -184,11 +199,12 @@
         return True
 
     def answer(
-        self, status: int, headers: HeaderList, body: bytes
+        self, status: int, headers: HeaderList, body: bytes | tuple[bytes, ...]
     ) -> "asyncio.Future[None] | None":
         """Send the complete answer, unless one was sent or the sender has disconnected.
 
-        The future that is returned is done when the answer has been written.
+        A long body may be in parts, since joining them would take its memory twice. The future that
+        is returned is done when the answer has been written.
         """
         if self._closed or self._answered:
             return None
@@ -198,29 +214,32 @@
         for name, value in headers:
             if name.lower() != "content-length":
                 fields.add(name, value)
+        parts = body if isinstance(body, tuple) else (body,)
+        size_bytes = sum(map(len, parts))
         without_body = self._line.method == "HEAD" or status in (204, 304) or status < 200
         if not without_body:
-            fields["Content-Length"] = str(len(body))
+            fields["Content-Length"] = str(size_bytes)
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        written = self._write(line, fields, b"" if without_body else body)
+        written = self._write(line, fields, () if without_body else parts)
         written.add_done_callback(self._on_written)
         memory = self._in_flight.memory
         if memory is not None and not written.done():
-            memory.add_reader(self, written, len(body))
+            memory.add_reader(self, written, size_bytes)
         return written
 
     def _write(
-        self, line: ResponseStartLine, fields: HTTPHeaders, body: bytes
+        self, line: ResponseStartLine, fields: HTTPHeaders, parts: tuple[bytes, ...]
     ) -> "asyncio.Future[None]":
         connection = self._connection
         if not self._is_received:
             # Tornado announces the close, and closes once the rest of the body has been dropped.
             connection._disconnect_on_finish = True
             asyncio.get_running_loop().call_later(LINGER_S, connection.stream.close)
-        is_long = len(body) > PIECE_BYTES
-        written = connection.write_headers(line, fields, None if is_long else body)
-        if is_long and not connection.stream.closed():
-            written = connection.write(body)  # on its own, since head and body would be copied
+        short = list(itertools.takewhile(lambda part: len(part) <= LONG_ANSWER_BYTES, parts))
+        written = connection.write_headers(line, fields, b"".join(short))
+        for part in parts[len(short) :]:
+            if not connection.stream.closed():
+                written = connection.write(part)
         if self._is_received:
             connection.finish()
         return written
@@ -243,10 +262,16 @@
         if claim is not None:
             self._in_flight.memory.close(claim)
 
+    def _drop_head(self) -> None:
+        """Free a long head, to which the connection and its coroutine still refer."""
+        if self._head_memory_bytes:
+            self._headers.__init__()  # type: ignore[misc]
+
     def _end_request(self) -> None:
         if self._task is None or self._task.done():
             self._chunks.clear()
             self._close_claim()
+            self._drop_head()
         if self._is_in_flight:
             self._is_in_flight = False
             self._in_flight.remove(self)
--- a/fireflyferry/gateway/memory.py
+++ b/fireflyferry/gateway/memory.py
@@ -19,6 +19,11 @@
     MemoryLimits,
     Verdict,
 )
+from fireflyferry.transport.process_memory import (
+    ProcessMemory,
+    UnknownProcessMemory,
+    make_process_memory,
+)
 from fireflyferry.transport.request_server import RequestServer
 
 __all__ = ["Holder", "RequestMemory", "max_connections"]
@@ -28,9 +33,16 @@
 TICK_S = 0.1
 LOG_INTERVAL_S = 1.0
 RETRY_AFTER_S = 1.0  # a body that does not move gives way within this time
+TRIM_INTERVAL_S = 0.1  # returning memory to the kernel takes some milliseconds
+# A smaller body is admitted by the resident memory of the last observation.
+OBSERVED_BYTES = 1 << 16
 FILE_DESCRIPTORS = 200  # of the process, reserved for files
 CALLER_SHARE = 0.5  # of the others; the rest is for upstreams, VMs and the store
 
+REFUSALS = {
+    Admission.REFUSED: Reason.MEMORY_SHORT,
+    Admission.TOO_LARGE: Reason.BODY_TOO_LARGE,
+}
 REASONS = {Verdict.WAITED: Reason.MEMORY_SHORT, Verdict.STALLED: Reason.BODY_STALLED}
 
 
@@ -45,6 +57,10 @@
     def written_bytes(self) -> int:
         """Bytes that its connection has passed to the kernel so far."""
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the sender has reset its connection."""
+
     def refuse_body(self, reason: Reason, retry_after_s: float) -> None:
         """Refuse the request as not run."""
 
@@ -70,25 +86,34 @@
     """Memory of the requests and unread answers of one VM."""
 
     def __init__(
-        self, clock: Clock, account: MemoryAccount, answers: AnswerMemory, metrics: GatewayMetrics
+        self,
+        clock: Clock,
+        account: MemoryAccount,
+        answers: AnswerMemory,
+        metrics: GatewayMetrics,
+        process: ProcessMemory | None = None,
     ):
         self._clock = clock
         self._account = account
         self._answers = answers
         self._metrics = metrics
+        self._process = process or UnknownProcessMemory()
+        self._trimmed_s = -TRIM_INTERVAL_S
         self._holders: dict[BodyClaim, Holder] = {}
         self._waits: dict[BodyClaim, asyncio.Future[None]] = {}
         self._readers: dict[Holder, _Reader] = {}
         self._refused = 0
         self._logged_s = 0.0
         answers.make_room = self._make_room
+        answers.fits_process = self._answer_fits
 
     @classmethod
     def of_vm(
         cls, clock: Clock, memory_mb: float, answers: AnswerMemory, metrics: GatewayMetrics
     ) -> "RequestMemory":
         """Return the memory of a VM with `memory_mb` megabytes."""
-        return cls(clock, MemoryAccount(MemoryLimits.of_vm(memory_mb)), answers, metrics)
+        account = MemoryAccount(MemoryLimits.of_vm(memory_mb))
+        return cls(clock, account, answers, metrics, make_process_memory())
 
     def gauges(self) -> Mapping[str, tuple[str, Callable[[], float]]]:
         """Return a description and a reader for each gauge, by name."""
@@ -99,6 +124,8 @@
                 "Held by bodies that have not been received completely.",
                 lambda: account.incomplete_bytes,
             ),
+            "memory_heads_bytes": ("Held by long heads.", lambda: account.heads_bytes),
+            "memory_resident_bytes": ("Held by the process.", self._process.resident_bytes),
             "memory_answers_bytes": ("Held by incomplete answers.", lambda: answers.used_bytes),
             "memory_readers_bytes": (
                 "Held by answers that readers have not taken.",
@@ -115,6 +142,7 @@
             descriptors = 1 << 20
         server.max_connections = max_connections(descriptors, self._account.limits.max_connections)
         server.on_connections = self._on_connections
+        server.is_full = lambda: self._account.excess_bytes > 0
         _LOG.info(
             "memory_limits",
             extra={
@@ -122,14 +150,17 @@
                 "long_bodies_bytes": self._account.limits.max_long_bytes,
                 "readers_bytes": self._account.limits.max_reader_bytes,
                 "connections": server.max_connections,
+                "resident_bytes": self._account.limits.max_resident_bytes,
             },
         )
 
     def open(
-        self, holder: Holder, length: int | None
+        self, holder: Holder, length: int | None, head_bytes: int = 0
     ) -> tuple[BodyClaim, "asyncio.Future[None] | None"]:
-        """Claim memory for a body; a future that is returned is done when it may be read."""
-        claim, admission = self._account.open(self._clock.monotonic_s(), length)
+        """Claim memory for a request; a future that is returned is done when it may be read."""
+        if head_bytes or length is None or length >= OBSERVED_BYTES:
+            self._observe()
+        claim, admission = self._account.open(self._clock.monotonic_s(), length, head_bytes)
         self._holders[claim] = holder
         return claim, self._follow(holder, claim, admission)
 
@@ -137,6 +168,8 @@
         self, holder: Holder, claim: BodyClaim, size_bytes: int
     ) -> "asyncio.Future[None] | None":
         """Count a part of a body; a future that is returned is done when the next may be read."""
+        if claim.length is None:
+            self._observe()
         admission = self._account.receive(self._clock.monotonic_s(), claim, size_bytes)
         return self._follow(holder, claim, admission)
 
@@ -170,6 +203,13 @@
     def tick(self) -> None:
         """Refuse bodies and close connections that give way now."""
         now_s = self._clock.monotonic_s()
+        for claim in [each for each in self._waits if self._holders[each].has_left]:
+            self._holders[claim].disconnect()
+            self.close(claim)
+        self._observe()
+        if self._waits or self._account.excess_bytes > 0:
+            self._trim()
+            self._grant()
         for claim, verdict in self._account.refused(now_s):
             self._refuse(self._holders[claim], claim, REASONS[verdict])
         for holder, reader in list(self._readers.items()):
@@ -179,19 +219,42 @@
                 self._close_reader(holder)
         self._log(now_s)
 
+    def _observe(self) -> None:
+        answers = self._answers
+        self._account.observe(
+            self._process.resident_bytes(), answers.used_bytes + answers.unread_bytes
+        )
+
+    def _answer_fits(self, size_bytes: int) -> bool:
+        """Return whether the process may take so many bytes more of an answer."""
+        limit_bytes = self._account.limits.max_resident_bytes - size_bytes
+        if self._process.resident_bytes() <= limit_bytes:
+            return True
+        self._trim()
+        return self._process.resident_bytes() <= limit_bytes
+
+    def _trim(self) -> None:
+        """Return free memory to the kernel, unless that was done just now."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._trimmed_s >= TRIM_INTERVAL_S:
+            self._trimmed_s = now_s
+            self._process.trim()
+            self._observe()
+
     def _follow(
         self, holder: Holder, claim: BodyClaim, admission: Admission
     ) -> "asyncio.Future[None] | None":
         if admission is Admission.GRANTED:
             return None
-        if admission is Admission.TOO_LARGE:
-            self._refuse(holder, claim, Reason.BODY_TOO_LARGE)
+        if admission in REFUSALS:
+            self._refuse(holder, claim, REFUSALS[admission])
             return None
         self._waits[claim] = wait = asyncio.get_running_loop().create_future()
         return wait
 
     def _grant(self) -> None:
         if self._waits:
+            self._observe()
             for claim in self._account.granted(self._clock.monotonic_s()):
                 self._end_wait(claim)
 
@@ -256,6 +319,8 @@
                 "bodies_bytes": account.held_bytes,
                 "long_bodies_bytes": account.long_bytes,
                 "incomplete_bytes": account.incomplete_bytes,
+                "heads_bytes": account.heads_bytes,
+                "resident_bytes": self._process.resident_bytes(),
                 "answers_bytes": self._answers.used_bytes,
                 "readers_bytes": self._answers.unread_bytes,
                 "connections": account.connections,
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -182,7 +182,7 @@
         if attempt.leaving is not None:
             value = peer_messages.write_leaving(attempt.leaving)
             outer_headers.append((peer_messages.LEAVING_HEADER, value))
-        self.answer(200, outer_headers, services.envelopes.pack(result))
+        self.answer(200, outer_headers, services.envelopes.pack_parts(result))
 
     async def _run_call(self, call: Call, peer_call: peer_messages.PeerCall) -> Attempt:
         services = self._services
--- a/fireflyferry/platform/crowds/tests/world.py
+++ b/fireflyferry/platform/crowds/tests/world.py
@@ -330,6 +330,7 @@
             for vm in self.vms:
                 for upstream in self.upstreams:
                     while await self.ordinary(vm, upstream.pool) != 200:
+                        assert vm.running, f"{vm.vm_id} has ended"
                         await asyncio.sleep(0.1)
             if vms > 1:
                 await self._wait_until_forwarded(0, 1)
--- a/fireflyferry/transport/answer_memory.py
+++ b/fireflyferry/transport/answer_memory.py
@@ -10,6 +10,7 @@
 ANSWER_SHARE = 1 / 16  # of the VM's memory, for one answer
 TOTAL_SHARE = 1 / 4
 LONG_SHARE = 1 / 8  # for all long answers together, so that a few of them leave room for short ones
+SMALL_BYTES = 1 << 16  # ordinary answers, which are collected whatever else the process holds
 SHORT_BYTES = 1 << 20  # largest page of a list of the platform's store
 
 
@@ -28,6 +29,8 @@
     # Answers that their readers have not taken yet are part of the total.
     unread_bytes: int = attrs.field(default=0, init=False)
     make_room: Callable[[int], None] = attrs.field(default=lambda size: None, init=False)
+    # Whether the process, with all its parts, leaves room for more of an answer.
+    fits_process: Callable[[int], bool] = attrs.field(default=lambda size: True, init=False)
     _used_bytes: int = attrs.field(default=0, init=False)
     _long_bytes: int = attrs.field(default=0, init=False)
 
@@ -55,6 +58,9 @@
             self.make_room(missing)
         if self._used_bytes + self.unread_bytes + size_bytes > self.max_total_bytes:
             return False
+        is_large = collected_bytes + size_bytes > SMALL_BYTES
+        if is_large and not self.fits_process(size_bytes):
+            return False
         became_long = _long_part(collected_bytes + size_bytes) - _long_part(collected_bytes)
         if became_long and self._long_bytes + became_long > self.max_long_bytes:
             return False
--- a/fireflyferry/transport/fetch.py
+++ b/fireflyferry/transport/fetch.py
@@ -66,11 +66,10 @@
         self._may_send = may_send
         self._accept = accept
         self._memory = memory
-        self._body_bytes = 0
         self.head_rejected = False
         self.status = 0
         self.headers: HeaderList = []
-        self.chunks: list[bytes] = []
+        self.body = bytearray()  # a list of pieces would leave gaps in the heap
 
     def may_send(self) -> bool:
         """Return the result of the given check; True if none was given."""
@@ -84,17 +83,16 @@
 
     def on_data(self, chunk: bytes) -> bool:
         """Store a chunk; a body that exceeds the memory ends the transfer and its connection."""
-        if not self._memory.take(self._body_bytes, len(chunk)):
+        if not self._memory.take(len(self.body), len(chunk)):
             self.rejects_data = True
             return False
-        self._body_bytes += len(chunk)
-        self.chunks.append(chunk)
+        self.body += chunk
         return True
 
     def give_back(self) -> None:
         """Give the memory of the body back."""
-        self._memory.give_back(self._body_bytes)
-        self._body_bytes = 0
+        self._memory.give_back(len(self.body))
+        self.body = bytearray()
 
 
 def complete_body(data: bytes | tuple[bytes, ...]) -> RequestBody:
@@ -126,6 +124,7 @@
     answer = _CollectedAnswer(may_send, accept, transport.answer_memory)
     try:
         result = await transport.run(exchange, answer)
+        body = b"" if result.error else bytes(answer.body)
     finally:
         answer.give_back()
     if result.error:
@@ -150,6 +149,6 @@
         reused=result.reused,
         status=answer.status,
         headers=answer.headers,
-        body=b"".join(answer.chunks),
+        body=body,
         opened_connections=result.opened_connections,
     )
--- a/fireflyferry/transport/received.py
+++ b/fireflyferry/transport/received.py
@@ -1,15 +1,16 @@
-"""Bytes that a connection has received, as the kernel counts them."""
+"""What the kernel knows of a TCP connection: bytes that were read, and resets."""
 
 import fcntl
 import socket
 import struct
 import termios
 
-__all__ = ["bytes_read"]
+__all__ = ["bytes_read", "is_reset"]
 
 _RECEIVED = struct.Struct("=Q")
 _RECEIVED_AT = 128  # tcpi_bytes_received in Linux's struct tcp_info
 _UNREAD = struct.Struct("=i")
+_CLOSED = 7  # TCP_CLOSE in Linux's list of states
 
 
 def bytes_read(descriptor: int) -> int | None:
@@ -30,3 +31,12 @@
     if len(info) < size:
         return None
     return _RECEIVED.unpack_from(info, _RECEIVED_AT)[0] - _UNREAD.unpack(unread)[0]
+
+
+def is_reset(connection: socket.socket) -> bool:
+    """Return whether the other end has reset a TCP connection, also while nothing reads from it."""
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return True
+    return state[0] == _CLOSED
--- a/fireflyferry/transport/request_server.py
+++ b/fireflyferry/transport/request_server.py
@@ -15,6 +15,9 @@
 # Requests behind the one that is handled are read up to this; what follows stays unread in the
 # kernel. Each connection may hold so much, and 300 of them fit a sixth of 160 MB.
 READ_AHEAD_BYTES = 1 << 16
+# Heads are read in small parts, so that a body which waits for memory leaves little of it in the
+# buffer of its connection.
+HEAD_PART_BYTES = 1 << 12
 
 
 class _RequestStream(IOStream):
@@ -36,6 +39,7 @@
     ):
         super().__init__(connection, max_buffer_bytes, part_bytes)
         self._turns = turns
+        self._body_part_bytes = part_bytes
         self._cost = ReadCost()
         self._turn: asyncio.Future[None] | None = None
         self._resumption: asyncio.Task[None] | None = None
@@ -65,6 +69,7 @@
     def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
         """Read a head, which begins a message."""
         self._cost.begin()
+        self.read_chunk_size = HEAD_PART_BYTES
         return super().read_until_regex(regex, max_bytes)
 
     def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
@@ -83,6 +88,11 @@
         await self._turn
         self._cost.grant(TURN_PARTS)
 
+    def read_bytes(self, num_bytes: int, partial: bool = False) -> Awaitable[bytes]:
+        """Read a part of a body."""
+        self.read_chunk_size = self._body_part_bytes
+        return super().read_bytes(num_bytes, partial)
+
     def _handle_events(self, fd: object, events: int) -> None:
         if events & self.io_loop.READ and self.reading():
             self._cost.add(1)
@@ -133,10 +143,11 @@
     are written whole, so it is switched off once for each connection.
 
     Of more than `max_connections`, the oldest one without a complete request is closed, or the new
-    one if there is none.
+    one if there is none; so it is for each new one while `is_full` returns True.
     """
 
     max_connections: int | None = None
+    is_full: Callable[[], bool] = staticmethod(lambda: False)
     on_connections: Callable[[int, bool], None] = staticmethod(lambda number, closed_one: None)
 
     def initialize(self, *args: Any, **options: Any) -> None:
@@ -156,6 +167,7 @@
         stream.set_nodelay = lambda value: None  # type: ignore[method-assign]
         self._streams[stream] = None
         excess = self.max_connections is not None and len(self._streams) > self.max_connections
+        excess = excess or (len(self._streams) > 1 and self.is_full())
         if excess:
             victims = (each for each in self._streams if not each.is_handling)
             next(victims, stream).close()
--- a/fireflyferry/transport/tests/test_memory_account.py
+++ b/fireflyferry/transport/tests/test_memory_account.py
@@ -11,6 +11,7 @@
     MemoryLimits,
     MemoryRules,
     Verdict,
+    head_memory_bytes,
 )
 
 MB = 1_000_000
@@ -137,3 +138,110 @@
     account.connections = FREE_CONNECTIONS + 40
     account.open(0.0, 100)
     assert account.open(0.0, 10 * MB - 40 * CONNECTION_BYTES)[1] is Admission.WAITS
+
+
+def make_process(resident, answers=0, memory_mb=96):
+    """Return the account of a VM whose process holds so many megabytes, some of them answers."""
+    account = MemoryAccount(MemoryLimits.of_vm(memory_mb))
+    account.observe(resident * MB, answers * MB)
+    return account
+
+
+def close_refused(account, now_s):
+    """Close the bodies that are refused, as the caller of the account does; return them."""
+    refused = []
+    for claim, verdict in account.refused(now_s):
+        refused.append((claim, verdict))
+        account.close(claim)
+    return refused
+
+
+def test_long_body_fits_only_beside_what_the_process_holds():
+    """Guards against memory that no account counts: 96 MB less an eighth less answers leave 60."""
+    assert make_process(54).open(0.0, 4 * MB)[1] is Admission.GRANTED
+    busy = make_process(54)
+    busy.open(0.0, 4 * MB)
+    assert busy.open(0.0, 4 * MB)[1] is Admission.WAITS
+    busy.observe(50 * MB, 0)  # 4 MB of it are still to arrive
+    assert len(list(busy.granted(0.1))) == 1
+
+
+def test_parts_that_are_all_full_stay_below_the_memory_of_the_vm():
+    """Guards against parts that have a bound each and exceed the machine together."""
+    for memory_mb in (96, 160, 300, 1000):
+        account = make_process(55, memory_mb=memory_mb)
+        resident = 55 * MB
+        for size in (4 * MB, 1_000_000, 60_000):
+            for _ in range(10_000):
+                claim, admission = account.open(0.0, size)
+                if admission is not Admission.GRANTED:
+                    account.close(claim)
+                    break
+                account.receive(0.0, claim, size)
+                account.complete(claim)
+                resident += size
+                account.observe(resident, 0)
+        assert resident <= (1 - 1 / 8) * memory_mb * MB
+        answers = account.limits.max_answers_bytes
+        long_only = 55 * MB + account.long_bytes + answers
+        assert long_only <= (1 - 1 / 8) * memory_mb * MB
+
+
+def test_small_body_is_admitted_while_long_ones_wait_for_the_process():
+    """Guards against ordinary callers that are refused for the memory that answers may take."""
+    account = make_process(70)
+    account.open(0.0, 4 * MB)
+    assert account.open(0.0, 4 * MB)[1] is Admission.WAITS
+    assert account.open(0.0, 300_000)[1] is Admission.WAITS
+    assert account.open(0.0, 1_000)[1] is Admission.GRANTED
+
+
+def test_longest_body_alone_is_served_beside_the_process_of_the_smallest_machine():
+    assert make_process(60, memory_mb=160).open(0.0, 67_108_864)[1] is Admission.GRANTED
+
+
+def test_incomplete_bodies_give_way_while_the_process_is_above_its_limit():
+    """Guards against growth after bodies were admitted: the youngest long one goes first."""
+    account = make_process(50, answers=24)
+    claims = [account.open(number / 10, size)[0] for number, size in enumerate((4 * MB, 4 * MB))]
+    small, _ = account.open(0.3, 1_000)
+    work, _ = account.open(0.4, 2 * MB)
+    account.receive(0.5, work, 2 * MB)
+    account.complete(work)
+    account.observe(78 * MB, 24 * MB)
+    assert close_refused(account, 0.5) == [(claims[1], Verdict.WAITED)]
+    assert not close_refused(account, 0.5)
+    account.observe(90 * MB, 24 * MB)
+    assert [claim for claim, _ in close_refused(account, 0.5)] == [claims[0], small]
+
+
+def test_long_heads_have_a_bound_and_ordinary_ones_are_free():
+    """Guards against heads of many lines, which take many times their size at work."""
+    assert head_memory_bytes(30, 2_000) == 0
+    heavy = head_memory_bytes(1_780, 16_000)
+    assert 1_780 * 350 <= heavy <= 1_000_000
+    account = make_process(55)
+    admissions = [account.open(0.0, 0, heavy)[1] for _ in range(60)]
+    assert admissions[0] is Admission.GRANTED and admissions[-1] is Admission.REFUSED
+    assert account.heads_bytes <= 24 * MB
+    assert account.open(0.0, 1_000)[1] is Admission.GRANTED
+
+
+def test_head_is_held_until_its_request_has_ended():
+    account = make_process(50)
+    claim, _ = account.open(0.0, 1_000, 500_000)
+    account.receive(0.0, claim, 1_000)
+    account.complete(claim)
+    assert (account.held_bytes, account.heads_bytes) == (1_000, 500_000)
+    account.close(claim)
+    assert (account.held_bytes, account.heads_bytes, account.due_bytes) == (0, 0, 0)
+
+
+def test_waiting_body_that_is_closed_waits_no_longer():
+    account = make_account()
+    first, _ = account.open(0.0, 6 * MB)
+    second, _ = account.open(0.0, 6 * MB)
+    assert account.waiting == 1
+    account.close(second)
+    account.close(first)
+    assert account.waiting == 0 and not list(account.granted(1.0))
