Refuse incomplete requests when a VM exits

A VM that stopped could hang until the platform ended it. Its exit waits for every connection to be closed; a connection whose body waits for memory is only closed once that wait ends, and what ends it, the tick of the memory account, had been cancelled before. The refusal promises that nothing has run.

The new test opens connections, stops the VM and begins bodies on them 2 s before the end of the grace period.

--- a/fireflyferry/gateway/memory.py
+++ b/fireflyferry/gateway/memory.py
@@ -99,6 +99,7 @@
         self._metrics = metrics
         self._process = process or UnknownProcessMemory()
         self._trimmed_s = -TRIM_INTERVAL_S
+        self._closed = False
         self._holders: dict[BodyClaim, Holder] = {}
         self._waits: dict[BodyClaim, asyncio.Future[None]] = {}
         self._readers: dict[Holder, _Reader] = {}
@@ -219,6 +220,13 @@
                 self._close_reader(holder)
         self._log(now_s)
 
+    def close_all(self) -> None:
+        """Refuse all requests that have not been received completely, now and from now on."""
+        self._closed = True
+        for claim, holder in list(self._holders.items()):
+            if not claim.complete:
+                self._refuse(holder, claim, Reason.SHUTTING_DOWN)
+
     def _observe(self) -> None:
         answers = self._answers
         self._account.observe(
@@ -244,7 +252,10 @@
     def _follow(
         self, holder: Holder, claim: BodyClaim, admission: Admission
     ) -> "asyncio.Future[None] | None":
-        if admission is Admission.GRANTED:
+        if admission is Admission.GRANTED and not self._closed:
+            return None
+        if self._closed:
+            self._refuse(holder, claim, Reason.SHUTTING_DOWN)
             return None
         if admission in REFUSALS:
             self._refuse(holder, claim, REFUSALS[admission])
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -415,6 +415,7 @@
         self._callers_server.stop()
         self._caller_services.in_flight.closed = self._peer_services.in_flight.closed = True
         await self._wait_until_idle(break_off_s)
+        self._memory.close_all()
         broken_off = self._caller_services.in_flight.break_off()
         broken_off += self._peer_services.in_flight.break_off()
         await self._wait_until_idle(exit_by_s)
--- a/fireflyferry/gateway/tests/test_request_memory.py
+++ b/fireflyferry/gateway/tests/test_request_memory.py
@@ -139,6 +139,25 @@
     in_loop(scenario)
 
 
+def test_requests_that_are_not_complete_are_refused_at_the_exit(memory, process):
+    """Guards against an exit that waits for a body which waits for memory."""
+
+    def scenario():
+        waiting, complete, late = FakeHolder(), FakeHolder(), FakeHolder()
+        claim, _ = memory.open(complete, 9 * MB)
+        memory.receive(complete, claim, 9 * MB)
+        memory.complete(claim)
+        process.live_bytes += 9 * MB
+        _, wait = memory.open(waiting, 9 * MB)
+        memory.close_all()
+        assert wait.done() and waiting.refused is Reason.SHUTTING_DOWN
+        assert complete.refused is None
+        _, late_wait = memory.open(late, 10)
+        assert late_wait is None and late.refused is Reason.SHUTTING_DOWN
+
+    in_loop(scenario)
+
+
 def test_long_head_that_does_not_fit_is_refused_at_once(memory, process):
     """Guards against heads that wait in memory for the memory that they hold."""
 
--- a/fireflyferry/platform/crowds/tests/test_forms.py
+++ b/fireflyferry/platform/crowds/tests/test_forms.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import signal
 
 import attrs
 import pytest
@@ -21,9 +22,10 @@
     draw_crowd,
     send_form,
 )
-from fireflyferry.platform.crowds.tests.world import CrowdVm, CrowdWorld
+from fireflyferry.platform.crowds.tests.world import Caller, CrowdVm, CrowdWorld, head
 
 CROWD_S = 6.0
+GRACE_PERIOD_S = 6.0  # in the settings of the VMs
 ANSWER_TIMEOUT_S = 60.0  # long, since the result must not depend on how busy the machine is
 
 
@@ -108,6 +110,37 @@
     run(tmp_path, CROWDS[name])
 
 
+def test_vm_that_stops_beside_a_crowd_ends(tmp_path):
+    """Guards against an exit that waits for bodies which wait for memory.
+
+    The bodies begin shortly before the exit, on connections that were opened before the signal.
+    """
+
+    async def scenario():
+        world = CrowdWorld(tmp_path, MAX_BODY_BYTES)
+        try:
+            await world.start(1, 96)
+            (vm,) = world.vms
+            callers = [await Caller(vm).open() for _ in range(40)]
+            work = await Caller(vm).open()  # keeps the VM from an earlier exit
+            await work.send(head("work", "pool-0", "X-Work-S: 20", "Content-Length: 1") + b"x")
+            vm.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(GRACE_PERIOD_S - 2.0)
+            for number, caller in enumerate(callers):
+                length = f"Content-Length: {MAX_BODY_BYTES}"
+                await caller.send(head(f"late-{number}", "pool-0", length) + b"x")
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                while vm.running:
+                    await asyncio.sleep(0.1)
+            assert vm.process.returncode == 0
+            for caller in (*callers, work):
+                caller.reset()
+        finally:
+            world.close()
+
+    asyncio.run(scenario())
+
+
 def seeds():
     """Return the seeds that were asked for."""
     first, _, last = os.environ.get("FIREFLYFERRY_CROWD_SEEDS", "").partition("-")
