Read heads up to twice their limit only

Each connection of a caller could hold 256 KB of a head that never ends, whatever `maxHeaderBytes` says: 47 MB with the 183 connections that a VM of 96 MB accepts. A head is now read up to twice the configured limit and 4 KB, so that one above the limit still gets 431, and up to 64 KB before there is a configuration.

The new test sends 50 KB of a head without an end; before, the connection stayed open.

--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -62,6 +62,10 @@
 _LOG = logging.getLogger(__name__)
 
 METRICS_PATH = "/metrics"
+MAX_HEAD_BYTES_UNCONFIGURED = 1 << 16
+# A head above its limit gets 431, also with spaces that the limit does not count. One that goes on
+# beyond twice the limit is not read further, since each connection would hold it in memory.
+SPARE_HEAD_BYTES = 4_096
 
 
 @attrs.frozen
@@ -317,7 +321,9 @@
     # Servers
 
     def _serve(self, delegate: ServerDelegate, endpoint: str) -> tornado.httpserver.HTTPServer:
-        server = RequestServer(delegate, max_body_size=1 << 30, max_header_size=1 << 18)
+        server = RequestServer(
+            delegate, max_body_size=1 << 30, max_header_size=MAX_HEAD_BYTES_UNCONFIGURED
+        )
         server.add_socket(listen(endpoint, RECEIVE_WINDOW_BYTES))
         return server
 
@@ -338,7 +344,9 @@
         self._splitter.retain([route.shares for route in config.routes])
         # A caller may still rely on the longer timeout of an earlier version.
         self._idle_timeout_s = max(self._idle_timeout_s, config.limits.idle_timeout_s)
-        self._callers_server.conn_params.header_timeout = self._idle_timeout_s
+        connection_rules = self._callers_server.conn_params
+        connection_rules.header_timeout = self._idle_timeout_s
+        connection_rules.max_header_size = 2 * config.limits.max_header_bytes + SPARE_HEAD_BYTES
 
     def _on_era(self, era: int) -> None:
         """Give up what this VM holds by the store's word, and read and write everything again."""
--- a/fireflyferry/gateway/tests/test_request_path.py
+++ b/fireflyferry/gateway/tests/test_request_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 
 from fireflyferry.gateway.tests.support import (
@@ -53,6 +54,22 @@
     run_with(None, scenario)
 
 
+def test_head_without_end_is_not_read_beyond_twice_its_limit():
+    """Guards against callers whose heads take 256 KB of each connection."""
+
+    async def scenario(running, upstream, store):
+        assert (await request(running.port, "/read/")).status == 200
+        reader, writer = await asyncio.open_connection("127.0.0.1", running.port)
+        writer.write(b"GET /read/ HTTP/1.1\r\nX-Long: " + b"x" * 50_000)
+        async with asyncio.timeout(20):
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+        writer.close()
+
+    limits = attrs.evolve(make_config().limits, idle_timeout_s=3600.0)
+    run_with(None, scenario, config=make_config(limits=limits))
+
+
 async def close_without_answer(seen, writer):
     return False
 
