--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -37,7 +37,7 @@
 LINGER_S = 2.0
 # Parts of a body are put together up to this size. Each such part is a mapping of its own, which is
 # returned to the kernel at once when the body is released; see `process_memory`.
-PIECE_BYTES = 1 << 18
+BODY_PART_BYTES = 1 << 18
 LONG_ANSWER_BYTES = 1 << 16  # a longer body is written on its own, since head and body are copied
 
 
@@ -161,7 +161,7 @@
     def _store(self, chunk: bytes) -> None:
         # A body in pieces of a few bytes would take many times its size.
         last = self._chunks[-1] if self._chunks else None
-        if last is not None and len(last) + len(chunk) <= PIECE_BYTES:
+        if last is not None and len(last) + len(chunk) <= BODY_PART_BYTES:
             last += chunk
         else:
             self._chunks.append(bytearray(chunk))
--- a/fireflyferry/gateway/memory.py
+++ b/fireflyferry/gateway/memory.py
@@ -13,6 +13,7 @@
 from fireflyferry.telemetry import Reason
 from fireflyferry.transport.answer_memory import AnswerMemory
 from fireflyferry.transport.memory_account import (
+    SMALL_BODY_BYTES,
     Admission,
     BodyClaim,
     MemoryAccount,
@@ -35,8 +36,6 @@
 RETRY_AFTER_S = 1.0  # a body that does not move gives way within this time
 TRIM_INTERVAL_S = 0.1  # returning memory to the kernel takes some milliseconds
 COLLECT_INTERVAL_S = 1.0  # a collection takes some tens of milliseconds
-# A smaller body is admitted by the resident memory of the last observation.
-OBSERVED_BYTES = 1 << 16
 FILE_DESCRIPTORS = 200  # of the process, reserved for files
 CALLER_SHARE = 0.5  # of the others; the rest is for upstreams, VMs and the store
 
@@ -161,7 +160,8 @@
         self, holder: Holder, length: int | None, head_bytes: int = 0
     ) -> tuple[BodyClaim, "asyncio.Future[None] | None"]:
         """Claim memory for a request; a future that is returned is done when it may be read."""
-        if head_bytes or length is None or length >= OBSERVED_BYTES:
+        # Small bodies are admitted by the resident memory of the last observation.
+        if head_bytes or length is None or length > SMALL_BODY_BYTES:
             self._observe()
         claim, admission = self._account.open(self._clock.monotonic_s(), length, head_bytes)
         self._holders[claim] = holder
@@ -257,11 +257,11 @@
     def _follow(
         self, holder: Holder, claim: BodyClaim, admission: Admission
     ) -> "asyncio.Future[None] | None":
-        if admission is Admission.GRANTED and not self._closed:
-            return None
         if self._closed:
             self._refuse(holder, claim, Reason.SHUTTING_DOWN)
             return None
+        if admission is Admission.GRANTED:
+            return None
         if admission in REFUSALS:
             self._refuse(holder, claim, REFUSALS[admission])
             return None
--- a/fireflyferry/transport/memory_account.py
+++ b/fireflyferry/transport/memory_account.py
@@ -9,6 +9,7 @@
 import attrs
 
 from fireflyferry.transport.answer_memory import ANSWER_SHARE, TOTAL_SHARE
+from fireflyferry.transport.read_turns import FREE_HEAD_LINES
 
 __all__ = [
     "Admission",
@@ -40,9 +41,8 @@
 CONNECTION_BYTES = 1 << 17
 FREE_CONNECTIONS = 64  # their buffers are part of `PROCESS_BYTES`
 
-# A line of a head takes some objects of Python, and more when it is sent on: 350 bytes were
-# measured for lines of 9 bytes. Ordinary heads are below the free part.
-FREE_HEAD_LINES = 64
+# A line of a head takes some objects of Python, and more when it is sent on: 350 bytes for a line
+# of 9 bytes. Ordinary heads are below the free part.
 FREE_HEAD_BYTES = 8_192
 HEAD_LINE_BYTES = 400
 
@@ -367,29 +367,29 @@
     def _has_room(self, claim: BodyClaim, more_bytes: int, reserve_bytes: int) -> bool:
         """Return whether a request may hold more bytes and leave the reserve to answers."""
         limits = self.limits
-        others = self._held_bytes + self._heads_bytes - claim.held_bytes - claim.head_bytes
-        is_alone = not others
+        all_bytes = self._held_bytes + self._heads_bytes
+        is_alone = all_bytes == claim.held_bytes + claim.head_bytes
         connections = max(0, self.connections - FREE_CONNECTIONS) * CONNECTION_BYTES
-        used = self._held_bytes + self._heads_bytes + more_bytes
         # One body always fits, so that connections alone cannot stop all requests.
-        if used > limits.max_body_bytes - connections and not is_alone:
+        if not is_alone and all_bytes + more_bytes > limits.max_body_bytes - connections:
             return False
         if not self._resident_bytes:
             return True
-        is_small = claim.held_bytes + more_bytes <= SMALL_BODY_BYTES
-        if is_alone and is_small:
-            return True
         if is_alone:
+            if SizeClass.of(claim.held_bytes + more_bytes) is SizeClass.SMALL:
+                return True
             reserve_bytes = min(reserve_bytes, limits.max_answer_bytes)
         return self.excess_bytes + more_bytes + reserve_bytes <= 0
 
     def _reserve_bytes(self, size_bytes: int) -> int:
         """Return how much memory a body of this size leaves to answers."""
-        if SizeClass.of(size_bytes) is SizeClass.SMALL:
-            return 0
-        is_short = SizeClass.of(size_bytes) is SizeClass.SHORT
-        one_answer = self.limits.max_answer_bytes if is_short else 0
-        return max(0, self._free_answers_bytes - one_answer)
+        match SizeClass.of(size_bytes):
+            case SizeClass.SMALL:
+                return 0
+            case SizeClass.SHORT:
+                return max(0, self._free_answers_bytes - self.limits.max_answer_bytes)
+            case SizeClass.LONG:
+                return self._free_answers_bytes
 
     def _hold(self, claim: BodyClaim, size_bytes: int) -> None:
         for sign, size in ((-1, claim.held_bytes), (1, size_bytes)):
--- a/fireflyferry/transport/tests/test_read_turns.py
+++ b/fireflyferry/transport/tests/test_read_turns.py
@@ -122,6 +122,13 @@
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
 
 
+async def answer_ordinary_request(port):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\nabc")
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.transport.abort()
+
+
 def test_chunks_of_one_byte_are_read_in_turns(monkeypatch):
     """Guards against a caller that is read as long as its bytes last."""
 
@@ -138,14 +145,11 @@
                 while not server._turns._task:
                     await asyncio.sleep(0.01)
             await asyncio.sleep(0.3)
-            other_reader, other = await asyncio.open_connection("127.0.0.1", port)
-            other.write(HEAD + b"Content-Length: 3\r\n\r\nabc")
-            assert (await other_reader.readline()).startswith(b"HTTP/1.1 200")
+            await answer_ordinary_request(port)
             # What the bytes of the chunks pay for comes on top.
             paid = chunks * len(BYTE_CHUNK) / BYTES_PER_PART + 2
             assert Body.received <= SHARED_PARTS + FREE_PARTS + TURN_PARTS + paid + 3
-            for each in (writer, other):
-                each.transport.abort()
+            writer.transport.abort()
 
     asyncio.run(run())
 
@@ -178,13 +182,11 @@
                 while server._turns.waiting < 2:
                     await asyncio.sleep(0.01)
             await asyncio.sleep(0.3)
-            other_reader, other = await asyncio.open_connection("127.0.0.1", port)
-            other.write(HEAD + b"Content-Length: 3\r\n\r\nabc")
-            assert (await other_reader.readline()).startswith(b"HTTP/1.1 200")
+            await answer_ordinary_request(port)
             assert Body.received == 6  # of one long head and of the ordinary one
             # What follows a head that waits is left in the kernel.
             assert all(each._read_buffer_size < 1 << 17 for each in server._streams)
-            for _, writer in (*connections, (other_reader, other)):
+            for _, writer in connections:
                 writer.transport.abort()
 
     asyncio.run(run())
