Keep parts of bodies in the heap again

Each part of a body was copied into a mapping of its own and out of it again, which costs every upload two copies and cleared pages.

So parts are kept as they were before, and the threshold of the allocator is no longer set.

--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -35,9 +35,7 @@
 # How long the rest of a body is read and dropped after its request was refused. Closing at once
 # with unread bytes resets the connection, and the refusal could be lost.
 LINGER_S = 2.0
-# Parts of a body are put together up to this size. Each such part is a mapping of its own, which is
-# returned to the kernel at once when the body is released; see `process_memory`.
-BODY_PART_BYTES = 1 << 18
+BODY_PART_BYTES = 1 << 16  # parts of a body that are shorter are put together up to this size
 LONG_ANSWER_BYTES = 1 << 16  # a longer body is written on its own, since head and body are copied
 
 
@@ -55,7 +53,7 @@
         self._is_in_flight = False
         self._line: RequestStartLine = None  # type: ignore[assignment]
         self._headers: HTTPHeaders = None  # type: ignore[assignment]
-        self._chunks: list[bytearray] = []
+        self._chunks: list[bytes | bytearray] = []
         self._body_bytes = 0
         self._head_memory_bytes = 0  # set by `on_head` for a head that is not small
         self._claim: BodyClaim | None = None
@@ -161,10 +159,10 @@
     def _store(self, chunk: bytes) -> None:
         # A body in pieces of a few bytes would take many times its size.
         last = self._chunks[-1] if self._chunks else None
-        if last is not None and len(last) + len(chunk) <= BODY_PART_BYTES:
+        if isinstance(last, bytearray) and len(last) + len(chunk) <= BODY_PART_BYTES:
             last += chunk
         else:
-            self._chunks.append(bytearray(chunk))
+            self._chunks.append(bytearray(chunk) if len(chunk) < BODY_PART_BYTES else chunk)
 
     def finish(self) -> None:
         """Start the task that handles the request, now that it is complete."""
--- a/fireflyferry/transport/process_memory.py
+++ b/fireflyferry/transport/process_memory.py
@@ -9,10 +9,6 @@
 __all__ = ["LinuxProcessMemory", "ProcessMemory", "UnknownProcessMemory", "make_process_memory"]
 
 STATM_PATH = "/proc/self/statm"
-MMAP_THRESHOLD_OPTION = -3  # M_MMAP_THRESHOLD of malloc.h
-# Parts of bodies and long answers are above it, so each is a mapping of its own and returns to the
-# kernel when it is freed. Once it is set, glibc no longer raises it after such a block is freed.
-MMAP_THRESHOLD_BYTES = 1 << 17
 
 
 class ProcessMemory(abc.ABC):
@@ -48,11 +44,7 @@
     def __init__(self) -> None:
         self._statm = os.open(STATM_PATH, os.O_RDONLY)
         self._page_bytes = os.sysconf("SC_PAGE_SIZE")
-        library = ctypes.CDLL(None)
-        self._malloc_trim = getattr(library, "malloc_trim", None)
-        mallopt = getattr(library, "mallopt", None)
-        if mallopt is not None:
-            mallopt(MMAP_THRESHOLD_OPTION, MMAP_THRESHOLD_BYTES)
+        self._malloc_trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
 
     def __del__(self) -> None:
         with contextlib.suppress(AttributeError, OSError):
