Reset connections that are closed, so that no held grant arrives late

Cause: a call that got no answer was given up by closing its socket. The kernel goes on sending what was written, and the grant arrived 12.6 s after it was sent, when the granting VM had counted it as expired for seconds. A fence is refused only by a receiver that has seen a higher one, and no release reached the upstream that was cut off.

Change: the transport sets SO_LINGER with time 0 on each socket it opens. Any close, also that of a killed process, resets the connection and discards what was held up. Orders to upstreams are cancelled when the lease ends, since the time-outs of a suspended VM do not advance. The soak delivers what a cut held up by TCP's retransmission times, unless its sender has reset the connection, and no longer excuses such grants.

Ruled out: a higher fence at the receiver (no release reaches it), a grant that is applied late (its time counts from its arrival, before the cut).

--- a/conftest.py
+++ b/conftest.py
@@ -27,6 +27,7 @@
 SERIAL = (
     # Processes of VMs and senders.
     "fireflyferry/platform/tests/test_signals.py",
+    "fireflyferry/transport/tests/test_held_requests.py",
     "fireflyferry/platform/crowds/tests/test_crowds.py",
     "fireflyferry/platform/crowds/tests/test_forms.py",
     "fireflyferry/platform/soak/tests/test_soak.py",
--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -130,6 +130,7 @@
         self._lease_held = False
         self._pools: dict[str, _PoolControl] = {}
         self._tasks = BackgroundTasks()
+        self._orders_in_flight = BackgroundTasks()
 
     @property
     def holds_lease(self) -> bool:
@@ -271,13 +272,19 @@
             )
 
     def _update_lease_held(self) -> None:
-        """Begin or end a term, and drop all pool states, when the lease was gained or lost."""
+        """Begin or end a term when the lease was gained or lost.
+
+        The states of all pools are dropped and the orders in flight given up.
+        """
         now_s = self._clock.monotonic_s()
         held = self._lease.holds(now_s)
         if held == self._lease_held:
             return
         self._lease_held = held
         self._pools.clear()
+        # A VM that was suspended may have orders in flight whose time-outs did not advance. The
+        # next granting VM does not wait for them.
+        self._orders_in_flight.cancel()
         until_s = self._lease.authority_until_s
         if held:
             _LOG.info("lease_gained", extra={"left_s": round(until_s - now_s, 3)})
@@ -311,9 +318,9 @@
         if isinstance(action, SaveTable):
             self._tasks.start(self._save_table(pool, control, action))
         elif isinstance(action, GrantCall):
-            self._tasks.start(self._grant(control, action))
+            self._orders_in_flight.start(self._grant(control, action))
         else:
-            self._tasks.start(self._release(control, action))
+            self._orders_in_flight.start(self._release(control, action))
 
     def _is_current(self, control: _PoolControl) -> bool:
         """Return whether this VM still holds the lease in the term that this state belongs to.
--- a/fireflyferry/keyranges/tests/range_world.py
+++ b/fireflyferry/keyranges/tests/range_world.py
@@ -6,6 +6,9 @@
 
 The store may come back from a copy. Then the granting VM goes on with its authority for up to 2 s,
 since it learns of that only by an answer, and the next term begins after a full takeover wait.
+
+A cut may hold grants up. One that was held up is delivered once, at any age. Its sender resets the
+connection when it gives the call up, which discards what its kernel still holds.
 """
 
 import random
@@ -37,6 +40,8 @@
 
 STEP_S = 0.05
 AUTHORITY_S = GrantingLeaseTiming().lease_s
+CALL_TIMEOUT_S = GrantTiming().call_timeout_s
+MAX_HELD_S = 40.0  # several times as long as a grant is valid
 TAKEOVER_S = GrantingLeaseTiming().takeover_s
 # Keys whose holders are checked in each step.
 PROBE_KEYS = (0, 9_000, 20_000, 33_000, 47_000, 65_535)  # keys whose holders are compared
@@ -105,7 +110,8 @@
     `served` counts probes of a serving range that found its owner holding the key. With
     `restarts_unlisted`, a process that starts at the address of an ended one is reached at once
     and listed seconds later, under the same id or another one. With `restoring`, the store has
-    eras and comes back from copies.
+    eras and comes back from copies. With `holding`, cuts hold grants up; without `resets_given_up`,
+    those that their senders have given up arrive as well.
     """
 
     rng: random.Random
@@ -114,6 +120,8 @@
     )
     restarts_unlisted: bool = False
     restoring: random.Random | None = None
+    holding: random.Random | None = None
+    resets_given_up: bool = True
     era: int | None = None
     restores: int = 0
     history: list[tuple[float, tuple[OwnerTable | None, int]]] = attrs.field(factory=list)
@@ -217,6 +225,8 @@
     def _inject_fault(self) -> None:
         if self.restoring is not None:
             self._restore_at_random(self.restoring)
+        if self.holding is not None and self.holding.random() < 0.006:
+            self._cut_off_until_grants_expire(self.holding)
         roll = self.rng.random()
         running = [p for p in self.processes if p.alive]
         process = self.rng.choice(running)
@@ -246,6 +256,15 @@
         elif roll < 0.024:
             self._refuse_connections(process)
 
+    def _cut_off_until_grants_expire(self, rng: random.Random) -> None:
+        """Cut a draining process off for longer than its grants last, so that its keys move."""
+        process = rng.choice([p for p in self.processes if p.alive])
+        cut_s = rng.uniform(6.0, 12.0)
+        process.reachable = False
+        process.draining = True
+        self._schedule(self.now_s + cut_s, lambda: setattr(process, "reachable", True))
+        self._schedule(self.now_s + cut_s + 8.0, lambda: setattr(process, "draining", False))
+
     def _refuse_connections(self, process: _Process) -> None:
         """Cut a process off from the store, then let its port refuse connections for a while."""
         self._schedule(self.now_s + 2.6, lambda: setattr(process, "listed", False))
@@ -333,6 +352,9 @@
             self._answer_grant(granter, call, arrives_s, GrantAnswer.CONNECTION_TOO_NEW)
             return
         opened = self.opened_connections
+        if self.holding is not None and (not process.reachable or self.holding.random() < 0.04):
+            self._hold_grant(granter, process, call, opened)
+            return
         late = self.rng.random() < 0.08
         silent = not process.reachable or late
         if late and process.reachable:
@@ -343,6 +365,23 @@
         else:
             self._schedule(arrives_s, lambda: self._deliver_grant(granter, process, call, opened))
 
+    def _hold_grant(
+        self, granter: RangeGranter, process: _Process, call: GrantCall, opened: int
+    ) -> None:
+        """Deliver a grant at any age, unless its sender has reset the connection before."""
+        age_s = self.holding.uniform(0.0, self.holding.choice([CALL_TIMEOUT_S, MAX_HELD_S]))
+        given_up = age_s >= CALL_TIMEOUT_S
+        if given_up:
+            self._answer_grant(
+                granter, call, self.now_s + CALL_TIMEOUT_S, GrantAnswer.UNKNOWN, opened
+            )
+        if not given_up:
+            self._schedule(
+                self.now_s + age_s, lambda: self._deliver_grant(granter, process, call, opened)
+            )
+        elif not self.resets_given_up:
+            self._schedule(self.now_s + age_s, lambda: self._apply_grant(process, call, self.now_s))
+
     def _connection(self, process: _Process) -> int:
         """Return the number of a connection to a process, which is opened if need be."""
         known = self.connections.setdefault(process.run, [])
--- a/fireflyferry/keyranges/tests/test_granter.py
+++ b/fireflyferry/keyranges/tests/test_granter.py
@@ -1,5 +1,6 @@
 """Guards against keys with two holders and against new owners without a higher fence."""
 
+import os
 import random
 
 import attrs
@@ -290,6 +291,48 @@
     assert all(each.served > 0.4 * 6 * 60.0 / 0.05 for each in simulations)
 
 
+def holding_simulation(seed, granter=RangeGranter, resets_given_up=True):
+    """Return a simulation in which cuts hold grants up."""
+    return RangeSimulation(
+        random.Random(seed),
+        lambda began_s: granter("pool", TIMING, began_s),
+        restarts_unlisted=seed % 2 == 0,
+        holding=random.Random(seed + 1000),
+        resets_given_up=resets_given_up,
+    )
+
+
+def violations_with_held_grants(seeds, **options):
+    """Return the violations of the first run that has any, and the steps that were run."""
+    steps = 0
+    for seed in range(seeds):
+        simulation = holding_simulation(seed, **options)
+        simulation.start(4)
+        simulation.run(60.0)
+        steps += 1200
+        if simulation.conflicts or simulation.fence_errors:
+            return [*simulation.conflicts, *simulation.fence_errors], steps
+    return [], steps
+
+
+# Seeds of 1,200 steps each.
+HELD_GRANT_SEEDS = int(os.environ.get("FIREFLYFERRY_HELD_GRANT_SEEDS", "40"))
+
+
+def test_held_grants_give_keys_to_one_holder():
+    """Guards against two holders when cuts hold grants up and their senders give them up."""
+    assert violations_with_held_grants(HELD_GRANT_SEEDS) == ([], HELD_GRANT_SEEDS * 1200)
+
+
+def test_simulation_delivers_grants_that_were_given_up():
+    """Guards against two holders by grants that arrive after their senders gave them up.
+
+    Review case 6. The guard, which is removed here, is the reset of the connection.
+    """
+    violations, _ = violations_with_held_grants(40, resets_given_up=False)
+    assert violations
+
+
 class _GrantsBeforeRelease(RangeGranter):
     def _clearance(self, now_s, owned, run):
         return super()._clearance(now_s, owned, run) or Clearance.RELEASED
@@ -339,19 +382,26 @@
         return super()._clearance(now_s, owned, run) or (Clearance.ENDED if restarted else None)
 
 
-@pytest.mark.parametrize(
-    "broken_granter",
-    [
-        _GrantsBeforeRelease,
-        _IgnoresEarlierTerms,
-        _TreatsUnlistedAsEnded,
-        _ExpectsShortGrants,
-        _ReusesFences,
-        _RenewsOverAnyConnection,
-        _KeepsFencesOfEarlierTerms,
-        _TreatsRestartAsEnd,
-    ],
-)
+BROKEN_GRANTERS = [
+    _GrantsBeforeRelease,
+    _IgnoresEarlierTerms,
+    _TreatsUnlistedAsEnded,
+    _ExpectsShortGrants,
+    _ReusesFences,
+    _RenewsOverAnyConnection,
+    _KeepsFencesOfEarlierTerms,
+    _TreatsRestartAsEnd,
+]
+
+
+@pytest.mark.parametrize("broken_granter", BROKEN_GRANTERS)
+def test_simulation_with_held_grants_detects_a_removed_check(broken_granter):
+    """Guards against a simulation of held grants that misses what a removed check causes."""
+    violations, _ = violations_with_held_grants(120, granter=broken_granter)
+    assert violations
+
+
+@pytest.mark.parametrize("broken_granter", BROKEN_GRANTERS)
 def test_simulation_detects_a_removed_check(broken_granter):
     """Guards against a simulation that misses the conflicts that a removed check causes."""
     violations = 0
--- a/fireflyferry/platform/soak/links.py
+++ b/fireflyferry/platform/soak/links.py
@@ -1,7 +1,12 @@
-"""Loopback proxy between a process and a server that can delay, reset or block the traffic."""
+"""Loopback proxy between a process and a server that can delay, reset or block the traffic.
+
+What a silent link has held up is delivered once the link passes again, by the retransmission times
+of TCP (RFC 6298), unless its sender has reset the connection.
+"""
 
 import asyncio
 import contextlib
+import time
 from enum import Enum, auto
 
 from fireflyferry.tasks import BackgroundTasks
@@ -11,6 +16,7 @@
 DELAY_S = 0.3
 CHUNK_BYTES = 65_536
 MODE_CHECK_INTERVAL_S = 0.02
+FIRST_RETRANSMISSION_S = 0.2  # the shortest time-out of Linux; each further one is twice as long
 
 
 class LinkMode(Enum):
@@ -69,6 +75,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 await self._apply_mode(towards_server)
+                if (error := reader.exception()) is not None:
+                    raise error
                 writer.write(data)
                 await writer.drain()
         writer.close()
@@ -77,7 +85,13 @@
     async def _apply_mode(self, towards_server: bool) -> None:
         if self.mode is LinkMode.DELAY:
             await asyncio.sleep(DELAY_S)
+        sent_s = passes_s = time.monotonic()
         while self.mode is LinkMode.SILENT or (
             self.mode is LinkMode.NO_ANSWERS and not towards_server
         ):
             await asyncio.sleep(MODE_CHECK_INTERVAL_S)
+            passes_s = time.monotonic()
+        timeout_s = FIRST_RETRANSMISSION_S
+        while sent_s < passes_s:
+            sent_s, timeout_s = sent_s + timeout_s, 2 * timeout_s
+        await asyncio.sleep(max(0.0, sent_s - time.monotonic()))
--- a/fireflyferry/platform/soak/paths.py
+++ b/fireflyferry/platform/soak/paths.py
@@ -4,7 +4,6 @@
 import contextlib
 import socket
 import struct
-import time
 from collections.abc import Callable, Iterable
 from enum import Enum, auto
 from typing import Any
@@ -16,7 +15,6 @@
 __all__ = ["Cut", "UpstreamPaths"]
 
 BACKLOG = 128
-HELD_S = 1.0
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without a time
 
 
@@ -34,7 +32,6 @@
     def __init__(self, vm_id: str, server_port: int, by_source: "dict[int, _Path]"):
         super().__init__(server_port)
         self.vm_id = vm_id
-        self.healed_s = float("-inf")
         self._by_source = by_source
         self._reserved = reserve_port()
         self.port = self._reserved.getsockname()[1]
@@ -49,8 +46,6 @@
         self._listener = _bind(self.port)
         self._listener.listen(BACKLOG)
         self._accepting = self._tasks.start(self._accept(self._listener))
-        if self.mode is LinkMode.SILENT:
-            self.healed_s = time.monotonic()
         self.mode = LinkMode.PASS
 
     def cut(self, cut: Cut) -> None:
@@ -119,11 +114,6 @@
         path = self._by_source.get(source_port)
         return path.vm_id if path is not None else None
 
-    def was_held(self, source_port: int) -> bool:
-        """Return whether a call may have been held back by a cut that has just ended."""
-        path = self._by_source.get(source_port)
-        return path is not None and time.monotonic() - path.healed_s < HELD_S
-
     def cut(self, vm_ids: Iterable[str], cut: Cut) -> None:
         """Cut VMs off from all upstreams."""
         self._cuts |= dict.fromkeys(vm_ids, cut)
--- a/fireflyferry/platform/soak/run.py
+++ b/fireflyferry/platform/soak/run.py
@@ -79,7 +79,6 @@
         self._promises = self._make_promises() if plan.vm_paths else ()
         self._world = UpstreamWorld(self._store, self._audit, random.Random(plan.seed))
         self._world.promises, self._world.vm_at = self._promises, self._vm_at
-        self._world.was_held = self._paths.was_held
         self._fleet = UpstreamFleet(self._world, {KEYED: True, PLAIN: False, JOINING: False})
         self._odd_entries = OddEntries(self._world, self._fleet, JOINING, self._is_calm)
         self._faults = FaultInjector(
--- a/fireflyferry/platform/soak/tests/test_cuts.py
+++ b/fireflyferry/platform/soak/tests/test_cuts.py
@@ -1,6 +1,9 @@
 """Guards against cuts that let something pass, and against VMs that serve too little unseen."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 from types import SimpleNamespace
 
 import pytest
@@ -11,6 +14,7 @@
 from fireflyferry.platform.soak.paths import Cut, UpstreamPaths
 
 TIMEOUT_S = 0.3
+RETRANSMISSION_S = 10.0  # held bytes arrive with the next retransmission after the cut
 
 
 async def echo(reader, writer):
@@ -19,10 +23,10 @@
     writer.close()
 
 
-async def outcome(awaitable):
+async def outcome(awaitable, timeout_s=TIMEOUT_S):
     """Return what a call on a connection comes to."""
     try:
-        async with asyncio.timeout(TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             result = await awaitable
     except TimeoutError:
         return "hangs"
@@ -60,7 +64,49 @@
         paths.heal()
         assert await outcome(asyncio.open_connection(*first)) == "connected"
         if healed is not None:
-            assert await outcome(reader.read(100)) == healed
+            assert await outcome(reader.read(100), RETRANSMISSION_S) == healed
+        paths.close()
+        server.close()
+        await asyncio.sleep(0.05)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("resets", [True, False])
+def test_held_bytes_arrive_unless_their_sender_has_reset_the_connection(resets):
+    """Guards against a cut that hides bytes which arrive after their sender has closed."""
+
+    async def main():
+        received = []
+
+        async def serve(reader, writer):
+            with contextlib.suppress(ConnectionResetError):
+                while data := await reader.read(100):
+                    received.append(data)
+            received.append("end")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        paths = UpstreamPaths()
+        value = {"spec": {"address": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}}
+        spec = paths.view_of("vm-1")(names.UPSTREAM_KIND, value)["spec"]
+        _, writer = await asyncio.open_connection(*spec["address"].split(":"))
+        writer.write(b"a")
+        while received != [b"a"]:
+            await asyncio.sleep(0.01)
+        paths.cut(["vm-1"], Cut.HANG)
+        writer.write(b"b")
+        await asyncio.sleep(0.05)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+        await asyncio.sleep(0.05)
+        paths.heal()
+        async with asyncio.timeout(RETRANSMISSION_S):
+            while received[-1] != "end":
+                await asyncio.sleep(0.01)
+        assert received == ([b"a", "end"] if resets else [b"a", b"b", "end"])
         paths.close()
         server.close()
         await asyncio.sleep(0.05)
--- a/fireflyferry/platform/soak/upstream_handlers.py
+++ b/fireflyferry/platform/soak/upstream_handlers.py
@@ -90,7 +90,7 @@
             if is_late := upstream.misbehaves(Misbehaviour.DELAYS_GRANTS):
                 delay_s = upstream.world.rng.uniform(MIN_GRANT_DELAY_S, MAX_GRANT_DELAY_S)
                 await asyncio.sleep(delay_s)
-            if not upstream.up or self._was_held():
+            if not upstream.up:
                 self._close_connection()
                 return
             message = orjson.loads(self.request.body)
@@ -102,17 +102,6 @@
         else:
             self._send(Misbehaviour.REPEATS_ORDER_ANSWERS)
 
-    def _was_held(self) -> bool:
-        """Return whether a cut held the grant back: its sender cannot know when it arrives."""
-        stream = self.request.connection.stream
-        if stream is None or stream.closed():
-            return False
-        try:
-            port = stream.socket.getpeername()[1]
-        except OSError:  # the sender has reset the connection
-            return False
-        return self._upstream.world.was_held(port)
-
 
 class ReleaseHandler(_Handler):
     """`POST /release`."""
--- a/fireflyferry/platform/soak/upstreams.py
+++ b/fireflyferry/platform/soak/upstreams.py
@@ -39,7 +39,7 @@
 
     `processes` has all that were ever started, `effects` how often each misbehaviour took effect,
     and `odd_ids` the ids of entries that name no upstream. `vm_at` returns the VM whose connection
-    has a source port, if that is known, and `was_held` whether a cut may have held its calls back.
+    has a source port, if that is known.
     """
 
     store: StoreStandin
@@ -49,7 +49,6 @@
     stalls: StallMonitor = attrs.field(factory=StallMonitor)
     promises: tuple[Promise, ...] = ()
     vm_at: Callable[[int], VmProcess | None] = lambda source_port: None
-    was_held: Callable[[int], bool] = lambda source_port: False
     odd_ids: set[str] = attrs.field(factory=set)
     effects: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
--- a/fireflyferry/transport/curl.py
+++ b/fireflyferry/transport/curl.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import errno
+import socket
+import struct
 
 import attrs
 import pycurl
@@ -35,6 +37,11 @@
     pycurl.BUFFERSIZE: 16_384,  # curl delivers no larger pieces
 }
 
+# Closing a connection resets it. The kernel would go on sending what a cut link has held up, also
+# after the transfer was given up or the process has ended, and a grant could arrive after its
+# keys have gone to another upstream.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without a time
+
 # curl reports these for a first line that is no status line of a version that it can read.
 INVALID_HEAD_ERRORS = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
 
@@ -298,6 +305,11 @@
     def _on_socket(self, descriptor: int, _purpose: int) -> int:
         self._is_connection_new = True
         self._descriptor = descriptor
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+        try:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        finally:
+            connection.detach()
         return pycurl.SOCKOPT_OK
 
     def _before_send(self, remote_ip: str, local_ip: str, remote_port: int, local_port: int) -> int:
--- a/fireflyferry/transport/tests/test_reused_transfers.py
+++ b/fireflyferry/transport/tests/test_reused_transfers.py
@@ -59,7 +59,8 @@
         closed = asyncio.Event()
 
         async def serve(reader, writer):
-            await reader.read()
+            with contextlib.suppress(ConnectionResetError):
+                await reader.read()
             closed.set()
             writer.close()
 
