End requests whose callers leave before an upstream has them

Cause: the task of a non-idempotent request was kept when its sender closed, wherever the request was. The check before the first byte did not ask for the sender, and a last hop did not learn that a caller of another VM had left.

Change: a request ends with its sender unless this VM has sent it to an upstream and waits for the result. A first hop resets the connection to the last hop, which decides by the same rule, and sends it the id as well, since a lost reset is not sent again. The sender is asked for once more right before the first byte and before each retry, also in the kernel if too much lies behind the request for its end to be read.

Ruled out: an answer or a slot that arrives late (the requests were begun by the queue long after the close); cancelling at the upstream, since a request that may run once must not be cut halfway.

--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -93,11 +93,11 @@
         """Drop the body after the request was handled."""
         super().release_body()
         if self._call is not None:
-            self._call.body, self._call.headers = b"", []
+            self._call.release()
 
     def continues_without_sender(self) -> bool:
-        """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
-        return self._call is not None and not self._call.idempotent
+        """Return whether an upstream works on the request, which may run only once."""
+        return self._call is not None and not self._call.may_be_cancelled
 
     async def handle(self) -> None:
         """Route the request and send the answer, the refusal or the unknown outcome."""
@@ -175,6 +175,7 @@
             returned=age_s > 0.0,
             received_s=now_s,
             allowed_regions=services.state.allowed_regions(route),
+            has_sender_left=self.has_sender_left,
         )
 
     def _read_deadline_ms(self, route: HostRoute) -> int | None:
--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -12,6 +12,10 @@
 __all__ = ["Answer", "Attempt", "Call", "not_run", "outcome_unknown"]
 
 
+def _is_present() -> bool:
+    return False
+
+
 @attrs.define(eq=False)
 class Call:
     """A caller's request with the parameters of its route; times in seconds on this VM's clock.
@@ -21,9 +25,13 @@
     before, `repeated` if an upstream may have received it from an earlier attempt. `tried` holds
     ids of upstreams not to try again. `key` is None in pools without keys. `body` may be
     in parts, since joining a long one would take its memory twice. `received_s` is when
-    this VM received it. `passed_on` is set while an upstream may have received it, and
-    `deadline_cut` if `deadline_s` is earlier than the caller's deadline, since this VM stops. Only
-    upstreams in `allowed_regions` may get it, None means all; last hops do not need the regions.
+    this VM received it. `passed_on` is set while an upstream may have received it, `is_at_upstream`
+    while this VM waits for an upstream to which it has sent the request. `deadline_cut` is set if
+    `deadline_s` is earlier than the caller's deadline, since this VM stops. Only upstreams in
+    `allowed_regions` may get it, None means all; last hops do not need the regions.
+
+    `has_sender_left` returns whether the caller, or the VM that forwarded the request, has closed
+    its connection. Then no upstream gets the request any more.
     """
 
     request_id: str
@@ -44,8 +52,18 @@
     tried: frozenset[str] = frozenset()
     received_s: float = 0.0
     passed_on: bool = False
+    is_at_upstream: bool = False
     deadline_cut: bool = False
     allowed_regions: frozenset[str] | None = None
+    has_sender_left: Callable[[], bool] = _is_present
+
+    @property
+    def may_be_cancelled(self) -> bool:
+        """Whether the request may end here and now, although its outcome is not known yet.
+
+        A non-idempotent one that this VM has sent to an upstream goes on to its end there.
+        """
+        return self.idempotent or not self.is_at_upstream
 
     @property
     def body_bytes(self) -> int:
@@ -67,6 +85,11 @@
         self.deadline_s = deadline_s
         return not self.deadline_cut or is_probably_answered(deadline_s - now_s, *forecast())
 
+    def release(self) -> None:
+        """Drop what takes memory or refers to the sender's connection, after the request ended."""
+        self.body, self.headers = b"", []
+        self.has_sender_left = _is_present
+
     def result_if_broken_off(self) -> "Attempt":
         """Return the result for a caller whose request ends now, with the exit of this VM."""
         return (
--- a/fireflyferry/gateway/exchange.py
+++ b/fireflyferry/gateway/exchange.py
@@ -43,8 +43,9 @@
     """Receives one complete request, handles it in a task and answers it.
 
     The task is cancelled when the sender disconnects, unless `continues_without_sender` returns
-    True. A request is in flight from its headers until its answer is written, or until its sender
-    has disconnected and its task has ended.
+    True; then it has to find out itself that nobody waits for its result. A request is in flight
+    from its headers until its answer is written, or until its sender has disconnected and its task
+    has ended.
     """
 
     def __init__(self, connection: HTTP1Connection, in_flight: "InFlightRequests"):
@@ -124,6 +125,15 @@
         stream = self._connection.stream
         return stream.closed() or is_reset(stream.socket)
 
+    def has_sender_left(self) -> bool:
+        """Return whether the sender of a complete request has closed or reset its connection.
+
+        The kernel is asked if nothing reads from the connection, since too much lies behind the
+        request.
+        """
+        stream = self._connection.stream
+        return self._closed or stream.closed() or getattr(stream, "has_unnoticed_end", False)
+
     def disconnect(self) -> None:
         """Close the connection."""
         self._connection.stream.close()
@@ -307,6 +317,10 @@
         """Remove a request when it has ended."""
         self._exchanges.discard(exchange)
 
+    def exchanges(self) -> "list[BufferedExchange]":
+        """Return the requests in flight."""
+        return list(self._exchanges)
+
     def break_off(self) -> int:
         """End the requests that are being handled with final answers; return their number."""
         return sum(exchange.break_off() for exchange in list(self._exchanges))
--- a/fireflyferry/gateway/first_hop.py
+++ b/fireflyferry/gateway/first_hop.py
@@ -289,7 +289,7 @@
         if search.hops >= self._rules.max_hops or search.reached >= call.max_attempts:
             return False
         left_s = call.deadline_s - self._clock.monotonic_s()
-        if left_s <= attempt.service_s / 2:
+        if call.has_sender_left() or left_s <= attempt.service_s / 2:
             return False
         if attempt.outcome is Outcome.NOT_RUN:
             retry = attempt.reason in _RETRYABLE_REASONS
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -316,6 +316,7 @@
         try:
             return await self._exchange(call, upstream)
         finally:
+            call.is_at_upstream = False
             self._body_bytes.end(upstream.run, size_bytes)
 
     async def _exchange(self, call: Call, upstream: Upstream) -> Attempt:
@@ -342,7 +343,6 @@
             fresh_connection=call.repeated or self._avoids_kept_connections(upstream),
             max_idle_s=rules.idempotent_idle_s if call.idempotent else rules.non_idempotent_idle_s,
         )
-        call.passed_on = True
         result = await self._path.watch(
             call,
             upstream,
@@ -353,7 +353,7 @@
                 may_send,
                 lambda _, headers: find_header(headers, names.request_id) == call.request_id,
             ),
-            lambda: self._refusal(self._clock.monotonic_s(), call, upstream) is None,
+            lambda: self._begin_send(call, upstream),
         )
         lost = not (result.status or result.timed_out or result.invalid_head)
         if result.reused and result.sent and lost:
@@ -365,6 +365,13 @@
             record_load(self._queue(upstream), now_s, upstream.run, result.header(names.load))
         return attempt
 
+    def _begin_send(self, call: Call, upstream: Upstream) -> bool:
+        """Return whether a request may be sent; called right before its first byte is."""
+        if self._refusal(self._clock.monotonic_s(), call, upstream) is not None:
+            return False
+        call.passed_on = call.is_at_upstream = True
+        return True
+
     def _unsent(self, call: Call, upstream: Upstream) -> Attempt:
         """Return the refusal of a request of which no byte was sent."""
         refusal = self._refusal(self._clock.monotonic_s(), call, upstream)
@@ -390,6 +397,8 @@
 
     def _refusal(self, now_s: float, call: Call, upstream: Upstream) -> Attempt | None:
         """Return the refusal of a request that may not be sent now, or None if it may."""
+        if call.has_sender_left():
+            return not_run(Reason.CALLER_LEFT)
         run = upstream.run
         standing = self._upstreams.standing(now_s, run.upstream_id, run.born)
         if standing is Standing.GONE or now_s >= call.deadline_s:
--- a/fireflyferry/gateway/peer_client.py
+++ b/fireflyferry/gateway/peer_client.py
@@ -21,6 +21,7 @@
     "EVACUATIONS_AGE_HEADER",
     "FEED_PATH",
     "FORWARD_PATH",
+    "LEFT_PATH",
     "LOADS_PATH",
     "OWNERS_PATH",
     "PING_PATH",
@@ -35,6 +36,7 @@
 FORWARD_PATH = "/f"  # sent with each forwarded request
 HOST_HEADER = ("Host", "f")  # shorter than the address, which curl would send
 PING_PATH = "/peer/ping"
+LEFT_PATH = "/peer/left"  # with the id of a forwarded request whose caller has left
 LOADS_PATH = "/peer/loads"
 OWNERS_PATH = "/peer/owners"
 FEED_PATH = "/peer/feed"
@@ -97,7 +99,8 @@
     async def forward(self, call: Call, upstream: Upstream, vm: EntryVm) -> Attempt:
         """Forward a request to the last hop of an upstream.
 
-        Cancelling the call closes the connection to the other VM.
+        Cancelling the call resets the connection to the other VM, which ends the request unless
+        that has sent it already. A message says the same if the caller has left.
         """
         now_s = self._clock.monotonic_s()
         summary = peer_messages.write_call(call, upstream.run.upstream_id, upstream.run.born, now_s)
@@ -115,6 +118,10 @@
         pending = asyncio.ensure_future(fetch(self._transport, exchange))
         try:
             result = await self._await_answer(pending, call, vm)
+        except asyncio.CancelledError:
+            if call.has_sender_left():
+                self._tasks.start(self._post(vm, LEFT_PATH, call.request_id.encode()))
+            raise
         finally:
             pending.cancel()
         return self._to_attempt(result, call, upstream, vm)
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -22,6 +22,7 @@
     EVACUATIONS_AGE_HEADER,
     FEED_PATH,
     FORWARD_PATH,
+    LEFT_PATH,
     LOADS_PATH,
     OWNERS_PATH,
     PING_PATH,
@@ -62,9 +63,13 @@
     def __init__(self, connection: HTTP1Connection, services: PeerServices):
         super().__init__(connection, services.in_flight)
         self._services = services
-        self._peer_call: peer_messages.PeerCall | None = None
         self._call: Call | None = None
 
+    @property
+    def request_id(self) -> str:
+        """Id of the forwarded request; empty for other requests."""
+        return self._call.request_id if self._call is not None else ""
+
     def on_head(self) -> None:
         """Accept every head; the request is checked once its body has arrived."""
 
@@ -76,11 +81,11 @@
         """Drop the body after the request was handled."""
         super().release_body()
         if self._call is not None:
-            self._call.body = b""
+            self._call.release()
 
     def continues_without_sender(self) -> bool:
-        """Return whether the request is non-idempotent, and so must not be cancelled halfway."""
-        return self._peer_call is not None and not self._peer_call.idempotent
+        """Return whether an upstream works on the request, which may run only once."""
+        return self._call is not None and not self._call.may_be_cancelled
 
     async def handle(self) -> None:
         """Send a forwarded request to its upstream, or answer another request by its path."""
@@ -91,6 +96,8 @@
             self._refuse(not_run(Reason.SHUTTING_DOWN))
         elif self._line.path == FORWARD_PATH:
             await self._answer_forward()
+        elif self._line.path == LEFT_PATH:
+            self._end_left()
         elif self._line.path == LOADS_PATH:
             self._accept_loads()
         elif self._line.path == OWNERS_PATH:
@@ -115,6 +122,17 @@
         lost = self._services.path.lost
         return [(peer_messages.PATH_HEADER, peer_messages.PATH_LOST)] if lost else []
 
+    def _end_left(self) -> None:
+        """End a forwarded request whose caller has left, as if its connection had closed.
+
+        A reset that is lost on the way is not sent again.
+        """
+        request_id = self.body.decode(errors="replace")
+        for each in self._in_flight.exchanges():
+            if isinstance(each, PeerExchange) and each.request_id == request_id:
+                each.disconnect()
+        self.answer(204, [], b"")
+
     def _accept_loads(self) -> None:
         try:
             self._services.on_loads(peer_messages.read_loads(self.body))
@@ -156,7 +174,7 @@
         services = self._services
         try:
             envelope = services.envelopes.unpack_parts(self.take_body())
-            self._peer_call = peer_call = peer_messages.read_call(envelope.summary)
+            peer_call = peer_messages.read_call(envelope.summary)
             now_s = services.clock.monotonic_s()
             self._call = call = self._make_call(peer_call, envelope, now_s)
         except (EnvelopeError, peer_messages.PeerMessageError) as error:
@@ -222,4 +240,5 @@
             repeated=bool(peer_call.repeated),
             tried=peer_call.tried_upstreams,
             received_s=now_s,
+            has_sender_left=self.has_sender_left,
         )
--- a/fireflyferry/telemetry/reasons.py
+++ b/fireflyferry/telemetry/reasons.py
@@ -49,6 +49,7 @@
     CONNECT_FAILED = "connect_failed"
     UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     SHUTTING_DOWN = "shutting_down"
+    CALLER_LEFT = "caller_left"
     DUPLICATE_IN_FLIGHT = "duplicate_in_flight"
     OUTCOME_NOT_RECORDED = "outcome_not_recorded"
     TIMED_OUT = "timed_out"
@@ -111,6 +112,7 @@
     Reason.CONNECT_FAILED: _refusal(503, retryable=True),
     Reason.UPSTREAMS_UNREACHABLE: _refusal(503, retryable=True),
     Reason.SHUTTING_DOWN: _refusal(503, retryable=True),
+    Reason.CALLER_LEFT: _refusal(503),
     Reason.DUPLICATE_IN_FLIGHT: ReasonInfo(Outcome.UNKNOWN, 409, False),
     Reason.OUTCOME_NOT_RECORDED: ReasonInfo(Outcome.UNKNOWN, 409, False),
     Reason.TIMED_OUT: _unknown_outcome(),
--- a/fireflyferry/transport/received.py
+++ b/fireflyferry/transport/received.py
@@ -5,12 +5,13 @@
 import struct
 import termios
 
-__all__ = ["bytes_read", "is_reset"]
+__all__ = ["bytes_read", "is_ended", "is_reset"]
 
 _RECEIVED = struct.Struct("=Q")
 _RECEIVED_AT = 128  # tcpi_bytes_received in Linux's struct tcp_info
 _UNREAD = struct.Struct("=i")
 _CLOSED = 7  # TCP_CLOSE in Linux's list of states
+_CLOSE_WAIT = 8  # TCP_CLOSE_WAIT: the other end has closed, and this one has not
 
 
 def bytes_read(descriptor: int) -> int | None:
@@ -35,8 +36,16 @@
 
 def is_reset(connection: socket.socket) -> bool:
     """Return whether the other end has reset a TCP connection, also while nothing reads from it."""
+    return _state(connection) == _CLOSED
+
+
+def is_ended(connection: socket.socket) -> bool:
+    """Return whether the other end has closed or reset a connection, also behind unread bytes."""
+    return _state(connection) in (_CLOSED, _CLOSE_WAIT)
+
+
+def _state(connection: socket.socket) -> int:
     try:
-        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
-        return True
-    return state[0] == _CLOSED
+        return _CLOSED
--- a/fireflyferry/transport/request_server.py
+++ b/fireflyferry/transport/request_server.py
@@ -9,7 +9,7 @@
 from tornado.iostream import IOStream
 
 from fireflyferry.transport.read_turns import TURN_PARTS, ReadCost, ReadTurns
-from fireflyferry.transport.received import is_reset
+from fireflyferry.transport.received import is_ended, is_reset
 
 __all__ = ["READ_AHEAD_BYTES", "RequestServer"]
 
@@ -57,6 +57,11 @@
         """Whether a complete request is handled or its answer is being written."""
         return self._close_callback is not None or self.writing()
 
+    @property
+    def has_unnoticed_end(self) -> bool:
+        """Whether the other end has closed while the buffer is full, so that nothing reads."""
+        return self._read_buffer_size >= READ_AHEAD_BYTES and is_ended(self.socket)
+
     def close(self, exc_info: object = False) -> None:
         """Close the connection; unless a request is being read, drop what is in the buffer."""
         was_reading = self.reading() and not self._holds_head
