Do not cut the deadlines of requests that another VM forwarded

Cause: the VM that stopped first was their last hop and cut the deadlines to its own exit, though the VM that waited could have had a third one send them.

Change: a stopping last hop refuses such a request as not run.

Ruled out: a deadline that the first hop cut too early (it was cut 1.5 s later than the last hop's), and an upstream that ended.

--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -30,6 +30,9 @@
     `deadline_s` is earlier than the caller's deadline, since this VM stops. Only upstreams in
     `allowed_regions` may get it, None means all; last hops do not need the regions.
 
+    `is_forwarded` is set at the last hop of another VM's request. That VM sets the deadline, since
+    it waits for the result.
+
     `has_sender_left` returns whether the caller, or the VM that forwarded the request, has closed
     its connection. Then no upstream gets the request any more.
     """
@@ -55,6 +58,7 @@
     is_at_upstream: bool = False
     deadline_cut: bool = False
     allowed_regions: frozenset[str] | None = None
+    is_forwarded: bool = False
     has_sender_left: Callable[[], bool] = _is_present
 
     @property
@@ -76,8 +80,11 @@
     ) -> bool:
         """Return whether an attempt ends before a stopping VM exits; cut the deadline to that.
 
-        `forecast` returns the expected wait and service time in seconds.
+        `forecast` returns the expected wait and service time in seconds. The deadline of a
+        forwarded request is not cut: a third VM can send it with all of its time.
         """
+        if self.is_forwarded:
+            return self.deadline_s <= plan.answer_by_s
         deadline_s = plan.deadline_s(self.received_s, self.deadline_s)
         if deadline_s is None:
             return False
--- a/fireflyferry/gateway/peer_server.py
+++ b/fireflyferry/gateway/peer_server.py
@@ -240,5 +240,6 @@
             repeated=bool(peer_call.repeated),
             tried=peer_call.tried_upstreams,
             received_s=now_s,
+            is_forwarded=True,
             has_sender_left=self.has_sender_left,
         )
--- a/fireflyferry/gateway/tests/test_stopping.py
+++ b/fireflyferry/gateway/tests/test_stopping.py
@@ -302,6 +302,57 @@
     run_stopping(scenario)
 
 
+@pytest.mark.parametrize(("left_s", "is_taken"), [(8.0, False), (1.0, True)])
+def test_stopping_vm_takes_a_forwarded_request_only_with_all_of_its_time(left_s, is_taken):
+    """Guards against a last hop that breaks off what the stopping VM before it could wait for.
+
+    Review case 8: two VMs stop 1.5 s apart, and the first one cut the deadline to its own exit.
+    """
+
+    async def scenario(running, upstream):
+        async with connection(running.settings.vm.peer_port) as (reader, writer):
+            running.program.stop()
+            writer.write(forward_bytes(left_s))
+            got = await read_reply(reader)
+            if is_taken:
+                assert got.status == 200 and len(upstream.seen) == 1
+                return
+            summary = EnvelopeCodec(HEADER_NAMES).unpack(got.body).summary
+            result = peer_messages.read_result(summary, None, "u1")
+            assert (result.outcome, result.reason) == (Outcome.NOT_RUN, Reason.SHUTTING_DOWN)
+            assert not upstream.seen
+
+    run_stopping(scenario, None)
+
+
+def test_forwarded_request_that_gets_a_slot_after_the_signal_goes_to_another_vm():
+    """Guards against the same for a request that waited for its slot when the signal came."""
+
+    async def slow(seen, writer):
+        await asyncio.sleep(0.4)
+        writer.write(reply(seen))
+
+    async def scenario(running, upstream):
+        last_hop = running.program._last_hop
+        async with contextlib.AsyncExitStack() as stack:
+            port = running.settings.vm.peer_port
+            pairs = [await stack.enter_async_context(connection(port)) for _ in range(3)]
+            for number, (_, writer) in enumerate(pairs):
+                writer.write(forward_bytes(8.0))
+                count = number + 1
+                await running.wait_until(
+                    lambda count=count: last_hop.busy + last_hop.waiting == count
+                )
+            assert last_hop.waiting == 1
+            running.program.stop()
+            got = await read_reply(pairs[2][0])
+            summary = EnvelopeCodec(HEADER_NAMES).unpack(got.body).summary
+            assert peer_messages.read_result(summary, None, "u1").reason is Reason.SHUTTING_DOWN
+            assert len(upstream.seen) == 2
+
+    run_stopping(scenario, slow, slots=1)
+
+
 def test_forwarded_request_whose_body_arrives_when_no_more_are_taken_has_not_run():
     """Guards against running a forwarded request shortly before the exit of its last hop."""
 
