Read the owner table again when a late write has changed it

Keys were refused for as long as the granting VM had no other reason to write: a write of the owner table got no answer, the VM read the table, and the write was carried out seconds later.

Change: when the mirror shows a revision above the expected one and no write is in flight, the granting VM reads the table and carries the move out.

--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
-import attrs
-
 from fireflyferry.balancing import Contact, EntryVm
 from fireflyferry.edges import Clock
 from fireflyferry.gateway import documents
+from fireflyferry.gateway.control_state import ControlRules, PoolControl
 from fireflyferry.gateway.edges import (
     Conflict,
     Document,
@@ -52,34 +51,6 @@
 RELEASE_S = 1.0
 
 
-@attrs.frozen
-class ControlRules:
-    """Timing of the control loop, in seconds.
-
-    The VM that holds the lease works each `tick_interval_s`, the others each `idle_interval_s`.
-    Each VM adds a random delay of up to `takeover_jitter_s` before it takes over an expired
-    lease, so that the VMs do not all try to acquire it at the same moment.
-    """
-
-    tick_interval_s: float = 0.05
-    idle_interval_s: float = 0.2
-    takeover_jitter_s: float = 0.4
-
-
-@attrs.define
-class _PoolControl:
-    """State of one pool's grants in the current term, the time for which this VM holds the lease.
-
-    `table_read` is False until the stored owner table was read, and again after a failed save.
-    `reading` is whether a read is in flight.
-    """
-
-    granter: RangeGranter
-    progress: PlanProgress
-    table_read: bool = False
-    reading: bool = False
-
-
 class ControlLoop:
     """Acquires and renews the granting lease, and grants keys to upstreams while holding it.
 
@@ -128,7 +99,7 @@
         )
         self._holder: tuple[str, str, bool] | None = None
         self._lease_held = False
-        self._pools: dict[str, _PoolControl] = {}
+        self._pools: dict[str, PoolControl] = {}
         self._tasks = BackgroundTasks()
         self._orders_in_flight = BackgroundTasks()
 
@@ -200,6 +171,21 @@
             return
         self._lease.on_relayed(self._clock.monotonic_s(), record, document.revision)
 
+    def on_owner_table(self, pool: str, revision: int) -> None:
+        """Read a table again that another write than the last confirmed one has stored.
+
+        A write that got no answer may be carried out later, after this VM has read the table. The
+        other VMs follow what is stored, and refuse the keys of a move that this VM does not know.
+        """
+        control = self._pools.get(pool)
+        expected = control.granter.expects_revision if control is not None else None
+        if control is None or not control.table_read or expected is None or revision <= expected:
+            return
+        _LOG.warning(
+            "owners_written_late", extra={"pool": pool, "revision": revision, "expected": expected}
+        )
+        control.table_read = False
+
     # Lease
 
     async def _lease_call(self, action: ReadLease | WriteLease) -> None:
@@ -297,7 +283,7 @@
         control = self._pools.get(pool)
         if control is None:
             granter = RangeGranter(pool, self._timing, now_s, self._lease.era)
-            control = self._pools[pool] = _PoolControl(granter, PlanProgress())
+            control = self._pools[pool] = PoolControl(granter, PlanProgress())
         if not control.table_read:
             if not control.reading:
                 control.reading = True
@@ -313,7 +299,7 @@
             self._start_action(pool, control, action)
 
     def _start_action(
-        self, pool: str, control: _PoolControl, action: SaveTable | GrantCall | ReleaseCall
+        self, pool: str, control: PoolControl, action: SaveTable | GrantCall | ReleaseCall
     ) -> None:
         if isinstance(action, SaveTable):
             self._tasks.start(self._save_table(pool, control, action))
@@ -322,14 +308,14 @@
         else:
             self._orders_in_flight.start(self._release(control, action))
 
-    def _is_current(self, control: _PoolControl) -> bool:
+    def _is_current(self, control: PoolControl) -> bool:
         """Return whether this VM still holds the lease in the term that this state belongs to.
 
         Grants and releases check it right before their first byte is sent.
         """
         return self.holds_lease and control in self._pools.values()
 
-    async def _read_table(self, pool: str, control: _PoolControl) -> None:
+    async def _read_table(self, pool: str, control: PoolControl) -> None:
         try:
             document = await self._store.read(documents.OWNER_KIND, pool)
             table = documents.read_table(document) if document is not None else None
@@ -347,7 +333,7 @@
         finally:
             control.reading = False
 
-    async def _save_table(self, pool: str, control: _PoolControl, save: SaveTable) -> None:
+    async def _save_table(self, pool: str, control: PoolControl, save: SaveTable) -> None:
         content = documents.table_content(save.table)
         before = control.granter.table
         try:
@@ -370,11 +356,11 @@
         moves = log_moves(pool, before.ranges if before is not None else (), save.table.ranges)
         self._metrics.count_owner_changes(pool, moves)
 
-    def _contact(self, control: _PoolControl, answer: GrantAnswer) -> Contact:
+    def _contact(self, control: PoolControl, answer: GrantAnswer) -> Contact:
         """Return what an answer shows; an order of an earlier term may not have been sent."""
         return contact_of_answer(answer) if self._is_current(control) else Contact.ENDED
 
-    async def _grant(self, control: _PoolControl, call: GrantCall) -> None:
+    async def _grant(self, control: PoolControl, call: GrantCall) -> None:
         result = await self._path.watch_order(
             call.run,
             GRANT_S,
@@ -385,7 +371,7 @@
         log_grant(call, result.answer)
         control.granter.on_grant(self._clock.monotonic_s(), call, result)
 
-    async def _release(self, control: _PoolControl, call: ReleaseCall) -> None:
+    async def _release(self, control: PoolControl, call: ReleaseCall) -> None:
         answer, handover = await self._path.watch_order(
             call.run,
             RELEASE_S,
--- a/fireflyferry/gateway/program.py
+++ b/fireflyferry/gateway/program.py
@@ -208,6 +208,7 @@
             path=self._path,
             timing=GrantTiming(hold_s=min(GrantTiming().hold_s, bounds.max_hold_s)),
         )
+        self._state.on_owner_table = self._control_loop.on_owner_table
         self._reporter = LoadReporter(
             self._this_vm,
             self._sampler,
--- a/fireflyferry/gateway/state.py
+++ b/fireflyferry/gateway/state.py
@@ -112,6 +112,7 @@
         self.config: RoutingConfig | None = None
         self.routes = HostRoutes(())
         self.on_outdated_owners: Callable[[], None] = lambda: None
+        self.on_owner_table: Callable[[str, int], None] = lambda pool, revision: None
         self.on_config: list[Callable[[RoutingConfig], None]] = []
         self.on_upstreams: list[Callable[[], None]] = []
         self.on_vms: Callable[[float, list[EntryVm]], None] = lambda now_s, vms: None
@@ -337,6 +338,7 @@
                 self._put_owner_table(document.revision, table)
 
     def _put_owner_table(self, revision: int, table: OwnerTable) -> None:
+        self.on_owner_table(table.pool, revision)
         if self.owners.put(self._clock.monotonic_s(), table.pool, revision, table):
             _LOG.info(
                 "owners_changed",
--- a/fireflyferry/keyranges/grant_state.py
+++ b/fireflyferry/keyranges/grant_state.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from fireflyferry.keyranges.table import OwnedRange
+from fireflyferry.keyranges.table import OwnedRange, UpstreamRun
 
-__all__ = ["Grant", "Release", "TableChanges"]
+__all__ = ["Grant", "Release", "TableChanges", "is_replaced_by"]
 
 
 @attrs.define
@@ -54,3 +54,8 @@
         """Return a fence above all earlier ones."""
         self.last_fence += 1
         return self.last_fence
+
+
+def is_replaced_by(run: UpstreamRun, owner: UpstreamRun) -> bool:
+    """Return whether an owner is the same incarnation or a later one under the same id."""
+    return run.upstream_id == owner.upstream_id and run.born <= owner.born
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -10,7 +10,7 @@
 import attrs
 
 from fireflyferry.keyranges.division import Move
-from fireflyferry.keyranges.grant_state import Grant, Release, TableChanges
+from fireflyferry.keyranges.grant_state import Grant, Release, TableChanges, is_replaced_by
 from fireflyferry.keyranges.orders import (
     Clearance,
     GrantAnswer,
@@ -64,6 +64,11 @@
         """The table as last stored in this term; None before the first write."""
         return self._table if self._is_table_of_this_term else None
 
+    @property
+    def expects_revision(self) -> int | None:
+        """Revision of the stored table as known here; None while a write is in flight."""
+        return self._revision if self._save_in_flight is None else None
+
     @property
     def is_table_saved(self) -> bool:
         """Whether this term has stored the table and no further write is in flight."""
@@ -269,7 +274,7 @@
             release = self._releases.get(((owned.first, owned.last), run))
             if release is not None and release.done:
                 continue
-            if _is_replaced_by(run, move.new_owner):
+            if is_replaced_by(run, move.new_owner):
                 # The next owner may hold the keys by grants that were meant for the earlier one.
                 self._sent_grants.on_new_fence(move.new_owner, fence)
                 continue
@@ -307,7 +312,7 @@
         """Return why an earlier holder can no longer hold a range; None if it may hold it."""
         # A later incarnation is not an end in itself: it may have taken grants that were meant for
         # the earlier one, and holds them unless it is the next owner.
-        if _is_replaced_by(run, owned.owner):
+        if is_replaced_by(run, owned.owner):
             return Clearance.RESTARTED
         if self.has_ended(run):
             return Clearance.ENDED
@@ -391,8 +396,3 @@
         for (_, holder), release in self._releases.items():
             if holder.upstream_id == run.upstream_id and release.grant_expiry_s is None:
                 release.grant_expiry_s = self._sent_grants.expiry_s(run)
-
-
-def _is_replaced_by(run: UpstreamRun, owner: UpstreamRun) -> bool:
-    """Return whether an owner is the same incarnation or a later one under the same id."""
-    return run.upstream_id == owner.upstream_id and run.born <= owner.born
