Route targets in absolute form by the host that they name

A request for http://host/path was answered 404, since the whole target was taken for a path. RFC 9112 asks servers to accept this form, and the host that it names goes before the Host header.

--- a/fireflyferry/gateway/callers.py
+++ b/fireflyferry/gateway/callers.py
@@ -12,7 +12,7 @@
 from fireflyferry.gateway.edges import HeaderNames
 from fireflyferry.gateway.exchange import BufferedExchange, ClosingConnections, InFlightRequests
 from fireflyferry.gateway.first_hop import FirstHop
-from fireflyferry.gateway.headers import answer_headers, host_of, request_headers
+from fireflyferry.gateway.headers import answer_headers, host_of, origin_form, request_headers
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.sampling import KeySampler
 from fireflyferry.gateway.state import GatewayState
@@ -133,7 +133,9 @@
             return not_run(Reason.SHUTTING_DOWN)
         if state.config is None:
             return not_run(Reason.NO_TABLES, NO_TABLES_RETRY_AFTER_S)
-        target = self._line.path
+        target, authority = origin_form(self._line.path)
+        if authority:  # names the host in place of the header
+            self._headers["Host"] = authority
         route = state.routes.match(host_of(self._headers), target.partition("?")[0])
         if route is None:
             return not_run(Reason.UNKNOWN_ROUTE)
@@ -150,10 +152,16 @@
             if key is None:
                 return not_run(Reason.MISSING_KEY)
             services.sampler.on_key(pool, key)
-        return self._make_call(route, request_id, deadline_ms, pool, key)
+        return self._make_call(route, target, request_id, deadline_ms, pool, key)
 
     def _make_call(
-        self, route: HostRoute, request_id: str, deadline_ms: int, pool: str, key: int | None
+        self,
+        route: HostRoute,
+        target: str,
+        request_id: str,
+        deadline_ms: int,
+        pool: str,
+        key: int | None,
     ) -> Call:
         services, names = self._services, self._services.names
         age_s = services.deadlines.request_age_s(route.name, deadline_ms)
@@ -161,7 +169,7 @@
         return Call(
             request_id=request_id,
             method=self._line.method,
-            target=self._line.path,
+            target=target,
             headers=request_headers(self._headers, (names.deadline_ms, names.expected_upstream)),
             body=self.take_body(),
             pool=pool,
--- a/fireflyferry/gateway/headers.py
+++ b/fireflyferry/gateway/headers.py
@@ -1,12 +1,27 @@
 """Headers that are passed on between callers and upstreams."""
 
+import re
 from collections.abc import Iterable
 
 from tornado.httputil import HTTPHeaders
 
 from fireflyferry.transport.headers import HeaderList, end_to_end_headers
 
-__all__ = ["answer_headers", "host_of", "request_headers"]
+__all__ = ["answer_headers", "host_of", "origin_form", "request_headers"]
+
+_ABSOLUTE_FORM = re.compile(r"https?://([^/?#]*)(.*)", re.IGNORECASE | re.DOTALL)
+
+
+def origin_form(target: str) -> tuple[str, str]:
+    """Return the target of a request in origin form, and the authority that it names.
+
+    The authority is empty for a target that has no absolute form.
+    """
+    absolute = _ABSOLUTE_FORM.fullmatch(target)
+    if absolute is None:
+        return target, ""
+    authority, rest = absolute.groups()
+    return rest if rest.startswith("/") else f"/{rest}", authority.rpartition("@")[2]
 
 
 def request_headers(headers: HTTPHeaders, replaced: Iterable[str]) -> HeaderList:
