Accept extensions of chunks and trailers in request bodies

A body with an extension of a chunk or with trailers was answered 400: Tornado reads neither, and both are valid HTTP.

--- a/fireflyferry/transport/request_server.py
+++ b/fireflyferry/transport/request_server.py
@@ -19,6 +19,9 @@
 # Heads are read in small parts, so that a body which waits for memory leaves little of it in the
 # buffer of its connection.
 HEAD_PART_BYTES = 1 << 12
+# Limits of a chunk's size with its extensions, and of all trailers of a body in chunks.
+MAX_CHUNK_LINE_BYTES = 1 << 12
+MAX_TRAILER_BYTES = 1 << 13
 
 
 class _RequestStream(IOStream):
@@ -46,6 +49,7 @@
         self._resumption: asyncio.Task[None] | None = None
         self._reads_head = False
         self._holds_head = False
+        self._has_dropped_trailers = False
 
     @property
     def written_bytes(self) -> int:
@@ -85,15 +89,42 @@
         return super().read_until_regex(regex, max_bytes)
 
     def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
-        """Read the size of a chunk, once it is the turn of this connection."""
-        self._cost.add(1)
-        if self._turns.may_read(self._cost):
-            return super().read_until(delimiter, max_bytes)
-        return asyncio.ensure_future(self._read_in_turn(delimiter, max_bytes))
+        """Read the size of a chunk, once it is the turn of this connection.
 
-    async def _read_in_turn(self, delimiter: bytes, max_bytes: int | None) -> bytes:
-        await self._wait_for_turn()
-        return await super().read_until(delimiter, max_bytes)
+        Tornado knows neither extensions of chunks nor trailers, so both are dropped here.
+        """
+        self._cost.add(1)
+        if not self._turns.may_read(self._cost):
+            return asyncio.ensure_future(self._read_chunk_size(delimiter))
+        line = asyncio.ensure_future(super().read_until(delimiter, MAX_CHUNK_LINE_BYTES))
+        is_plain = (
+            line.done()
+            and line.exception() is None
+            and b";" not in line.result()
+            and line.result().strip(b"0") != delimiter
+        )
+        return line if is_plain else asyncio.ensure_future(self._read_chunk_size(delimiter, line))
+
+    async def _read_chunk_size(
+        self, delimiter: bytes, line: "asyncio.Future[bytes] | None" = None
+    ) -> bytes:
+        """Return the size of a chunk without extensions; drop the trailers behind the last one."""
+        if line is None:
+            await self._wait_for_turn()
+            line = super().read_until(delimiter, MAX_CHUNK_LINE_BYTES)
+        size = (await line)[: -len(delimiter)].partition(b";")[0].rstrip()
+        if size and not size.strip(b"0"):
+            await self._drop_trailers(delimiter)
+        return size + delimiter
+
+    async def _drop_trailers(self, delimiter: bytes) -> None:
+        left_bytes = MAX_TRAILER_BYTES
+        while (line := await super().read_until(delimiter, left_bytes)) != delimiter:
+            left_bytes -= len(line)
+            self._cost.add(1)
+            if not self._turns.may_read(self._cost):
+                await self._wait_for_turn()
+        self._has_dropped_trailers = True
 
     async def _wait_for_turn(self) -> None:
         if self.closed():
@@ -124,7 +155,12 @@
             super()._finish_read(size)
 
     def read_bytes(self, num_bytes: int, partial: bool = False) -> Awaitable[bytes]:
-        """Read a part of a body."""
+        """Read a part of a body, or the end of one whose trailers were dropped with it."""
+        if self._has_dropped_trailers:
+            self._has_dropped_trailers = False
+            end: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+            end.set_result(b"\r\n")
+            return end
         self.read_chunk_size = self._body_part_bytes
         return super().read_bytes(num_bytes, partial)
 
