--- a/fireflyferry/gateway/calls.py
+++ b/fireflyferry/gateway/calls.py
@@ -12,7 +12,7 @@
 __all__ = ["Answer", "Attempt", "Call", "not_run", "outcome_unknown"]
 
 
-def _is_present() -> bool:
+def _never_left() -> bool:
     return False
 
 
@@ -59,7 +59,7 @@
     deadline_cut: bool = False
     allowed_regions: frozenset[str] | None = None
     is_forwarded: bool = False
-    has_sender_left: Callable[[], bool] = _is_present
+    has_sender_left: Callable[[], bool] = _never_left
 
     @property
     def may_be_cancelled(self) -> bool:
@@ -95,7 +95,7 @@
     def release(self) -> None:
         """Drop what takes memory or refers to the sender's connection, after the request ended."""
         self.body, self.headers = b"", []
-        self.has_sender_left = _is_present
+        self.has_sender_left = _never_left
 
     def result_if_broken_off(self) -> "Attempt":
         """Return the result for a caller whose request ends now, with the exit of this VM."""
--- a/fireflyferry/gateway/control.py
+++ b/fireflyferry/gateway/control.py
@@ -178,7 +178,7 @@
         other VMs follow what is stored, and refuse the keys of a move that this VM does not know.
         """
         control = self._pools.get(pool)
-        expected = control.granter.expects_revision if control is not None else None
+        expected = control.granter.expected_revision if control is not None else None
         if control is None or not control.table_read or expected is None or revision <= expected:
             return
         _LOG.warning(
--- a/fireflyferry/gateway/last_hop.py
+++ b/fireflyferry/gateway/last_hop.py
@@ -25,6 +25,7 @@
 from fireflyferry.gateway.answers import classify
 from fireflyferry.gateway.calls import Attempt, Call, not_run
 from fireflyferry.gateway.edges import HeaderNames
+from fireflyferry.gateway.last_hop_rules import LastHopRules
 from fireflyferry.gateway.learning import record_attempt, record_leaving, record_load
 from fireflyferry.gateway.metrics import GatewayMetrics
 from fireflyferry.gateway.send_limits import SendLimits
@@ -40,23 +41,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class LastHopRules:
-    """Limits on sends and on the reuse of connections; times in seconds.
-
-    A non-idempotent request uses only connections that were idle for less than
-    `non_idempotent_idle_s`, since its outcome is unknown if the upstream closes the connection at
-    the same moment. After an upstream broke a kept connection before answering, only new ones are
-    used for `no_reuse_s`, since an upstream may drop idle connections silently, long before it
-    would close them. A request with less than `min_left_s` to its deadline is not sent.
-    """
-
-    idempotent_idle_s: int = 8  # upstreams close connections that were idle for 10 s
-    non_idempotent_idle_s: int = 4
-    no_reuse_s: float = 10.0
-    min_left_s: float = 0.005
-
-
 class LastHop:
     """Sends requests to the upstreams whose slots this VM allots.
 
--- a/fireflyferry/keyranges/granter.py
+++ b/fireflyferry/keyranges/granter.py
@@ -65,7 +65,7 @@
         return self._table if self._is_table_of_this_term else None
 
     @property
-    def expects_revision(self) -> int | None:
+    def expected_revision(self) -> int | None:
         """Revision of the stored table as known here; None while a write is in flight."""
         return self._revision if self._save_in_flight is None else None
 
--- a/fireflyferry/platform/soak/links.py
+++ b/fireflyferry/platform/soak/links.py
@@ -91,7 +91,12 @@
         ):
             await asyncio.sleep(MODE_CHECK_INTERVAL_S)
             passes_s = time.monotonic()
-        timeout_s = FIRST_RETRANSMISSION_S
-        while sent_s < passes_s:
-            sent_s, timeout_s = sent_s + timeout_s, 2 * timeout_s
-        await asyncio.sleep(max(0.0, sent_s - time.monotonic()))
+        await asyncio.sleep(max(0.0, _arrival_s(sent_s, passes_s) - time.monotonic()))
+
+
+def _arrival_s(sent_s: float, passes_s: float) -> float:
+    """Return when bytes sent at `sent_s` arrive, if the link passes from `passes_s` on."""
+    timeout_s = FIRST_RETRANSMISSION_S
+    while sent_s < passes_s:
+        sent_s, timeout_s = sent_s + timeout_s, 2 * timeout_s
+    return sent_s
